--- /dev/null
+++ b/include/berylridge/Config/Settings.h
@@ -0,0 +1,46 @@
+// The settings of one berylridged process, read once at its start from JSON with comments.
+#pragma once
+
+#include "berylridge/Config/Reader.h"
+#include "berylridge/Config/Vms.h"
+#include "berylridge/Support/Endpoint.h"
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylridge {
+
+struct Settings
+{
+    NodeId node;
+    ZoneId zone;
+    Endpoint callers;               ///< Listens here for callers' HTTP.
+    Endpoint peers;                 ///< Listens here for nodes: datagrams (UDP) and calls (TCP).
+    Endpoint admin;                 ///< Listens here for operators, health checks and metrics.
+    std::string fleetKey;           ///< 32 to 64 bytes; seals datagrams and calls between nodes.
+    std::string operatorsKeyDigest; ///< credentialDigest() of the operators' key.
+    std::vector<Endpoint> platform; ///< Of the configuration service; tried in turn.
+    std::vector<VmEntry> seeds;     ///< Nodes to greet before a VM list is there.
+    std::string chartDirectory;     ///< Where the state charts are.
+    std::string sharing = "fleet";  ///< "fleet", or a baseline: "per-node", "round-robin", "fifo".
+    std::uint32_t trafficThreads = 2;
+    std::uint64_t headerLimit = 16 << 10;            ///< Bytes of a caller's request head.
+    std::uint64_t bodyLimit = 4 << 20;               ///< Bytes of a caller's request body.
+    std::uint32_t connectionLimit = 4096;            ///< Callers' connections open at once.
+    Duration readTimeout = std::chrono::seconds(10); ///< For a caller to send a whole request.
+    Duration heartbeatPeriod = std::chrono::milliseconds(250);
+    Duration suspectAfter = std::chrono::milliseconds(1200);
+    Duration leaseTerm = std::chrono::milliseconds(2000);
+    Duration stopLimit = std::chrono::seconds(120); ///< For running requests at a planned stop.
+    std::string logLevel = "info";                  ///< "info", "warning" or "error".
+};
+
+/// Reads and checks a whole settings file: unknown names, wrong types and out-of-range values are
+/// all reported at once.
+ReadResult<Settings> readSettings(std::string_view file, std::string_view text);
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Router/Actions.h
@@ -0,0 +1,115 @@
+// What the decision core wants done: the shell carries each out and reports back by events.
+#pragma once
+
+#include "berylridge/Router/Events.h"
+#include "berylridge/Support/Audit.h"
+#include "berylridge/Support/Endpoint.h"
+#include "berylridge/Support/LogEvent.h"
+#include "berylridge/Support/Verdict.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace berylridge {
+
+/// Send the request to the target and stream the answer to the caller. Answered by AttemptHead and
+/// AttemptDone, or by AttemptFailed.
+struct Dispatch
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    TargetId target;
+    Endpoint endpoint;
+    Duration attemptTimeout {0};
+    Duration idleTimeout {0};
+    bool isResumed = false;   ///< Continue the stream after what the caller already has.
+    bool keepsAnswer = false; ///< Hand the answer back in AttemptDone, for repeats of its key.
+};
+
+/// Stop an attempt; nothing more of it reaches the caller.
+struct AbortAttempt
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+};
+
+/// Answer the caller now with problem details (RFC 9457). Where part of an answer was already sent,
+/// the connection is cut instead, so that the caller can't take it for whole.
+struct Refuse
+{
+    RequestHandle handle = 0;
+    unsigned status = 503;
+    Verdict verdict = Verdict::NotRun;
+    std::string title; ///< For people; says what happened.
+    std::string type;  ///< Last part of the problem type URI, as in "queue-full".
+    std::optional<Duration> retryAfter;
+};
+
+/// Answer the caller with the kept answer of an earlier request with the same key.
+struct AnswerKept
+{
+    RequestHandle handle = 0;
+    unsigned status = 200;
+    std::vector<KeyHeader> headers;
+    std::string body;
+};
+
+/// By datagram where it fits into one, else by call.
+struct SendToNode
+{
+    NodeId to;
+    Endpoint endpoint;
+    std::variant<FleetMessage, KeyMessage> message;
+};
+
+/// Try to connect to a silent node. Answered by ProbeEnded.
+struct ProbeNode
+{
+    NodeId node;
+    Endpoint endpoint;
+    Incarnation incarnation = 0;
+};
+
+/// Ask a target for its load. Answered by TargetReport or TargetPollFailed.
+struct PollTarget
+{
+    TargetId target;
+    Endpoint endpoint;
+};
+
+/// Begin or cease to watch the platform's documents and VM list.
+struct WatchPlatform
+{
+    bool isOn = false;
+};
+
+/// Whether the balancer should send callers here.
+struct Readiness
+{
+    bool isReady = false;
+};
+
+/// A planned stop is over: nothing runs, the process may end.
+struct Stopped
+{
+};
+
+struct Log
+{
+    LogRecord record;
+};
+
+struct Audit
+{
+    AuditEntry entry;
+};
+
+using Action = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept, SendToNode, ProbeNode,
+                            PollTarget, WatchPlatform, Readiness, Stopped, Log, Audit>;
+
+/// Actions in the order in which they are to be carried out.
+using Actions = std::vector<Action>;
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Router/Events.h
@@ -0,0 +1,157 @@
+// What the decision core is told: each event carries values only, no socket and no thread.
+#pragma once
+
+#include "berylridge/Config/Documents.h"
+#include "berylridge/Config/Vms.h"
+#include "berylridge/Fleet/Messages.h"
+#include "berylridge/Idempotency/Messages.h"
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace berylridge {
+
+/// The shell's number for one caller's request; never given twice by a process.
+using RequestHandle = std::uint64_t;
+/// Counts the attempts of one request, from 1.
+using AttemptNumber = std::uint32_t;
+
+/// A caller's request has been read whole.
+struct RequestArrived
+{
+    RequestHandle handle = 0;
+    std::string requestId; ///< From X-Request-Id, else made by the shell.
+    ServiceId service;
+    std::string credential; ///< The workspace's key, from the Authorization header.
+    std::string method;
+    std::string path; ///< Below the service's prefix, with the query.
+    std::optional<std::string> idempotencyKey;
+    std::uint64_t bodyHash = 0;
+    std::uint64_t bodyBytes = 0;
+    std::optional<double> costHint;   ///< Seconds of a slot, as the caller guesses.
+    std::optional<Duration> patience; ///< How long the caller is willing to wait in the queue.
+};
+
+/// The caller closed its connection before its answer was whole.
+struct CallerGone
+{
+    RequestHandle handle = 0;
+};
+
+/// Why an attempt ended without a whole answer.
+enum class AttemptFailure : std::uint8_t {
+    ConnectRefused, ///< The target's port was closed: that boot of it is gone.
+    ConnectTimeout,
+    Reset,     ///< The connection broke.
+    Timeout,   ///< No byte for the idle timeout, or the attempt's time ran out.
+    BadAnswer, ///< Not HTTP, not the request's own id, or longer than announced.
+    CutShort,  ///< Fewer bytes than announced, or a stream without its end.
+};
+
+/// The target's answer head came, with the request's own id.
+struct AttemptHead
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    unsigned status = 0;
+    std::string bootId; ///< From the target's answer; empty when it doesn't tell.
+};
+
+/// The answer has reached its end and is whole.
+struct AttemptDone
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    unsigned status = 0;
+    std::string bootId;
+    std::uint64_t bodyBytes = 0;
+    /// The answer, kept where the request carried an idempotency key and it is small enough.
+    std::vector<KeyHeader> keptHeaders;
+    std::optional<std::string> keptBody;
+};
+
+struct AttemptFailed
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    AttemptFailure failure = AttemptFailure::Reset;
+    bool sentAny = true;      ///< Whether a byte of the request may have left for the target.
+    bool answerBegun = false; ///< Whether the caller has already been sent part of the answer.
+};
+
+/// A target's own load report, asked for by PollTarget.
+struct TargetReport
+{
+    TargetId target;
+    std::string bootId;
+    std::uint32_t running = 0;
+    std::uint64_t completed = 0; ///< Since its boot.
+    Duration age {0};            ///< How old the target says the numbers are.
+};
+
+struct TargetPollFailed
+{
+    TargetId target;
+    AttemptFailure failure = AttemptFailure::ConnectRefused;
+};
+
+/// A message from another node, already authenticated.
+struct NodeMessage
+{
+    NodeId from;
+    Incarnation incarnation = 0;
+    std::variant<FleetMessage, KeyMessage> message;
+};
+
+/// A probe of a silent node ended: its port refused (that incarnation is gone) or it stayed silent.
+struct ProbeEnded
+{
+    NodeId node;
+    Incarnation incarnation = 0; ///< The one that was probed.
+    bool isRefused = false;
+};
+
+/// A document came from the platform. A relayed one comes as a NodeMessage.
+struct DocumentArrived
+{
+    DocumentText document;
+};
+
+struct VmListArrived
+{
+    VmList list;
+};
+
+/// The platform did not answer, or answers again.
+struct PlatformReach
+{
+    bool isReachable = false;
+};
+
+/// A planned stop: SIGTERM or an operator's call.
+struct LeaveOrdered
+{
+    std::string who;
+};
+
+/// An operator takes back a LeaveOrdered that has not ended in a stop.
+struct ReturnOrdered
+{
+    std::string who;
+};
+
+/// Nothing but time has passed; sent when Core::nextTimer() is due.
+struct TimerDue
+{
+};
+
+using Event = std::variant<RequestArrived, CallerGone, AttemptHead, AttemptDone, AttemptFailed,
+                           TargetReport, TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived,
+                           VmListArrived, PlatformReach, LeaveOrdered, ReturnOrdered, TimerDue>;
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Support/Endpoint.h
@@ -0,0 +1,19 @@
+// Where to connect to.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace berylridge {
+
+struct Endpoint
+{
+    std::string address; ///< IP number.
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Support/Id.h
@@ -0,0 +1,66 @@
+// Names of things as distinct types, so that a workspace is never passed where a target is meant.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace berylridge {
+
+/// A name that the operators or the platform gave. Two names of different kinds don't mix.
+template <typename Kind>
+class Name
+{
+public:
+    Name() = default;
+    explicit Name(std::string text)
+        : m_text(std::move(text))
+    {
+    }
+    explicit Name(std::string_view text)
+        : m_text(text)
+    {
+    }
+    explicit Name(const char *text)
+        : m_text(text)
+    {
+    }
+
+    const std::string &str() const { return m_text; }
+    bool isEmpty() const { return m_text.empty(); }
+
+    auto operator<=>(const Name &) const = default;
+    bool operator==(const Name &) const = default;
+
+    friend std::ostream &operator<<(std::ostream &out, const Name &name)
+    {
+        return out << name.m_text;
+    }
+
+private:
+    std::string m_text;
+};
+
+using NodeId = Name<struct NodeKind>;
+using ZoneId = Name<struct ZoneKind>;
+using ServiceId = Name<struct ServiceKindTag>;
+using WorkspaceId = Name<struct WorkspaceKind>;
+using TargetId = Name<struct TargetKind>;
+
+/// Tells one run of a node from the next: wall-clock microseconds at its start. Only compared for
+/// equality and order between runs of the same node.
+using Incarnation = std::uint64_t;
+
+} // namespace berylridge
+
+template <typename Kind>
+struct std::hash<berylridge::Name<Kind>>
+{
+    std::size_t operator()(const berylridge::Name<Kind> &name) const noexcept
+    {
+        return std::hash<std::string> {}(name.str());
+    }
+};
--- /dev/null
+++ b/lib/Router/Core.cpp
@@ -0,0 +1,1 @@
+#include "berylridge/Router/Core.h"
--- /dev/null
+++ b/lib/Support/Hash.cpp
@@ -0,0 +1,60 @@
+#include "berylridge/Support/Hash.h"
+
+#include <array>
+#include <cassert>
+#include <sodium.h>
+#include <xxhash.h>
+
+namespace berylridge {
+
+namespace {
+
+const unsigned char *asUnsigned(const void *bytes)
+{
+    return static_cast<const unsigned char *>(bytes);
+}
+
+} // namespace
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint64_t rendezvousWeight(std::string_view subject, std::string_view node)
+{
+    return hash64(subject, hash64(node));
+}
+
+std::string credentialDigest(std::string_view credential)
+{
+    std::array<unsigned char, crypto_generichash_BYTES> digest {};
+    crypto_generichash(digest.data(), digest.size(), asUnsigned(credential.data()),
+                       credential.size(), nullptr, 0);
+    std::string hex(digest.size() * 2 + 1, '\0');
+    sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
+    hex.pop_back();
+    return hex;
+}
+
+void authenticate(std::string_view key, std::span<const std::byte> bytes,
+                  std::span<std::byte, authenticatorSize> out)
+{
+    assert(key.size() >= crypto_generichash_KEYBYTES_MIN && "fleet key too short");
+    assert(key.size() <= crypto_generichash_KEYBYTES_MAX && "fleet key too long");
+    std::array<unsigned char, authenticatorSize> tag {};
+    crypto_generichash(tag.data(), tag.size(), asUnsigned(bytes.data()), bytes.size(),
+                       asUnsigned(key.data()), key.size());
+    for (std::size_t i = 0; i < tag.size(); ++i)
+        out[i] = std::byte {tag[i]};
+}
+
+bool isAuthentic(std::string_view key, std::span<const std::byte> bytes,
+                 std::span<const std::byte, authenticatorSize> given)
+{
+    std::array<std::byte, authenticatorSize> wanted {};
+    authenticate(key, bytes, wanted);
+    return sodium_memcmp(wanted.data(), given.data(), wanted.size()) == 0;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/utils/lint_inputs.py
@@ -0,0 +1,29 @@
+"""Prints the project headers that a source file includes, directly or not, with their text.
+
+utils/lint.sh hashes this to know whether a file must be linted again.
+"""
+import os
+import re
+import sys
+
+INCLUDE = re.compile(r'^\s*#\s*include\s*"([^"]+)"', re.M)
+root = os.getcwd()
+seen = set()
+
+
+def visit(path):
+    """Prints path and, once each, what it includes with quotes."""
+    if path in seen or not os.path.exists(path):
+        return
+    seen.add(path)
+    with open(path, encoding="utf-8") as source:
+        text = source.read()
+    print(path)
+    print(text)
+    for name in INCLUDE.findall(text):
+        for folder in (os.path.join(root, "include"), os.path.dirname(path),
+                       os.path.join(root, "unittests"), os.path.join(root, "test")):
+            visit(os.path.normpath(os.path.join(folder, name)))
+
+
+visit(os.path.abspath(sys.argv[2]))
--- /dev/null
+++ b/utils/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Builds everything and runs all tests. Arguments go to ctest; BERYLRIDGE_SANITIZE=address,undefined
+# (or thread) builds and runs with sanitizers in a folder of its own.
+source "$(dirname "$0")/common.sh"
+sanitize=${BERYLRIDGE_SANITIZE:-}
+[ -z "$sanitize" ] || build=${BERYLRIDGE_BUILD:-$root/build-${sanitize//,/-}}
+install_packages
+build_all -DBERYLRIDGE_SANITIZE="$sanitize"
+if [ -s "$root/KNOWN-RED.txt" ] && grep -qv '^#' "$root/KNOWN-RED.txt"; then
+    echo "known red (see KNOWN-RED.txt):"
+    grep -v '^#' "$root/KNOWN-RED.txt"
+fi
+ctest --test-dir "$build" --output-on-failure -j "${BERYLRIDGE_TEST_JOBS:-4}" "$@"
