Let a pool's owner keep virtual time, instead of counters gossiped by every node

Cause: counters per node and flow, spread in digests, have to be merged over restarts, new homes and partitions; each merge rule that was weighed on paper counted some service twice or lost a lift. Weighed: (1) cumulative counters per node with a home per flow and zone; (2) virtual time at the owner of a pool, that is of one service's targets in one zone. An owner sees every backlogged flow that wants its targets. When it is lost its successor starts all flows level: that costs at most the gap that was bounded before, so nothing has to be kept. Owners of a service's pools still tell each other what flows received.

--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -12,8 +12,14 @@
 
 namespace berylridge {
 
-/// A workspace's use of a service: a hash of both names (see Policy/Ledger.h).
+/// A workspace's use of a service: flowId() of both names.
 using FlowId = std::uint64_t;
+/// A target's name in messages: hash64() of it.
+using TargetHash = std::uint64_t;
+/// The targets of one service in one availability zone that have one owner (Policy/Pool.h).
+using PoolId = std::uint64_t;
+/// Unique over the owners of a pool and their restarts.
+using LeaseId = std::uint64_t;
 
 /// Says that the sender lives, and which versions of documents it has in force. Sent each heartbeat
 /// period to the zone's nodes and to one counterpart in each other zone.
@@ -25,7 +31,12 @@
     std::uint64_t documentsDigest = 0; ///< Of all names and versions; differs when any differs.
     std::uint64_t platformAgeMs = 0;   ///< Since the sender's zone last heard the platform.
     std::uint64_t vmListRevision = 0;
-    MSGPACK_DEFINE(sequence, zone, nodeState, documentsDigest, platformAgeMs, vmListRevision)
+    std::string address; ///< Where the sender is reached: the VM list may not have it yet.
+    std::uint16_t port = 0;
+    std::uint64_t zoneDigest = 0;  ///< Of the sender's view of its own zone.
+    std::uint64_t knownDigest = 0; ///< Of what the sender holds of the receiver's zone.
+    MSGPACK_DEFINE(sequence, zone, nodeState, documentsDigest, platformAgeMs, vmListRevision,
+                   address, port, zoneDigest, knownDigest)
 };
 
 /// Name and version of a document in force.
@@ -36,18 +47,24 @@
     MSGPACK_DEFINE(name, version)
 };
 
-/// Asks for the receiver's document heads; sent when digests differ.
-struct HeadsRequest
+/// One member of the sender's zone.
+struct ZoneMember
 {
-    std::uint64_t documentsDigest = 0;
-    MSGPACK_DEFINE(documentsDigest)
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::uint8_t state = 0; ///< Chart/MemberLife.h, MemberState.
+    std::string address;
+    std::uint16_t port = 0;
+    MSGPACK_DEFINE(node, incarnation, state, address, port)
 };
 
-struct HeadsReply
+/// Who lives in the sender's zone, for nodes of other zones, which do not hear them all. Sent when
+/// the receiver's heartbeat shows that it holds another view.
+struct ZoneView
 {
-    std::vector<DocumentHead> heads;
-    bool isWhole = true; ///< False where only some fitted.
-    MSGPACK_DEFINE(heads, isWhole)
+    std::string zone;
+    std::vector<ZoneMember> members;
+    MSGPACK_DEFINE(zone, members)
 };
 
 /// Asks for documents newer than the given heads.
@@ -92,141 +109,115 @@
     MSGPACK_DEFINE(revision, vms)
 };
 
-/// Waiting requests of the sender's flows that share a virtual time, lowest first.
-struct DemandEntry
+/// Requests of one flow that wait at the sender.
+struct FlowDemand
 {
-    double virtualTime = 0; ///< Of the flow's next request.
-    double cost = 0;        ///< Virtual time that each of them is expected to add.
+    FlowId flow = 0;
     std::uint32_t waiting = 0;
-    MSGPACK_DEFINE(virtualTime, cost, waiting)
+    std::uint32_t oldestMs = 0; ///< How long the oldest has waited.
+    std::uint32_t costMs = 0;   ///< Expected slot time of the next one.
+    MSGPACK_DEFINE(flow, waiting, oldestMs, costMs)
 };
 
 /// A lease that the sender holds.
 struct HeldLease
 {
-    std::uint64_t lease = 0;
-    bool isBusy = false; ///< A request runs on it.
-    MSGPACK_DEFINE(lease, isBusy)
+    LeaseId lease = 0;
+    TargetHash target = 0;
+    FlowId flow = 0;
+    std::uint32_t usedMs = 0; ///< Since it was granted.
+    MSGPACK_DEFINE(lease, target, flow, usedMs)
 };
 
-/// From a holder to the owner of targets: what it wants of a service and what it holds of the
-/// owner's targets. Whole each time, so that a lost one heals with the next.
-struct SlotDemand
+/// From a holder to a pool's owner: all that waits for the service and all that it holds of the
+/// pool. Whole each time, so that a lost one heals with the next, and a new owner learns what is
+/// held.
+struct PoolDemand
 {
-    std::string service;
+    PoolId pool = 0;
     std::uint64_t sequence = 0;
-    std::int64_t sentAt = 0; ///< The sender's clock in microseconds; grants echo it.
-    std::vector<DemandEntry> entries;
-    MSGPACK_DEFINE(service, sequence, sentAt, entries)
+    std::int64_t sentAt = 0;     ///< The sender's clock in microseconds; grants echo it.
+    std::uint64_t owner = 0;     ///< The incarnation of the owner that lastGrant speaks of.
+    std::uint64_t lastGrant = 0; ///< The highest grant number that was received from it.
+    std::vector<FlowDemand> demand;
+    std::vector<HeldLease> held;
+    MSGPACK_DEFINE(pool, sequence, sentAt, owner, lastGrant, demand, held)
 };
 
-/// What the sender holds of one target. Sent to the target's owner with demand and each tick while
-/// anything is held.
-struct SlotHoldings
+struct GrantedLease
 {
-    std::string target;
-    std::uint64_t sequence = 0;
-    std::int64_t sentAt = 0;
-    std::vector<HeldLease> held;
-    std::uint32_t completed = 0; ///< Answers completed there since the target's boot that was seen.
-    std::string bootId;          ///< The target's boot that the sender last saw.
-    MSGPACK_DEFINE(target, sequence, sentAt, held, completed, bootId)
+    LeaseId lease = 0;
+    TargetHash target = 0;
+    FlowId flow = 0;
+    MSGPACK_DEFINE(lease, target, flow)
 };
 
-/// From the owner to a holder: it may run one request at a time at the target for the term.
-struct SlotGrant
+/// From a pool's owner to a holder: each lease lets it run the flow's requests at the target, one
+/// at a time. A request may begin until echo + term on the holder's clock, and while the lease's
+/// requests have together used less than the quantum.
+struct PoolGrant
 {
-    std::string target;
-    std::uint64_t lease
-        = 0; ///< Unique per owner incarnation; carries the owner's start in its high bits.
-    std::int64_t echo
-        = 0; ///< The holder's own clock, from the demand or holdings that this answers.
-    std::int64_t termUs = 0; ///< Valid until echo + term on the holder's clock.
-    MSGPACK_DEFINE(target, lease, echo, termUs)
+    PoolId pool = 0;
+    std::uint64_t number = 0; ///< Rises by one per grant to this holder.
+    std::int64_t echo = 0;    ///< sentAt of the demand that this answers.
+    std::uint32_t termMs = 0;
+    std::uint32_t quantumMs = 0;
+    std::vector<GrantedLease> leases;
+    MSGPACK_DEFINE(pool, number, echo, termMs, quantumMs, leases)
 };
 
-/// From the owner: give idle leases of the target back now, others wait.
-struct SlotRecall
+struct ReturnedLease
 {
-    std::string target;
-    std::uint32_t count = 0;
-    MSGPACK_DEFINE(target, count)
+    LeaseId lease = 0;
+    std::uint32_t usedMs = 0;    ///< Slot time that the flow's requests took.
+    std::uint32_t completed = 0; ///< Whole answers.
+    MSGPACK_DEFINE(lease, usedMs, completed)
 };
 
 /// From a holder: these leases are free again.
-struct SlotReturn
+struct PoolReturn
 {
-    std::string target;
-    std::vector<std::uint64_t> leases;
-    MSGPACK_DEFINE(target, leases)
+    PoolId pool = 0;
+    std::vector<ReturnedLease> leases;
+    std::string bootId; ///< Of the target that completed them, as its answers said.
+    MSGPACK_DEFINE(pool, leases, bootId)
 };
 
-/// From any node to the target's owner: what it saw of the target.
+/// From any node to the target's owner: what it met at the target.
 struct TargetNews
 {
-    std::string target;
+    PoolId pool = 0;
+    TargetHash target = 0;
+    std::uint8_t sign = 0; ///< Chart/TargetLife.h, TargetSign.
     std::string bootId;    ///< Empty when unknown.
-    std::uint8_t kind = 0; ///< Policy/TargetLife.h, TargetSign.
-    MSGPACK_DEFINE(target, bootId, kind)
+    MSGPACK_DEFINE(pool, target, sign, bootId)
 };
 
-/// One flow in a ServiceReport.
+/// One flow in a PoolService.
 struct FlowService
 {
     FlowId flow = 0;
-    double cumulative = 0; ///< Virtual time charged by the sender since its start.
-    double folded = 0;     ///< What of it the last published total already held.
-    double known = 0;      ///< The last published total that the sender knows.
-    MSGPACK_DEFINE(flow, cumulative, folded, known)
+    std::uint64_t servedMs = 0; ///< Slot time since the sender began to own the pool.
+    MSGPACK_DEFINE(flow, servedMs)
 };
 
-/// From a node to the flow's home in its zone.
-struct ServiceReport
+/// From a pool's owner to owners of the service's other pools: what the pool's flows have received.
+/// Cumulative, so that a lost one heals with the next.
+struct PoolService
 {
+    std::string service;
+    PoolId pool = 0;
+    std::uint64_t epoch = 0; ///< Differs for each time that a node begins to own a pool.
     std::vector<FlowService> flows;
-    MSGPACK_DEFINE(flows)
-};
-
-/// One flow in a ServiceTotals.
-struct FlowTotal
-{
-    FlowId flow = 0;
-    double total = 0;  ///< Virtual time over the fleet, as far as the home knows.
-    double folded = 0; ///< The receiver's own cumulative charge that the total holds.
-    MSGPACK_DEFINE(flow, total, folded)
-};
-
-/// From a flow's home to the nodes that report it.
-struct ServiceTotals
-{
-    std::vector<FlowTotal> flows;
-    MSGPACK_DEFINE(flows)
-};
-
-/// One flow in a ZoneService.
-struct FlowZone
-{
-    FlowId flow = 0;
-    double cumulative
-        = 0; ///< Virtual time charged in the sender's zone since the sender became home.
-    double total = 0;
-    MSGPACK_DEFINE(flow, cumulative, total)
-};
-
-/// From a flow's home to its homes in other zones.
-struct ZoneService
-{
-    std::string zone;
-    std::vector<FlowZone> flows;
-    MSGPACK_DEFINE(zone, flows)
+    MSGPACK_DEFINE(service, pool, epoch, flows)
 };
 
-/// A request that crashed targets: its fingerprint and how many it crashed.
+/// A request that crashed a target: its fingerprint, and which boot of which target it was.
 struct CrashNews
 {
     std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
-    MSGPACK_DEFINE(fingerprint, crashes)
+    std::uint64_t boot = 0; ///< Hash of target and boot id, so that each crash counts once.
+    MSGPACK_DEFINE(fingerprint, boot)
 };
 
 /// The sender leaves: it owns nothing from now on.
@@ -237,8 +228,7 @@
 };
 
 using FleetMessage
-    = std::variant<Heartbeat, HeadsRequest, HeadsReply, DocumentsRequest, DocumentsReply,
-                   VmListMessage, SlotDemand, SlotHoldings, SlotGrant, SlotRecall, SlotReturn,
-                   TargetNews, ServiceReport, ServiceTotals, ZoneService, CrashNews, Goodbye>;
+    = std::variant<Heartbeat, ZoneView, DocumentsRequest, DocumentsReply, VmListMessage, PoolDemand,
+                   PoolGrant, PoolReturn, TargetNews, PoolService, CrashNews, Goodbye>;
 
 } // namespace berylridge
