--- /dev/null
+++ b/include/berylridge/Chart/NodeLife.h
@@ -0,0 +1,28 @@
+// The life of this node (charts/node-life.json).
+#pragma once
+
+#include "berylridge/Chart/Chart.h"
+
+namespace berylridge {
+
+enum class NodeState : std::uint8_t {
+    Joining, ///< Learns the documents in force; not ready for callers.
+    Ready,   ///< Takes requests.
+    Leaving, ///< A planned stop: ends what runs.
+    Stopped, ///< Nothing runs; the process may end.
+};
+
+enum class NodeSign : std::uint8_t {
+    DocumentsKnown, ///< It may trust its documents.
+    LeaveOrdered,   ///< A planned stop begins.
+    ReturnOrdered,  ///< The planned stop is taken back.
+    Emptied,        ///< The last request has ended.
+    LimitReached,   ///< The planned stop took longer than stopLimit.
+};
+
+using NodeLife = ChartTable<NodeState, NodeSign>;
+
+/// Loads node-life.json from the directory of charts.
+Expected<NodeLife> loadNodeLife(const std::string &chartDirectory);
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Chart/ChartReader.cpp
@@ -0,0 +1,267 @@
+#include "ChartReader.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+
+namespace berylridge {
+
+namespace {
+
+constexpr std::size_t mostNames = 64;
+
+constexpr auto knownNames = std::to_array<std::string_view>(
+    {"initial", "states", "final", "signals", "transitions", "ignored"});
+
+/// jsoncpp's first message is "* Line 3, Column 7\n  what is wrong\n...".
+std::string firstParseError(const std::string &errors)
+{
+    const auto begin = errors.find("\n  ");
+    if (begin == std::string::npos)
+        return errors;
+    const auto end = errors.find('\n', begin + 3);
+    return errors.substr(begin + 3, end == std::string::npos ? end : end - begin - 3);
+}
+
+} // namespace
+
+ChartReader::ChartReader(std::string file, std::string_view text)
+    : m_file(std::move(file))
+    , m_text(text)
+{
+    m_chart.m_file = m_file;
+}
+
+Expected<Chart> ChartReader::read()
+{
+    Json::Value root;
+    if (parse(root)) {
+        checkNames(root);
+        m_chart.m_states = readNames(root, "states");
+        m_chart.m_signals = readNames(root, "signals");
+        m_chart.m_table.assign(m_chart.m_states.size() * m_chart.m_signals.size(), Chart::unlisted);
+        readInitial(root);
+        readFinal(root);
+        readPairs(root, "transitions", true);
+        readPairs(root, "ignored", false);
+        if (m_errors.empty()) {
+            checkReach(root);
+            checkWaysOut(root);
+        }
+    }
+    if (m_errors.empty())
+        return m_chart;
+    m_errors.pop_back();
+    return Reason {m_errors};
+}
+
+bool ChartReader::parse(Json::Value &root)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["allowComments"] = true;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    std::string errors;
+    if (!reader->parse(m_text.data(), m_text.data() + m_text.size(), &root, &errors)) {
+        int line = 1;
+        std::sscanf(errors.c_str(), "* Line %d", &line); // NOLINT: no number leaves line at 1
+        m_errors += m_file + ":" + std::to_string(line) + ": " + firstParseError(errors) + "\n";
+        return false;
+    }
+    if (!root.isObject()) {
+        fail(root, "a chart is a JSON object");
+        return false;
+    }
+    return true;
+}
+
+void ChartReader::checkNames(const Json::Value &root)
+{
+    for (const auto &name : root.getMemberNames()) {
+        if (std::find(knownNames.begin(), knownNames.end(), name) == knownNames.end()) {
+            fail(root[name],
+                 "'" + name
+                     + "' is unknown; allowed are initial, states, final, signals, transitions "
+                       "and ignored");
+        }
+    }
+}
+
+std::vector<std::string> ChartReader::readNames(const Json::Value &root, const char *name)
+{
+    const Json::Value &list = root[name];
+    if (!list.isArray() || list.empty() || list.size() > mostNames) {
+        fail(list, "'" + std::string(name) + "' must be a list of 1 to 64 names");
+        return {};
+    }
+    std::vector<std::string> names;
+    for (const auto &item : list) {
+        if (!item.isString() || item.asString().empty())
+            fail(item, "'" + std::string(name) + "' must hold names only");
+        else if (std::find(names.begin(), names.end(), item.asString()) != names.end())
+            fail(item, "'" + item.asString() + "' stands twice in '" + name + "'");
+        else
+            names.push_back(item.asString());
+    }
+    return names;
+}
+
+void ChartReader::readInitial(const Json::Value &root)
+{
+    const Json::Value &initial = root["initial"];
+    if (!initial.isString()) {
+        fail(initial, "'initial' is missing: it must name a state");
+        return;
+    }
+    const auto found = indices(initial, m_chart.m_states, "state");
+    if (!found.empty())
+        m_chart.m_initial = found.front();
+}
+
+void ChartReader::readFinal(const Json::Value &root)
+{
+    m_chart.m_final.assign(m_chart.m_states.size(), false);
+    if (!root.isMember("final"))
+        return;
+    for (const auto state : indices(root["final"], m_chart.m_states, "state"))
+        m_chart.m_final[state] = true;
+}
+
+void ChartReader::readPairs(const Json::Value &root, const char *list, bool hasTarget)
+{
+    if (!root.isMember(list))
+        return;
+    const Json::Value &entries = root[list];
+    if (!entries.isArray()) {
+        fail(entries, "'" + std::string(list) + "' must be a list");
+        return;
+    }
+    for (const auto &entry : entries) {
+        if (entry.isObject())
+            readPair(entry, hasTarget);
+        else
+            fail(entry, "'" + std::string(list) + "' must hold objects only");
+    }
+}
+
+void ChartReader::readPair(const Json::Value &entry, bool hasTarget)
+{
+    for (const auto &name : entry.getMemberNames()) {
+        if (name != "from" && name != "on" && !(hasTarget && name == "to"))
+            fail(entry[name], "'" + name + "' is unknown here");
+    }
+    const auto from = indices(entry["from"], m_chart.m_states, "state");
+    const auto on = indices(entry["on"], m_chart.m_signals, "signal");
+    std::vector<Index> to;
+    if (hasTarget) {
+        to = indices(entry["to"], m_chart.m_states, "state");
+        if (to.size() != 1) {
+            fail(entry, "'to' must name one state");
+            return;
+        }
+    }
+    for (const auto state : from) {
+        for (const auto signal : on)
+            setNext(entry, state, signal, hasTarget ? to.front() : state);
+    }
+}
+
+void ChartReader::setNext(const Json::Value &entry, Index from, Index on, Index to)
+{
+    Index &cell = m_chart.m_table[std::size_t {from} * m_chart.m_signals.size() + on];
+    if (cell != Chart::unlisted) {
+        fail(entry,
+             "signal '" + m_chart.m_signals[on] + "' in state '" + m_chart.m_states[from]
+                 + "' is listed twice");
+        return;
+    }
+    cell = to;
+}
+
+std::vector<ChartReader::Index> ChartReader::indices(const Json::Value &value,
+                                                     const std::vector<std::string> &names,
+                                                     const char *kind)
+{
+    if (!value.isString() && !value.isArray()) {
+        fail(value, std::string("a ") + kind + " or a list of them must stand here");
+        return {};
+    }
+    std::vector<Index> found;
+    const auto add = [&](const Json::Value &item) {
+        const std::string name = item.isString() ? item.asString() : std::string();
+        const auto at = std::find(names.begin(), names.end(), name);
+        if (at == names.end())
+            fail(item, std::string(kind) + " '" + name + "' is unknown");
+        else
+            found.push_back(static_cast<Index>(at - names.begin()));
+    };
+    if (value.isString()) {
+        add(value);
+        return found;
+    }
+    for (const auto &item : value)
+        add(item);
+    return found;
+}
+
+void ChartReader::checkReach(const Json::Value &root)
+{
+    std::vector<bool> reached(m_chart.m_states.size(), false);
+    std::vector<Index> open {m_chart.m_initial};
+    reached[m_chart.m_initial] = true;
+    while (!open.empty()) {
+        const Index state = open.back();
+        open.pop_back();
+        for (std::size_t signal = 0; signal < m_chart.m_signals.size(); ++signal) {
+            const auto to = m_chart.next(state, static_cast<Index>(signal));
+            if (!to || reached[*to])
+                continue;
+            reached[*to] = true;
+            open.push_back(*to);
+        }
+    }
+    for (std::size_t i = 0; i < reached.size(); ++i) {
+        if (!reached[i]) {
+            fail(root["states"][static_cast<Json::ArrayIndex>(i)],
+                 "state '" + m_chart.m_states[i] + "' can't be reached from '"
+                     + m_chart.m_states[m_chart.m_initial] + "'");
+        }
+    }
+}
+
+void ChartReader::checkWaysOut(const Json::Value &root)
+{
+    for (std::size_t i = 0; i < m_chart.m_states.size(); ++i) {
+        const Json::Value &at = root["states"][static_cast<Json::ArrayIndex>(i)];
+        if (m_chart.m_final[i] && hasWayOut(i))
+            fail(at, "final state '" + m_chart.m_states[i] + "' has a transition out of it");
+        if (!m_chart.m_final[i] && !hasWayOut(i))
+            fail(at, "state '" + m_chart.m_states[i] + "' has no way out and is not final");
+    }
+}
+
+bool ChartReader::hasWayOut(std::size_t state) const
+{
+    for (std::size_t signal = 0; signal < m_chart.m_signals.size(); ++signal) {
+        const auto to = m_chart.next(static_cast<Index>(state), static_cast<Index>(signal));
+        if (to && *to != state)
+            return true;
+    }
+    return false;
+}
+
+void ChartReader::fail(std::ptrdiff_t offset, const std::string &message)
+{
+    const auto upTo = std::min<std::size_t>(static_cast<std::size_t>(offset), m_text.size());
+    const auto line
+        = 1 + std::count(m_text.begin(), m_text.begin() + static_cast<std::ptrdiff_t>(upTo), '\n');
+    m_errors += m_file + ":" + std::to_string(line) + ": " + message + "\n";
+}
+
+void ChartReader::fail(const Json::Value &at, const std::string &message)
+{
+    fail(at.getOffsetStart(), message);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/unittests/Chart/ChartTest.cpp
@@ -0,0 +1,100 @@
+// Chart files: what is read, and that every error is told with its line.
+#include "berylridge/Chart/Chart.h"
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+
+namespace {
+
+constexpr std::string_view door = R"({
+    // A door.
+    "initial": "shut",
+    "states": ["shut", "open", "broken"],
+    "final": ["broken"],
+    "signals": ["push", "kick"],
+    "transitions": [
+        { "from": "shut", "on": "push", "to": "open" },
+        { "from": ["shut", "open"], "on": "kick", "to": "broken" }
+    ],
+    "ignored": [{ "from": "broken", "on": ["push", "kick"] }]
+})";
+
+std::string replaced(std::string_view from, std::string_view to)
+{
+    std::string text(door);
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+std::string errorsOf(const std::string &text)
+{
+    return Chart::read("door.json", text).lastReason();
+}
+
+enum class Door : std::uint8_t { Broken, Shut, Open };
+enum class Blow : std::uint8_t { Push, Kick };
+
+} // namespace
+
+TEST(Chart, ListedIgnoredAndUnlistedPairs)
+{
+    const auto chart = Chart::read("door.json", door);
+    ASSERT_TRUE(chart) << chart.lastReason();
+    EXPECT_EQ(chart->initial(), 0);
+    EXPECT_EQ(chart->next(0, 0), 1);
+    EXPECT_EQ(chart->next(2, 1), 2) << "ignored: the state stays";
+    EXPECT_EQ(chart->next(1, 0), std::nullopt) << "unlisted";
+    EXPECT_TRUE(chart->isFinal(2));
+}
+
+TEST(Chart, EveryErrorHasItsLine)
+{
+    EXPECT_EQ(errorsOf(replaced(R"("shut",
+)",
+                                R"("ajar",
+)")),
+              "door.json:3: state 'ajar' is unknown");
+    EXPECT_EQ(errorsOf(replaced(R"("to": "open")", R"("to": "closed")")),
+              "door.json:8: state 'closed' is unknown\ndoor.json:8: 'to' must name one state");
+    EXPECT_EQ(errorsOf(replaced(R"("kick", "to")", R"("push", "to")")),
+              "door.json:9: signal 'push' in state 'shut' is listed twice");
+    EXPECT_EQ(errorsOf(replaced(R"("to": "open")", R"("to": "broken")")),
+              "door.json:4: state 'open' can't be reached from 'shut'");
+    EXPECT_EQ(errorsOf(replaced(R"("final")", R"("fianl")")),
+              "door.json:5: 'fianl' is unknown; allowed are initial, states, final, signals, "
+              "transitions and ignored");
+    EXPECT_EQ(errorsOf(replaced(R"("final": ["broken"],)", "")),
+              "door.json:4: state 'broken' has no way out and is not final");
+    EXPECT_EQ(errorsOf(replaced(R"("open", "broken"])", R"("open", "open", "broken"])")),
+              "door.json:4: 'open' stands twice in 'states'");
+    EXPECT_NE(errorsOf(replaced(R"("initial": "shut",)", "")).find("'initial' is missing"),
+              std::string::npos);
+    EXPECT_EQ(errorsOf(replaced(R"("push", "kick"],)", R"("push", "kick")")).substr(0, 12),
+              "door.json:7:");
+}
+
+TEST(Chart, NumbersFollowTheEnum)
+{
+    const std::string path = testing::TempDir() + "door.json";
+    std::ofstream(path) << door;
+    constexpr auto states = std::to_array<std::string_view>({"broken", "shut", "open"});
+    constexpr auto blows = std::to_array<std::string_view>({"push", "kick"});
+    const auto table = ChartTable<Door, Blow>::load(path, states, blows);
+    ASSERT_TRUE(table) << table.lastReason();
+    EXPECT_EQ(table->initial(), Door::Shut);
+    EXPECT_EQ(table->next(Door::Shut, Blow::Push), Door::Open);
+    EXPECT_EQ(table->next(Door::Open, Blow::Push), std::nullopt);
+    EXPECT_EQ(table->name(Door::Broken), "broken");
+
+    constexpr auto others = std::to_array<std::string_view>({"broken", "shut", "ajar"});
+    const auto wrong = ChartTable<Door, Blow>::load(path, others, blows);
+    EXPECT_EQ(wrong.lastReason(),
+              path + ":1: state 'ajar' is missing\n" + path
+                  + ":1: state 'open' is not one that the program knows");
+    std::remove(path.c_str());
+}
