--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -179,8 +179,9 @@
 {
     PoolId pool = 0;
     std::vector<ReturnedLease> leases;
-    std::string bootId; ///< Of the target that completed them, as its answers said.
-    MSGPACK_DEFINE(pool, leases, bootId)
+    std::string bootId;         ///< Of the target that completed them, as its answers said.
+    std::uint64_t sequence = 0; ///< Shared with PoolDemand: demand sent earlier is out of date.
+    MSGPACK_DEFINE(pool, leases, bootId, sequence)
 };
 
 /// From any node to the target's owner: what it met at the target.
--- /dev/null
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -0,0 +1,39 @@
+// Requests that crash the targets that run them. Each crash is known by the boot that it ended, so
+// that it counts once, whoever tells of it.
+#pragma once
+
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace berylridge {
+
+class CrashRecord
+{
+public:
+    /// A request with this fingerprint crashes no more targets than this.
+    static constexpr std::size_t crashLimit = 2;
+
+    /// A boot ended while it ran the request. Returns whether that is news.
+    bool add(std::uint64_t fingerprint, std::uint64_t boot, TimePoint now);
+
+    std::size_t crashes(std::uint64_t fingerprint) const;
+    /// How long the request is still refused; none when it may run.
+    std::optional<Duration> blockedFor(std::uint64_t fingerprint, TimePoint now) const;
+
+    void expire(TimePoint now);
+
+private:
+    struct Entry
+    {
+        std::set<std::uint64_t> boots;
+        TimePoint lastAt;
+    };
+
+    std::map<std::uint64_t, Entry> m_entries;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -0,0 +1,141 @@
+// The owner of a pool: knows what waits for it on every node, what runs at its targets, and gives
+// free slots to the flow that has received least.
+#pragma once
+
+#include "berylridge/Policy/FlowShares.h"
+#include "berylridge/Policy/PickRule.h"
+#include "berylridge/Policy/Pool.h"
+#include "berylridge/Policy/TargetGauge.h"
+#include "berylridge/Support/Endpoint.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace berylridge {
+
+/// A message of a pool's owner to a holder.
+struct OwnerMessage
+{
+    NodeId to;
+    PoolGrant grant;
+};
+
+struct PoolOwnerOptions
+{
+    Incarnation incarnation = 0; ///< Of the owning node.
+    Duration leaseTerm {0};
+    PickRule rule;
+};
+
+class PoolOwner
+{
+public:
+    /// Begins to own the pool. Grants wait for one lease term: an earlier owner may be paused or
+    /// cut off, and what it granted runs out by then; meanwhile holders tell what they hold.
+    PoolOwner(const TargetLife &chart, PoolOwnerOptions options, TimePoint now);
+
+    /// Takes in the document. Targets that left the pool are dropped with their leases.
+    void configure(const ServiceDocument &document, const Pool &pool, bool isZoneOut,
+                   TimePoint now);
+    void setPart(OwnerPart part) { m_part = part; }
+
+    void onDemand(const NodeId &from, Incarnation incarnation, const PoolDemand &message,
+                  TimePoint now);
+    void onReturn(const NodeId &from, const PoolReturn &message, TimePoint now);
+    void onNews(const TargetNews &news, TimePoint now);
+    void onReport(TargetHash target, std::string_view bootId, std::uint32_t running,
+                  std::uint64_t completed, Duration age, TimePoint now);
+    void onPollFailed(TargetHash target, bool isRefused, TimePoint now);
+    /// The run of a node has ended: what it held is free, what it wanted is void.
+    void onHolderGone(const NodeId &node, Incarnation incarnation, TimePoint now);
+    /// What another pool of the service gave.
+    void onRemoteService(const PoolService &message);
+
+    /// Frees what has run out and forgets what is old.
+    void tick(TimePoint now);
+    /// Gives out free slots as long as there is demand.
+    std::vector<OwnerMessage> grant(TimePoint now);
+
+    /// Targets whose load report is due; marks them as asked.
+    std::vector<TargetHash> duePolls(TimePoint now);
+    /// What the pool's flows received, for owners of the service's other pools.
+    PoolService serviceReport(TimePoint now) const;
+
+    /// For status: the gauge, the limit now and the leases given out, by target.
+    struct TargetView
+    {
+        const TargetGauge *gauge;
+        std::uint32_t limit;
+        std::uint32_t granted;
+    };
+    std::optional<TargetView> target(TargetHash target, TimePoint now) const;
+    double virtualTime(FlowId flow, TimePoint now) const { return m_shares.virtualTime(flow, now); }
+    std::size_t waiting() const;
+
+private:
+    struct Lease
+    {
+        NodeId node;
+        Incarnation incarnation = 0;
+        TargetHash target = 0;
+        FlowId flow = 0;
+        std::uint64_t number = 0; ///< Of the grant; 0 for a lease taken over from an earlier owner.
+        TimePoint grantedAt;
+        TimePoint startsBy; ///< No request begins on it later, by the holder's clock even earlier.
+        TimePoint seenAt;   ///< When the holder last told that it holds it.
+        Duration estimate {0};
+        bool isSeen = false; ///< The holder told that it holds it.
+    };
+    struct Holder
+    {
+        Incarnation incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::int64_t sentAt = 0;
+        TimePoint heardAt;
+        std::uint64_t lastNumber = 0; ///< Of the grants sent to it.
+        std::uint64_t lastSeen = 0;   ///< The highest grant number that it has received.
+        std::map<FlowId, FlowDemand> wants;
+    };
+    struct Target
+    {
+        TargetGauge gauge;
+        std::uint32_t occupied = 0;
+    };
+
+    Lease *adopt(const NodeId &from, Incarnation incarnation, const HeldLease &held, TimePoint now);
+    void reconcile(const NodeId &from, Holder &holder, const PoolDemand &message, TimePoint now);
+    void free(std::map<LeaseId, Lease>::iterator lease, Duration used);
+    bool hasRunOut(const Lease &lease, TimePoint now) const;
+    std::uint32_t freeSlots(const Target &target, TimePoint now) const;
+    std::optional<TargetHash> pickTarget(FlowId flow, TimePoint now) const;
+    struct Choice
+    {
+        NodeId node;
+        FlowId flow = 0;
+        double virtualTime = 0;
+    };
+    std::optional<Choice> pickFlow(TimePoint now) const;
+    std::uint32_t ungranted(const NodeId &node, const FlowDemand &want) const;
+
+    const TargetLife *m_chart;
+    PoolOwnerOptions m_options;
+    OwnerPart m_part;
+    PoolId m_pool = 0;
+    ServiceId m_service;
+    TimePoint m_began;
+    std::uint64_t m_nextLease;
+    std::map<TargetHash, Target> m_targets;
+    std::map<LeaseId, Lease> m_leases;
+    std::map<NodeId, Holder> m_holders;
+    /// Leases not yet seen by their holder, by holder and flow.
+    std::map<std::pair<NodeId, FlowId>, std::uint32_t> m_unseen;
+    FlowShares m_shares;
+    PickMemory m_memory;
+    Duration m_attemptTimeout {0};
+    std::map<PoolId, std::pair<std::uint64_t, std::unordered_map<FlowId, std::uint64_t>>> m_remote;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/RetryBudget.h
@@ -0,0 +1,27 @@
+// Limits retries to a part of the first attempts, so that a fault that fails every attempt doesn't
+// multiply the load.
+#pragma once
+
+#include "berylridge/Support/Time.h"
+
+namespace berylridge {
+
+class RetryBudget
+{
+public:
+    void setRatio(double ratio) { m_ratio = ratio; }
+
+    void onFirstAttempt();
+    /// Takes one retry from the budget where one is left.
+    bool tryTake();
+
+private:
+    /// Some retries are free, so that a service with little traffic can use any.
+    static constexpr double initialTokens = 10;
+    static constexpr double tokenLimit = 100;
+
+    double m_ratio = 0.1;
+    double m_tokens = initialTokens;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -0,0 +1,90 @@
+// Requests that wait on this node for one service, by flow in order of arrival, and how fast they
+// leave.
+#pragma once
+
+#include "berylridge/Fleet/Messages.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace berylridge {
+
+/// How fast a flow's requests leave the queue, from the times at which they left.
+class DrainMeter
+{
+public:
+    void onLeft(TimePoint now);
+    /// Requests a second; 0 when nothing has left yet.
+    double rate(TimePoint now) const;
+
+private:
+    double m_interval = 0; ///< Smoothed seconds between two; 0 before the second.
+    std::optional<TimePoint> m_last;
+};
+
+class ServiceQueue
+{
+public:
+    using Handle = std::uint64_t;
+
+    struct Waiting
+    {
+        Handle handle = 0;
+        TimePoint since;
+    };
+
+    void push(FlowId flow, Handle handle, TimePoint now);
+    /// A request that is to be tried again goes before those that wait.
+    void pushFront(FlowId flow, Handle handle, TimePoint since);
+    /// The flow's first request for which isFit(handle) holds, taken out.
+    template <typename IsFit>
+    std::optional<Handle> popIf(FlowId flow, TimePoint now, IsFit isFit)
+    {
+        const auto found = m_flows.find(flow);
+        if (found == m_flows.end())
+            return std::nullopt;
+        std::deque<Waiting> &queue = found->second.queue;
+        for (auto waiting = queue.begin(); waiting != queue.end(); ++waiting) {
+            if (!isFit(waiting->handle))
+                continue;
+            const Handle handle = waiting->handle;
+            queue.erase(waiting);
+            --m_size;
+            found->second.drain.onLeft(now);
+            return handle;
+        }
+        return std::nullopt;
+    }
+    bool remove(FlowId flow, Handle handle);
+
+    std::size_t size() const { return m_size; }
+    std::size_t waiting(FlowId flow) const;
+    /// How long a request that comes now would wait, judged by how fast the flow drains; none when
+    /// that is not known yet.
+    std::optional<Duration> expectedWait(FlowId flow, TimePoint now) const;
+
+    void noteCost(FlowId flow, Duration used);
+    Duration expectedCost(FlowId flow) const;
+
+    /// Flows that wait, longest wait first, at most limit of them.
+    std::vector<FlowDemand> demand(TimePoint now, std::size_t limit) const;
+    /// When the oldest waiting request came.
+    std::optional<TimePoint> oldest() const;
+
+private:
+    struct Flow
+    {
+        std::deque<Waiting> queue;
+        DrainMeter drain;
+        double cost = 0; ///< Smoothed slot seconds of a request; 0 before the first.
+    };
+
+    std::map<FlowId, Flow> m_flows;
+    std::size_t m_size = 0;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Fleet/Membership.cpp
@@ -0,0 +1,413 @@
+#include "berylridge/Fleet/Membership.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace berylridge {
+
+namespace {
+
+/// To nodes that were never heard, or whose run has ended: they may come back before the VM list
+/// tells.
+constexpr Duration greetingPeriod = std::chrono::milliseconds(1000);
+/// Between zones. A lost owner is found by its own zone; the word of it is pushed at once.
+constexpr Duration crossZonePeriod = std::chrono::milliseconds(500);
+/// A zone of which no node was heard for this long counts as cut off.
+constexpr Duration zoneSilence = std::chrono::milliseconds(2500);
+/// A node of another zone that does not answer for this long is replaced as counterpart.
+constexpr Duration counterpartSilence = std::chrono::milliseconds(1500);
+constexpr Duration probePeriod = std::chrono::milliseconds(500);
+
+bool isEligibleState(MemberState state)
+{
+    return state == MemberState::Live;
+}
+
+} // namespace
+
+Membership::Membership(const MemberLife &chart, MembershipOptions options, TimePoint now)
+    : m_chart(&chart)
+    , m_options(std::move(options))
+{
+    m_zoneHeardAt[m_options.zone] = now;
+}
+
+void Membership::addSeeds(std::span<const VmEntry> seeds)
+{
+    for (const VmEntry &seed : seeds) {
+        if (seed.node == m_options.self)
+            continue;
+        Member &entry = member(seed.node);
+        entry.zone = seed.zone;
+        entry.endpoint = {seed.address, seed.port};
+    }
+}
+
+bool Membership::onVmList(const VmList &list, TimePoint now)
+{
+    if (list.revision <= m_vmList.revision)
+        return false;
+    m_vmList = list;
+    std::set<NodeId> listed;
+    for (const VmEntry &vm : list.vms) {
+        listed.insert(vm.node);
+        if (vm.node == m_options.self)
+            continue;
+        Member &entry = member(vm.node);
+        entry.isListed = true;
+        if (!entry.wasHeard) {
+            entry.zone = vm.zone;
+            entry.endpoint = {vm.address, vm.port};
+        }
+        if (vm.isLeaving && entry.state == MemberState::Live)
+            step(entry, MemberSign::HeardLeaving);
+    }
+    for (auto &[node, entry] : m_members) {
+        if (listed.contains(node))
+            continue;
+        entry.isListed = false;
+        step(entry, MemberSign::Unlisted);
+    }
+    // Those that are gone and off the list are forgotten, after a while in which late messages may
+    // come.
+    std::erase_if(m_members, [&](const auto &entry) {
+        return !entry.second.isListed && entry.second.state == MemberState::Gone
+            && now - entry.second.heardAt > std::chrono::minutes(5);
+    });
+    ++m_changes;
+    return true;
+}
+
+bool Membership::onHeard(const NodeId &from, Incarnation incarnation, TimePoint now)
+{
+    if (from == m_options.self)
+        return false;
+    Member &entry = member(from);
+    if (incarnation < entry.incarnation)
+        return false;
+    if (incarnation > entry.incarnation) {
+        const bool hadRun = entry.incarnation != 0;
+        if (hadRun)
+            endRun(entry);
+        entry.incarnation = incarnation;
+        // Also of a run that was known to be over: its successor is another one.
+        step(entry, MemberSign::NewIncarnation);
+        note(LogEventId::MemberJoined, entry);
+    }
+    entry.heardAt = now;
+    entry.wasHeard = true;
+    if (!entry.zone.isEmpty() && entry.zone != m_options.zone)
+        m_zoneHeardAt[entry.zone] = now;
+    return true;
+}
+
+void Membership::onHeartbeat(const NodeId &from, const Heartbeat &heartbeat, TimePoint now)
+{
+    Member &entry = member(from);
+    entry.zone = ZoneId(heartbeat.zone);
+    if (entry.zone != m_options.zone)
+        m_zoneHeardAt[entry.zone] = now;
+    entry.endpoint = {heartbeat.address, heartbeat.port};
+    entry.zoneDigest = heartbeat.zoneDigest;
+    entry.knownDigest = heartbeat.knownDigest;
+    entry.documentsDigest = heartbeat.documentsDigest;
+    entry.vmListRevision = heartbeat.vmListRevision;
+    switch (static_cast<MemberState>(heartbeat.nodeState)) {
+    case MemberState::Live:
+        step(entry, MemberSign::HeardReady);
+        break;
+    case MemberState::Leaving:
+        step(entry, MemberSign::HeardLeaving);
+        break;
+    default:
+        step(entry, MemberSign::HeardJoining);
+        break;
+    }
+}
+
+void Membership::onZoneView(const ZoneView &view, TimePoint now)
+{
+    const ZoneId zone(view.zone);
+    if (zone == m_options.zone)
+        return;
+    m_zoneHeardAt[zone] = now;
+    for (const ZoneMember &told : view.members) {
+        const NodeId node(told.node);
+        if (node == m_options.self)
+            continue;
+        Member &entry = member(node);
+        if (told.incarnation < entry.incarnation)
+            continue;
+        entry.zone = zone;
+        if (!told.address.empty())
+            entry.endpoint = {told.address, told.port};
+        if (told.incarnation > entry.incarnation) {
+            if (entry.incarnation != 0)
+                endRun(entry);
+            entry.incarnation = told.incarnation;
+        }
+        const auto state = static_cast<MemberState>(told.state);
+        if (state == entry.state)
+            continue;
+        if (state == MemberState::Gone)
+            endRun(entry);
+        entry.state = state;
+        ++m_changes;
+    }
+}
+
+void Membership::onGoodbye(const NodeId &from)
+{
+    step(member(from), MemberSign::Goodbye);
+}
+
+void Membership::onProbeEnded(const NodeId &node, Incarnation incarnation, bool isRefused)
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end() || !isRefused || found->second.incarnation != incarnation)
+        return;
+    // Heard again while the probe was on its way: a new run may just have opened its port.
+    if (found->second.state != MemberState::Suspect && found->second.state != MemberState::Unknown)
+        return;
+    step(found->second, MemberSign::ProbeRefused);
+}
+
+void Membership::onWoke(TimePoint now)
+{
+    for (auto &[node, entry] : m_members)
+        entry.heardAt = now;
+    for (auto &[zone, heardAt] : m_zoneHeardAt)
+        heardAt = now;
+}
+
+std::vector<Member> Membership::tick(TimePoint now)
+{
+    std::vector<Member> probes;
+    for (auto &[node, entry] : m_members) {
+        if (entry.zone != m_options.zone || !entry.wasHeard)
+            continue;
+        if (now - entry.heardAt <= m_options.suspectAfter)
+            continue;
+        step(entry, MemberSign::Silence);
+        if (entry.state == MemberState::Suspect && !entry.isListed && m_vmList.revision != 0)
+            step(entry, MemberSign::Unlisted);
+        if (entry.state != MemberState::Suspect || now - entry.probedAt < probePeriod)
+            continue;
+        entry.probedAt = now;
+        probes.push_back(entry);
+    }
+    return probes;
+}
+
+std::vector<Member> Membership::dueHeartbeats(TimePoint now)
+{
+    std::vector<Member> due;
+    std::set<ZoneId> otherZones;
+    for (auto &[node, entry] : m_members) {
+        if (entry.zone != m_options.zone) {
+            otherZones.insert(entry.zone);
+            continue;
+        }
+        const bool isPresent = entry.wasHeard && entry.state != MemberState::Gone;
+        const Duration period = isPresent ? m_options.heartbeatPeriod : greetingPeriod;
+        if (now - entry.sentAt < period)
+            continue;
+        entry.sentAt = now;
+        due.push_back(entry);
+    }
+    for (const ZoneId &zone : otherZones) {
+        const Member *chosen = counterpart(zone);
+        if (!chosen || now - chosen->sentAt < crossZonePeriod)
+            continue;
+        Member &entry = member(chosen->node);
+        entry.sentAt = now;
+        due.push_back(entry);
+    }
+    // Those of other zones that took this node as their counterpart want an answer: without it they
+    // would take it for silent and try the next.
+    for (auto &[node, entry] : m_members) {
+        const bool asksForAnswer = entry.zone != m_options.zone && entry.wasHeard
+            && now - entry.heardAt < 2 * crossZonePeriod && entry.sentAt < entry.heardAt
+            && now - entry.sentAt >= crossZonePeriod;
+        if (!asksForAnswer)
+            continue;
+        entry.sentAt = now;
+        due.push_back(entry);
+    }
+    return due;
+}
+
+ZoneView Membership::ownZoneView() const
+{
+    ZoneView view;
+    view.zone = m_options.zone.str();
+    const MemberState self = m_isSelfEligible ? MemberState::Live : MemberState::Joining;
+    view.members.push_back({m_options.self.str(), m_options.incarnation,
+                            static_cast<std::uint8_t>(self), m_options.endpoint.address,
+                            m_options.endpoint.port});
+    for (const auto &[node, entry] : m_members) {
+        if (entry.zone != m_options.zone || entry.incarnation == 0)
+            continue;
+        view.members.push_back({node.str(), entry.incarnation,
+                                static_cast<std::uint8_t>(entry.state), entry.endpoint.address,
+                                entry.endpoint.port});
+    }
+    return view;
+}
+
+const Member *Membership::find(const NodeId &node) const
+{
+    const auto found = m_members.find(node);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+bool Membership::isAddressLeaving(const std::string &address) const
+{
+    return std::any_of(m_vmList.vms.begin(), m_vmList.vms.end(),
+                       [&](const VmEntry &vm) { return vm.isLeaving && vm.address == address; });
+}
+
+void Membership::setSelfEligible(bool isEligible)
+{
+    if (m_isSelfEligible == isEligible)
+        return;
+    m_isSelfEligible = isEligible;
+    ++m_changes;
+}
+
+std::vector<NodeId> Membership::eligible(const ZoneId &zone, TimePoint now) const
+{
+    std::vector<NodeId> nodes;
+    if (zone == m_options.zone && m_isSelfEligible)
+        nodes.push_back(m_options.self);
+    if (zone != m_options.zone && !isZoneViewFresh(zone, now))
+        return nodes;
+    for (const auto &[node, entry] : m_members) {
+        if (entry.zone == zone && isEligibleState(entry.state))
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
+std::uint32_t Membership::listedInZone() const
+{
+    std::uint32_t count = 1;
+    for (const auto &[node, entry] : m_members) {
+        const bool counts = entry.zone == m_options.zone && entry.state != MemberState::Gone
+            && (entry.isListed || entry.wasHeard);
+        count += counts ? 1 : 0;
+    }
+    return count;
+}
+
+std::uint32_t Membership::agreeingInZone(TimePoint now) const
+{
+    const std::uint64_t own = zoneDigest(m_options.zone, now);
+    std::uint32_t count = 1;
+    for (const auto &[node, entry] : m_members) {
+        const bool agrees = entry.zone == m_options.zone && isEligibleState(entry.state)
+            && entry.zoneDigest == own;
+        count += agrees ? 1 : 0;
+    }
+    return count;
+}
+
+std::uint64_t Membership::zoneDigest(const ZoneId &zone, TimePoint now) const
+{
+    std::vector<NodeId> nodes = eligible(zone, now);
+    std::sort(nodes.begin(), nodes.end());
+    std::uint64_t digest = 0;
+    for (const NodeId &node : nodes) {
+        Incarnation incarnation = m_options.incarnation;
+        if (node != m_options.self)
+            incarnation = m_members.at(node).incarnation;
+        digest = hash64(node.str(), digest ^ incarnation);
+    }
+    return digest;
+}
+
+std::vector<EndedRun> Membership::takeEndedRuns()
+{
+    return std::exchange(m_ended, {});
+}
+
+std::vector<LogRecord> Membership::takeLog()
+{
+    return std::exchange(m_log, {});
+}
+
+Member &Membership::member(const NodeId &node)
+{
+    auto [entry, isNew] = m_members.try_emplace(node);
+    if (isNew)
+        entry->second.node = node;
+    return entry->second;
+}
+
+void Membership::step(Member &member, MemberSign sign)
+{
+    const MemberState before = member.state;
+    if (!m_chart->step(member.state, sign))
+        return;
+    ++m_changes;
+    switch (member.state) {
+    case MemberState::Suspect:
+        note(LogEventId::MemberSuspect, member);
+        break;
+    case MemberState::Gone:
+        note(LogEventId::MemberGone, member);
+        endRun(member);
+        break;
+    case MemberState::Live:
+        if (before == MemberState::Suspect)
+            note(LogEventId::MemberReturned, member);
+        break;
+    default:
+        break;
+    }
+}
+
+void Membership::note(LogEventId id, const Member &member)
+{
+    m_log.push_back({id,
+                     member.node.str() + " zone " + member.zone.str() + " incarnation "
+                         + std::to_string(member.incarnation)});
+}
+
+void Membership::endRun(const Member &member)
+{
+    if (member.incarnation != 0)
+        m_ended.push_back({member.node, member.incarnation});
+}
+
+/// The node of another zone that this one exchanges heartbeats with.
+const Member *Membership::counterpart(const ZoneId &zone) const
+{
+    const Member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto &[node, entry] : m_members) {
+        if (entry.zone != zone || entry.state == MemberState::Gone)
+            continue;
+        // One that was asked and did not answer gives way to the others for as long as it is
+        // silent.
+        const bool isSilent = entry.sentAt > entry.heardAt + counterpartSilence;
+        std::uint64_t weight = rendezvousWeight(m_options.self.str(), node.str()) >> 1;
+        if (!isSilent)
+            weight |= std::uint64_t {1} << 63;
+        if (!best || weight > bestWeight) {
+            best = &entry;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+bool Membership::isZoneViewFresh(const ZoneId &zone, TimePoint now) const
+{
+    const auto found = m_zoneHeardAt.find(zone);
+    return found != m_zoneHeardAt.end() && now - found->second <= zoneSilence;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Policy/LeaseHolder.cpp
@@ -0,0 +1,134 @@
+#include "berylridge/Policy/LeaseHolder.h"
+
+#include <cassert>
+
+namespace berylridge {
+
+namespace {
+
+std::uint32_t toMs(Duration duration)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+std::vector<LeaseId> LeaseHolder::onGrant(const NodeId &owner, Incarnation ownerIncarnation,
+                                          const PoolGrant &grant, TimePoint now)
+{
+    std::vector<LeaseId> usable;
+    if (owner != m_owner || ownerIncarnation != m_ownerIncarnation) {
+        m_owner = owner;
+        m_ownerIncarnation = ownerIncarnation;
+        m_lastGrant = 0;
+    }
+    if (grant.number <= m_lastGrant)
+        return usable;
+    m_lastGrant = grant.number;
+    // The term counts from when this node asked, by its own clock: that was before the owner's own
+    // count began, so the lease ends here before the owner gives its slot away, however late the
+    // grant came.
+    const TimePoint startsBy(Duration(grant.echo) + std::chrono::milliseconds(grant.termMs));
+    for (const GrantedLease &granted : grant.leases) {
+        --m_told[granted.flow];
+        Held held;
+        held.target = granted.target;
+        held.flow = granted.flow;
+        held.startsBy = startsBy;
+        held.grantedAt = now;
+        held.quantum = std::chrono::milliseconds(grant.quantumMs);
+        m_leases.insert_or_assign(granted.lease, held);
+        usable.push_back(granted.lease);
+    }
+    return usable;
+}
+
+void LeaseHolder::begin(LeaseId lease)
+{
+    const auto found = m_leases.find(lease);
+    assert(found != m_leases.end() && !found->second.isBusy
+           && "a lease runs one request at a time");
+    found->second.isBusy = true;
+}
+
+bool LeaseHolder::end(LeaseId lease, Duration used, bool isCompleted, TimePoint now)
+{
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        return false;
+    Held &held = found->second;
+    held.isBusy = false;
+    held.used += used;
+    held.completed += isCompleted ? 1 : 0;
+    return isCompleted && mayBegin(lease, now);
+}
+
+ReturnedLease LeaseHolder::giveBack(LeaseId lease)
+{
+    const auto found = m_leases.find(lease);
+    assert(found != m_leases.end() && "only held leases can be returned");
+    ReturnedLease returned;
+    returned.lease = lease;
+    returned.usedMs = toMs(found->second.used);
+    returned.completed = found->second.completed;
+    m_leases.erase(found);
+    return returned;
+}
+
+void LeaseHolder::dropIdle()
+{
+    std::erase_if(m_leases, [](const auto &entry) { return !entry.second.isBusy; });
+    for (auto &[lease, held] : m_leases)
+        held.startsBy = held.grantedAt;
+}
+
+const LeaseHolder::Held *LeaseHolder::find(LeaseId lease) const
+{
+    const auto found = m_leases.find(lease);
+    return found == m_leases.end() ? nullptr : &found->second;
+}
+
+bool LeaseHolder::mayBegin(LeaseId lease, TimePoint now) const
+{
+    const Held *held = find(lease);
+    return held && !held->isBusy && now < held->startsBy
+        && (held->used == Duration(0) || held->used < held->quantum);
+}
+
+std::uint32_t LeaseHolder::heldAt(TargetHash target) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[lease, held] : m_leases)
+        count += held.target == target ? 1 : 0;
+    return count;
+}
+
+PoolDemand LeaseHolder::demandMessage(std::vector<FlowDemand> demand, TimePoint now)
+{
+    PoolDemand message;
+    message.pool = m_pool;
+    message.sequence = ++m_sequence;
+    message.sentAt = now.time_since_epoch().count();
+    message.owner = m_ownerIncarnation;
+    message.lastGrant = m_lastGrant;
+    m_told.clear();
+    for (const FlowDemand &entry : demand)
+        m_told[entry.flow] = entry.waiting;
+    message.demand = std::move(demand);
+    for (const auto &[lease, held] : m_leases)
+        message.held.push_back({lease, held.target, held.flow, toMs(now - held.grantedAt)});
+    toldAt = now;
+    return message;
+}
+
+bool LeaseHolder::isOwnerBehind(FlowId flow, std::size_t waiting) const
+{
+    if (waiting == 0)
+        return false;
+    const auto found = m_told.find(flow);
+    const std::int64_t known = found == m_told.end() ? 0 : found->second;
+    return known <= 0 || static_cast<std::int64_t>(waiting) > 2 * known;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Policy/PoolOwner.cpp
@@ -0,0 +1,444 @@
+#include "berylridge/Policy/PoolOwner.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylridge {
+
+namespace {
+
+/// A holder repeats its demand each demand period; without a word for this long its wants are void.
+constexpr Duration wantsLast = std::chrono::milliseconds(1500);
+/// Beyond the term, for a holder's clock that runs slower than the owner's.
+constexpr Duration clockMargin = std::chrono::milliseconds(100);
+/// Slot time that a flow's short requests may use on one lease before the slot goes back. Without
+/// it a slot stands idle for a round trip after each request: 3 ms of 20 ms for a lookup across
+/// zones.
+constexpr Duration quantum = std::chrono::milliseconds(250);
+
+Duration fromMs(std::uint32_t ms)
+{
+    return std::chrono::milliseconds(ms);
+}
+
+/// What a lease is expected to cost: at least its first request, at most the quantum in short ones.
+Duration estimateOf(const FlowDemand &demand)
+{
+    const Duration one = fromMs(std::max(demand.costMs, 1U));
+    return std::max(one, std::min(quantum, one * demand.waiting));
+}
+
+} // namespace
+
+PoolOwner::PoolOwner(const TargetLife &chart, PoolOwnerOptions options, TimePoint now)
+    : m_chart(&chart)
+    , m_options(options)
+    , m_began(now)
+    // Two owners of a pool never give the same id: neither two nodes nor two reigns of one node.
+    , m_nextLease(
+          hash64("lease",
+                 options.incarnation ^ static_cast<std::uint64_t>(now.time_since_epoch().count())))
+{
+}
+
+void PoolOwner::configure(const ServiceDocument &document, const Pool &pool, bool isZoneOut,
+                          TimePoint now)
+{
+    m_pool = pool.id;
+    m_service = document.service;
+    m_attemptTimeout = document.attemptTimeout;
+    for (const WorkspaceShare &share : document.workspaces)
+        m_shares.setWeight(flowId(document.service, share.workspace), share.weight);
+
+    std::map<TargetHash, Target> kept;
+    for (const TargetSpec &spec : pool.targets) {
+        const TargetHash hash = targetHash(spec.target);
+        auto found = m_targets.find(hash);
+        Target target = found == m_targets.end() ? Target {TargetGauge(*m_chart, now), 0}
+                                                 : std::move(found->second);
+        target.gauge.configure(document, spec, isZoneOut);
+        kept.emplace(hash, std::move(target));
+    }
+    m_targets = std::move(kept);
+    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+        const auto next = std::next(lease);
+        if (!m_targets.contains(lease->second.target))
+            free(lease, now - lease->second.grantedAt);
+        lease = next;
+    }
+}
+
+void PoolOwner::onDemand(const NodeId &from, Incarnation incarnation, const PoolDemand &message,
+                         TimePoint now)
+{
+    Holder &holder = m_holders[from];
+    if (incarnation < holder.incarnation)
+        return;
+    if (incarnation > holder.incarnation) {
+        onHolderGone(from, holder.incarnation, now);
+        m_holders[from] = Holder();
+        m_holders[from].incarnation = incarnation;
+    }
+    Holder &current = m_holders[from];
+    if (message.sequence <= current.sequence)
+        return;
+    current.sequence = message.sequence;
+    current.sentAt = message.sentAt;
+    current.heardAt = now;
+    reconcile(from, current, message, now);
+    current.wants.clear();
+    for (const FlowDemand &demand : message.demand) {
+        current.wants.emplace(demand.flow, demand);
+        m_shares.touch(demand.flow, now);
+    }
+}
+
+/// Compares what the holder says that it holds with what was granted.
+void PoolOwner::reconcile(const NodeId &from, Holder &holder, const PoolDemand &message,
+                          TimePoint now)
+{
+    if (message.owner == m_options.incarnation)
+        holder.lastSeen = std::max(holder.lastSeen, message.lastGrant);
+
+    for (const HeldLease &held : message.held) {
+        const auto found = m_leases.find(held.lease);
+        Lease *lease
+            = found != m_leases.end() ? &found->second : adopt(from, holder.incarnation, held, now);
+        if (!lease || lease->node != from)
+            continue;
+        lease->seenAt = now;
+        if (!lease->isSeen) {
+            lease->isSeen = true;
+            --m_unseen[{from, lease->flow}];
+        }
+    }
+    const auto isHeld = [&](LeaseId id) {
+        return std::any_of(message.held.begin(), message.held.end(),
+                           [&](const HeldLease &held) { return held.lease == id; });
+    };
+    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+        const auto next = std::next(lease);
+        const Lease &value = lease->second;
+        // A grant that the holder has passed over can't be taken up any more: it ignores numbers
+        // that are not above the last one. So what it doesn't hold now is free, be it a lost grant
+        // or a lost return.
+        if (value.node == from && value.number <= holder.lastSeen && !isHeld(lease->first))
+            free(lease, value.isSeen ? now - value.grantedAt : Duration(0));
+        lease = next;
+    }
+}
+
+/// A lease of an earlier owner: its holder goes on with it, so it counts.
+PoolOwner::Lease *PoolOwner::adopt(const NodeId &from, Incarnation incarnation,
+                                   const HeldLease &held, TimePoint now)
+{
+    const auto target = m_targets.find(held.target);
+    if (target == m_targets.end())
+        return nullptr;
+    Lease lease;
+    lease.node = from;
+    lease.incarnation = incarnation;
+    lease.target = held.target;
+    lease.flow = held.flow;
+    lease.grantedAt = now;
+    lease.startsBy = now + m_options.leaseTerm;
+    lease.isSeen = true;
+    ++target->second.occupied;
+    m_shares.touch(held.flow, now);
+    m_shares.begin(held.flow, lease.estimate, now);
+    return &m_leases.emplace(held.lease, std::move(lease)).first->second;
+}
+
+void PoolOwner::onReturn(const NodeId &from, const PoolReturn &message, TimePoint now)
+{
+    // Demand that was sent before this return still lists the leases; when it is overtaken on its
+    // way they would come back as leases of an earlier owner and hold slots that nobody uses.
+    const auto holder = m_holders.find(from);
+    if (holder != m_holders.end())
+        holder->second.sequence = std::max(holder->second.sequence, message.sequence);
+    for (const ReturnedLease &returned : message.leases) {
+        const auto lease = m_leases.find(returned.lease);
+        if (lease == m_leases.end() || lease->second.node != from)
+            continue;
+        const auto target = m_targets.find(lease->second.target);
+        if (target != m_targets.end())
+            target->second.gauge.onCompleted(returned.completed, message.bootId, now);
+        free(lease, fromMs(returned.usedMs));
+    }
+}
+
+void PoolOwner::onNews(const TargetNews &news, TimePoint now)
+{
+    const auto target = m_targets.find(news.target);
+    if (target == m_targets.end())
+        return;
+    if (target->second.gauge.onSign(static_cast<TargetSign>(news.sign), news.bootId, now))
+        target->second.gauge.nextPoll = now;
+}
+
+void PoolOwner::onReport(TargetHash target, std::string_view bootId, std::uint32_t running,
+                         std::uint64_t completed, Duration age, TimePoint now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.gauge.onReport(bootId, running, completed, age, now);
+}
+
+void PoolOwner::onPollFailed(TargetHash target, bool isRefused, TimePoint now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.gauge.onPollFailed(isRefused, now);
+}
+
+void PoolOwner::onHolderGone(const NodeId &node, Incarnation incarnation, TimePoint now)
+{
+    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+        const auto next = std::next(lease);
+        if (lease->second.node == node && lease->second.incarnation <= incarnation)
+            free(lease, now - lease->second.grantedAt);
+        lease = next;
+    }
+    const auto holder = m_holders.find(node);
+    if (holder != m_holders.end() && holder->second.incarnation <= incarnation)
+        m_holders.erase(holder);
+}
+
+void PoolOwner::onRemoteService(const PoolService &message)
+{
+    auto &[epoch, known] = m_remote[message.pool];
+    // From an owner that was not heard before, only what comes from now on counts: flows were level
+    // within the bound at any time, so what was before may be forgotten.
+    const bool isNew = epoch != message.epoch;
+    if (isNew) {
+        epoch = message.epoch;
+        known.clear();
+    }
+    for (const FlowService &flow : message.flows) {
+        std::uint64_t &last = known[flow.flow];
+        if (!isNew && flow.servedMs > last) {
+            m_shares.addRemote(flow.flow, std::chrono::milliseconds(flow.servedMs - last));
+        }
+        last = std::max(last, flow.servedMs);
+    }
+}
+
+void PoolOwner::tick(TimePoint now)
+{
+    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+        const auto next = std::next(lease);
+        if (hasRunOut(lease->second, now)) {
+            const bool ran = lease->second.isSeen;
+            free(lease, ran ? now - lease->second.grantedAt : Duration(0));
+        }
+        lease = next;
+    }
+    std::erase_if(m_unseen, [](const auto &entry) { return entry.second == 0; });
+    m_shares.expire(now);
+}
+
+/// Whether a lease is free although its holder did not return it.
+bool PoolOwner::hasRunOut(const Lease &lease, TimePoint now) const
+{
+    if (now <= lease.startsBy + clockMargin)
+        return false;
+    if (!lease.isSeen)
+        return true;
+    const auto holder = m_holders.find(lease.node);
+    const bool isHeard = holder != m_holders.end() && now - holder->second.heardAt <= wantsLast;
+    if (isHeard)
+        return false;
+    // The holder is silent: paused, cut off from here, or lost with its VM. Its request may still
+    // run at the target. The target's own report tells, when it was made after the holder was last
+    // heard.
+    const auto target = m_targets.find(lease.target);
+    if (target == m_targets.end())
+        return true;
+    const TargetGauge &gauge = target->second.gauge;
+    const bool isReportNewer = gauge.reportedAt() > lease.seenAt + wantsLast;
+    if (isReportNewer && gauge.reportedRunning() < target->second.occupied)
+        return true;
+    return now - lease.seenAt > m_attemptTimeout;
+}
+
+std::vector<OwnerMessage> PoolOwner::grant(TimePoint now)
+{
+    std::vector<OwnerMessage> messages;
+    // An earlier owner's leases may still start requests until their term ends.
+    if (now - m_began < m_options.leaseTerm + clockMargin)
+        return messages;
+    std::map<NodeId, PoolGrant> grants;
+    while (const std::optional<Choice> choice = pickFlow(now)) {
+        const std::optional<TargetHash> target = pickTarget(choice->flow, now);
+        if (!target)
+            break;
+        Holder &holder = m_holders[choice->node];
+        auto [entry, isNew] = grants.try_emplace(choice->node);
+        if (isNew) {
+            // Above every earlier number, those of an earlier reign of this node included.
+            holder.lastNumber = std::max(
+                holder.lastNumber + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+            entry->second.pool = m_pool;
+            entry->second.number = holder.lastNumber;
+            entry->second.echo = holder.sentAt;
+            entry->second.termMs = static_cast<std::uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_options.leaseTerm).count());
+            entry->second.quantumMs = static_cast<std::uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(quantum).count());
+        }
+        Lease lease;
+        lease.node = choice->node;
+        lease.incarnation = holder.incarnation;
+        lease.target = *target;
+        lease.flow = choice->flow;
+        lease.number = holder.lastNumber;
+        lease.grantedAt = now;
+        lease.startsBy = now + m_options.leaseTerm;
+        lease.seenAt = now;
+        lease.estimate = estimateOf(holder.wants.at(choice->flow));
+        ++m_targets.at(*target).occupied;
+        ++m_unseen[{choice->node, choice->flow}];
+        m_shares.chosen(choice->virtualTime);
+        m_shares.touch(choice->flow, now);
+        m_shares.begin(choice->flow, lease.estimate, now);
+        m_memory.onGranted(choice->node, choice->flow, lease.estimate);
+        entry->second.leases.push_back({m_nextLease, *target, choice->flow});
+        m_leases.emplace(m_nextLease, std::move(lease));
+        ++m_nextLease;
+    }
+    for (auto &[node, grant] : grants)
+        messages.push_back({node, std::move(grant)});
+    return messages;
+}
+
+std::vector<TargetHash> PoolOwner::duePolls(TimePoint now)
+{
+    std::vector<TargetHash> due;
+    for (auto &[hash, target] : m_targets) {
+        if (now < target.gauge.nextPoll)
+            continue;
+        target.gauge.nextPoll = now + target.gauge.pollPeriod();
+        due.push_back(hash);
+    }
+    return due;
+}
+
+PoolService PoolOwner::serviceReport(TimePoint now) const
+{
+    PoolService report;
+    report.service = m_service.str();
+    report.pool = m_pool;
+    report.epoch = hash64("epoch",
+                          m_options.incarnation
+                              ^ static_cast<std::uint64_t>(m_began.time_since_epoch().count()));
+    m_shares.forEach([&](FlowId flow) {
+        const auto served
+            = std::chrono::duration_cast<std::chrono::milliseconds>(m_shares.served(flow, now));
+        report.flows.push_back({flow, static_cast<std::uint64_t>(served.count())});
+    });
+    return report;
+}
+
+std::optional<PoolOwner::TargetView> PoolOwner::target(TargetHash target, TimePoint now) const
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return std::nullopt;
+    const Target &value = found->second;
+    return TargetView {&value.gauge, value.gauge.limit(m_part, now), value.occupied};
+}
+
+std::size_t PoolOwner::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto &[node, holder] : m_holders) {
+        for (const auto &[flow, want] : holder.wants)
+            sum += want.waiting;
+    }
+    return sum;
+}
+
+void PoolOwner::free(std::map<LeaseId, Lease>::iterator lease, Duration used)
+{
+    const Lease &value = lease->second;
+    const auto target = m_targets.find(value.target);
+    if (target != m_targets.end()) {
+        assert(target->second.occupied > 0 && "a lease ends at a target that has none");
+        --target->second.occupied;
+    }
+    if (!value.isSeen)
+        --m_unseen[{value.node, value.flow}];
+    m_shares.end(value.flow, value.estimate, value.grantedAt, used);
+    m_memory.onFreed(value.node);
+    m_leases.erase(lease);
+}
+
+std::uint32_t PoolOwner::freeSlots(const Target &target, TimePoint now) const
+{
+    const std::uint32_t limit = target.gauge.limit(m_part, now);
+    std::uint32_t occupied = target.occupied;
+    // Work that an earlier or another owner put there is not in our leases, but the target reports
+    // it. Only while it is cold: later some overlap does no harm, and a report that lags would idle
+    // slots.
+    if (target.gauge.isCold() && target.gauge.reportedAt() > m_began)
+        occupied = std::max(occupied, target.gauge.reportedRunning());
+    return limit > occupied ? limit - occupied : 0;
+}
+
+std::optional<TargetHash> PoolOwner::pickTarget(FlowId flow, TimePoint now) const
+{
+    std::optional<TargetHash> best;
+    double bestLoad = 0;
+    std::uint64_t bestAffinity = 0;
+    for (const auto &[hash, target] : m_targets) {
+        const std::uint32_t left = freeSlots(target, now);
+        if (left == 0)
+            continue;
+        const double load = static_cast<double>(target.occupied) / (left + target.occupied);
+        const std::uint64_t affinity = hash ^ flow;
+        if (!best || load < bestLoad || (load == bestLoad && affinity < bestAffinity)) {
+            best = hash;
+            bestLoad = load;
+            bestAffinity = affinity;
+        }
+    }
+    return best;
+}
+
+std::optional<PoolOwner::Choice> PoolOwner::pickFlow(TimePoint now) const
+{
+    std::optional<Choice> best;
+    PickKey bestKey;
+    for (const auto &[node, holder] : m_holders) {
+        if (now - holder.heardAt > wantsLast)
+            continue;
+        for (const auto &[flow, want] : holder.wants) {
+            if (ungranted(node, want) == 0)
+                continue;
+            PickCandidate candidate;
+            candidate.node = &node;
+            candidate.flow = flow;
+            candidate.virtualTime = m_shares.virtualTime(flow, now);
+            candidate.age = fromMs(want.oldestMs) + (now - holder.heardAt);
+            const PickKey key = std::visit(
+                [&](const auto &rule) { return rule.key(candidate, m_memory); }, m_options.rule);
+            if (!best || key < bestKey) {
+                best = Choice {node, flow, candidate.virtualTime};
+                bestKey = key;
+            }
+        }
+    }
+    return best;
+}
+
+/// Requests that wait and for which no grant is on its way.
+std::uint32_t PoolOwner::ungranted(const NodeId &node, const FlowDemand &want) const
+{
+    const auto unseen = m_unseen.find({node, want.flow});
+    const std::uint32_t onItsWay = unseen == m_unseen.end() ? 0 : unseen->second;
+    return want.waiting > onItsWay ? want.waiting - onItsWay : 0;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Policy/ServiceQueue.cpp
@@ -0,0 +1,132 @@
+#include "berylridge/Policy/ServiceQueue.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+namespace {
+
+/// Weight of the newest value in the smoothed ones: about the last ten count.
+constexpr double smoothing = 0.2;
+/// What a request is taken to cost before one was measured.
+constexpr Duration firstCost = std::chrono::milliseconds(200);
+
+double smoothed(double old, double sample)
+{
+    return old == 0 ? sample : old + smoothing * (sample - old);
+}
+
+std::uint32_t toMs(Duration duration)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<decltype(ms)>(ms, 0));
+}
+
+} // namespace
+
+void DrainMeter::onLeft(TimePoint now)
+{
+    if (m_last)
+        m_interval = smoothed(m_interval, std::max(toSeconds(now - *m_last), 1e-6));
+    m_last = now;
+}
+
+double DrainMeter::rate(TimePoint now) const
+{
+    if (m_interval == 0 || !m_last)
+        return 0;
+    // A flow that has stopped draining gets slower with each moment, before the next one leaves.
+    return 1 / std::max(m_interval, toSeconds(now - *m_last) / 2);
+}
+
+void ServiceQueue::push(FlowId flow, Handle handle, TimePoint now)
+{
+    m_flows[flow].queue.push_back({handle, now});
+    ++m_size;
+}
+
+void ServiceQueue::pushFront(FlowId flow, Handle handle, TimePoint since)
+{
+    m_flows[flow].queue.push_front({handle, since});
+    ++m_size;
+}
+
+bool ServiceQueue::remove(FlowId flow, Handle handle)
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return false;
+    std::deque<Waiting> &queue = found->second.queue;
+    const auto waiting = std::find_if(queue.begin(), queue.end(),
+                                      [&](const Waiting &value) { return value.handle == handle; });
+    if (waiting == queue.end())
+        return false;
+    queue.erase(waiting);
+    --m_size;
+    return true;
+}
+
+std::size_t ServiceQueue::waiting(FlowId flow) const
+{
+    const auto found = m_flows.find(flow);
+    return found == m_flows.end() ? 0 : found->second.queue.size();
+}
+
+std::optional<Duration> ServiceQueue::expectedWait(FlowId flow, TimePoint now) const
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end() || found->second.queue.empty())
+        return Duration(0);
+    const double rate = found->second.drain.rate(now);
+    if (rate == 0)
+        return std::nullopt;
+    return fromSeconds(static_cast<double>(found->second.queue.size()) / rate);
+}
+
+void ServiceQueue::noteCost(FlowId flow, Duration used)
+{
+    double &cost = m_flows[flow].cost;
+    cost = smoothed(cost, std::max(toSeconds(used), 1e-3));
+}
+
+Duration ServiceQueue::expectedCost(FlowId flow) const
+{
+    const auto found = m_flows.find(flow);
+    return found == m_flows.end() || found->second.cost == 0 ? firstCost
+                                                             : fromSeconds(found->second.cost);
+}
+
+std::vector<FlowDemand> ServiceQueue::demand(TimePoint now, std::size_t limit) const
+{
+    std::vector<FlowDemand> demand;
+    for (const auto &[flow, state] : m_flows) {
+        if (state.queue.empty())
+            continue;
+        FlowDemand entry;
+        entry.flow = flow;
+        entry.waiting = static_cast<std::uint32_t>(state.queue.size());
+        entry.oldestMs = toMs(now - state.queue.front().since);
+        entry.costMs = toMs(expectedCost(flow));
+        demand.push_back(entry);
+    }
+    const auto isOlder
+        = [](const FlowDemand &a, const FlowDemand &b) { return a.oldestMs > b.oldestMs; };
+    if (demand.size() > limit) {
+        std::nth_element(demand.begin(), demand.begin() + static_cast<std::ptrdiff_t>(limit),
+                         demand.end(), isOlder);
+        demand.resize(limit);
+    }
+    return demand;
+}
+
+std::optional<TimePoint> ServiceQueue::oldest() const
+{
+    std::optional<TimePoint> oldest;
+    for (const auto &[flow, state] : m_flows) {
+        if (!state.queue.empty() && (!oldest || state.queue.front().since < *oldest))
+            oldest = state.queue.front().since;
+    }
+    return oldest;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Policy/TargetGauge.cpp
@@ -0,0 +1,154 @@
+#include "berylridge/Policy/TargetGauge.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration warmPollPeriod = std::chrono::milliseconds(1000);
+constexpr Duration coldPollPeriod = std::chrono::milliseconds(250);
+
+/// A target may restart unseen while nothing runs there. The next requests would all reach the new
+/// boot at once and it would fall over. Without word of the boot for this long, the owner gives out
+/// only cold slots; a poll or an answer opens the rest again.
+constexpr Duration evidenceLasts = std::chrono::milliseconds(2500);
+
+} // namespace
+
+std::uint32_t partOfSlots(std::uint32_t slots, OwnerPart part)
+{
+    const std::uint32_t listed = std::max(part.listed, 1U);
+    const std::uint32_t agreeing = std::min(part.agreeing, listed);
+    const std::uint32_t others = listed - agreeing;
+    if (agreeing > others)
+        return slots - slots * others / listed;
+    return slots * agreeing / listed;
+}
+
+TargetGauge::TargetGauge(const TargetLife &chart, TimePoint now)
+    : m_chart(&chart)
+    , m_state(chart.initial())
+    , m_evidenceAt(now - 2 * evidenceLasts)
+    , m_reportedAt(now - 2 * evidenceLasts)
+{
+}
+
+void TargetGauge::configure(const ServiceDocument &document, const TargetSpec &spec, bool isZoneOut)
+{
+    m_slots = document.slots;
+    m_coldSlots = document.coldSlots;
+    m_warmAfter = document.warmAfter;
+    const bool leaves = spec.isLeaving || isZoneOut;
+    if (leaves == (m_state == TargetState::Leaving))
+        return;
+    step(leaves ? TargetSign::LeaveOrdered : TargetSign::ReturnOrdered);
+    if (!leaves)
+        reset({});
+}
+
+bool TargetGauge::onSign(TargetSign sign, std::string_view bootId, TimePoint now)
+{
+    // News of a boot that has already ended says nothing about the present one.
+    const bool isLate = !bootId.empty() && !m_bootId.empty() && bootId != m_bootId;
+    switch (sign) {
+    case TargetSign::NewBoot:
+    case TargetSign::Heard:
+        return heardBoot(bootId, now);
+    case TargetSign::RefusedConnection:
+    case TargetSign::Crash:
+        if (isLate)
+            return false;
+        step(sign);
+        reset({});
+        m_isDown = true;
+        return true;
+    default:
+        if (!isLate)
+            step(sign);
+        return false;
+    }
+}
+
+void TargetGauge::onCompleted(std::uint32_t count, std::string_view bootId, TimePoint now)
+{
+    if (count == 0)
+        return;
+    heardBoot(bootId, now);
+    if (!bootId.empty() && bootId != m_bootId)
+        return;
+    m_completed += count;
+    step(TargetSign::FirstAnswer);
+    if (m_completed >= m_warmAfter)
+        step(TargetSign::RampDone);
+}
+
+bool TargetGauge::onReport(std::string_view bootId, std::uint32_t running, std::uint64_t completed,
+                           Duration age, TimePoint now)
+{
+    const bool isNew = heardBoot(bootId, now);
+    m_reportedRunning = running;
+    m_reportedAt = now - age;
+    m_completed = std::max(m_completed, completed);
+    step(TargetSign::Heard);
+    if (m_completed >= m_warmAfter)
+        step(TargetSign::RampDone);
+    return isNew;
+}
+
+void TargetGauge::onPollFailed(bool isRefused, TimePoint now)
+{
+    if (isRefused)
+        onSign(TargetSign::RefusedConnection, {}, now);
+    else
+        step(TargetSign::Silence);
+}
+
+std::uint32_t TargetGauge::limit(OwnerPart part, TimePoint now) const
+{
+    if (m_isDown || m_state == TargetState::Leaving || m_state == TargetState::Gone
+        || m_state == TargetState::Suspect) {
+        return 0;
+    }
+    if (isCold() || now - m_evidenceAt > evidenceLasts)
+        return partOfSlots(m_coldSlots, part);
+    // Beyond warmAfter the limit doubles with each round of answers, so that a target whose
+    // document is too hopeful is found out by one more request at a time and not by all of them.
+    std::uint64_t ramped = m_coldSlots;
+    std::uint64_t left = m_completed - m_warmAfter;
+    while (ramped < m_slots && left >= ramped) {
+        left -= ramped;
+        ramped *= 2;
+    }
+    ramped = std::max<std::uint64_t>(ramped * 2, ramped + left);
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(ramped, m_slots));
+}
+
+Duration TargetGauge::pollPeriod() const
+{
+    return isCold() || m_isDown || m_state == TargetState::Suspect ? coldPollPeriod
+                                                                   : warmPollPeriod;
+}
+
+void TargetGauge::reset(std::string_view bootId)
+{
+    m_bootId = bootId;
+    m_completed = 0;
+    m_reportedRunning = 0;
+}
+
+/// Takes in that the boot runs. Returns whether it is another one than was known.
+bool TargetGauge::heardBoot(std::string_view bootId, TimePoint now)
+{
+    m_isDown = false;
+    m_evidenceAt = now;
+    if (bootId.empty() || bootId == m_bootId) {
+        step(TargetSign::Heard);
+        return false;
+    }
+    step(TargetSign::NewBoot);
+    reset(bootId);
+    return true;
+}
+
+} // namespace berylridge
