Keep clang-tidy 14 from taking operator<=> for a null pointer

Cause: a std::map or std::set keyed by Name makes modernize-use-nullptr report the defaulted operator<=>, which compares with a literal 0 that the compiler writes. Marked, with the reason.

--- a/include/berylridge/Support/Id.h
+++ b/include/berylridge/Support/Id.h
@@ -32,6 +32,7 @@
     const std::string &str() const { return m_text; }
     bool isEmpty() const { return m_text.empty(); }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison's 0 for a pointer.
     auto operator<=>(const Name &) const = default;
     bool operator==(const Name &) const = default;
 
