Read documents and settings, with every error at once

Weighed: jsoncpp's strict mode alone stops at the first repeated name of an object; a parser of our own is out of the question. So a repeated name is marked in the text and the text is parsed again, and the fields' own checks run over all the rest. Lines come from jsoncpp's offsets. Names in the files are the structs' field names; durations are whole milliseconds and end in Ms; endpoints are {"address", "port"}; kind is "plain" or "model-engine".

--- /dev/null
+++ b/lib/Config/Diagnostic.cpp
@@ -0,0 +1,14 @@
+// How a diagnostic is printed.
+#include "berylridge/Config/Reader.h"
+
+namespace berylridge {
+
+std::string Diagnostic::str() const
+{
+    std::string text = file + ":" + std::to_string(line) + ": ";
+    if (!name.empty())
+        text += name + ": ";
+    return text + message;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Config/DocumentReader.cpp
@@ -0,0 +1,168 @@
+// Reads the "service/<name>" and "fleet" documents.
+#include "berylridge/Config/Reader.h"
+
+#include "FieldReader.h"
+
+#include <algorithm>
+#include <set>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration oneMillisecond = std::chrono::milliseconds(1);
+constexpr Duration oneHour = std::chrono::hours(1);
+constexpr std::uint64_t bodyLimitMost = 1ULL << 30;
+
+bool isMethod(std::string_view text)
+{
+    return !text.empty() && text.size() <= 20
+        && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+bool isPathPrefix(std::string_view text)
+{
+    return text.size() <= 256 && text.starts_with('/')
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+const TextRule methodRule {isMethod, "an HTTP method in capitals, as in \"POST\""};
+const TextRule pathPrefixRule {isPathPrefix, "a path that begins with '/', as in \"/v1/orders\""};
+
+/// Reports each key that an earlier element of the same list already had.
+class Uniqueness
+{
+public:
+    Uniqueness(JsonSource &source, std::string message)
+        : m_source(source)
+        , m_message(std::move(message))
+    {
+    }
+    void check(const Json::Value &at, const std::string &path, const std::string &key)
+    {
+        if (!key.empty() && !m_seen.insert(key).second)
+            m_source.report(at, path, m_message);
+    }
+
+private:
+    JsonSource &m_source;
+    std::string m_message;
+    std::set<std::string> m_seen;
+};
+
+void readRoutes(FieldReader &fields, std::vector<RouteRule> &routes)
+{
+    Uniqueness unique(fields.source(), "an earlier rule has the same method and pathPrefix");
+    fields.list("routes", [&](const Json::Value &element, const std::string &path) {
+        RouteRule rule;
+        FieldReader entry(fields.source(), element, path);
+        entry.text("method", rule.method, methodRule, Presence::Required);
+        entry.text("pathPrefix", rule.pathPrefix, pathPrefixRule, Presence::Required);
+        entry.boolean("isIdempotent", rule.isIdempotent);
+        entry.finish();
+        if (!rule.method.empty() && !rule.pathPrefix.empty())
+            unique.check(element, path, rule.method + " " + rule.pathPrefix);
+        routes.push_back(std::move(rule));
+    });
+}
+
+void readWorkspaces(FieldReader &fields, std::vector<WorkspaceShare> &workspaces)
+{
+    Uniqueness uniqueNames(fields.source(), "an earlier entry names the same workspace");
+    Uniqueness uniqueKeys(fields.source(), "another workspace has the same credentialDigest");
+    fields.list("workspaces", [&](const Json::Value &element, const std::string &path) {
+        WorkspaceShare share;
+        FieldReader entry(fields.source(), element, path);
+        entry.id("workspace", share.workspace);
+        entry.number("weight", share.weight, 0.001, 1e6);
+        entry.text("credentialDigest", share.credentialDigest, digestRule, Presence::Required);
+        entry.integer("queueLimit", share.queueLimit, 1, 1'000'000);
+        entry.finish();
+        uniqueNames.check(element, path + ".workspace", share.workspace.str());
+        uniqueKeys.check(element, path + ".credentialDigest", share.credentialDigest);
+        workspaces.push_back(std::move(share));
+    });
+}
+
+void readTargets(FieldReader &fields, std::vector<TargetSpec> &targets)
+{
+    Uniqueness uniqueNames(fields.source(), "an earlier entry names the same target");
+    Uniqueness uniqueEndpoints(fields.source(), "an earlier target has the same address and port");
+    fields.list("targets", [&](const Json::Value &element, const std::string &path) {
+        TargetSpec target;
+        FieldReader entry(fields.source(), element, path);
+        entry.id("target", target.target);
+        entry.id("zone", target.zone);
+        entry.text("address", target.address, addressRule, Presence::Required);
+        entry.integer("port", target.port, 1, 65535, Presence::Required);
+        entry.boolean("isLeaving", target.isLeaving);
+        entry.boolean("checksFencing", target.checksFencing);
+        entry.finish();
+        uniqueNames.check(element, path + ".target", target.target.str());
+        if (!target.address.empty() && target.port != 0) {
+            uniqueEndpoints.check(element, path + ".port",
+                                  target.address + " " + std::to_string(target.port));
+        }
+        targets.push_back(std::move(target));
+    });
+}
+
+void readServiceFields(FieldReader &fields, ServiceDocument &document)
+{
+    fields.id("service", document.service);
+    if (const auto kind = fields.word("kind", {"plain", "model-engine"}))
+        document.kind = *kind == 0 ? ServiceKind::Plain : ServiceKind::ModelEngine;
+    fields.integer("slots", document.slots, 1, 65536);
+    fields.integer("coldSlots", document.coldSlots, 1, 65536);
+    if (document.coldSlots > document.slots)
+        fields.report("coldSlots",
+                      "must be at most slots (" + std::to_string(document.slots) + ")");
+    fields.integer("warmAfter", document.warmAfter, 1, 1'000'000);
+    fields.duration("queueTimeoutMs", document.queueTimeout, oneMillisecond, oneHour);
+    fields.duration("attemptTimeoutMs", document.attemptTimeout, oneMillisecond, 24 * oneHour);
+    fields.duration("idleTimeoutMs", document.idleTimeout, oneMillisecond, oneHour);
+    fields.number("retryBudget", document.retryBudget, 0, 1);
+    fields.integer("bodyLimit", document.bodyLimit, 1, bodyLimitMost);
+    readRoutes(fields, document.routes);
+    readWorkspaces(fields, document.workspaces);
+    readTargets(fields, document.targets);
+}
+
+} // namespace
+
+ReadResult<ServiceDocument> readServiceDocument(std::string_view file, std::string_view text)
+{
+    JsonSource source(file, text);
+    ServiceDocument document;
+    if (const auto root = source.parse()) {
+        FieldReader fields(source, *root);
+        readServiceFields(fields, document);
+        fields.finish();
+    }
+    if (source.hasErrors())
+        return {std::nullopt, source.takeDiagnostics()};
+    return {std::move(document), {}};
+}
+
+ReadResult<FleetDocument> readFleetDocument(std::string_view file, std::string_view text)
+{
+    JsonSource source(file, text);
+    FleetDocument document;
+    if (const auto root = source.parse()) {
+        FieldReader fields(source, *root);
+        Uniqueness unique(source, "an earlier entry names the same zone");
+        fields.list("zonesOut", [&](const Json::Value &element, const std::string &path) {
+            auto zone = readText(source, element, path, nameRule);
+            if (!zone)
+                return;
+            unique.check(element, path, *zone);
+            document.zonesOut.emplace_back(std::move(*zone));
+        });
+        fields.finish();
+    }
+    if (source.hasErrors())
+        return {std::nullopt, source.takeDiagnostics()};
+    return {std::move(document), {}};
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Config/FieldReader.h
@@ -0,0 +1,108 @@
+// Reads the fields of one JSON object with their checks. Every error is reported, none stops the
+// reading; finish() reports the names that nobody asked for.
+#pragma once
+
+#include "JsonSource.h"
+
+#include "berylridge/Support/Endpoint.h"
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Time.h"
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <json/value.h>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylridge {
+
+enum class Presence : std::uint8_t { Required, Optional };
+
+/// A check of a string, and the words that say what it allows.
+struct TextRule
+{
+    bool (*isAllowed)(std::string_view text);
+    std::string_view allowed; ///< Follows "must be ".
+};
+
+/// Names of services, zones, workspaces, targets and nodes: they stand in paths and headers.
+extern const TextRule nameRule;
+extern const TextRule addressRule;
+extern const TextRule digestRule;
+extern const TextRule notEmptyRule;
+
+class FieldReader
+{
+public:
+    /// A path is empty for the root. A value that is not an object is reported here.
+    FieldReader(JsonSource &source, const Json::Value &object, std::string path = {});
+
+    template <std::unsigned_integral Int>
+    void integer(std::string_view name, Int &out, std::uint64_t low,
+                 std::uint64_t high = std::numeric_limits<Int>::max(),
+                 Presence presence = Presence::Optional)
+    {
+        if (const auto value = integerIn(name, low, high, presence))
+            out = static_cast<Int>(*value);
+    }
+    void number(std::string_view name, double &out, double low, double high,
+                Presence presence = Presence::Optional);
+    void boolean(std::string_view name, bool &out);
+    void text(std::string_view name, std::string &out, const TextRule &rule,
+              Presence presence = Presence::Optional);
+    /// One of a few words; gives its place in the list.
+    std::optional<std::size_t> word(std::string_view name,
+                                    const std::vector<std::string_view> &words,
+                                    Presence presence = Presence::Optional);
+    /// Whole milliseconds; the name ends in Ms.
+    void duration(std::string_view name, Duration &out, Duration low, Duration high);
+    void endpoint(std::string_view name, Endpoint &out);
+
+    template <typename Kind>
+    void id(std::string_view name, Name<Kind> &out, Presence presence = Presence::Required)
+    {
+        std::string value;
+        text(name, value, nameRule, presence);
+        if (!value.empty())
+            out = Name<Kind>(std::move(value));
+    }
+
+    /// Calls the function for each element with its dotted path.
+    using ElementReader = std::function<void(const Json::Value &element, const std::string &path)>;
+    void list(std::string_view name, const ElementReader &readElement,
+              Presence presence = Presence::Optional);
+    /// Calls the function for each member of an object with free names.
+    using MemberReader = std::function<void(const std::string &name, const Json::Value &member,
+                                            const std::string &path)>;
+    void members(std::string_view name, const MemberReader &readMember,
+                 Presence presence = Presence::Optional);
+
+    /// Reports an error at a field, or at the object where the field is not there.
+    void report(std::string_view name, std::string message);
+    /// Reports names that were not asked for and names that stand twice.
+    void finish();
+
+    int line() const { return m_source.lineOf(m_object); }
+    bool has(std::string_view name) const;
+    std::string pathOf(std::string_view name) const;
+    JsonSource &source() { return m_source; }
+
+private:
+    const Json::Value *find(std::string_view name, Presence presence, std::string_view allowed);
+    std::optional<std::uint64_t> integerIn(std::string_view name, std::uint64_t low,
+                                           std::uint64_t high, Presence presence);
+
+    JsonSource &m_source;
+    const Json::Value &m_object;
+    std::string m_path;
+    std::vector<std::string> m_known;
+};
+
+/// Reads an element that must be a string under a rule.
+std::optional<std::string> readText(JsonSource &source, const Json::Value &value,
+                                    const std::string &path, const TextRule &rule);
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Config/JsonSource.cpp
@@ -0,0 +1,175 @@
+// Parses by jsoncpp and turns its errors into diagnostics.
+#include "JsonSource.h"
+
+#include <algorithm>
+#include <json/reader.h>
+#include <memory>
+
+namespace berylridge {
+
+namespace {
+
+/// Put before a repeated name; a name of ours never begins with it.
+constexpr char repeatedMark = '\x01';
+/// A text with more repeated names than this is refused at the first one that is left.
+constexpr int repeatedLimit = 64;
+constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
+struct Position
+{
+    int line = 0;
+    int column = 0;
+};
+
+/// Reads "Line 3, Column 5" after the given place in the parser's errors.
+std::optional<Position> positionAfter(const std::string &errors, std::size_t from)
+{
+    const auto lineAt = errors.find("Line ", from);
+    const auto columnAt = errors.find("Column ", from);
+    if (lineAt == std::string::npos || columnAt == std::string::npos)
+        return std::nullopt;
+    return Position {std::atoi(errors.c_str() + lineAt + 5),    // NOLINT: digits by the parser
+                     std::atoi(errors.c_str() + columnAt + 7)}; // NOLINT: as above
+}
+
+/// Where a line and column, both counted from 1, stand in the text. Counts lines as the parser
+/// does: a carriage return ends a line, alone or before a line feed.
+std::size_t offsetOf(std::string_view text, Position position)
+{
+    std::size_t at = 0;
+    for (int line = 1; line < position.line && at < text.size(); ++at) {
+        const bool isPair = text[at] == '\r' && at + 1 < text.size() && text[at + 1] == '\n';
+        if (isPair)
+            ++at;
+        if (text[at] == '\n' || text[at] == '\r')
+            ++line;
+    }
+    return at + static_cast<std::size_t>(position.column) - 1;
+}
+
+/// Empty where the text was parsed.
+std::string parseInto(const std::string &text, Json::Value &root)
+{
+    Json::CharReaderBuilder builder;
+    builder["collectComments"] = false;
+    builder["failIfExtra"] = true;
+    builder["rejectDupKeys"] = true;
+    builder["stackLimit"] = 64;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    std::string errors;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &root, &errors))
+            return {};
+    } catch (const std::exception &error) {
+        // The parser throws where the nesting passes its limit.
+        return std::string("* Line 1, Column 1\n  ") + error.what() + "\n";
+    }
+    return errors.empty() ? "* Line 1, Column 1\n  not JSON\n" : errors;
+}
+
+/// The parser's words in the form of our diagnostics: first letter in lower case, no full stop.
+std::string inOurForm(std::string message)
+{
+    while (!message.empty() && (message.back() == '.' || message.back() == ' '))
+        message.pop_back();
+    if (!message.empty())
+        message[0] = static_cast<char>(std::tolower(static_cast<unsigned char>(message[0])));
+    return message;
+}
+
+} // namespace
+
+JsonSource::JsonSource(std::string_view file, std::string_view text)
+    : m_file(file)
+    , m_text(text.starts_with(byteOrderMark) ? text.substr(byteOrderMark.size()) : text)
+{
+}
+
+std::optional<Json::Value> JsonSource::parse()
+{
+    Json::Value root;
+    std::string errors = parseInto(m_text, root);
+    // The parser gives up an object at its first repeated name. Marking that name and parsing again
+    // finds the others, and lets the fields' own checks run over all the rest.
+    for (int i = 0; i < repeatedLimit && !errors.empty() && markRepeated(errors); ++i) {
+        root = Json::Value();
+        errors = parseInto(m_text, root);
+    }
+    if (!errors.empty()) {
+        reportSyntax(errors);
+        return std::nullopt;
+    }
+    if (!root.isObject()) {
+        report(root, "", "must be an object");
+        return std::nullopt;
+    }
+    return root;
+}
+
+bool JsonSource::isRepeated(std::string_view name)
+{
+    return !name.empty() && name.front() == repeatedMark;
+}
+
+std::string_view JsonSource::written(std::string_view name)
+{
+    const auto begin = name.find_first_not_of(repeatedMark);
+    return begin == std::string_view::npos ? std::string_view() : name.substr(begin);
+}
+
+void JsonSource::report(const Json::Value &at, std::string name, std::string message)
+{
+    report(lineOf(at), std::move(name), std::move(message));
+}
+
+void JsonSource::report(int line, std::string name, std::string message)
+{
+    m_diagnostics.push_back({m_file, line, std::move(name), std::move(message)});
+}
+
+int JsonSource::lineOf(const Json::Value &value) const
+{
+    const auto offset = std::min(static_cast<std::size_t>(value.getOffsetStart()), m_text.size());
+    int line = 1;
+    for (std::size_t i = 0; i < offset; ++i) {
+        const bool isPair = m_text[i] == '\r' && i + 1 < m_text.size() && m_text[i + 1] == '\n';
+        if (m_text[i] == '\n' || (m_text[i] == '\r' && !isPair))
+            ++line;
+    }
+    return line;
+}
+
+std::vector<Diagnostic> JsonSource::takeDiagnostics()
+{
+    std::stable_sort(m_diagnostics.begin(), m_diagnostics.end(),
+                     [](const Diagnostic &a, const Diagnostic &b) { return a.line < b.line; });
+    return std::move(m_diagnostics);
+}
+
+bool JsonSource::markRepeated(const std::string &parserErrors)
+{
+    const auto message = parserErrors.find("\n  ");
+    if (message == std::string::npos || parserErrors.compare(message + 3, 13, "Duplicate key") != 0)
+        return false;
+    const auto position = positionAfter(parserErrors, 0);
+    if (!position)
+        return false;
+    const auto quote = offsetOf(m_text, *position);
+    if (quote >= m_text.size() || m_text[quote] != '"')
+        return false;
+    m_text.insert(quote + 1, 1, repeatedMark);
+    return true;
+}
+
+void JsonSource::reportSyntax(const std::string &parserErrors)
+{
+    // Only the first error: those after it come from the parser's guesses at where to go on.
+    const auto position = positionAfter(parserErrors, 0).value_or(Position {1, 1});
+    const auto begin = parserErrors.find("\n  ");
+    std::string message = "not JSON";
+    if (begin != std::string::npos)
+        message = parserErrors.substr(begin + 3, parserErrors.find('\n', begin + 3) - begin - 3);
+    report(position.line, "", inOurForm(std::move(message)));
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Config/JsonSource.h
@@ -0,0 +1,46 @@
+// One text of JSON with comments: parses it and collects what is wrong with it, by line.
+#pragma once
+
+#include "berylridge/Config/Reader.h"
+
+#include <json/value.h>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylridge {
+
+class JsonSource
+{
+public:
+    JsonSource(std::string_view file, std::string_view text);
+
+    /// The root, where the text can be parsed and is an object. A name that stands twice in an
+    /// object is kept under a marked name (isRepeated()), so that all other checks still run.
+    std::optional<Json::Value> parse();
+
+    /// Whether the parser marked this name as one that already stands in its object.
+    static bool isRepeated(std::string_view name);
+    /// The name as it was written.
+    static std::string_view written(std::string_view name);
+
+    void report(const Json::Value &at, std::string name, std::string message);
+    void report(int line, std::string name, std::string message);
+    bool hasErrors() const { return !m_diagnostics.empty(); }
+
+    int lineOf(const Json::Value &value) const;
+
+    /// All errors by rising line.
+    std::vector<Diagnostic> takeDiagnostics();
+
+private:
+    void reportSyntax(const std::string &parserErrors);
+    bool markRepeated(const std::string &parserErrors);
+
+    std::string m_file;
+    std::string m_text;
+    std::vector<Diagnostic> m_diagnostics;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Config/SettingsReader.cpp
@@ -0,0 +1,116 @@
+// Reads a router's settings file.
+#include "berylridge/Config/Settings.h"
+
+#include "FieldReader.h"
+
+#include <set>
+
+namespace berylridge {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+constexpr std::size_t fleetKeyLeast = 32; // also in fleetKeyRule's words
+constexpr std::size_t fleetKeyMost = 64;
+
+bool isFleetKey(std::string_view text)
+{
+    return text.size() >= fleetKeyLeast && text.size() <= fleetKeyMost;
+}
+
+const TextRule fleetKeyRule {isFleetKey, "a string of 32 to 64 bytes"};
+
+void readPlatform(FieldReader &fields, std::vector<Endpoint> &platform)
+{
+    fields.list(
+        "platform",
+        [&](const Json::Value &element, const std::string &path) {
+            Endpoint endpoint;
+            FieldReader entry(fields.source(), element, path);
+            entry.text("address", endpoint.address, addressRule, Presence::Required);
+            entry.integer("port", endpoint.port, 1, 65535, Presence::Required);
+            entry.finish();
+            platform.push_back(std::move(endpoint));
+        },
+        Presence::Required);
+}
+
+void readSeeds(FieldReader &fields, std::vector<VmEntry> &seeds)
+{
+    std::set<NodeId> seen;
+    fields.list("seeds", [&](const Json::Value &element, const std::string &path) {
+        VmEntry seed;
+        FieldReader entry(fields.source(), element, path);
+        entry.id("node", seed.node);
+        entry.id("zone", seed.zone);
+        entry.text("address", seed.address, addressRule, Presence::Required);
+        entry.integer("port", seed.port, 1, 65535, Presence::Required);
+        entry.finish();
+        if (!seed.node.isEmpty() && !seen.insert(seed.node).second)
+            entry.report("node", "an earlier entry names the same node");
+        seeds.push_back(std::move(seed));
+    });
+}
+
+void readPlace(FieldReader &fields, Settings &settings)
+{
+    fields.id("node", settings.node);
+    fields.id("zone", settings.zone);
+    fields.endpoint("callers", settings.callers);
+    fields.endpoint("peers", settings.peers);
+    fields.endpoint("admin", settings.admin);
+    fields.text("fleetKey", settings.fleetKey, fleetKeyRule, Presence::Required);
+    fields.text("operatorsKeyDigest", settings.operatorsKeyDigest, digestRule, Presence::Required);
+    readPlatform(fields, settings.platform);
+    readSeeds(fields, settings.seeds);
+    fields.text("chartDirectory", settings.chartDirectory, notEmptyRule, Presence::Required);
+}
+
+void readWords(FieldReader &fields, Settings &settings)
+{
+    static const std::vector<std::string_view> sharings {"fleet", "per-node", "round-robin",
+                                                         "fifo"};
+    static const std::vector<std::string_view> levels {"info", "warning", "error"};
+    if (const auto word = fields.word("sharing", sharings))
+        settings.sharing = sharings[*word];
+    if (const auto word = fields.word("logLevel", levels))
+        settings.logLevel = levels[*word];
+}
+
+void readLimits(FieldReader &fields, Settings &settings)
+{
+    fields.integer("trafficThreads", settings.trafficThreads, 1, 256);
+    fields.integer("headerLimit", settings.headerLimit, 1024, 1 << 20);
+    fields.integer("bodyLimit", settings.bodyLimit, 1, 1ULL << 30);
+    fields.integer("connectionLimit", settings.connectionLimit, 1, 1'000'000);
+    fields.duration("readTimeoutMs", settings.readTimeout, milliseconds(10), hours(1));
+    fields.duration("heartbeatPeriodMs", settings.heartbeatPeriod, milliseconds(10), minutes(1));
+    fields.duration("suspectAfterMs", settings.suspectAfter, milliseconds(20), minutes(10));
+    fields.duration("leaseTermMs", settings.leaseTerm, milliseconds(50), minutes(10));
+    fields.duration("stopLimitMs", settings.stopLimit, milliseconds(0), hours(24));
+    if (settings.suspectAfter < 2 * settings.heartbeatPeriod)
+        fields.report("suspectAfterMs", "must be at least twice heartbeatPeriodMs");
+}
+
+} // namespace
+
+ReadResult<Settings> readSettings(std::string_view file, std::string_view text)
+{
+    JsonSource source(file, text);
+    Settings settings;
+    if (const auto root = source.parse()) {
+        FieldReader fields(source, *root);
+        readPlace(fields, settings);
+        readWords(fields, settings);
+        readLimits(fields, settings);
+        fields.finish();
+    }
+    if (source.hasErrors())
+        return {std::nullopt, source.takeDiagnostics()};
+    return {std::move(settings), {}};
+}
+
+} // namespace berylridge
