--- a/include/berylridge/Idempotency/Messages.h
+++ b/include/berylridge/Idempotency/Messages.h
@@ -1,5 +1,5 @@
-// What the idempotency component says between nodes: admission of a key by witnesses and the kept
-// answer of a finished key.
+// What the idempotency component says between nodes: admission of a key by witnesses, the kept
+// answer of a finished key, and the agreement on who the witnesses are.
 #pragma once
 
 #include <cstdint>
@@ -14,8 +14,8 @@
 struct KeyClaim
 {
     std::string key;          ///< Scoped: service, workspace and the caller's key.
-    std::uint64_t roster = 0; ///< The roster version that the sender holds.
-    std::uint64_t claim = 0;  ///< Tells this claim from the sender's others.
+    std::uint64_t roster = 0; ///< The roster whose members the sender asks.
+    std::uint64_t claim = 0;  ///< Rises with each claim of the sender.
     MSGPACK_DEFINE(key, roster, claim)
 };
 
@@ -31,7 +31,7 @@
     MSGPACK_DEFINE(key, roster, claim, vote, holder, holderIncarnation)
 };
 
-/// The holder gives up the key without having run it.
+/// The sender has not run the key under any of its claims up to this one, and never will.
 struct KeyRelease
 {
     std::string key;
@@ -63,17 +63,63 @@
     std::uint32_t status = 0;
     std::vector<KeyHeader> headers;
     std::string body;
-    MSGPACK_DEFINE(key, query, state, status, headers, body)
+    std::uint64_t bodyHash = 0; ///< Of the request that the holder took.
+    MSGPACK_DEFINE(key, query, state, status, headers, body, bodyHash)
 };
 
-/// Tells another member which roster version the sender holds, and its members.
-struct RosterNews
+struct RosterMemberMessage
+{
+    std::string node;
+    std::uint64_t incarnation = 0;
+    MSGPACK_DEFINE(node, incarnation)
+};
+
+/// A set of witnesses for the keys made after a moment.
+struct RosterMessage
+{
+    std::string proposer;
+    std::uint64_t proposerIncarnation = 0;
+    std::uint64_t sequence = 0; ///< Counts the proposer's rosters.
+    std::int64_t startsAt = 0;  ///< Milliseconds of wall-clock time.
+    bool isActive = false;      ///< False while only proposed.
+    std::vector<RosterMemberMessage> members;
+    MSGPACK_DEFINE(proposer, proposerIncarnation, sequence, startsAt, isActive, members)
+};
+
+/// Asks for consent to a roster.
+struct RosterProposal
+{
+    RosterMessage roster;
+    std::vector<std::uint64_t> basis; ///< The rosters whose members the proposer asks as well.
+    MSGPACK_DEFINE(roster, basis)
+};
+
+/// Consent, or a refusal with what the proposal left out.
+struct RosterConsent
+{
+    std::uint64_t roster = 0;
+    bool isGiven = false;
+    std::vector<RosterMessage> known;
+    MSGPACK_DEFINE(roster, isGiven, known)
+};
+
+/// From the proposer alone: the roster is active, or never will be.
+struct RosterDecision
 {
     std::uint64_t roster = 0;
-    std::vector<std::string> members;
-    MSGPACK_DEFINE(roster, members)
+    bool isActive = false;
+    MSGPACK_DEFINE(roster, isActive)
+};
+
+/// The latest active rosters that the sender knows.
+struct RosterNews
+{
+    std::vector<RosterMessage> rosters;
+    bool isAsking = false; ///< The sender wants the receiver's rosters in return.
+    MSGPACK_DEFINE(rosters, isAsking)
 };
 
-using KeyMessage = std::variant<KeyClaim, KeyVote, KeyRelease, KeyQuery, KeyState, RosterNews>;
+using KeyMessage = std::variant<KeyClaim, KeyVote, KeyRelease, KeyQuery, KeyState, RosterNews,
+                                RosterProposal, RosterConsent, RosterDecision>;
 
 } // namespace berylridge
