--- a/include/berylridge/Fleet/Membership.h
+++ b/include/berylridge/Fleet/Membership.h
@@ -79,8 +79,15 @@
     const Member *find(const NodeId &node) const;
     const std::map<NodeId, Member> &members() const { return m_members; }
     const VmList &vmList() const { return m_vmList; }
-    /// Whether the VM list has the address among those that leave: a target's VM, for instance.
-    bool isAddressLeaving(const std::string &address) const;
+    /// Whether the VM list has a VM of that name among those that leave: a target's, for instance.
+    bool isVmLeaving(std::string_view name) const;
+    /// Whether the VM list names no node of the zone that may still run. Then other zones' nodes
+    /// may own its targets.
+    bool isZoneVacant(const ZoneId &zone) const;
+    /// All nodes of all zones that may own pools, this one included where it is among them.
+    std::vector<NodeId> eligibleAnywhere(TimePoint now) const;
+    /// All nodes that are not known to be gone, this one included.
+    std::uint32_t listedAnywhere() const;
 
     void setSelfEligible(bool isEligible);
     /// Nodes of a zone that may own pools, this one included where it is among them.
--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -71,7 +71,8 @@
 struct DocumentsRequest
 {
     std::vector<DocumentHead> have;
-    MSGPACK_DEFINE(have)
+    std::uint64_t vmListRevision = 0; ///< A newer list is sent too.
+    MSGPACK_DEFINE(have, vmListRevision)
 };
 
 struct DocumentMessage
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -37,9 +37,9 @@
     /// cut off, and what it granted runs out by then; meanwhile holders tell what they hold.
     PoolOwner(const TargetLife &chart, PoolOwnerOptions options, TimePoint now);
 
-    /// Takes in the document. Targets that left the pool are dropped with their leases.
-    void configure(const ServiceDocument &document, const Pool &pool, bool isZoneOut,
-                   TimePoint now);
+    /// Takes in the document. Targets that left the pool are dropped with their leases; isLeaving
+    /// of each target says whether it is closed for new work for any reason.
+    void configure(const ServiceDocument &document, const Pool &pool, TimePoint now);
     void setPart(OwnerPart part) { m_part = part; }
 
     void onDemand(const NodeId &from, Incarnation incarnation, const PoolDemand &message,
--- a/include/berylridge/Policy/ServiceQueue.h
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -61,6 +61,17 @@
     }
     bool remove(FlowId flow, Handle handle);
 
+    /// Whether isSuch(flow, waiting) holds for any flow that waits.
+    template <typename IsSuch>
+    bool anyFlow(IsSuch isSuch) const
+    {
+        for (const auto &[flow, state] : m_flows) {
+            if (!state.queue.empty() && isSuch(flow, state.queue.size()))
+                return true;
+        }
+        return false;
+    }
+
     std::size_t size() const { return m_size; }
     std::size_t waiting(FlowId flow) const;
     /// How long a request that comes now would wait, judged by how fast the flow drains; none when
--- a/include/berylridge/Policy/TargetGauge.h
+++ b/include/berylridge/Policy/TargetGauge.h
@@ -33,7 +33,7 @@
     TargetGauge(const TargetLife &chart, TimePoint now);
 
     /// Limits from the document; they may change while the target runs.
-    void configure(const ServiceDocument &document, const TargetSpec &spec, bool isZoneOut);
+    void configure(const ServiceDocument &document, bool isLeaving);
 
     /// A sign from a node's news, an answer or a poll. An empty boot id means that it is unknown.
     /// Returns whether the target is cold again.
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -22,6 +22,7 @@
     AttemptNumber attempt = 0;
     TargetId target;
     Endpoint endpoint;
+    TimePoint notAfter {}; ///< When no byte has left by then, end the attempt as not sent.
     Duration attemptTimeout {0};
     Duration idleTimeout {0};
     bool isResumed = false;   ///< Continue the stream after what the caller already has.
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -186,9 +186,11 @@
 {
     std::vector<Member> probes;
     for (auto &[node, entry] : m_members) {
-        if (entry.zone != m_options.zone || !entry.wasHeard)
+        // A node of another zone is judged by its own zone, as long as that zone is heard of.
+        const bool isOwnZone = entry.zone == m_options.zone;
+        if (isOwnZone && (!entry.wasHeard || now - entry.heardAt <= m_options.suspectAfter))
             continue;
-        if (now - entry.heardAt <= m_options.suspectAfter)
+        if (!isOwnZone && (entry.incarnation == 0 || isZoneViewFresh(entry.zone, now)))
             continue;
         step(entry, MemberSign::Silence);
         if (entry.state == MemberState::Suspect && !entry.isListed && m_vmList.revision != 0)
@@ -263,10 +265,40 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
-bool Membership::isAddressLeaving(const std::string &address) const
+bool Membership::isVmLeaving(std::string_view name) const
 {
     return std::any_of(m_vmList.vms.begin(), m_vmList.vms.end(),
-                       [&](const VmEntry &vm) { return vm.isLeaving && vm.address == address; });
+                       [&](const VmEntry &vm) { return vm.isLeaving && vm.node.str() == name; });
+}
+
+bool Membership::isZoneVacant(const ZoneId &zone) const
+{
+    if (zone == m_options.zone || m_vmList.revision == 0)
+        return false;
+    return std::none_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.second.zone == zone && entry.second.state != MemberState::Gone;
+    });
+}
+
+std::vector<NodeId> Membership::eligibleAnywhere(TimePoint now) const
+{
+    std::set<ZoneId> zones {m_options.zone};
+    for (const auto &[node, entry] : m_members)
+        zones.insert(entry.zone);
+    std::vector<NodeId> nodes;
+    for (const ZoneId &zone : zones) {
+        const std::vector<NodeId> ofZone = eligible(zone, now);
+        nodes.insert(nodes.end(), ofZone.begin(), ofZone.end());
+    }
+    return nodes;
+}
+
+std::uint32_t Membership::listedAnywhere() const
+{
+    std::uint32_t count = 1;
+    for (const auto &[node, entry] : m_members)
+        count += entry.state != MemberState::Gone && (entry.isListed || entry.wasHeard) ? 1 : 0;
+    return count;
 }
 
 void Membership::setSelfEligible(bool isEligible)
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -43,8 +43,7 @@
 {
 }
 
-void PoolOwner::configure(const ServiceDocument &document, const Pool &pool, bool isZoneOut,
-                          TimePoint now)
+void PoolOwner::configure(const ServiceDocument &document, const Pool &pool, TimePoint now)
 {
     m_pool = pool.id;
     m_service = document.service;
@@ -58,7 +57,7 @@
         auto found = m_targets.find(hash);
         Target target = found == m_targets.end() ? Target {TargetGauge(*m_chart, now), 0}
                                                  : std::move(found->second);
-        target.gauge.configure(document, spec, isZoneOut);
+        target.gauge.configure(document, spec.isLeaving);
         kept.emplace(hash, std::move(target));
     }
     m_targets = std::move(kept);
--- a/lib/Policy/TargetGauge.cpp
+++ b/lib/Policy/TargetGauge.cpp
@@ -34,16 +34,16 @@
 {
 }
 
-void TargetGauge::configure(const ServiceDocument &document, const TargetSpec &spec, bool isZoneOut)
+void TargetGauge::configure(const ServiceDocument &document, bool isLeaving)
 {
     m_slots = document.slots;
     m_coldSlots = document.coldSlots;
     m_warmAfter = document.warmAfter;
-    const bool leaves = spec.isLeaving || isZoneOut;
-    if (leaves == (m_state == TargetState::Leaving))
+
+    if (isLeaving == (m_state == TargetState::Leaving))
         return;
-    step(leaves ? TargetSign::LeaveOrdered : TargetSign::ReturnOrdered);
-    if (!leaves)
+    step(isLeaving ? TargetSign::LeaveOrdered : TargetSign::ReturnOrdered);
+    if (!isLeaving)
         reset({});
 }
 
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -1,1 +1,259 @@
 #include "berylridge/Router/Core.h"
+
+#include "CoreContext.h"
+#include "FleetSync.h"
+#include "PoolManager.h"
+#include "RequestManager.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylridge {
+
+namespace {
+
+/// Periodic work while requests wait or leases are held: spills, give-ups, free slots.
+constexpr Duration busyTick = std::chrono::milliseconds(20);
+/// Events come at least every heartbeat period. A longer gap means that the process was paused, and
+/// what it knows of others is as old as the gap.
+constexpr Duration pauseLimit = std::chrono::milliseconds(1000);
+
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+class Core::Impl
+{
+public:
+    Impl(CoreOptions options, Charts charts, TimePoint now, WallTime wall)
+        : m_context(std::move(options), std::move(charts), now, wall)
+        , m_requests(m_context)
+        , m_pools(m_context, m_requests)
+        , m_fleet(m_context)
+        , m_handledAt(now)
+        , m_nextHeartbeat(now)
+        , m_nextTick(now)
+    {
+        m_requests.connect(m_pools);
+    }
+
+    void handle(const Event &event, TimePoint now, WallTime wall, Actions &actions);
+    TimePoint nextTimer() const;
+    NodeStatus status() const;
+    std::vector<std::string> explain(const std::string &id) const { return m_requests.explain(id); }
+
+private:
+    void noticePause();
+    void dispatch(const Event &event);
+    void onNodeMessage(const NodeId &from, Incarnation incarnation, const AnyMessage &message);
+    void onFleetMessage(const NodeId &from, Incarnation incarnation, const FleetMessage &message);
+    void settle();
+    void takeInChanges();
+    void takeInOwnMessages();
+    void runTimers();
+
+    CoreContext m_context;
+    RequestManager m_requests;
+    PoolManager m_pools;
+    FleetSync m_fleet;
+    TimePoint m_handledAt;
+    TimePoint m_nextHeartbeat;
+    TimePoint m_nextTick;
+};
+
+void Core::Impl::handle(const Event &event, TimePoint now, WallTime wall, Actions &actions)
+{
+    assert(now >= m_context.now && "time must not step back");
+    m_context.now = now;
+    m_context.wall = wall;
+    m_context.actions = &actions;
+    noticePause();
+    m_handledAt = now;
+    dispatch(event);
+    runTimers();
+    settle();
+    m_context.actions = nullptr;
+}
+
+void Core::Impl::noticePause()
+{
+    const Duration gap = m_context.now - m_handledAt;
+    if (gap <= pauseLimit)
+        return;
+    m_context.log(LogEventId::WokeLate, std::to_string(gap.count() / 1000) + " ms");
+    m_fleet.onWoke();
+    m_pools.onWoke();
+}
+
+void Core::Impl::dispatch(const Event &event)
+{
+    std::visit(Overloaded {
+                   [&](const RequestArrived &e) { m_requests.onArrived(e, m_fleet.isJoining()); },
+                   [&](const CallerGone &e) { m_requests.onCallerGone(e); },
+                   [&](const AttemptHead &e) { m_requests.onHead(e); },
+                   [&](const AttemptDone &e) { m_requests.onDone(e); },
+                   [&](const AttemptFailed &e) { m_requests.onFailed(e); },
+                   [&](const TargetReport &e) {
+                       m_pools.onReport(e);
+                       m_requests.onReport(e);
+                   },
+                   [&](const TargetPollFailed &e) {
+                       m_pools.onPollFailed(e);
+                       m_requests.onPollFailed(e);
+                   },
+                   [&](const NodeMessage &e) {
+                       if (m_context.membership.onHeard(e.from, e.incarnation, m_context.now))
+                           onNodeMessage(e.from, e.incarnation, e.message);
+                   },
+                   [&](const ProbeEnded &e) { m_fleet.onProbeEnded(e); },
+                   [&](const DocumentArrived &e) { m_fleet.onDocument(e.document, "platform"); },
+                   [&](const VmListArrived &e) { m_fleet.onVmList(e.list); },
+                   [&](const PlatformReach &e) { m_fleet.onPlatformReach(e.isReachable); },
+                   [&](const LeaveOrdered &e) { m_fleet.onLeave(e.who); },
+                   [&](const ReturnOrdered &e) { m_fleet.onReturn(e.who); },
+                   [](const TimerDue &) {},
+               },
+               event);
+}
+
+void Core::Impl::onNodeMessage(const NodeId &from, Incarnation incarnation,
+                               const AnyMessage &message)
+{
+    if (const auto *key = std::get_if<KeyMessage>(&message)) {
+        m_requests.onKeyMessage(from, incarnation, *key);
+        return;
+    }
+    onFleetMessage(from, incarnation, std::get<FleetMessage>(message));
+}
+
+void Core::Impl::onFleetMessage(const NodeId &from, Incarnation incarnation,
+                                const FleetMessage &message)
+{
+    std::visit(Overloaded {
+                   [&](const Heartbeat &m) { m_fleet.onHeartbeat(from, m); },
+                   [&](const ZoneView &m) { m_fleet.onZoneView(m); },
+                   [&](const DocumentsRequest &m) { m_fleet.onDocumentsRequest(from, m); },
+                   [&](const DocumentsReply &m) { m_fleet.onDocumentsReply(m, from); },
+                   [&](const VmListMessage &m) { m_fleet.onVmListMessage(m); },
+                   [&](const PoolDemand &m) { m_pools.onDemand(from, incarnation, m); },
+                   [&](const PoolGrant &m) { m_pools.onGrant(from, incarnation, m); },
+                   [&](const PoolReturn &m) { m_pools.onReturn(from, m); },
+                   [&](const TargetNews &m) { m_pools.onNews(m); },
+                   [&](const PoolService &m) { m_pools.onRemoteService(m); },
+                   [&](const CrashNews &m) { m_requests.onCrashNews(m); },
+                   [&](const Goodbye &) { m_fleet.onGoodbye(from); },
+               },
+               message);
+}
+
+void Core::Impl::runTimers()
+{
+    if (m_context.now >= m_nextHeartbeat) {
+        m_nextHeartbeat = m_context.now + m_context.options.heartbeatPeriod;
+        m_fleet.tick();
+        m_fleet.checkStop(m_requests.size(), m_requests.lastArrival());
+    }
+    if (m_context.now >= m_nextTick || m_context.now >= m_requests.nextTimer()) {
+        m_nextTick = m_context.now + busyTick;
+        m_requests.tick();
+        m_pools.tick();
+    }
+}
+
+/// Carries the event's consequences through this node until nothing is left to take in.
+void Core::Impl::settle()
+{
+    takeInChanges();
+    m_pools.flush();
+    while (!m_context.toSelf.empty()) {
+        takeInOwnMessages();
+        takeInChanges();
+        m_pools.flush();
+    }
+}
+
+void Core::Impl::takeInChanges()
+{
+    const FleetSync::Changes changes = m_fleet.takeChanges();
+    if (changes.documents) {
+        m_requests.onDocuments();
+        m_fleet.announce();
+    }
+    if (changes.documents || changes.vmList)
+        m_pools.onDocuments();
+    if (changes.vmList)
+        m_requests.onVmList(m_context.membership.vmList());
+    if (!changes.members)
+        return;
+    m_pools.onEndedRuns(m_context.membership.takeEndedRuns());
+    m_pools.onMembers();
+    m_requests.onMembers();
+}
+
+void Core::Impl::takeInOwnMessages()
+{
+    const std::deque<AnyMessage> messages = std::exchange(m_context.toSelf, {});
+    for (const AnyMessage &message : messages)
+        onNodeMessage(m_context.options.node, m_context.options.incarnation, message);
+}
+
+TimePoint Core::Impl::nextTimer() const
+{
+    TimePoint next = std::min(m_nextHeartbeat, m_requests.nextTimer());
+    if (m_requests.size() > 0 || m_pools.isBusy())
+        next = std::min(next, m_nextTick);
+    return next;
+}
+
+NodeStatus Core::Impl::status() const
+{
+    NodeStatus status;
+    m_fleet.fillStatus(status);
+    m_pools.fillStatus(status);
+    m_requests.fillStatus(status);
+    return status;
+}
+
+Expected<std::unique_ptr<Core>> Core::create(CoreOptions options, TimePoint now, WallTime wall)
+{
+    Expected<Charts> charts = Charts::load(options.chartDirectory);
+    if (!charts)
+        return Reason {charts.lastReason()};
+    auto impl = std::make_unique<Impl>(std::move(options), *std::move(charts), now, wall);
+    return std::unique_ptr<Core>(new Core(std::move(impl)));
+}
+
+Core::Core(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Core::~Core() = default;
+
+void Core::handle(const Event &event, TimePoint now, WallTime wall, Actions &actions)
+{
+    m_impl->handle(event, now, wall, actions);
+}
+
+TimePoint Core::nextTimer() const
+{
+    return m_impl->nextTimer();
+}
+
+NodeStatus Core::status() const
+{
+    return m_impl->status();
+}
+
+std::vector<std::string> Core::explain(const std::string &requestId) const
+{
+    return m_impl->explain(requestId);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/CoreContext.cpp
@@ -0,0 +1,68 @@
+#include "CoreContext.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+Expected<Charts> Charts::load(const std::string &directory)
+{
+    Expected<MemberLife> member = loadMemberLife(directory);
+    if (!member)
+        return Reason {member.lastReason()};
+    Expected<NodeLife> node = loadNodeLife(directory);
+    if (!node)
+        return Reason {node.lastReason()};
+    Expected<RequestLife> request = loadRequestLife(directory);
+    if (!request)
+        return Reason {request.lastReason()};
+    Expected<TargetLife> target = loadTargetLife(directory);
+    if (!target)
+        return Reason {target.lastReason()};
+    return Charts {*std::move(member), *std::move(node), *std::move(request), *std::move(target)};
+}
+
+CoreContext::CoreContext(CoreOptions coreOptions, Charts loadedCharts, TimePoint start,
+                         WallTime wallStart)
+    : options(std::move(coreOptions))
+    , charts(std::move(loadedCharts))
+    , now(start)
+    , wall(wallStart)
+    , membership(charts.member,
+                 MembershipOptions {options.node, options.zone, options.endpoint,
+                                    options.incarnation, options.heartbeatPeriod,
+                                    options.suspectAfter},
+                 start)
+{
+    membership.addSeeds(options.seeds);
+}
+
+void CoreContext::log(LogEventId id, std::string detail)
+{
+    act(Log {LogRecord {id, std::move(detail)}});
+}
+
+void CoreContext::audit(AuditKind kind, std::string who, std::string what, std::string from,
+                        std::string to)
+{
+    act(Audit {
+        AuditEntry {kind, std::move(who), std::move(what), std::move(from), std::move(to), wall}});
+}
+
+void CoreContext::send(const NodeId &to, AnyMessage message)
+{
+    if (isSelf(to)) {
+        toSelf.push_back(std::move(message));
+        return;
+    }
+    const Member *member = membership.find(to);
+    if (!member || member->endpoint.port == 0)
+        return;
+    act(SendToNode {to, member->endpoint, std::move(message)});
+}
+
+bool isZoneOut(const FleetDocument &fleet, const ZoneId &zone)
+{
+    return std::find(fleet.zonesOut.begin(), fleet.zonesOut.end(), zone) != fleet.zonesOut.end();
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/CoreContext.h
@@ -0,0 +1,60 @@
+// What the parts of the core share: options, the present moment, the fleet's view, documents in
+// force, and where actions go.
+#pragma once
+
+#include "berylridge/Chart/MemberLife.h"
+#include "berylridge/Chart/NodeLife.h"
+#include "berylridge/Chart/RequestLife.h"
+#include "berylridge/Chart/TargetLife.h"
+#include "berylridge/Config/DocumentStore.h"
+#include "berylridge/Fleet/Membership.h"
+#include "berylridge/Router/Actions.h"
+#include "berylridge/Router/Core.h"
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace berylridge {
+
+using AnyMessage = std::variant<FleetMessage, KeyMessage>;
+
+/// All state charts, loaded once.
+struct Charts
+{
+    MemberLife member;
+    NodeLife node;
+    RequestLife request;
+    TargetLife target;
+
+    static Expected<Charts> load(const std::string &directory);
+};
+
+class CoreContext
+{
+public:
+    CoreContext(CoreOptions coreOptions, Charts loadedCharts, TimePoint start, WallTime wallStart);
+
+    void act(Action action) { actions->push_back(std::move(action)); }
+    void log(LogEventId id, std::string detail);
+    void audit(AuditKind kind, std::string who, std::string what, std::string from, std::string to);
+
+    /// To another node, or to this one: then it is taken in before the present event is done with.
+    void send(const NodeId &to, AnyMessage message);
+    bool isSelf(const NodeId &node) const { return node == options.node; }
+
+    const CoreOptions options;
+    const Charts charts;
+    TimePoint now;
+    WallTime wall;
+    Actions *actions = nullptr;
+    Membership membership;
+    DocumentStore documents;
+    std::deque<AnyMessage> toSelf;
+};
+
+/// Whether operators have taken the zone out of service.
+bool isZoneOut(const FleetDocument &fleet, const ZoneId &zone);
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/FleetSync.cpp
@@ -0,0 +1,347 @@
+#include "FleetSync.h"
+
+#include "berylridge/Policy/Pool.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+namespace {
+
+/// Watches of the platform per zone: one may be lost without a gap.
+constexpr std::size_t readersPerZone = 2;
+constexpr Duration requestPeriod = std::chrono::milliseconds(200);
+/// Bytes of document text in one reply; the rest is asked for again.
+constexpr std::size_t replyLimit = 512 << 10;
+/// After a planned stop began, the balancer needs this long to see that this node is not ready.
+constexpr Duration balancerDelay = std::chrono::seconds(2);
+/// With no request coming in for this long, the balancer has stopped sending.
+constexpr Duration quietTime = std::chrono::seconds(1);
+
+} // namespace
+
+FleetSync::FleetSync(CoreContext &context)
+    : m_context(context)
+    , m_state(context.charts.node.initial())
+    , m_startedAt(context.now)
+{
+}
+
+FleetSync::Changes FleetSync::takeChanges()
+{
+    const std::uint64_t count = m_context.membership.changeCount();
+    m_changes.members = count != m_seenMemberChanges;
+    m_seenMemberChanges = count;
+    return std::exchange(m_changes, {});
+}
+
+void FleetSync::onHeartbeat(const NodeId &from, const Heartbeat &message)
+{
+    Membership &membership = m_context.membership;
+    membership.onHeartbeat(from, message, m_context.now);
+    const bool hasOtherDocuments
+        = message.documentsDigest != m_context.documents.digest() && message.documentsDigest != 0;
+    const bool hasNewerVmList = message.vmListRevision > membership.vmList().revision;
+    if (hasOtherDocuments || hasNewerVmList)
+        requestDocuments(from);
+    else if (static_cast<MemberState>(message.nodeState) == MemberState::Live)
+        m_isSynchronised = true;
+    const bool isOtherZone = ZoneId(message.zone) != m_context.options.zone;
+    const std::uint64_t digest
+        = hash64("view", membership.zoneDigest(m_context.options.zone, m_context.now));
+    if (isOtherZone && message.knownDigest != digest)
+        m_context.send(from, FleetMessage(membership.ownZoneView()));
+}
+
+void FleetSync::onZoneView(const ZoneView &message)
+{
+    m_context.membership.onZoneView(message, m_context.now);
+}
+
+void FleetSync::requestDocuments(const NodeId &from)
+{
+    TimePoint &at = m_requestedAt[from];
+    if (at != TimePoint {} && m_context.now - at < requestPeriod)
+        return;
+    at = m_context.now;
+    DocumentsRequest request;
+    for (const auto &[name, document] : m_context.documents.texts())
+        request.have.push_back({name, document.version});
+    request.vmListRevision = m_context.membership.vmList().revision;
+    m_context.send(from, FleetMessage(std::move(request)));
+}
+
+void FleetSync::onDocumentsRequest(const NodeId &from, const DocumentsRequest &message)
+{
+    DocumentsReply reply;
+    std::size_t bytes = 0;
+    for (const auto &[name, document] : m_context.documents.texts()) {
+        const auto known
+            = std::find_if(message.have.begin(), message.have.end(),
+                           [&](const DocumentHead &head) { return head.name == name; });
+        if (known != message.have.end() && known->version >= document.version)
+            continue;
+        bytes += document.text.size();
+        if (!reply.documents.empty() && bytes > replyLimit)
+            break;
+        reply.documents.push_back({name, document.version, document.text});
+    }
+    // Also an empty one: it tells a node that starts that it lacks nothing.
+    m_context.send(from, FleetMessage(std::move(reply)));
+
+    const VmList &list = m_context.membership.vmList();
+    if (list.revision <= message.vmListRevision)
+        return;
+    VmListMessage vms;
+    vms.revision = list.revision;
+    for (const VmEntry &vm : list.vms)
+        vms.vms.push_back({vm.node.str(), vm.zone.str(), vm.address, vm.port, vm.isLeaving});
+    m_context.send(from, FleetMessage(std::move(vms)));
+}
+
+void FleetSync::onDocumentsReply(const DocumentsReply &message, const NodeId &from)
+{
+    for (const DocumentMessage &document : message.documents)
+        onDocument({document.name, document.version, document.text}, "node " + from.str());
+    const Member *member = m_context.membership.find(from);
+    if (member && member->state == MemberState::Live)
+        m_isSynchronised = true;
+}
+
+void FleetSync::onVmListMessage(const VmListMessage &message)
+{
+    VmList list;
+    list.revision = message.revision;
+    for (const VmMessage &vm : message.vms)
+        list.vms.push_back({NodeId(vm.node), ZoneId(vm.zone), vm.address, vm.port, vm.isLeaving});
+    onVmList(list);
+}
+
+void FleetSync::onGoodbye(const NodeId &from)
+{
+    m_context.membership.onGoodbye(from);
+}
+
+void FleetSync::onProbeEnded(const ProbeEnded &event)
+{
+    m_context.membership.onProbeEnded(event.node, event.incarnation, event.isRefused);
+}
+
+void FleetSync::onDocument(const DocumentText &document, const std::string &who)
+{
+    const AcceptResult result = m_context.documents.accept(document);
+    const std::string version = std::to_string(document.version);
+    if (result.status == AcceptStatus::Refused) {
+        for (const Diagnostic &diagnostic : result.diagnostics)
+            m_context.log(LogEventId::DocumentRefused, diagnostic.str());
+        m_context.audit(AuditKind::DocumentRefused, who, document.name, std::to_string(result.from),
+                        version);
+        return;
+    }
+    if (result.status == AcceptStatus::Stale)
+        return;
+    m_context.log(LogEventId::DocumentAccepted,
+                  document.name + " version " + version + " by " + who);
+    m_context.audit(AuditKind::DocumentAccepted, who, document.name, std::to_string(result.from),
+                    version);
+    m_changes.documents = true;
+}
+
+void FleetSync::onVmList(const VmList &list)
+{
+    if (!m_context.membership.onVmList(list, m_context.now))
+        return;
+    m_context.log(LogEventId::VmListArrived, "revision " + std::to_string(list.revision));
+    m_changes.vmList = true;
+}
+
+void FleetSync::onPlatformReach(bool isReachable)
+{
+    if (m_isPlatformReachable == isReachable)
+        return;
+    m_isPlatformReachable = isReachable;
+    m_context.log(isReachable ? LogEventId::PlatformBack : LogEventId::PlatformSilent, "");
+}
+
+void FleetSync::onLeave(const std::string &who)
+{
+    if (m_state == NodeState::Leaving || m_state == NodeState::Stopped)
+        return;
+    m_context.audit(AuditKind::NodeState, who, m_context.options.node.str(),
+                    m_context.charts.node.name(m_state), "leaving");
+    m_leavingSince = m_context.now;
+    step(NodeSign::LeaveOrdered);
+    m_context.log(LogEventId::NodeLeaving, "by " + who);
+    m_context.act(Readiness {false});
+    for (const auto &[node, member] : m_context.membership.members())
+        m_context.send(node, FleetMessage(Goodbye {++m_sequence}));
+}
+
+void FleetSync::onReturn(const std::string &who)
+{
+    if (m_state != NodeState::Leaving)
+        return;
+    m_context.audit(AuditKind::NodeState, who, m_context.options.node.str(), "leaving", "joining");
+    step(NodeSign::ReturnOrdered);
+    checkReady();
+    announce();
+}
+
+void FleetSync::onWoke()
+{
+    m_context.membership.onWoke(m_context.now);
+}
+
+void FleetSync::tick()
+{
+    for (const Member &silent : m_context.membership.tick(m_context.now))
+        m_context.act(ProbeNode {silent.node, silent.endpoint, silent.incarnation});
+    checkReady();
+    chooseReaders();
+    for (const Member &member : m_context.membership.dueHeartbeats(m_context.now))
+        sendHeartbeat(member);
+    pushZoneView();
+    for (LogRecord &record : m_context.membership.takeLog())
+        m_context.log(record.id, std::move(record.detail));
+}
+
+void FleetSync::checkStop(std::size_t requests, TimePoint lastArrival)
+{
+    if (m_state != NodeState::Leaving)
+        return;
+    const TimePoint now = m_context.now;
+    const bool isQuiet = now - lastArrival >= quietTime && now - m_leavingSince >= balancerDelay;
+    if (requests == 0 && isQuiet) {
+        step(NodeSign::Emptied);
+        m_context.log(LogEventId::NodeStopped, "");
+        m_context.act(Stopped {});
+        return;
+    }
+    if (now - m_leavingSince < m_context.options.stopLimit)
+        return;
+    step(NodeSign::LimitReached);
+    m_context.log(LogEventId::StopLimitReached,
+                  std::to_string(requests) + " requests were running");
+    m_context.act(Stopped {});
+}
+
+void FleetSync::fillStatus(NodeStatus &status) const
+{
+    status.node = m_context.options.node;
+    status.zone = m_context.options.zone;
+    status.state = m_context.charts.node.name(m_state);
+    status.incarnation = m_context.options.incarnation;
+    status.isReader = m_isReader;
+    status.vmListRevision = m_context.membership.vmList().revision;
+    for (const auto &[name, document] : m_context.documents.texts())
+        status.documents.push_back({name, document.version});
+    for (const auto &[node, member] : m_context.membership.members()) {
+        MemberStatus entry;
+        entry.node = node;
+        entry.zone = member.zone;
+        entry.state = m_context.charts.member.name(member.state);
+        entry.incarnation = member.incarnation;
+        entry.silentSeconds = member.wasHeard ? toSeconds(m_context.now - member.heardAt) : -1;
+        status.members.push_back(std::move(entry));
+    }
+}
+
+void FleetSync::step(NodeSign sign)
+{
+    if (!m_context.charts.node.step(m_state, sign))
+        return;
+    m_context.membership.setSelfEligible(m_state == NodeState::Ready);
+}
+
+/// A node that starts with no memory takes callers only after a ready node has told it which
+/// documents are in force: the platform may be stale, and would take it back behind the rest of the
+/// fleet. When no such node answers, the platform's word is the best there is.
+void FleetSync::checkReady()
+{
+    if (m_state != NodeState::Joining || m_context.documents.digest() == 0)
+        return;
+    if (!m_isSynchronised && m_context.now - m_startedAt < m_context.options.readinessWait)
+        return;
+    step(NodeSign::DocumentsKnown);
+    m_context.log(LogEventId::NodeReady, "");
+    m_context.act(Readiness {true});
+    announce();
+}
+
+/// The highest by rendezvous hash among the zone's nodes that are heard watch the platform, so that
+/// calls grow with zones and not with nodes.
+void FleetSync::chooseReaders()
+{
+    std::vector<NodeId> candidates;
+    if (m_state != NodeState::Leaving && m_state != NodeState::Stopped)
+        candidates.push_back(m_context.options.node);
+    for (const auto &[node, member] : m_context.membership.members()) {
+        const bool isPresent
+            = member.state == MemberState::Live || member.state == MemberState::Joining;
+        if (isPresent && member.zone == m_context.options.zone)
+            candidates.push_back(node);
+    }
+    bool isReader = false;
+    for (std::size_t rank = 0; rank < readersPerZone && !candidates.empty(); ++rank) {
+        const NodeId reader = rendezvousWinner("platform reader", candidates);
+        isReader = isReader || m_context.isSelf(reader);
+        std::erase(candidates, reader);
+    }
+    if (isReader == m_isReader)
+        return;
+    m_isReader = isReader;
+    m_context.log(LogEventId::ReaderRole, isReader ? "begins" : "ceases");
+    m_context.act(WatchPlatform {isReader});
+}
+
+void FleetSync::sendHeartbeat(const Member &member)
+{
+    const Membership &membership = m_context.membership;
+    Heartbeat heartbeat;
+    heartbeat.sequence = ++m_sequence;
+    heartbeat.zone = m_context.options.zone.str();
+    MemberState state = MemberState::Joining;
+    if (m_state == NodeState::Ready)
+        state = MemberState::Live;
+    else if (m_state == NodeState::Leaving)
+        state = MemberState::Leaving;
+    heartbeat.nodeState = static_cast<std::uint8_t>(state);
+    heartbeat.documentsDigest = m_context.documents.digest();
+    heartbeat.vmListRevision = membership.vmList().revision;
+    heartbeat.address = m_context.options.endpoint.address;
+    heartbeat.port = m_context.options.endpoint.port;
+    heartbeat.zoneDigest = membership.zoneDigest(m_context.options.zone, m_context.now);
+    heartbeat.knownDigest = hash64("view", membership.zoneDigest(member.zone, m_context.now));
+    m_context.send(member.node, FleetMessage(std::move(heartbeat)));
+}
+
+void FleetSync::announce()
+{
+    for (const auto &[node, member] : m_context.membership.members()) {
+        const bool isNear = member.zone == m_context.options.zone;
+        const bool isHeard = member.wasHeard && member.state != MemberState::Gone;
+        if (isNear || isHeard)
+            sendHeartbeat(member);
+    }
+}
+
+/// Other zones learn at once when a node of this one comes or goes.
+void FleetSync::pushZoneView()
+{
+    const Membership &membership = m_context.membership;
+    const std::uint64_t digest = membership.zoneDigest(m_context.options.zone, m_context.now);
+    if (digest == m_pushedDigest)
+        return;
+    m_pushedDigest = digest;
+    const ZoneView view = membership.ownZoneView();
+    for (const auto &[node, member] : membership.members()) {
+        const bool isPartner = member.zone != m_context.options.zone && member.wasHeard
+            && m_context.now - member.heardAt < std::chrono::seconds(2);
+        if (isPartner)
+            m_context.send(node, FleetMessage(view));
+    }
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/FleetSync.h
@@ -0,0 +1,76 @@
+// This node's part in the fleet: heartbeats, the spread of documents and of the VM list, the role
+// of reader at the platform, and the node's own life from joining to a planned stop.
+#pragma once
+
+#include "CoreContext.h"
+
+#include "berylridge/Router/Status.h"
+
+#include <map>
+#include <string>
+
+namespace berylridge {
+
+class FleetSync
+{
+public:
+    explicit FleetSync(CoreContext &context);
+
+    /// What changed since the last call, for the other parts to take in.
+    struct Changes
+    {
+        bool documents = false;
+        bool vmList = false;
+        bool members = false;
+    };
+    Changes takeChanges();
+
+    void onHeartbeat(const NodeId &from, const Heartbeat &message);
+    void onZoneView(const ZoneView &message);
+    void onDocumentsRequest(const NodeId &from, const DocumentsRequest &message);
+    void onDocumentsReply(const DocumentsReply &message, const NodeId &from);
+    void onVmListMessage(const VmListMessage &message);
+    void onGoodbye(const NodeId &from);
+    void onProbeEnded(const ProbeEnded &event);
+
+    void onDocument(const DocumentText &document, const std::string &who);
+    void onVmList(const VmList &list);
+    void onPlatformReach(bool isReachable);
+    void onLeave(const std::string &who);
+    void onReturn(const std::string &who);
+    void onWoke();
+
+    void tick();
+    /// Ends a planned stop once nothing is left, or its time limit has passed.
+    void checkStop(std::size_t requests, TimePoint lastArrival);
+
+    /// Heartbeats now to all partners: something changed that they should know, such as a document.
+    void announce();
+
+    NodeState state() const { return m_state; }
+    bool isJoining() const { return m_state == NodeState::Joining; }
+    void fillStatus(NodeStatus &status) const;
+
+private:
+    void step(NodeSign sign);
+    void checkReady();
+    void chooseReaders();
+    void sendHeartbeat(const Member &member);
+    void pushZoneView();
+    void requestDocuments(const NodeId &from);
+
+    CoreContext &m_context;
+    NodeState m_state;
+    Changes m_changes;
+    TimePoint m_startedAt;
+    TimePoint m_leavingSince {};
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_seenMemberChanges = 0;
+    std::uint64_t m_pushedDigest = 0;
+    bool m_isReader = false;
+    bool m_isPlatformReachable = true;
+    bool m_isSynchronised = false; ///< A ready node's documents have been compared with ours.
+    std::map<NodeId, TimePoint> m_requestedAt; ///< Last DocumentsRequest to each.
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/PoolManager.cpp
@@ -0,0 +1,489 @@
+#include "PoolManager.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+namespace {
+
+/// Whole demand goes out this often while there is any. Three may be lost before wants are void.
+constexpr Duration demandPeriod = std::chrono::milliseconds(400);
+/// A request that its own zone has not served by then is offered to other zones' pools too.
+constexpr Duration spillAfter = std::chrono::milliseconds(20);
+/// After a spill other zones are asked at once for this long: the own zone is full.
+constexpr Duration spillLasts = std::chrono::seconds(2);
+constexpr Duration exchangePeriod = std::chrono::milliseconds(500);
+/// Flows in one demand message, so that it fits into a datagram. The longest waits come first, so
+/// none is left out for ever.
+constexpr std::size_t demandLimit = 32;
+
+PickRule ruleOf(SharingPolicy policy)
+{
+    switch (policy) {
+    case SharingPolicy::PerNode:
+        return PerNodeRule {};
+    case SharingPolicy::RoundRobin:
+        return RoundRobinRule {};
+    case SharingPolicy::Fifo:
+        return FifoRule {};
+    case SharingPolicy::Fleet:
+        break;
+    }
+    return FleetRule {};
+}
+
+} // namespace
+
+PoolManager::PoolManager(CoreContext &context, LeaseUser &user)
+    : m_context(context)
+    , m_user(user)
+{
+}
+
+void PoolManager::onDocuments()
+{
+    std::map<PoolId, Entry> kept;
+    m_byService.clear();
+    m_targetPool.clear();
+    for (const auto &document : m_context.documents.services()) {
+        std::vector<PoolId> &ids = m_byService[document->service];
+        for (Pool &pool : poolsOf(*document)) {
+            const PoolId id = pool.id;
+            for (const TargetSpec &target : pool.targets)
+                m_targetPool[target.target] = {id, document->service};
+            const auto found = m_pools.find(id);
+            Entry entry = found == m_pools.end() ? Entry(pool) : std::move(found->second);
+            entry.pool = std::move(pool);
+            entry.document = document;
+            if (entry.own)
+                configureOwn(entry);
+            const bool isNear = entry.pool.zone == m_context.options.zone;
+            ids.insert(isNear ? ids.begin() : ids.end(), id);
+            kept.emplace(id, std::move(entry));
+        }
+    }
+    m_pools = std::move(kept);
+    onMembers();
+}
+
+void PoolManager::onMembers()
+{
+    for (auto &[id, entry] : m_pools) {
+        const NodeId owner = ownerOf(entry.pool);
+        if (entry.own) {
+            entry.own->setPart(partOf(entry.pool));
+            entry.isOwnChanged = true;
+        }
+        if (owner == entry.owner)
+            continue;
+        const bool concernsSelf = m_context.isSelf(owner) || m_context.isSelf(entry.owner);
+        if (concernsSelf) {
+            m_context.audit(AuditKind::OwnerChange, "node", entry.pool.name, entry.owner.str(),
+                            owner.str());
+            m_context.log(LogEventId::TargetOwner,
+                          entry.pool.name + " from '" + entry.owner.str() + "' to '" + owner.str()
+                              + "'");
+        }
+        entry.owner = owner;
+        entry.own.reset();
+        if (m_context.isSelf(owner))
+            beginOwning(entry);
+        // The new owner must learn at once what is held, so that it counts it.
+        entry.holder.toldAt = TimePoint {};
+        tellPeriodically(entry);
+    }
+}
+
+void PoolManager::onEndedRuns(const std::vector<EndedRun> &runs)
+{
+    for (auto &[id, entry] : m_pools) {
+        if (!entry.own)
+            continue;
+        for (const EndedRun &run : runs)
+            entry.own->onHolderGone(run.node, run.incarnation, m_context.now);
+        entry.isOwnChanged = true;
+    }
+}
+
+void PoolManager::onWoke()
+{
+    for (auto &[id, entry] : m_pools) {
+        entry.holder.dropIdle();
+        if (entry.own)
+            beginOwning(entry);
+    }
+}
+
+void PoolManager::onDemand(const NodeId &from, Incarnation incarnation, const PoolDemand &message)
+{
+    const auto found = m_pools.find(message.pool);
+    if (found == m_pools.end() || !found->second.own)
+        return;
+    found->second.own->onDemand(from, incarnation, message, m_context.now);
+    found->second.isOwnChanged = true;
+}
+
+void PoolManager::onGrant(const NodeId &from, Incarnation incarnation, const PoolGrant &message)
+{
+    const auto found = m_pools.find(message.pool);
+    if (found == m_pools.end())
+        return;
+    Entry &entry = found->second;
+    bool isVain = false;
+    for (const LeaseId lease : entry.holder.onGrant(from, incarnation, message, m_context.now)) {
+        if (tryRun(entry, lease))
+            continue;
+        isVain = true;
+        giveBack(entry, lease, {});
+    }
+    // The owner has a wrong picture of what waits here: other pools served it, or it was given up.
+    if (!isVain)
+        return;
+    if (const ServiceQueue *queue = m_user.queue(entry.pool.service))
+        tellDemand(entry, *queue);
+}
+
+void PoolManager::onReturn(const NodeId &from, const PoolReturn &message)
+{
+    const auto found = m_pools.find(message.pool);
+    if (found == m_pools.end() || !found->second.own)
+        return;
+    found->second.own->onReturn(from, message, m_context.now);
+    found->second.isOwnChanged = true;
+}
+
+void PoolManager::onNews(const TargetNews &message)
+{
+    const auto found = m_pools.find(message.pool);
+    if (found == m_pools.end() || !found->second.own)
+        return;
+    found->second.own->onNews(message, m_context.now);
+    found->second.isOwnChanged = true;
+}
+
+void PoolManager::onRemoteService(const PoolService &message)
+{
+    const auto pools = m_byService.find(ServiceId(message.service));
+    if (pools == m_byService.end())
+        return;
+    for (const PoolId id : pools->second) {
+        Entry &entry = m_pools.at(id);
+        if (entry.own && id != message.pool)
+            entry.own->onRemoteService(message);
+    }
+}
+
+void PoolManager::onReport(const TargetReport &report)
+{
+    const auto found = m_targetPool.find(report.target);
+    if (found == m_targetPool.end())
+        return;
+    Entry &entry = m_pools.at(found->second.first);
+    if (!entry.own)
+        return;
+    entry.own->onReport(targetHash(report.target), report.bootId, report.running, report.completed,
+                        report.age, m_context.now);
+    entry.isOwnChanged = true;
+}
+
+void PoolManager::onPollFailed(const TargetPollFailed &failure)
+{
+    const auto found = m_targetPool.find(failure.target);
+    if (found == m_targetPool.end())
+        return;
+    Entry &entry = m_pools.at(found->second.first);
+    if (!entry.own)
+        return;
+    const bool isRefused = failure.failure == AttemptFailure::ConnectRefused;
+    entry.own->onPollFailed(targetHash(failure.target), isRefused, m_context.now);
+}
+
+void PoolManager::endLease(const LeaseRef &ref, Duration used, bool isCompleted,
+                           const std::string &bootId)
+{
+    const auto found = m_pools.find(ref.pool);
+    if (found == m_pools.end() || !found->second.holder.find(ref.lease))
+        return;
+    Entry &entry = found->second;
+    const bool mayRunAnother = entry.holder.end(ref.lease, used, isCompleted, m_context.now);
+    if (mayRunAnother && tryRun(entry, ref.lease))
+        return;
+    giveBack(entry, ref.lease, bootId);
+}
+
+void PoolManager::tellNews(PoolId pool, TargetHash target, TargetSign sign,
+                           const std::string &bootId)
+{
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end() || found->second.owner.isEmpty())
+        return;
+    TargetNews news {pool, target, static_cast<std::uint8_t>(sign), bootId};
+    m_context.send(found->second.owner, FleetMessage(std::move(news)));
+}
+
+void PoolManager::flush()
+{
+    const std::set<ServiceId> changed = std::exchange(m_changedServices, {});
+    for (const ServiceId &service : changed) {
+        const ServiceQueue *queue = m_user.queue(service);
+        if (!queue || queue->size() == 0)
+            continue;
+        for (Entry *entry : poolsToAsk(service)) {
+            if (queue->anyFlow([&](FlowId flow, std::size_t waiting) {
+                    return entry->holder.isOwnerBehind(flow, waiting);
+                })) {
+                tellDemand(*entry, *queue);
+            }
+        }
+    }
+    for (auto &[id, entry] : m_pools) {
+        if (entry.own && entry.isOwnChanged)
+            grantOwn(entry);
+    }
+}
+
+void PoolManager::tick()
+{
+    for (auto &[id, entry] : m_pools) {
+        if (!entry.own)
+            continue;
+        entry.own->setPart(partOf(entry.pool));
+        entry.own->tick(m_context.now);
+        entry.isOwnChanged = true;
+        for (const TargetHash hash : entry.own->duePolls(m_context.now)) {
+            if (const TargetSpec *target = findTarget(entry, hash))
+                m_context.act(PollTarget {target->target, {target->address, target->port}});
+        }
+    }
+    for (auto &[service, pools] : m_byService) {
+        const ServiceQueue *queue = m_user.queue(service);
+        const std::optional<TimePoint> oldest = queue ? queue->oldest() : std::nullopt;
+        if (oldest && m_context.now - *oldest >= spillAfter) {
+            m_spillUntil[service] = m_context.now + spillLasts;
+            m_changedServices.insert(service);
+        }
+    }
+    for (auto &[id, entry] : m_pools) {
+        if (m_context.now - entry.holder.toldAt >= demandPeriod)
+            tellPeriodically(entry);
+    }
+    if (m_context.now >= m_exchangeAt) {
+        m_exchangeAt = m_context.now + exchangePeriod;
+        exchangeService();
+    }
+}
+
+bool PoolManager::isBusy() const
+{
+    return std::any_of(m_pools.begin(), m_pools.end(), [](const auto &entry) {
+        return entry.second.holder.size() > 0 || entry.second.holder.hasToldDemand()
+            || (entry.second.own && entry.second.own->waiting() > 0);
+    });
+}
+
+std::optional<PoolId> PoolManager::poolOf(const ServiceId &service, const TargetId &target) const
+{
+    const auto found = m_targetPool.find(target);
+    if (found == m_targetPool.end() || found->second.second != service)
+        return std::nullopt;
+    return found->second.first;
+}
+
+std::size_t PoolManager::openTargets(const ServiceId &service) const
+{
+    const auto pools = m_byService.find(service);
+    if (pools == m_byService.end())
+        return 0;
+    std::size_t count = 0;
+    for (const PoolId id : pools->second) {
+        const Pool &pool = m_pools.at(id).pool;
+        for (const TargetSpec &target : pool.targets)
+            count += isOpen(pool, target) ? 1 : 0;
+    }
+    return count;
+}
+
+void PoolManager::fillStatus(NodeStatus &status) const
+{
+    for (const auto &[id, entry] : m_pools) {
+        for (const TargetSpec &spec : entry.pool.targets) {
+            const TargetHash hash = targetHash(spec.target);
+            TargetStatus target;
+            target.service = entry.pool.service;
+            target.target = spec.target;
+            target.zone = spec.zone;
+            target.owner = entry.owner;
+            target.state = isOpen(entry.pool, spec) ? "open" : "leaving";
+            target.held = entry.holder.heldAt(hash);
+            const auto view = entry.own ? entry.own->target(hash, m_context.now) : std::nullopt;
+            if (view) {
+                target.state = view->gauge->stateName();
+                target.limit = view->limit;
+                target.granted = view->granted;
+            }
+            status.targets.push_back(std::move(target));
+        }
+    }
+}
+
+double PoolManager::virtualTime(const ServiceId &service, FlowId flow) const
+{
+    const auto pools = m_byService.find(service);
+    if (pools == m_byService.end())
+        return 0;
+    for (const PoolId id : pools->second) {
+        const Entry &entry = m_pools.at(id);
+        if (entry.own)
+            return entry.own->virtualTime(flow, m_context.now);
+    }
+    return 0;
+}
+
+void PoolManager::beginOwning(Entry &entry)
+{
+    entry.own.emplace(m_context.charts.target,
+                      PoolOwnerOptions {m_context.options.incarnation, m_context.options.leaseTerm,
+                                        ruleOf(m_context.options.policy)},
+                      m_context.now);
+    configureOwn(entry);
+    entry.own->setPart(partOf(entry.pool));
+    entry.isOwnChanged = true;
+}
+
+void PoolManager::configureOwn(Entry &entry)
+{
+    Pool pool = entry.pool;
+    for (TargetSpec &target : pool.targets)
+        target.isLeaving = !isOpen(entry.pool, target);
+    entry.own->configure(*entry.document, pool, m_context.now);
+    entry.isOwnChanged = true;
+}
+
+NodeId PoolManager::ownerOf(const Pool &pool) const
+{
+    if (m_context.membership.isZoneVacant(pool.zone))
+        return rendezvousWinner(pool.name, m_context.membership.eligibleAnywhere(m_context.now));
+    return rendezvousWinner(pool.name, m_context.membership.eligible(pool.zone, m_context.now));
+}
+
+OwnerPart PoolManager::partOf(const Pool &pool) const
+{
+    const Membership &membership = m_context.membership;
+    if (pool.zone == m_context.options.zone)
+        return {membership.agreeingInZone(m_context.now), membership.listedInZone()};
+    const auto eligible = membership.eligibleAnywhere(m_context.now).size();
+    return {static_cast<std::uint32_t>(eligible), membership.listedAnywhere()};
+}
+
+bool PoolManager::isOpen(const Pool &pool, const TargetSpec &target) const
+{
+    return !target.isLeaving && !isZoneOut(*m_context.documents.fleet(), pool.zone)
+        && !m_context.membership.isVmLeaving(target.target.str());
+}
+
+bool PoolManager::hasOpenTarget(const Pool &pool) const
+{
+    return std::any_of(pool.targets.begin(), pool.targets.end(),
+                       [&](const TargetSpec &target) { return isOpen(pool, target); });
+}
+
+const TargetSpec *PoolManager::findTarget(const Entry &entry, TargetHash target) const
+{
+    const auto found
+        = std::find_if(entry.pool.targets.begin(), entry.pool.targets.end(),
+                       [&](const TargetSpec &spec) { return targetHash(spec.target) == target; });
+    return found == entry.pool.targets.end() ? nullptr : &*found;
+}
+
+/// Begins a request on a lease that is held, if the target still takes new work and a request fits.
+bool PoolManager::tryRun(Entry &entry, LeaseId lease)
+{
+    const LeaseHolder::Held *held = entry.holder.find(lease);
+    if (!held || !entry.holder.mayBegin(lease, m_context.now))
+        return false;
+    const TargetSpec *target = findTarget(entry, held->target);
+    if (!target || !isOpen(entry.pool, *target))
+        return false;
+    if (!m_user.runOn({entry.pool.id, lease}, held->flow, *target, *entry.document, held->startsBy))
+        return false;
+    entry.holder.begin(lease);
+    return true;
+}
+
+void PoolManager::giveBack(Entry &entry, LeaseId lease, const std::string &bootId)
+{
+    PoolReturn message;
+    message.pool = entry.pool.id;
+    message.leases.push_back(entry.holder.giveBack(lease));
+    message.bootId = bootId;
+    message.sequence = entry.holder.nextSequence();
+    if (!entry.owner.isEmpty())
+        m_context.send(entry.owner, FleetMessage(std::move(message)));
+}
+
+/// The pools that are to know of the service's waiting requests: this zone's, and all when those
+/// have no open target or did not serve them for a while.
+std::vector<PoolManager::Entry *> PoolManager::poolsToAsk(const ServiceId &service)
+{
+    std::vector<Entry *> near;
+    std::vector<Entry *> all;
+    for (const PoolId id : m_byService[service]) {
+        Entry &entry = m_pools.at(id);
+        if (entry.owner.isEmpty() || !hasOpenTarget(entry.pool))
+            continue;
+        all.push_back(&entry);
+        if (entry.pool.zone == m_context.options.zone)
+            near.push_back(&entry);
+    }
+    const auto spill = m_spillUntil.find(service);
+    const bool isSpilling = spill != m_spillUntil.end() && m_context.now < spill->second;
+    return near.empty() || isSpilling ? all : near;
+}
+
+void PoolManager::tellDemand(Entry &entry, const ServiceQueue &queue)
+{
+    if (entry.owner.isEmpty())
+        return;
+    PoolDemand message
+        = entry.holder.demandMessage(queue.demand(m_context.now, demandLimit), m_context.now);
+    m_context.send(entry.owner, FleetMessage(std::move(message)));
+}
+
+void PoolManager::tellPeriodically(Entry &entry)
+{
+    const ServiceQueue *queue = m_user.queue(entry.pool.service);
+    const bool hasNews = entry.holder.size() > 0 || entry.holder.hasToldDemand();
+    if (!queue || !hasNews)
+        return;
+    tellDemand(entry, *queue);
+}
+
+void PoolManager::grantOwn(Entry &entry)
+{
+    entry.isOwnChanged = false;
+    for (OwnerMessage &message : entry.own->grant(m_context.now))
+        m_context.send(message.to, FleetMessage(std::move(message.grant)));
+}
+
+void PoolManager::exchangeService()
+{
+    for (auto &[id, entry] : m_pools) {
+        if (!entry.own)
+            continue;
+        std::set<NodeId> owners;
+        for (const PoolId other : m_byService[entry.pool.service]) {
+            const NodeId &owner = m_pools.at(other).owner;
+            if (other != id && !owner.isEmpty())
+                owners.insert(owner);
+        }
+        if (owners.empty())
+            continue;
+        const PoolService report = entry.own->serviceReport(m_context.now);
+        if (report.flows.empty())
+            continue;
+        for (const NodeId &owner : owners)
+            m_context.send(owner, FleetMessage(report));
+    }
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/PoolManager.h
@@ -0,0 +1,119 @@
+// The pools that this node owns and the leases that it holds: demand goes out, grants come in.
+#pragma once
+
+#include "CoreContext.h"
+
+#include "berylridge/Policy/LeaseHolder.h"
+#include "berylridge/Policy/PoolOwner.h"
+#include "berylridge/Policy/ServiceQueue.h"
+#include "berylridge/Router/Status.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace berylridge {
+
+/// A lease of a pool, as requests refer to it.
+struct LeaseRef
+{
+    PoolId pool = 0;
+    LeaseId lease = 0;
+};
+
+/// What the pools ask of the requests: to run one on a lease.
+class LeaseUser
+{
+public:
+    virtual ~LeaseUser() = default;
+    /// Begins a request of the flow on the target if one fits; false when none does.
+    virtual bool runOn(const LeaseRef &ref, FlowId flow, const TargetSpec &target,
+                       const ServiceDocument &document, TimePoint notAfter)
+        = 0;
+    virtual ServiceQueue *queue(const ServiceId &service) = 0;
+};
+
+class PoolManager
+{
+public:
+    PoolManager(CoreContext &context, LeaseUser &user);
+
+    /// Documents in force, or the VM list, have changed.
+    void onDocuments();
+    /// Members or their states have changed: owners may be others now.
+    void onMembers();
+    void onEndedRuns(const std::vector<EndedRun> &runs);
+    /// After a pause: others may own what this node owned, and leases have run out.
+    void onWoke();
+
+    void onDemand(const NodeId &from, Incarnation incarnation, const PoolDemand &message);
+    void onGrant(const NodeId &from, Incarnation incarnation, const PoolGrant &message);
+    void onReturn(const NodeId &from, const PoolReturn &message);
+    void onNews(const TargetNews &message);
+    void onRemoteService(const PoolService &message);
+    void onReport(const TargetReport &report);
+    void onPollFailed(const TargetPollFailed &failure);
+
+    /// A request of the service waits, or waits no longer.
+    void onQueueChanged(const ServiceId &service) { m_changedServices.insert(service); }
+    /// The request on the lease ended: the lease is used again or goes back.
+    void endLease(const LeaseRef &ref, Duration used, bool isCompleted, const std::string &bootId);
+    /// Tells the target's owner what was met there.
+    void tellNews(PoolId pool, TargetHash target, TargetSign sign, const std::string &bootId);
+
+    /// Sends demand that can't wait, and gives out free slots. Called after each event.
+    void flush();
+    void tick();
+    /// Whether anything waits or is held, so that ticks must be frequent.
+    bool isBusy() const;
+
+    std::optional<PoolId> poolOf(const ServiceId &service, const TargetId &target) const;
+    std::size_t openTargets(const ServiceId &service) const;
+    void fillStatus(NodeStatus &status) const;
+    double virtualTime(const ServiceId &service, FlowId flow) const;
+
+private:
+    struct Entry
+    {
+        explicit Entry(Pool pool_)
+            : pool(std::move(pool_))
+            , holder(pool.id)
+        {
+        }
+
+        Pool pool;
+        std::shared_ptr<const ServiceDocument> document;
+        NodeId owner;
+        std::optional<PoolOwner> own; ///< Where this node is the owner.
+        LeaseHolder holder;
+        bool isOwnChanged = false; ///< Slots may be free or wanted since the last grant.
+    };
+
+    void beginOwning(Entry &entry);
+    void configureOwn(Entry &entry);
+    NodeId ownerOf(const Pool &pool) const;
+    OwnerPart partOf(const Pool &pool) const;
+    bool isOpen(const Pool &pool, const TargetSpec &target) const;
+    bool hasOpenTarget(const Pool &pool) const;
+    const TargetSpec *findTarget(const Entry &entry, TargetHash target) const;
+    bool tryRun(Entry &entry, LeaseId lease);
+    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId);
+    std::vector<Entry *> poolsToAsk(const ServiceId &service);
+    void tellDemand(Entry &entry, const ServiceQueue &queue);
+    void tellPeriodically(Entry &entry);
+    void grantOwn(Entry &entry);
+    void exchangeService();
+
+    CoreContext &m_context;
+    LeaseUser &m_user;
+    std::map<PoolId, Entry> m_pools;
+    std::map<ServiceId, std::vector<PoolId>> m_byService; ///< This zone's pools first.
+    std::map<TargetId, std::pair<PoolId, ServiceId>> m_targetPool;
+    std::map<ServiceId, TimePoint>
+        m_spillUntil; ///< Until then other zones' pools are asked at once.
+    std::set<ServiceId> m_changedServices;
+    TimePoint m_exchangeAt {};
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Router/RequestManager.cpp
@@ -0,0 +1,437 @@
+// Admission, waiting and the ends of requests. Attempts and their failures are in
+// RequestAttempts.cpp.
+#include "RequestManager.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylridge {
+
+namespace {
+
+/// Ended requests whose way can still be explained.
+constexpr std::size_t explainLimit = 1000;
+constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
+constexpr Duration longestRetryAfter = std::chrono::seconds(60);
+
+/// RFC 9110, section 9.2.2.
+bool isIdempotentMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE"
+        || method == "OPTIONS" || method == "TRACE";
+}
+
+bool isIdempotent(const ServiceDocument &document, const std::string &method,
+                  const std::string &path)
+{
+    const RouteRule *best = nullptr;
+    for (const RouteRule &rule : document.routes) {
+        const bool fits = rule.method == method && path.starts_with(rule.pathPrefix);
+        if (fits && (!best || rule.pathPrefix.size() > best->pathPrefix.size()))
+            best = &rule;
+    }
+    return best ? best->isIdempotent : isIdempotentMethod(method);
+}
+
+std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
+{
+    std::uint64_t hash = hash64(event.service.str(), event.bodyHash);
+    hash = hash64(workspace.str(), hash);
+    hash = hash64(event.method, hash);
+    return hash64(event.path, hash);
+}
+
+KeyOptions keyOptions(const CoreOptions &options)
+{
+    KeyOptions keys;
+    keys.node = options.node;
+    keys.incarnation = options.incarnation;
+    return keys;
+}
+
+} // namespace
+
+RequestManager::RequestManager(CoreContext &context)
+    : m_context(context)
+    , m_keys(keyOptions(context.options))
+{
+}
+
+void RequestManager::onArrived(const RequestArrived &event, bool isJoining)
+{
+    m_lastArrival = m_context.now;
+    if (isJoining) {
+        refuseEarly(event, {503, "not-ready", "this node is starting", shortestRetryAfter});
+        return;
+    }
+    const auto found = m_services.find(event.service);
+    if (found == m_services.end()) {
+        refuseEarly(event, {404, "unknown-service", "no such service", std::nullopt});
+        return;
+    }
+    Service &service = found->second;
+    const auto share = service.byCredential.find(credentialDigest(event.credential));
+    if (share == service.byCredential.end()) {
+        refuseEarly(event, {401, "unknown-workspace", "no workspace has this key", std::nullopt});
+        return;
+    }
+    if (event.bodyBytes > service.document->bodyLimit) {
+        refuseEarly(event,
+                    {413, "body-too-large", "the service takes smaller bodies", std::nullopt});
+        return;
+    }
+
+    Request request;
+    request.handle = event.handle;
+    request.id = event.requestId;
+    request.service = event.service;
+    request.workspace = share->second->workspace;
+    request.flow = flowId(event.service, request.workspace);
+    request.isIdempotent = isIdempotent(*service.document, event.method, event.path);
+    request.fingerprint = fingerprintOf(event, request.workspace);
+    request.arrivedAt = m_context.now;
+    const Duration patience = std::min(event.patience.value_or(service.document->queueTimeout),
+                                       service.document->queueTimeout);
+    request.giveUpAt = m_context.now + patience;
+    if (!request.isIdempotent && event.idempotencyKey)
+        request.key = scopedKey(event.service, request.workspace, *event.idempotencyKey);
+    Request &kept = m_requests[event.handle] = std::move(request);
+    note(kept, "arrived", kept.workspace.str());
+    m_deadlines.emplace(kept.giveUpAt, kept.handle);
+
+    if (kept.key.empty()) {
+        admit(kept, service);
+        return;
+    }
+    // A key is asked for before anything else can refuse the request: only then is it known whether
+    // the operation that it names may have run through another node.
+    step(kept, RequestSign::ClaimBegun);
+    note(kept, "asks for its key");
+    KeyOutput output;
+    const std::string key = kept.key;
+    m_keys.begin(kept.handle, key, event.bodyHash, m_context.now, m_context.wall, output);
+    carryOut(std::move(output));
+}
+
+void RequestManager::admit(Request &request, Service &service)
+{
+    if (const auto blocked = m_crashes.blockedFor(request.fingerprint, m_context.now)) {
+        m_context.log(LogEventId::CrashingRequest, request.id);
+        refuse(request,
+               {503, "crashing-request", "this request crashed the targets that ran it", blocked});
+        return;
+    }
+    const auto share = std::find_if(
+        service.document->workspaces.begin(), service.document->workspaces.end(),
+        [&](const WorkspaceShare &entry) { return entry.workspace == request.workspace; });
+    const bool isKnown = share != service.document->workspaces.end();
+    if (!isKnown || service.queue.waiting(request.flow) >= share->queueLimit) {
+        refuse(request,
+               {429, "queue-full", "too many requests of the workspace wait",
+                retryAfterFor(service, request.flow)});
+        return;
+    }
+    // A request that would wait in vain is refused now, not after the wait.
+    const auto wait = service.queue.expectedWait(request.flow, m_context.now);
+    if (wait && m_context.now + *wait > request.giveUpAt) {
+        refuse(request,
+               {503, "wait-too-long", "the request would wait longer than it may",
+                retryAfterFor(service, request.flow)});
+        return;
+    }
+    if (m_pools->openTargets(request.service) == 0) {
+        refuse(request,
+               {503, "no-target", "no target of the service takes work", shortestRetryAfter});
+        return;
+    }
+    enqueue(request);
+}
+
+void RequestManager::enqueue(Request &request)
+{
+    Service &service = m_services.at(request.service);
+    step(request, RequestSign::Enqueued);
+    note(request, "waits");
+    service.queue.push(request.flow, request.handle, m_context.now);
+    m_pools->onQueueChanged(request.service);
+}
+
+void RequestManager::onCallerGone(const CallerGone &event)
+{
+    const auto found = m_requests.find(event.handle);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    note(request, "caller gone");
+    const bool isRunning
+        = request.state == RequestState::Sent || request.state == RequestState::Answering;
+    if (isRunning && !request.isIdempotent) {
+        // It may have run: to its end it goes, so that a repeat of its key finds the answer.
+        request.isCallerGone = true;
+        return;
+    }
+    if (isRunning) {
+        m_context.act(AbortAttempt {request.handle, request.attempts});
+        endAttempt(request, false);
+    } else {
+        stopWaiting(request);
+        if (!request.key.empty()) {
+            KeyOutput output;
+            m_keys.release(request.key, output);
+            carryOut(std::move(output));
+        }
+    }
+    step(request, RequestSign::CallerGone);
+    finish(event.handle);
+}
+
+void RequestManager::onDocuments()
+{
+    std::map<ServiceId, Service> kept;
+    for (const auto &document : m_context.documents.services()) {
+        Service service;
+        const auto found = m_services.find(document->service);
+        if (found != m_services.end())
+            service = std::move(found->second);
+        service.document = document;
+        service.budget.setRatio(document->retryBudget);
+        service.byCredential.clear();
+        for (const WorkspaceShare &share : document->workspaces)
+            service.byCredential.emplace(share.credentialDigest, &share);
+        kept.emplace(document->service, std::move(service));
+    }
+    m_services.swap(kept);
+    // What waited for a service that is gone is answered now; what runs there ends.
+    std::vector<RequestHandle> stranded;
+    for (const auto &[handle, request] : m_requests) {
+        const bool waits
+            = request.state == RequestState::Queued || request.state == RequestState::Claiming;
+        if (waits && !m_services.contains(request.service))
+            stranded.push_back(handle);
+    }
+    for (const RequestHandle handle : stranded)
+        refuse(m_requests.at(handle),
+               {404, "unknown-service", "the service was withdrawn", std::nullopt});
+}
+
+void RequestManager::onKeyMessage(const NodeId &from, Incarnation incarnation,
+                                  const KeyMessage &message)
+{
+    KeyOutput output;
+    m_keys.onMessage(from, incarnation, message, m_context.now, m_context.wall, output);
+    carryOut(std::move(output));
+}
+
+void RequestManager::onMembers()
+{
+    std::vector<KeyMember> members;
+    for (const auto &[node, member] : m_context.membership.members()) {
+        KeyMember entry;
+        entry.node = node;
+        entry.incarnation = member.incarnation;
+        entry.isHeard = member.state == MemberState::Live || member.state == MemberState::Joining;
+        entry.isGone = member.state == MemberState::Gone;
+        members.push_back(std::move(entry));
+    }
+    KeyOutput output;
+    m_keys.onMembers(members, m_context.now, m_context.wall, output);
+    carryOut(std::move(output));
+}
+
+void RequestManager::onVmList(const VmList &list)
+{
+    KeyOutput output;
+    m_keys.onVmList(list, m_context.now, m_context.wall, output);
+    carryOut(std::move(output));
+}
+
+void RequestManager::carryOut(KeyOutput output)
+{
+    for (KeySend &send : output.sends)
+        m_context.send(send.to, std::move(send.message));
+    for (KeyDecision &decision : output.decisions) {
+        const RequestHandle handle
+            = std::visit([](const auto &value) { return value.request; }, decision);
+        const auto found = m_requests.find(handle);
+        if (found == m_requests.end())
+            continue;
+        Request &request = found->second;
+        if (std::holds_alternative<KeyAdmitted>(decision)) {
+            note(request, "key admitted");
+            admit(request, m_services.at(request.service));
+        } else if (auto *refused = std::get_if<KeyRefused>(&decision)) {
+            m_context.log(LogEventId::KeyConflict, request.id + ' ' + refused->type);
+            request.verdict = worse(request.verdict, refused->verdict);
+            request.key.clear(); // It is not this request that holds it.
+            m_context.act(Refuse {handle, refused->status, request.verdict, refused->title,
+                                  refused->type, refused->retryAfter});
+            note(request, "refused", refused->type);
+            step(request, RequestSign::GivenUp);
+            finish(handle);
+        } else if (auto *answered = std::get_if<KeyAnswered>(&decision)) {
+            note(request, "answered from a kept answer");
+            m_context.act(AnswerKept {handle, answered->status, std::move(answered->headers),
+                                      std::move(answered->body)});
+            step(request, RequestSign::KeptAnswerFound);
+            finish(handle);
+        }
+    }
+}
+
+void RequestManager::tick()
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_context.now) {
+        const RequestHandle handle = m_deadlines.begin()->second;
+        Request &request = m_requests.at(handle);
+        Service &service = m_services.at(request.service);
+        refuse(request,
+               {503, "queue-timeout", "no slot came free in time",
+                retryAfterFor(service, request.flow)});
+    }
+    for (auto check = m_checks.begin(); check != m_checks.end();) {
+        if (check->second.until > m_context.now) {
+            ++check;
+            continue;
+        }
+        const TargetId target = check->first;
+        const CrashCheck due = check->second;
+        check = m_checks.erase(check);
+        recordCrash(due, target);
+        crashCheckDone(due);
+    }
+    m_crashes.expire(m_context.now);
+    KeyOutput output;
+    m_keys.tick(m_context.now, m_context.wall, output);
+    carryOut(std::move(output));
+}
+
+TimePoint RequestManager::nextTimer() const
+{
+    TimePoint next = m_keys.nextTimer();
+    if (!m_deadlines.empty())
+        next = std::min(next, m_deadlines.begin()->first);
+    for (const auto &[target, check] : m_checks)
+        next = std::min(next, check.until);
+    return next;
+}
+
+ServiceQueue *RequestManager::queue(const ServiceId &service)
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second.queue;
+}
+
+/// Gives a request up: it is answered now, and everything it held is let go.
+void RequestManager::refuse(Request &request, Refusal refusal)
+{
+    stopWaiting(request);
+    if (!request.key.empty() && request.verdict == Verdict::NotRun) {
+        KeyOutput output;
+        const Verdict verdict = m_keys.release(request.key, output);
+        request.verdict = worse(request.verdict, verdict);
+        request.key.clear();
+        carryOut(std::move(output));
+    }
+    m_context.log(LogEventId::RequestRefused,
+                  request.id + ' ' + refusal.type + ' '
+                      + std::string(verdictName(request.verdict)));
+    note(request, "refused", refusal.type);
+    m_context.act(Refuse {request.handle, refusal.status, request.verdict, std::move(refusal.title),
+                          refusal.type, refusal.retryAfter});
+    step(request, RequestSign::GivenUp);
+    finish(request.handle);
+}
+
+/// Refuses a request before its workspace and operation are known.
+void RequestManager::refuseEarly(const RequestArrived &event, Refusal refusal)
+{
+    // An earlier request with the same key may have run through another node.
+    const Verdict verdict = event.idempotencyKey ? Verdict::MayHaveRun : Verdict::NotRun;
+    m_context.log(LogEventId::RequestRefused,
+                  event.requestId + ' ' + refusal.type + ' ' + std::string(verdictName(verdict)));
+    m_context.act(Refuse {event.handle, refusal.status, verdict, std::move(refusal.title),
+                          refusal.type, refusal.retryAfter});
+}
+
+void RequestManager::finish(RequestHandle handle)
+{
+    const auto found = m_requests.find(handle);
+    m_ended.emplace_back(found->second.id, std::move(found->second.trace));
+    if (m_ended.size() > explainLimit)
+        m_ended.pop_front();
+    m_requests.erase(found);
+}
+
+/// Takes a request out of the queue and off the list of deadlines.
+void RequestManager::stopWaiting(Request &request)
+{
+    m_deadlines.erase({request.giveUpAt, request.handle});
+    const auto service = m_services.find(request.service);
+    if (service != m_services.end() && service->second.queue.remove(request.flow, request.handle))
+        m_pools->onQueueChanged(request.service);
+}
+
+void RequestManager::step(Request &request, RequestSign sign)
+{
+    m_context.charts.request.step(request.state, sign);
+}
+
+void RequestManager::note(Request &request, const char *what, std::string detail)
+{
+    request.trace.push_back({m_context.now, what, std::move(detail)});
+}
+
+/// When to come back: after as long as the flow's waiting requests take to drain.
+Duration RequestManager::retryAfterFor(const Service &service, FlowId flow) const
+{
+    const auto wait = service.queue.expectedWait(flow, m_context.now);
+    return std::clamp(wait.value_or(longestRetryAfter / 4), shortestRetryAfter, longestRetryAfter);
+}
+
+std::vector<std::string> RequestManager::explain(const std::string &requestId) const
+{
+    std::vector<std::string> lines;
+    const auto print = [&](const std::vector<TraceStep> &trace) {
+        for (const TraceStep &entry : trace) {
+            const Duration at = entry.at - trace.front().at;
+            std::string line = std::to_string(at.count() / 1000) + " ms: " + entry.what;
+            if (!entry.detail.empty())
+                line += ' ' + entry.detail;
+            lines.push_back(std::move(line));
+        }
+    };
+    for (const auto &[id, trace] : m_ended) {
+        if (id == requestId)
+            print(trace);
+    }
+    for (const auto &[handle, request] : m_requests) {
+        if (request.id == requestId)
+            print(request.trace);
+    }
+    return lines;
+}
+
+void RequestManager::fillStatus(NodeStatus &status) const
+{
+    for (const auto &[id, service] : m_services) {
+        for (const WorkspaceShare &share : service.document->workspaces) {
+            const FlowId flow = flowId(id, share.workspace);
+            WorkspaceStatus workspace;
+            workspace.service = id;
+            workspace.workspace = share.workspace;
+            workspace.weight = share.weight;
+            workspace.virtualTime = m_pools->virtualTime(id, flow);
+            workspace.waiting = static_cast<std::uint32_t>(service.queue.waiting(flow));
+            const auto usage = m_usage.find(flow);
+            if (usage != m_usage.end()) {
+                workspace.charged = toSeconds(usage->second.charged);
+                workspace.running = usage->second.running;
+            }
+            status.workspaces.push_back(std::move(workspace));
+        }
+    }
+}
+
+} // namespace berylridge
