--- a/lib/Router/FleetSync.cpp
+++ b/lib/Router/FleetSync.cpp
@@ -77,16 +77,17 @@
 {
     DocumentsReply reply;
     std::size_t bytes = 0;
-    for (const auto &[name, document] : m_context.documents.texts()) {
+    for (const auto &entry : m_context.documents.texts()) {
+        const DocumentText &document = entry.second;
         const auto known
             = std::find_if(message.have.begin(), message.have.end(),
-                           [&](const DocumentHead &head) { return head.name == name; });
+                           [&](const DocumentHead &head) { return head.name == document.name; });
         if (known != message.have.end() && known->version >= document.version)
             continue;
         bytes += document.text.size();
         if (!reply.documents.empty() && bytes > replyLimit)
             break;
-        reply.documents.push_back({name, document.version, document.text});
+        reply.documents.push_back({document.name, document.version, document.text});
     }
     // Also an empty one: it tells a node that starts that it lacks nothing.
     m_context.send(from, FleetMessage(std::move(reply)));
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -76,8 +76,8 @@
 private:
     struct Entry
     {
-        explicit Entry(Pool pool_)
-            : pool(std::move(pool_))
+        explicit Entry(Pool ofPool)
+            : pool(std::move(ofPool))
             , holder(pool.id)
         {
         }
