--- /dev/null
+++ b/test/standins/Connection.h
@@ -0,0 +1,48 @@
+// One connection of a caller to a stand-in: reads a request, has it answered, reads the next.
+#pragma once
+
+#include "HttpServer.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace berylridge::standin {
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(HttpServer &server, boost::asio::ip::tcp::socket socket);
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void readRequest();
+    void write(std::string bytes);
+    /// The answer is over: reads the next request once all of it is written.
+    void answered(bool isKept);
+    void reset();
+    /// Resets, and tells the handler of an unfinished answer that its caller is gone.
+    void lost();
+
+private:
+    void watchForClose();
+    void lookForClose();
+    void writeNext();
+    void readNextIfIdle();
+
+    HttpServer &m_server;
+    std::shared_ptr<std::unordered_set<Connection *>> m_open; ///< May outlive the server.
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::shared_ptr<Exchange> m_exchange;
+    std::deque<std::string> m_out;
+    bool m_isAnswered = false;
+    bool m_isKept = true;
+};
+
+} // namespace berylridge::standin
--- /dev/null
+++ b/tools/berylload/Generator.h
@@ -0,0 +1,63 @@
+// Sends the load of a profile, open loop: arrivals follow the clock, not the answers.
+#pragma once
+
+#include "HttpCall.h"
+#include "Profile.h"
+#include "Tally.h"
+
+#include "berylridge/Support/Random.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <string>
+
+namespace berylridge {
+
+class Generator
+{
+public:
+    Generator(boost::asio::io_context &io, const Profile &profile);
+
+    /// Begins; the context runs out of work once the last answer is in.
+    void start();
+    const Tally &tally() const { return m_tally; }
+    bool isDone() const { return m_openArrivals == 0 && m_openRequests == 0; }
+
+private:
+    /// One purchase over its attempts, or one other request.
+    struct Job
+    {
+        std::size_t workspace = 0;
+        RequestKind kind = RequestKind::Lookup;
+        CallSpec spec;
+        std::string wanted;
+        std::string key;
+        std::uint32_t attempt = 1;
+        TimePoint start {};
+        std::size_t router = 0;
+    };
+
+    void arrivals(std::size_t workspace, RequestKind kind, double rate);
+    void scheduleNext(const std::shared_ptr<boost::asio::steady_timer> &timer,
+                      std::size_t workspace, RequestKind kind, double rate);
+    Job newJob(std::size_t workspace, RequestKind kind);
+    void address(Job &job);
+    void send(Job job);
+    void ended(Job job, const CallResult &result);
+    void settle(const Job &job, Outcome outcome);
+    void note(const Job &job, Outcome outcome, const CallResult &result);
+    void retryPurchase(Job job, const CallResult &result);
+    std::string newKey();
+
+    boost::asio::io_context &m_io;
+    const Profile &m_profile;
+    HttpCaller m_caller;
+    RandomEngine m_random;
+    Tally m_tally;
+    std::uint64_t m_serial = 0;
+    std::uint32_t m_openArrivals = 0;
+    std::uint32_t m_openRequests = 0;
+    std::chrono::steady_clock::time_point m_end;
+};
+
+} // namespace berylridge
