Turn operators' service files into documents, and tell what a change means

Cause: operators keep short files beside each service's code; the publishing step must check them and say beforehand whose share a change would cut. Weighed: publishing the files as they are (every router would need the workspaces file and its groups too, and a change of a group would take force service by service) or expanding them into whole documents at publishing (larger texts, but each one stands alone). JsonSource keeps the begins of lines, so that a text with many errors costs no more than one pass.

--- a/include/berylridge/Support/Endpoint.h
+++ b/include/berylridge/Support/Endpoint.h
@@ -1,9 +1,12 @@
 // Where to connect to.
 #pragma once
 
+#include "berylridge/Support/Expected.h"
+
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace berylridge {
 
@@ -17,4 +20,13 @@
     bool operator==(const Endpoint &) const = default;
 };
 
+/// Whether the text is an IPv4 or IPv6 number.
+bool isIpNumber(std::string_view text);
+
+/// Reads "10.0.1.7:7400" or "[fd00::7]:7400".
+Expected<Endpoint> parseEndpoint(std::string_view text);
+
+/// The form that parseEndpoint() reads.
+std::string endpointText(const Endpoint &endpoint);
+
 } // namespace berylridge
--- a/lib/Config/DocumentReader.cpp
+++ b/lib/Config/DocumentReader.cpp
@@ -1,55 +1,12 @@
 // Reads the "service/<name>" and "fleet" documents.
 #include "berylridge/Config/Reader.h"
 
-#include "FieldReader.h"
-
-#include <algorithm>
-#include <set>
+#include "ServiceFields.h"
 
 namespace berylridge {
 
 namespace {
 
-constexpr Duration oneMillisecond = std::chrono::milliseconds(1);
-constexpr Duration oneHour = std::chrono::hours(1);
-constexpr std::uint64_t bodyLimitMost = 1ULL << 30;
-
-bool isMethod(std::string_view text)
-{
-    return !text.empty() && text.size() <= 20
-        && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
-}
-
-bool isPathPrefix(std::string_view text)
-{
-    return text.size() <= 256 && text.starts_with('/')
-        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
-}
-
-const TextRule methodRule {isMethod, "an HTTP method in capitals, as in \"POST\""};
-const TextRule pathPrefixRule {isPathPrefix, "a path that begins with '/', as in \"/v1/orders\""};
-
-/// Reports each key that an earlier element of the same list already had.
-class Uniqueness
-{
-public:
-    Uniqueness(JsonSource &source, std::string message)
-        : m_source(source)
-        , m_message(std::move(message))
-    {
-    }
-    void check(const Json::Value &at, const std::string &path, const std::string &key)
-    {
-        if (!key.empty() && !m_seen.insert(key).second)
-            m_source.report(at, path, m_message);
-    }
-
-private:
-    JsonSource &m_source;
-    std::string m_message;
-    std::set<std::string> m_seen;
-};
-
 void readRoutes(FieldReader &fields, std::vector<RouteRule> &routes)
 {
     Uniqueness unique(fields.source(), "an earlier rule has the same method and pathPrefix");
@@ -74,9 +31,9 @@
         WorkspaceShare share;
         FieldReader entry(fields.source(), element, path);
         entry.id("workspace", share.workspace);
-        entry.number("weight", share.weight, 0.001, 1e6);
+        entry.number("weight", share.weight, weightLeast, weightMost);
         entry.text("credentialDigest", share.credentialDigest, digestRule, Presence::Required);
-        entry.integer("queueLimit", share.queueLimit, 1, 1'000'000);
+        entry.integer("queueLimit", share.queueLimit, 1, queueLimitMost);
         entry.finish();
         uniqueNames.check(element, path + ".workspace", share.workspace.str());
         uniqueKeys.check(element, path + ".credentialDigest", share.credentialDigest);
@@ -110,19 +67,7 @@
 void readServiceFields(FieldReader &fields, ServiceDocument &document)
 {
     fields.id("service", document.service);
-    if (const auto kind = fields.word("kind", {"plain", "model-engine"}))
-        document.kind = *kind == 0 ? ServiceKind::Plain : ServiceKind::ModelEngine;
-    fields.integer("slots", document.slots, 1, 65536);
-    fields.integer("coldSlots", document.coldSlots, 1, 65536);
-    if (document.coldSlots > document.slots)
-        fields.report("coldSlots",
-                      "must be at most slots (" + std::to_string(document.slots) + ")");
-    fields.integer("warmAfter", document.warmAfter, 1, 1'000'000);
-    fields.duration("queueTimeoutMs", document.queueTimeout, oneMillisecond, oneHour);
-    fields.duration("attemptTimeoutMs", document.attemptTimeout, oneMillisecond, 24 * oneHour);
-    fields.duration("idleTimeoutMs", document.idleTimeout, oneMillisecond, oneHour);
-    fields.number("retryBudget", document.retryBudget, 0, 1);
-    fields.integer("bodyLimit", document.bodyLimit, 1, bodyLimitMost);
+    readServiceLimits(fields, document);
     readRoutes(fields, document.routes);
     readWorkspaces(fields, document.workspaces);
     readTargets(fields, document.targets);
--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -2,8 +2,6 @@
 #include "FieldReader.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <array>
 #include <cmath>
 #include <sstream>
 
@@ -23,16 +21,6 @@
         && std::all_of(text.begin(), text.end(), isNameCharacter);
 }
 
-bool isAddress(std::string_view text)
-{
-    if (text.find('\0') != std::string_view::npos)
-        return false;
-    const std::string copy(text);
-    std::array<unsigned char, 16> bytes {};
-    return inet_pton(AF_INET, copy.c_str(), bytes.data()) == 1
-        || inet_pton(AF_INET6, copy.c_str(), bytes.data()) == 1;
-}
-
 bool isDigest(std::string_view text)
 {
     return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
@@ -78,7 +66,7 @@
 
 const TextRule nameRule {isName,
                          "1 to 64 letters, digits, '-', '_' or '.', not beginning with '.'"};
-const TextRule addressRule {isAddress, "an IP number, as in \"10.0.1.7\""};
+const TextRule addressRule {isIpNumber, "an IP number, as in \"10.0.1.7\""};
 const TextRule digestRule {isDigest,
                            "64 hex digits in lower case, as `berylctl digest` prints them"};
 const TextRule notEmptyRule {isNotEmpty, "a string that is not empty"};
@@ -126,11 +114,17 @@
     const auto *value = find(name, presence, allowed);
     if (!value)
         return;
-    if (value->isNumeric() && std::isfinite(value->asDouble()) && value->asDouble() >= low
-        && value->asDouble() <= high)
-        out = value->asDouble();
+    numberAt(*value, pathOf(name), out, low, high);
+}
+
+void FieldReader::numberAt(const Json::Value &value, const std::string &path, double &out,
+                           double low, double high)
+{
+    if (value.isNumeric() && std::isfinite(value.asDouble()) && value.asDouble() >= low
+        && value.asDouble() <= high)
+        out = value.asDouble();
     else
-        report(name, "must be " + allowed);
+        m_source.report(value, path, "must be " + range("a number", low, high));
 }
 
 void FieldReader::boolean(std::string_view name, bool &out)
@@ -213,16 +207,30 @@
         report(name, "must be an object");
         return;
     }
-    for (auto member = value->begin(); member != value->end(); ++member) {
-        const auto memberName = member.name();
-        const auto path = pathOf(name) + "." + printable(JsonSource::written(memberName));
-        if (JsonSource::isRepeated(memberName))
+    FieldReader(m_source, *value, pathOf(name)).eachMember(readMember);
+}
+
+void FieldReader::eachMember(const MemberReader &readMember)
+{
+    if (!m_object.isObject())
+        return;
+    for (auto member = m_object.begin(); member != m_object.end(); ++member) {
+        const auto name = member.name();
+        const auto path = pathOf(printable(JsonSource::written(name)));
+        if (JsonSource::isRepeated(name))
             m_source.report(*member, path, "given more than once");
         else
-            readMember(memberName, *member, path);
+            readMember(name, *member, path);
     }
 }
 
+std::vector<std::string> FieldReader::names() const
+{
+    auto names = m_object.isObject() ? m_object.getMemberNames() : std::vector<std::string>();
+    std::erase_if(names, [](const std::string &name) { return JsonSource::isRepeated(name); });
+    return names;
+}
+
 void FieldReader::report(std::string_view name, std::string message)
 {
     const auto *value
@@ -250,11 +258,6 @@
     }
 }
 
-bool FieldReader::has(std::string_view name) const
-{
-    return m_object.isObject() && m_object.find(name.data(), name.data() + name.size());
-}
-
 std::string FieldReader::pathOf(std::string_view name) const
 {
     return m_path.empty() ? std::string(name) : m_path + "." + std::string(name);
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -50,6 +50,9 @@
     }
     void number(std::string_view name, double &out, double low, double high,
                 Presence presence = Presence::Optional);
+    /// The same for a value that is not a field of this object.
+    void numberAt(const Json::Value &value, const std::string &path, double &out, double low,
+                  double high);
     void boolean(std::string_view name, bool &out);
     void text(std::string_view name, std::string &out, const TextRule &rule,
               Presence presence = Presence::Optional);
@@ -80,13 +83,16 @@
     void members(std::string_view name, const MemberReader &readMember,
                  Presence presence = Presence::Optional);
 
+    /// The same for the members of this object, which all count as asked for.
+    void eachMember(const MemberReader &readMember);
+    /// Names of this object's members, but for repeated ones.
+    std::vector<std::string> names() const;
+
     /// Reports an error at a field, or at the object where the field is not there.
     void report(std::string_view name, std::string message);
     /// Reports names that were not asked for and names that stand twice.
     void finish();
 
-    int line() const { return m_source.lineOf(m_object); }
-    bool has(std::string_view name) const;
     std::string pathOf(std::string_view name) const;
     JsonSource &source() { return m_source; }
 
--- a/lib/Config/JsonSource.cpp
+++ b/lib/Config/JsonSource.cpp
@@ -11,8 +11,9 @@
 
 /// Put before a repeated name; a name of ours never begins with it.
 constexpr char repeatedMark = '\x01';
-/// A text with more repeated names than this is refused at the first one that is left.
-constexpr int repeatedLimit = 64;
+/// A text with more repeated names than this is refused at the first one that is left: each costs a
+/// parse of the whole, and a router reads documents on its control thread.
+constexpr int repeatedLimit = 16;
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
 
 struct Position
@@ -32,19 +33,17 @@
                      std::atoi(errors.c_str() + columnAt + 7)}; // NOLINT: as above
 }
 
-/// Where a line and column, both counted from 1, stand in the text. Counts lines as the parser
-/// does: a carriage return ends a line, alone or before a line feed.
-std::size_t offsetOf(std::string_view text, Position position)
+/// Where each line begins. Counts lines as the parser does: a carriage return ends a line, alone or
+/// before a line feed.
+std::vector<std::size_t> lineStartsOf(std::string_view text)
 {
-    std::size_t at = 0;
-    for (int line = 1; line < position.line && at < text.size(); ++at) {
-        const bool isPair = text[at] == '\r' && at + 1 < text.size() && text[at + 1] == '\n';
-        if (isPair)
-            ++at;
-        if (text[at] == '\n' || text[at] == '\r')
-            ++line;
+    std::vector<std::size_t> starts {0};
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool isPair = text[i] == '\r' && i + 1 < text.size() && text[i + 1] == '\n';
+        if (text[i] == '\n' || (text[i] == '\r' && !isPair))
+            starts.push_back(i + 1);
     }
-    return at + static_cast<std::size_t>(position.column) - 1;
+    return starts;
 }
 
 /// Empty where the text was parsed.
@@ -82,6 +81,7 @@
 JsonSource::JsonSource(std::string_view file, std::string_view text)
     : m_file(file)
     , m_text(text.starts_with(byteOrderMark) ? text.substr(byteOrderMark.size()) : text)
+    , m_lineStarts(lineStartsOf(m_text))
 {
 }
 
@@ -129,14 +129,9 @@
 
 int JsonSource::lineOf(const Json::Value &value) const
 {
-    const auto offset = std::min(static_cast<std::size_t>(value.getOffsetStart()), m_text.size());
-    int line = 1;
-    for (std::size_t i = 0; i < offset; ++i) {
-        const bool isPair = m_text[i] == '\r' && i + 1 < m_text.size() && m_text[i + 1] == '\n';
-        if (m_text[i] == '\n' || (m_text[i] == '\r' && !isPair))
-            ++line;
-    }
-    return line;
+    const auto offset = static_cast<std::size_t>(value.getOffsetStart());
+    const auto next = std::upper_bound(m_lineStarts.begin(), m_lineStarts.end(), offset);
+    return static_cast<int>(next - m_lineStarts.begin());
 }
 
 std::vector<Diagnostic> JsonSource::takeDiagnostics()
@@ -154,10 +149,14 @@
     const auto position = positionAfter(parserErrors, 0);
     if (!position)
         return false;
-    const auto quote = offsetOf(m_text, *position);
+    const auto line = static_cast<std::size_t>(position->line) - 1;
+    if (line >= m_lineStarts.size())
+        return false;
+    const auto quote = m_lineStarts[line] + static_cast<std::size_t>(position->column) - 1;
     if (quote >= m_text.size() || m_text[quote] != '"')
         return false;
     m_text.insert(quote + 1, 1, repeatedMark);
+    m_lineStarts = lineStartsOf(m_text);
     return true;
 }
 
--- a/lib/Config/JsonSource.h
+++ b/lib/Config/JsonSource.h
@@ -3,6 +3,7 @@
 
 #include "berylridge/Config/Reader.h"
 
+#include <cstddef>
 #include <json/value.h>
 #include <optional>
 #include <string>
@@ -40,6 +41,7 @@
 
     std::string m_file;
     std::string m_text;
+    std::vector<std::size_t> m_lineStarts;
     std::vector<Diagnostic> m_diagnostics;
 };
 
