--- a/unittests/Config/ServiceFileTest.cpp
+++ b/unittests/Config/ServiceFileTest.cpp
@@ -119,9 +119,9 @@
   "groups": {"a": {"hue": 1},
     "potters": {"nobody": 1}}})");
     EXPECT_EQ(errorsOf(read),
+              "w:2: workspaces.hue: given more than once\n"
               "w:2: workspaces.hue: must be 64 hex digits in lower case, as "
               "`berylctl digest` prints them\n"
-              "w:2: workspaces.hue: given more than once\n"
               "w:4: workspaces.b: another workspace has the same digest\n"
               "w:5: groups.a: a workspace has the same name\n"
               "w:6: groups.potters.nobody: names no workspace of this file\n");
