Add berylctl: collect, check, digest, events and charts

Cause: the publishing step, its checks, and the pages that are printed from the code. Weighed: one TCLAP line for all commands (each command's options would stand in every help) or one a command, behind a thin picker.

--- /dev/null
+++ b/tools/berylctl/Charts.cpp
@@ -0,0 +1,78 @@
+// `berylctl charts`: checks state-chart files and lists what is in them.
+#include "Command.h"
+#include "Sources.h"
+
+#include "berylridge/Chart/Chart.h"
+#include "berylridge/CommandLine/CommandLine.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+
+namespace berylridge::ctl {
+
+namespace {
+
+std::vector<std::string> chartFiles(const std::string &folder, std::error_code &error)
+{
+    std::vector<std::string> files;
+    for (std::filesystem::directory_iterator entry(folder, error);
+         !error && entry != std::filesystem::directory_iterator(); entry.increment(error)) {
+        if (entry->path().extension() == ".json")
+            files.push_back(entry->path().string());
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+void printChart(const std::string &file, const Chart &chart)
+{
+    std::cout << std::filesystem::path(file).filename().string() << '\n';
+    const auto states = chart.states();
+    const auto signalNames = chart.signalNames();
+    for (std::size_t state = 0; state < states.size(); ++state) {
+        const auto from = static_cast<Chart::Index>(state);
+        std::cout << "    " << states[state] << (from == chart.initial() ? " (initial)" : "")
+                  << (chart.isFinal(from) ? " (final)" : "") << '\n';
+        for (std::size_t sign = 0; sign < signalNames.size(); ++sign) {
+            const auto to = chart.next(from, static_cast<Chart::Index>(sign));
+            if (to && *to != from)
+                std::cout << "        " << signalNames[sign] << " -> " << states[*to] << '\n';
+        }
+    }
+}
+
+} // namespace
+
+int runCharts(int argc, Arguments argv)
+{
+    CommandLine line(
+        {"berylctl charts",
+         "check state charts and list them",
+         "Checks each chart file in FOLDER and prints its states and the signals that lead\n"
+         "from one to another; signals that a state ignores are left out.",
+         {{"EXAMPLES", "berylctl charts charts/"}}});
+    TCLAP::UnlabeledValueArg<std::string> folder("folder", "the folder of the chart files", true,
+                                                 "", "FOLDER", line.arguments());
+    if (const auto status = line.parse(argc, argv))
+        return *status;
+    std::error_code error;
+    const auto files = chartFiles(folder.getValue(), error);
+    if (error || files.empty()) {
+        complain(folder.getValue() + ": " + (error ? error.message() : "holds no chart"));
+        return exitErrorsFound;
+    }
+    int status = exitFine;
+    for (const auto &file : files) {
+        const auto chart = Chart::load(file);
+        if (chart) {
+            printChart(file, *chart);
+            continue;
+        }
+        std::cerr << chart.lastReason() << '\n';
+        status = exitErrorsFound;
+    }
+    return status;
+}
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/Command.h
@@ -0,0 +1,14 @@
+// The commands of berylctl: each takes its own command line, its name being the first word.
+#pragma once
+
+namespace berylridge::ctl {
+
+using Arguments = const char *const *;
+
+int runCollect(int argc, Arguments argv);
+int runCheck(int argc, Arguments argv);
+int runDigest(int argc, Arguments argv);
+int runEvents(int argc, Arguments argv);
+int runCharts(int argc, Arguments argv);
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/main.cpp
@@ -0,0 +1,69 @@
+// Picks the command of berylctl.
+#include "Command.h"
+
+#include "berylridge/CommandLine/CommandLine.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string_view>
+
+namespace {
+
+using namespace berylridge;
+
+struct Command
+{
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(int argc, ctl::Arguments argv);
+};
+
+constexpr auto commands = std::to_array<Command>({
+    {"collect", "check service files and write the documents to publish", ctl::runCollect},
+    {"check", "check service files and show what publishing them would change", ctl::runCheck},
+    {"digest", "make the digest of a workspace's or an operator's key", ctl::runDigest},
+    {"events", "print the catalogue of log events", ctl::runEvents},
+    {"charts", "check state charts and list them", ctl::runCharts},
+});
+
+void printHelp()
+{
+    std::cout << "NAME\n    berylctl - operate a berylridge fleet\n\n"
+                 "SYNOPSIS\n    berylctl COMMAND [OPTION]...\n    berylctl COMMAND --help\n\n"
+                 "COMMANDS\n";
+    for (const auto &command : commands) {
+        std::string name(command.name);
+        name.resize(10, ' ');
+        std::cout << "    " << name << command.summary << '\n';
+    }
+    std::cout << "\nEXIT STATUS\n    0  fine\n    1  errors were found\n    2  wrong usage\n";
+}
+
+int wrongUsage(const std::string &message)
+{
+    std::cerr << "berylctl: " << message << "; see berylctl --help\n";
+    return exitWrongUsage;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc < 2)
+        return wrongUsage("a command is missing");
+    const std::string_view word = argv[1];
+    if (word == "--help" || word == "-h") {
+        printHelp();
+        return exitFine;
+    }
+    if (word == "--version") {
+        std::cout << "berylctl " << BERYLRIDGE_VERSION << '\n';
+        return exitFine;
+    }
+    const auto *command = std::find_if(commands.begin(), commands.end(),
+                                       [&](const Command &known) { return known.name == word; });
+    if (command == commands.end())
+        return wrongUsage("unknown command \"" + std::string(word) + "\"");
+    return command->run(argc - 1, argv + 1);
+}
