Admit keys by witnesses whose roster is agreed by every run that could still vote

Cause: a router that restarts has no memory, and routers see differing VM lists, so neither one process nor a hash over the list can tell whether a key was run. Weighed: one owner with a lease per key range (more false may-have-run at each change of owner, the same roster trap); votes in the latest list's hash (runs twice when both sides of a cut find a majority); rosters bound to the time in the key, closed by the consent of every member that is not proven gone. Taken: the last.

--- a/include/berylridge/Idempotency/KeyRegistry.h
+++ b/include/berylridge/Idempotency/KeyRegistry.h
@@ -5,14 +5,17 @@
 #include "berylridge/Config/Vms.h"
 #include "berylridge/Idempotency/KeyLife.h"
 #include "berylridge/Idempotency/KeyOutput.h"
+#include "berylridge/Idempotency/RosterKeeper.h"
+#include "berylridge/Idempotency/Witness.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <deque>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
-#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace berylridge {
@@ -26,6 +29,7 @@
     Duration clockSkew = std::chrono::milliseconds(500);      ///< Nodes' clocks against true time.
     Duration decisionWindow = std::chrono::milliseconds(500); ///< For all consents to a roster.
     Duration settleTime = std::chrono::seconds(1);           ///< Unchanged members before a roster.
+    Duration silenceLimit = std::chrono::milliseconds(2500); ///< Until a run is not heard.
     Duration claimTimeout = std::chrono::milliseconds(1500); ///< Longest wait for witnesses.
     Duration resendPeriod = std::chrono::milliseconds(100);  ///< For lost datagrams.
     std::size_t rosterLimit = 9;                             ///< Witnesses of a roster.
@@ -34,15 +38,6 @@
     std::size_t keptAnswerLimit = 64 << 10;                  ///< One kept answer.
 };
 
-/// What the membership knows of one node.
-struct KeyMember
-{
-    NodeId node;
-    Incarnation incarnation = 0; ///< The latest that was heard.
-    bool isHeard = false;        ///< Heard lately, and not leaving.
-    bool isGone = false;         ///< This incarnation refused a connection.
-};
-
 /// One node's part in running each key at most once. A value: tests copy it.
 class KeyRegistry
 {
@@ -70,7 +65,7 @@
     void failed(const std::string &key);
 
     /// A new key that this process alone admits; for POST /v1/idempotency-keys.
-    std::string issueKey(WallTime wall);
+    std::string issueKey(TimePoint now, WallTime wall);
 
     void onMessage(const NodeId &from, Incarnation incarnation, const KeyMessage &message,
                    TimePoint now, WallTime wall, KeyOutput &out);
@@ -82,24 +77,96 @@
     /// When to call tick() next; TimePoint::max() when there is nothing to wait for.
     TimePoint nextTimer() const;
 
+    /// The rosters that this node knows, for operators.
+    const RosterChain &rosters() const { return m_keeper.chain(); }
+    /// One line with all that decides what this node does next; for operators and searches.
+    std::string describe() const;
+
 private:
+    /// What this node asked of a key's witnesses, while it waits for them.
+    struct Claim
+    {
+        std::uint64_t number = 0;
+        RosterId roster = 0;
+        std::vector<NodeRun> witnesses;
+        std::size_t quorum = 0;
+        std::set<NodeRun> yes;
+        std::set<NodeRun> no;
+        std::optional<NodeRun> holder; ///< A witness says that this run holds the key.
+        TimePoint deadline;
+        TimePoint resendAt;
+    };
+
     struct Held
     {
         KeyPhase phase = KeyPhase::Claiming;
+        KeyRequest request = 0;
         std::uint64_t bodyHash = 0;
+        WallTime begunAt;
+        WallTime forgetAt;
         unsigned status = 0;
         std::vector<KeyHeader> headers;
         std::optional<std::string> body;
+        std::optional<Claim> claim;
     };
 
+    using HeldKeys = std::unordered_map<std::string, Held>;
+
+    /// A refusal before it is bound to a request.
+    struct Refusal
+    {
+        unsigned status = 503;
+        const char *type = "";
+        const char *title = "";
+        std::optional<Duration> retryAfter;
+        Verdict verdict = Verdict::MayHaveRun;
+    };
+
+    NodeRun self() const { return {m_options.node, m_options.incarnation}; }
+    void advance(TimePoint now, WallTime wall);
+    std::optional<Refusal> refusalByAge(const KeyText &text) const;
+    void repeat(KeyRequest request, const std::string &key, std::uint64_t bodyHash,
+                const Held &held, KeyOutput &out) const;
+    WallTime forgetTime(const KeyText &text) const;
+    static void refuse(KeyRequest request, const std::string &key, const Refusal &refusal,
+                       KeyOutput &out);
+    void keep(const std::string &key, Held &held, std::optional<std::string> body);
+    void forgetOld();
+
+    // The claim of a key, in lib/Idempotency/KeyClaims.cpp.
+    void startClaim(const std::string &key, Held &held, KeyOutput &out);
+    std::optional<Refusal> chooseWitnesses(const KeyText &text, Claim &claim) const;
+    bool isCurrent(const std::string &key, const Claim &claim) const;
+    void sendClaims(const std::string &key, Held &held, KeyOutput &out);
+    void releaseClaim(const std::string &key, const Claim &claim, KeyOutput &out);
+    void countVote(const std::string &key, const NodeRun &from, const VoteResult &result,
+                   KeyOutput &out);
+    void judge(const std::string &key, KeyOutput &out);
+    void giveUp(const std::string &key, const Refusal &refusal, KeyOutput &out);
+    void resendClaims(KeyOutput &out);
+    std::optional<Refusal> refusalOf(const Claim &claim) const;
+
+    void take(const NodeRun &from, const KeyClaim &claim, KeyOutput &out);
+    void take(const NodeRun &from, const KeyVote &vote, KeyOutput &out);
+    void take(const NodeRun &from, const KeyRelease &release, KeyOutput &out);
+    void take(const NodeRun &from, const KeyQuery &query, KeyOutput &out);
+    void take(const NodeRun &from, const KeyState &state, KeyOutput &out);
+    void take(const NodeRun &from, const RosterNews &news, KeyOutput &out);
+    void take(const NodeRun &from, const RosterProposal &proposal, KeyOutput &out);
+    void take(const NodeRun &from, const RosterConsent &consent, KeyOutput &out);
+    void take(const NodeRun &from, const RosterDecision &decision, KeyOutput &out);
+
     KeyOptions m_options;
-    std::map<std::string, Held> m_held;
-    std::uint64_t m_issued = 0;
+    TimePoint m_now;
+    WallTime m_wall; ///< Never steps back, whatever the machine's clock does.
+    RosterKeeper m_keeper;
+    Witness m_witness;
+    HeldKeys m_held;
+    std::set<std::string> m_claiming; ///< Keys of m_held in the phase Claiming.
+    std::uint64_t m_claims = 0;       ///< Numbers claims.
+    std::deque<std::string> m_kept;   ///< Keys with a kept answer, oldest first.
+    std::size_t m_keptBytes = 0;
+    WallTime m_forgetAt;
 };
 
-/// The form in which keys go through the component: names of service and workspace before the
-/// caller's own text, so that two workspaces never share a key.
-std::string scopedKey(const ServiceId &service, const WorkspaceId &workspace,
-                      std::string_view callerKey);
-
 } // namespace berylridge
--- a/include/berylridge/Idempotency/Messages.h
+++ b/include/berylridge/Idempotency/Messages.h
@@ -83,7 +83,9 @@
     std::int64_t startsAt = 0;  ///< Milliseconds of wall-clock time.
     bool isActive = false;      ///< False while only proposed.
     std::vector<RosterMemberMessage> members;
-    MSGPACK_DEFINE(proposer, proposerIncarnation, sequence, startsAt, isActive, members)
+    std::uint64_t listRevision = 0; ///< Of the VM list that names all members.
+    MSGPACK_DEFINE(proposer, proposerIncarnation, sequence, startsAt, isActive, members,
+                   listRevision)
 };
 
 /// Asks for consent to a roster.
@@ -111,12 +113,13 @@
     MSGPACK_DEFINE(roster, isActive)
 };
 
-/// The latest active rosters that the sender knows.
+/// A sign of life with the sender's latest active roster. The rosters themselves follow where the
+/// receiver has another; proposed ones are sent to their proposer, to ask how they ended.
 struct RosterNews
 {
+    std::uint64_t latest = 0;
     std::vector<RosterMessage> rosters;
-    bool isAsking = false; ///< The sender wants the receiver's rosters in return.
-    MSGPACK_DEFINE(rosters, isAsking)
+    MSGPACK_DEFINE(latest, rosters)
 };
 
 using KeyMessage = std::variant<KeyClaim, KeyVote, KeyRelease, KeyQuery, KeyState, RosterNews,
--- /dev/null
+++ b/lib/Idempotency/KeyClaims.cpp
@@ -0,0 +1,293 @@
+// The part of the key registry that speaks with witnesses and holders.
+#include "berylridge/Idempotency/KeyRegistry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration repeatWait = std::chrono::seconds(1);
+
+} // namespace
+
+std::optional<KeyRegistry::Refusal> KeyRegistry::chooseWitnesses(const KeyText &text,
+                                                                 Claim &claim) const
+{
+    if (text.kind == KeyKind::Issued) {
+        claim.roster = issuerRoster;
+        claim.witnesses = {{text.issuer, text.issuerIncarnation}};
+        claim.quorum = 1;
+        if (m_keeper.view().isGone(claim.witnesses.front(), m_keeper.view().list().revision))
+            return Refusal {409, "issuer-gone", "the node that issued the key is gone", {}};
+        return std::nullopt;
+    }
+    const RosterChain &chain = m_keeper.chain();
+    const Roster *roster = chain.rosterAt(text.kind == KeyKind::Timed ? text.madeAt : m_wall);
+    if (!roster && !chain.lastActive())
+        return Refusal {503, "no-witnesses", "the nodes have not yet agreed on witnesses",
+                        repeatWait};
+    if (!roster)
+        return Refusal {409, "key-too-old", "the key is older than the witnesses' memory", {}};
+    claim.roster = roster->id;
+    claim.witnesses = roster->members;
+    claim.quorum = roster->quorum();
+    const auto reachable
+        = std::count_if(claim.witnesses.begin(), claim.witnesses.end(), [&](const NodeRun &run) {
+              return run == self() || m_keeper.view().isHeard(run);
+          });
+    if (static_cast<std::size_t>(reachable) < claim.quorum)
+        return Refusal {503, "witnesses-unreachable", "too few witnesses can be reached",
+                        repeatWait};
+    return std::nullopt;
+}
+
+void KeyRegistry::startClaim(const std::string &key, Held &held, KeyOutput &out)
+{
+    Claim claim;
+    claim.deadline = held.claim ? held.claim->deadline : m_now + m_options.claimTimeout;
+    claim.number = ++m_claims;
+    const auto refusal = chooseWitnesses(parseKey(key), claim);
+    held.claim = std::move(claim);
+    if (refusal) {
+        giveUp(key, *refusal, out);
+        return;
+    }
+    sendClaims(key, held, out);
+}
+
+bool KeyRegistry::isCurrent(const std::string &key, const Claim &claim) const
+{
+    const KeyText text = parseKey(key);
+    if (text.kind == KeyKind::Issued)
+        return true;
+    const Roster *roster
+        = m_keeper.chain().rosterAt(text.kind == KeyKind::Timed ? text.madeAt : m_wall);
+    return roster && roster->id == claim.roster;
+}
+
+void KeyRegistry::sendClaims(const std::string &key, Held &held, KeyOutput &out)
+{
+    Claim &claim = *held.claim;
+    claim.resendAt = m_now + m_options.resendPeriod;
+    claim.no.clear();
+    const std::uint64_t number = claim.number;
+    bool isOwnVote = false;
+    for (const NodeRun &witness : claim.witnesses) {
+        if (witness == self())
+            isOwnVote = true;
+        else if (!claim.yes.contains(witness))
+            out.sends.push_back({witness.node, KeyClaim {key, claim.roster, number}});
+    }
+    if (!isOwnVote)
+        return;
+    // Last, for a vote may decide the claim and end its life here.
+    const VoteResult result
+        = m_witness.vote(key, {self(), claim.roster, number}, m_keeper.chain(), m_wall);
+    countVote(key, self(), result, out);
+}
+
+void KeyRegistry::releaseClaim(const std::string &key, const Claim &claim, KeyOutput &out)
+{
+    m_witness.release(key, self(), claim.number);
+    for (const NodeRun &witness : claim.witnesses) {
+        if (witness != self())
+            out.sends.push_back({witness.node, KeyRelease {key, claim.number}});
+    }
+}
+
+void KeyRegistry::countVote(const std::string &key, const NodeRun &from, const VoteResult &result,
+                            KeyOutput &out)
+{
+    Claim &claim = *m_held.at(key).claim;
+    switch (result.vote) {
+    case Vote::Yes:
+        claim.yes.insert(from);
+        break;
+    case Vote::Held:
+        if (result.holder != self()) {
+            claim.holder = result.holder;
+            out.sends.push_back({result.holder.node, KeyQuery {key, claim.number}});
+        }
+        break;
+    case Vote::Abstain:
+    case Vote::Expired:
+    case Vote::Full:
+        claim.no.insert(from);
+        break;
+    case Vote::OtherRoster:
+    case Vote::Stale:
+        break;
+    }
+    judge(key, out);
+}
+
+void KeyRegistry::judge(const std::string &key, KeyOutput &out)
+{
+    Held &held = m_held.at(key);
+    Claim &claim = *held.claim;
+    if (claim.yes.size() >= claim.quorum) {
+        held.phase = KeyPhase::Admitted;
+        m_claiming.erase(key);
+        out.decisions.emplace_back(KeyAdmitted {held.request, key});
+        return;
+    }
+    if (const auto refusal = refusalOf(claim))
+        giveUp(key, *refusal, out);
+}
+
+std::optional<KeyRegistry::Refusal> KeyRegistry::refusalOf(const Claim &claim) const
+{
+    if (claim.holder) {
+        // A holder that is gone took with it whether it ran the key.
+        if (m_keeper.view().isGone(*claim.holder, m_keeper.view().list().revision))
+            return Refusal {409, "holder-gone", "the node that took the operation is gone", {}};
+        return std::nullopt;
+    }
+    if (claim.witnesses.size() - claim.no.size() < claim.quorum)
+        return Refusal {503, "witnesses-abstain", "too few witnesses know of the key's time",
+                        repeatWait};
+    return std::nullopt;
+}
+
+void KeyRegistry::giveUp(const std::string &key, const Refusal &refusal, KeyOutput &out)
+{
+    const auto it = m_held.find(key);
+    const KeyRequest request = it->second.request;
+    releaseClaim(key, *it->second.claim, out);
+    refuse(request, key, refusal, out);
+    m_claiming.erase(key);
+    m_held.erase(it);
+}
+
+void KeyRegistry::resendClaims(KeyOutput &out)
+{
+    const std::vector<std::string> keys(m_claiming.begin(), m_claiming.end());
+    for (const std::string &key : keys) {
+        Held &held = m_held.at(key);
+        if (m_now >= held.claim->deadline) {
+            giveUp(key, {503, "witnesses-silent", "too few witnesses answered", repeatWait}, out);
+        } else if (!isCurrent(key, *held.claim)) {
+            startClaim(key, held, out);
+        } else if (m_now >= held.claim->resendAt) {
+            sendClaims(key, held, out);
+        }
+    }
+}
+
+void KeyRegistry::take(const NodeRun &from, const KeyClaim &claim, KeyOutput &out)
+{
+    const VoteResult result
+        = m_witness.vote(claim.key, {from, claim.roster, claim.claim}, m_keeper.chain(), m_wall);
+    if (result.vote == Vote::Stale)
+        return;
+    if (result.vote == Vote::OtherRoster)
+        m_keeper.sendNews(from.node, out);
+    out.sends.push_back(
+        {from.node,
+         KeyVote {claim.key, claim.roster, claim.claim, static_cast<std::uint8_t>(result.vote),
+                  result.holder.node.str(), result.holder.incarnation}});
+}
+
+void KeyRegistry::take(const NodeRun &from, const KeyVote &vote, KeyOutput &out)
+{
+    const auto it = m_held.find(vote.key);
+    if (it == m_held.end() || it->second.phase != KeyPhase::Claiming)
+        return;
+    const Claim &claim = *it->second.claim;
+    const bool isWitness
+        = std::find(claim.witnesses.begin(), claim.witnesses.end(), from) != claim.witnesses.end();
+    // Votes of another roster, of an earlier claim or of a witness that restarted don't add up.
+    if (!isWitness || vote.claim != claim.number || vote.roster != claim.roster)
+        return;
+    countVote(vote.key, from,
+              {static_cast<Vote>(vote.vote), {NodeId(vote.holder), vote.holderIncarnation}}, out);
+}
+
+void KeyRegistry::take(const NodeRun &from, const KeyRelease &release, KeyOutput &out)
+{
+    static_cast<void>(out);
+    m_witness.release(release.key, from, release.claim);
+}
+
+void KeyRegistry::take(const NodeRun &from, const KeyQuery &query, KeyOutput &out)
+{
+    KeyState state;
+    state.key = query.key;
+    state.query = query.query;
+    state.state = static_cast<std::uint8_t>(KeyPhase::Unknown);
+    const auto it = m_held.find(query.key);
+    if (it != m_held.end()) {
+        const Held &held = it->second;
+        state.state = static_cast<std::uint8_t>(held.phase);
+        state.status = held.status;
+        state.headers = held.headers;
+        state.body = held.body.value_or("");
+        // An answer that is gone is told as an attempt without an answer.
+        if (held.phase == KeyPhase::Finished && !held.body)
+            state.state = static_cast<std::uint8_t>(KeyPhase::Failed);
+        state.bodyHash = held.bodyHash;
+    } else {
+        // A witness remembers a claim of this run that was given up: its release was lost, or came
+        // before the claim. Without another release the key would be refused for its lifetime.
+        Claim claim;
+        claim.number = m_claims;
+        static_cast<void>(chooseWitnesses(parseKey(query.key), claim));
+        releaseClaim(query.key, claim, out);
+    }
+    out.sends.push_back({from.node, std::move(state)});
+}
+
+void KeyRegistry::take(const NodeRun &from, const KeyState &state, KeyOutput &out)
+{
+    const auto it = m_held.find(state.key);
+    if (it == m_held.end() || it->second.phase != KeyPhase::Claiming)
+        return;
+    const Held &held = it->second;
+    if (state.query != held.claim->number || held.claim->holder != from)
+        return;
+    const auto phase = static_cast<KeyPhase>(state.state);
+    if (phase == KeyPhase::Unknown) {
+        it->second.claim->holder.reset();
+        return; // the next resend finds the key free
+    }
+    // Two claims that each hold some witnesses: the lower name goes on, else both would give up.
+    if (phase == KeyPhase::Claiming && self().node < from.node)
+        return;
+    if (state.bodyHash != held.bodyHash) {
+        giveUp(state.key, {422, "key-reused", "the key names another request", {}}, out);
+    } else if (phase == KeyPhase::Finished) {
+        const KeyRequest request = held.request;
+        static_cast<void>(release(state.key, out));
+        out.decisions.emplace_back(
+            KeyAnswered {request, state.key, state.status, state.headers, state.body});
+    } else if (phase == KeyPhase::Failed) {
+        giveUp(state.key, {409, "may-have-run", "the operation may have run", {}}, out);
+    } else {
+        giveUp(state.key, {409, "key-in-use", "the operation is in progress", repeatWait}, out);
+    }
+}
+
+void KeyRegistry::take(const NodeRun &from, const RosterNews &news, KeyOutput &out)
+{
+    m_keeper.onNews(from, news, out);
+}
+
+void KeyRegistry::take(const NodeRun &from, const RosterProposal &proposal, KeyOutput &out)
+{
+    m_keeper.onProposal(from, proposal, m_now, m_wall, out);
+}
+
+void KeyRegistry::take(const NodeRun &from, const RosterConsent &consent, KeyOutput &out)
+{
+    m_keeper.onConsent(from, consent, m_now, m_wall, out);
+}
+
+void KeyRegistry::take(const NodeRun &from, const RosterDecision &decision, KeyOutput &out)
+{
+    static_cast<void>(out);
+    m_keeper.onDecision(from, decision);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Idempotency/Witness.cpp
@@ -0,0 +1,142 @@
+#include "berylridge/Idempotency/Witness.h"
+
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+std::chrono::milliseconds milliseconds(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+Witness::Witness(NodeRun self, KeyLimits limits, std::size_t recordLimit)
+    : m_self(std::move(self))
+    , m_limits(limits)
+    , m_recordLimit(recordLimit)
+{
+}
+
+VoteResult Witness::vote(const std::string &key, const WitnessedClaim &claim,
+                         const RosterChain &chain, WallTime wall)
+{
+    const KeyText text = parseKey(key);
+    const Vote eligible = eligibility(text, claim.roster, chain, wall);
+    if (eligible != Vote::Yes)
+        return {eligible, {}};
+    const auto it = m_records.find(key);
+    if (it == m_records.end()) {
+        if (m_records.size() >= m_recordLimit)
+            return {Vote::Full, {}};
+        m_records[key] = {claim.asker, claim.claim, expiryOf(text, wall)};
+        return {Vote::Yes, {}};
+    }
+    Record &record = it->second;
+    if (record.holder != claim.asker)
+        return {Vote::Held, record.holder};
+    if (claim.claim < record.claim)
+        return {Vote::Stale, {}};
+    record.claim = claim.claim;
+    record.expiresAt = expiryOf(text, wall);
+    return {Vote::Yes, {}};
+}
+
+void Witness::release(const std::string &key, const NodeRun &asker, std::uint64_t claim)
+{
+    const auto it = m_records.find(key);
+    if (it == m_records.end() || it->second.holder != asker)
+        return;
+    // A release that was overtaken by the asker's next claim must not free that one: another router
+    // would be admitted beside it.
+    if (it->second.claim <= claim)
+        m_records.erase(it);
+}
+
+std::string Witness::issueKey(WallTime wall)
+{
+    return issuedKeyText({KeyKind::Issued, wall, m_self.node, m_self.incarnation, ++m_issued});
+}
+
+void Witness::prune(WallTime wall)
+{
+    std::erase_if(m_records, [&](const auto &item) { return item.second.expiresAt < wall; });
+}
+
+Vote Witness::eligibility(const KeyText &text, RosterId asked, const RosterChain &chain,
+                          WallTime wall) const
+{
+    if (text.kind == KeyKind::Opaque)
+        return opaqueEligibility(asked, chain, wall);
+    if (text.madeAt + milliseconds(m_limits.lifetime) < wall)
+        return Vote::Expired;
+    if (text.kind == KeyKind::Issued)
+        return issuedEligibility(text, asked);
+    // A vote for a key from the future could fall into the time of a roster that is made later and
+    // whose members know nothing of it: they would admit the key again.
+    if (text.madeAt > wall + milliseconds(m_limits.futureTolerance))
+        return Vote::Expired;
+    return memberEligibility(chain.rosterAt(text.madeAt), asked);
+}
+
+Vote Witness::issuedEligibility(const KeyText &text, RosterId asked) const
+{
+    const bool isOwn = NodeRun {text.issuer, text.issuerIncarnation} == m_self;
+    // A key that this run never issued may have been another's: a node that restarted has forgotten
+    // what it admitted.
+    if (asked != issuerRoster || !isOwn || text.sequence == 0 || text.sequence > m_issued)
+        return Vote::Abstain;
+    return Vote::Yes;
+}
+
+Vote Witness::opaqueEligibility(RosterId asked, const RosterChain &chain, WallTime wall) const
+{
+    const Roster *roster = chain.rosterAt(wall);
+    const Vote eligible = memberEligibility(roster, asked);
+    if (eligible != Vote::Yes)
+        return eligible;
+    // An opaque key doesn't tell whether an earlier roster admitted it. After a whole lifetime its
+    // caller no longer sends it.
+    const auto silence = milliseconds(m_limits.lifetime) + 2 * milliseconds(m_limits.clockSkew);
+    return roster->startsAt + silence < wall ? Vote::Yes : Vote::Abstain;
+}
+
+Vote Witness::memberEligibility(const Roster *roster, RosterId asked) const
+{
+    if (!roster)
+        return Vote::Abstain;
+    if (roster->id != asked)
+        return Vote::OtherRoster;
+    // In a proposed roster there is nothing to vote yet: members of the one before may still do so.
+    if (!roster->isActive || !roster->contains(m_self))
+        return Vote::Abstain;
+    return Vote::Yes;
+}
+
+WallTime Witness::expiryOf(const KeyText &text, WallTime wall) const
+{
+    const auto lifetime = milliseconds(m_limits.lifetime);
+    // The lifetime of an opaque key begins at its first use, which may be a lifetime before the
+    // last: the holder dispatches within one lifetime of its claim.
+    if (text.kind == KeyKind::Opaque)
+        return wall + 2 * lifetime;
+    return text.madeAt + lifetime;
+}
+
+std::string Witness::describe() const
+{
+    std::map<std::string, const Record *> sorted;
+    for (const auto &[key, record] : m_records)
+        sorted[key] = &record;
+    std::string text;
+    for (const auto &[key, record] : sorted) {
+        text += key;
+        text += '=' + record->holder.node.str() + std::to_string(record->holder.incarnation);
+        text += '#' + std::to_string(record->claim);
+    }
+    return text;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/unittests/Idempotency/KeyFleet.h
@@ -0,0 +1,220 @@
+// A few key registries joined by a fake network that tests cut, delay and lose by hand.
+#pragma once
+
+#include "berylridge/Idempotency/KeyRegistry.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylridge::test {
+
+/// A UUIDv7 made at the time; the number tells keys of one moment apart.
+inline std::string timedKey(WallTime madeAt, unsigned number = 1)
+{
+    const auto time = static_cast<unsigned long long>(madeAt.time_since_epoch().count());
+    char text[64];
+    std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x", time >> 16, time & 0xFFFF,
+                  number);
+    return scopedKey(ServiceId("shop"), WorkspaceId("w1"), text);
+}
+
+struct FakeMessage
+{
+    NodeRun from;
+    NodeId to;
+    KeyMessage message;
+};
+
+class KeyFleet
+{
+public:
+    struct Node
+    {
+        NodeRun run;
+        ZoneId zone;
+        KeyRegistry registry;
+        bool isPaused = false;
+    };
+
+    std::deque<FakeMessage> network;
+    std::vector<KeyDecision> decisions;          ///< Of all nodes, oldest first.
+    std::map<NodeId, std::optional<Node>> nodes; ///< None: the process is gone.
+    std::function<bool(const FakeMessage &)> isLost = [](const FakeMessage &) { return false; };
+
+    TimePoint now() const { return m_clock.now(); }
+    WallTime wall() const { return m_clock.wallNow(); }
+
+    static KeyOptions options(const NodeRun &run)
+    {
+        KeyOptions options;
+        options.node = run.node;
+        options.incarnation = run.incarnation;
+        return options;
+    }
+
+    /// Starts a process, without memory, as the next run of the node.
+    void start(const std::string &name, const std::string &zone)
+    {
+        const NodeRun run {NodeId(name), ++m_incarnation};
+        nodes[run.node] = Node {run, ZoneId(zone), KeyRegistry(options(run))};
+        if (m_list.revision != 0)
+            setList(name);
+    }
+
+    /// Ends a process. Its port refuses connections, which the others' probes will tell.
+    void kill(const std::string &name)
+    {
+        const NodeId node(name);
+        m_refused[node] = nodes[node]->run.incarnation;
+        nodes[node].reset();
+    }
+
+    /// A process whose VM is lost: nothing answers, nothing refuses.
+    void lose(const std::string &name) { nodes[NodeId(name)].reset(); }
+
+    /// Publishes a VM list of the given nodes; hand it on by setList.
+    void publish(const std::vector<std::pair<std::string, std::string>> &vms)
+    {
+        ++m_list.revision;
+        m_list.vms.clear();
+        for (const auto &[name, zone] : vms)
+            m_list.vms.push_back({NodeId(name), ZoneId(zone), "127.0.0.1", 1, false});
+    }
+
+    void setList(const std::string &name)
+    {
+        KeyOutput out;
+        at(name).onVmList(m_list, now(), wall(), out);
+        collect(NodeId(name), out);
+    }
+
+    void setListEverywhere()
+    {
+        for (auto &[node, state] : nodes) {
+            if (state)
+                setList(node.str());
+        }
+    }
+
+    KeyRegistry &at(const std::string &name) { return nodes.at(NodeId(name))->registry; }
+
+    void begin(const std::string &name, const std::string &key, KeyRequest request = 1,
+               std::uint64_t bodyHash = 7)
+    {
+        KeyOutput out;
+        at(name).begin(request, key, bodyHash, now(), wall(), out);
+        collect(NodeId(name), out);
+    }
+
+    Verdict release(const std::string &name, const std::string &key)
+    {
+        KeyOutput out;
+        const Verdict verdict = at(name).release(key, out);
+        collect(NodeId(name), out);
+        return verdict;
+    }
+
+    /// Tells a node which runs refused a connection.
+    void tellGone(const std::string &name)
+    {
+        std::vector<KeyMember> members;
+        for (const auto &[node, incarnation] : m_refused)
+            members.push_back({node, incarnation, false, false, true});
+        KeyOutput out;
+        at(name).onMembers(members, now(), wall(), out);
+        collect(NodeId(name), out);
+    }
+
+    void collect(const NodeId &from, KeyOutput &out)
+    {
+        const NodeRun run = nodes.at(from)->run;
+        for (KeySend &send : out.sends)
+            network.push_back({run, send.to, std::move(send.message)});
+        for (KeyDecision &decision : out.decisions)
+            decisions.push_back(std::move(decision));
+        out = {};
+    }
+
+    void deliverOne()
+    {
+        const FakeMessage message = std::move(network.front());
+        network.pop_front();
+        const auto it = nodes.find(message.to);
+        if (isLost(message) || it == nodes.end() || !it->second || it->second->isPaused)
+            return;
+        KeyOutput out;
+        it->second->registry.onMessage(message.from.node, message.from.incarnation, message.message,
+                                       now(), wall(), out);
+        collect(message.to, out);
+    }
+
+    void settle()
+    {
+        while (!network.empty())
+            deliverOne();
+    }
+
+    /// Lets time pass in small steps, with all messages delivered in each.
+    void run(Duration time)
+    {
+        constexpr Duration step = std::chrono::milliseconds(50);
+        for (Duration passed {0}; passed < time; passed += step) {
+            m_clock.advance(step);
+            for (auto &[node, state] : nodes) {
+                if (!state || state->isPaused)
+                    continue;
+                KeyOutput out;
+                state->registry.tick(now(), wall(), out);
+                collect(node, out);
+            }
+            settle();
+        }
+    }
+
+    /// Time in which nothing happens anywhere.
+    void skip(Duration time) { m_clock.advance(time); }
+
+    template <typename T>
+    const T *lastDecision() const
+    {
+        return decisions.empty() ? nullptr : std::get_if<T>(&decisions.back());
+    }
+
+    std::size_t admissions() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(decisions.begin(), decisions.end(), [](const KeyDecision &decision) {
+                return std::holds_alternative<KeyAdmitted>(decision);
+            }));
+    }
+
+private:
+    PausedClock m_clock;
+    VmList m_list;
+    Incarnation m_incarnation = 100;
+    std::map<NodeId, Incarnation> m_refused;
+};
+
+/// Three zones with three nodes each, a1 to c3, that have agreed on witnesses.
+inline KeyFleet nineNodes()
+{
+    KeyFleet fleet;
+    std::vector<std::pair<std::string, std::string>> vms;
+    for (const std::string zone : {"a", "b", "c"}) {
+        for (const std::string number : {"1", "2", "3"})
+            vms.emplace_back(zone + number, zone);
+    }
+    fleet.publish(vms);
+    for (const auto &[name, zone] : vms)
+        fleet.start(name, zone);
+    fleet.run(std::chrono::seconds(10));
+    return fleet;
+}
+
+} // namespace berylridge::test
