--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -41,7 +41,7 @@
     void onMembers();
     void onVmList(const VmList &list);
     /// Issues a key that this process alone admits.
-    std::string issueKey() { return m_keys.issueKey(m_context.wall); }
+    std::string issueKey() { return m_keys.issueKey(m_context.now, m_context.wall); }
 
     /// Refuses what has waited too long and tries again what was put off.
     void tick();
