Test the policy, and keep a living boot from being taken for ended

Ruled out: ordering boot ids (they are opaque). Conclusion: a boot has ended when another one follows it; a suspected one waits for the next poll.

--- a/include/berylridge/Policy/TargetGauge.h
+++ b/include/berylridge/Policy/TargetGauge.h
@@ -7,6 +7,7 @@
 #include "berylridge/Support/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 
@@ -61,13 +62,16 @@
     TimePoint nextPoll {}; ///< Kept by the owner.
 
 private:
-    void reset(std::string_view bootId);
+    bool hasEnded(std::string_view bootId) const;
+
     void step(TargetSign sign) { m_chart->step(m_state, sign); }
     bool heardBoot(std::string_view bootId, TimePoint now);
 
     const TargetLife *m_chart;
     TargetState m_state;
     std::string m_bootId;
+    std::deque<std::string> m_endedBoots; ///< The last few, to know late word of them.
+
     std::uint32_t m_slots = 1;
     std::uint32_t m_coldSlots = 1;
     std::uint32_t m_warmAfter = 1;
--- a/lib/Policy/TargetGauge.cpp
+++ b/lib/Policy/TargetGauge.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration warmPollPeriod = std::chrono::milliseconds(1000);
 constexpr Duration coldPollPeriod = std::chrono::milliseconds(250);
+constexpr std::size_t endedBootsKept = 8;
 
 /// A target may restart unseen while nothing runs there. The next requests would all reach the new
 /// boot at once and it would fall over. Without word of the boot for this long, the owner gives out
@@ -39,18 +40,18 @@
     m_slots = document.slots;
     m_coldSlots = document.coldSlots;
     m_warmAfter = document.warmAfter;
-
     if (isLeaving == (m_state == TargetState::Leaving))
         return;
     step(isLeaving ? TargetSign::LeaveOrdered : TargetSign::ReturnOrdered);
-    if (!isLeaving)
-        reset({});
+    // It may have been restarted while it was out: only cold slots until its boot is heard again.
+    m_evidenceAt = TimePoint {};
 }
 
 bool TargetGauge::onSign(TargetSign sign, std::string_view bootId, TimePoint now)
 {
     // News of a boot that has already ended says nothing about the present one.
-    const bool isLate = !bootId.empty() && !m_bootId.empty() && bootId != m_bootId;
+    const bool isLate
+        = hasEnded(bootId) || (!bootId.empty() && !m_bootId.empty() && bootId != m_bootId);
     switch (sign) {
     case TargetSign::NewBoot:
     case TargetSign::Heard:
@@ -60,7 +61,7 @@
         if (isLate)
             return false;
         step(sign);
-        reset({});
+        // Whether the boot has ended or only a connection broke, the next poll tells.
         m_isDown = true;
         return true;
     default:
@@ -72,11 +73,11 @@
 
 void TargetGauge::onCompleted(std::uint32_t count, std::string_view bootId, TimePoint now)
 {
-    if (count == 0)
+    // A return that was on its way while its boot crashed proves nothing about what runs now.
+    const bool isOfDeadBoot = m_isDown && (bootId.empty() || bootId == m_bootId);
+    if (count == 0 || isOfDeadBoot || hasEnded(bootId))
         return;
     heardBoot(bootId, now);
-    if (!bootId.empty() && bootId != m_bootId)
-        return;
     m_completed += count;
     step(TargetSign::FirstAnswer);
     if (m_completed >= m_warmAfter)
@@ -86,6 +87,8 @@
 bool TargetGauge::onReport(std::string_view bootId, std::uint32_t running, std::uint64_t completed,
                            Duration age, TimePoint now)
 {
+    if (hasEnded(bootId))
+        return false;
     const bool isNew = heardBoot(bootId, now);
     m_reportedRunning = running;
     m_reportedAt = now - age;
@@ -130,24 +133,33 @@
                                                                    : warmPollPeriod;
 }
 
-void TargetGauge::reset(std::string_view bootId)
+bool TargetGauge::hasEnded(std::string_view bootId) const
 {
-    m_bootId = bootId;
-    m_completed = 0;
-    m_reportedRunning = 0;
+    return !bootId.empty()
+        && std::find(m_endedBoots.begin(), m_endedBoots.end(), bootId) != m_endedBoots.end();
 }
 
 /// Takes in that the boot runs. Returns whether it is another one than was known.
 bool TargetGauge::heardBoot(std::string_view bootId, TimePoint now)
 {
+    // Late word of a boot that has ended: it would make its successor cold, or worse, pass for it.
+    if (hasEnded(bootId))
+        return false;
+
     m_isDown = false;
     m_evidenceAt = now;
     if (bootId.empty() || bootId == m_bootId) {
         step(TargetSign::Heard);
         return false;
     }
+    if (!m_bootId.empty())
+        m_endedBoots.push_back(m_bootId);
+    if (m_endedBoots.size() > endedBootsKept)
+        m_endedBoots.pop_front();
     step(TargetSign::NewBoot);
-    reset(bootId);
+    m_bootId = bootId;
+    m_completed = 0;
+    m_reportedRunning = 0;
     return true;
 }
 
--- /dev/null
+++ b/unittests/Policy/LeaseHolderTest.cpp
@@ -0,0 +1,93 @@
+#include "berylridge/Policy/LeaseHolder.h"
+
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PoolId pool = 1;
+constexpr TargetHash target = 2;
+constexpr FlowId flow = 3;
+const NodeId owner("owner");
+
+PoolGrant grantOf(LeaseId lease, std::uint64_t number, TimePoint askedAt)
+{
+    PoolGrant grant;
+    grant.pool = pool;
+    grant.number = number;
+    grant.echo = askedAt.time_since_epoch().count();
+    grant.termMs = 2000;
+    grant.quantumMs = 250;
+    grant.leases.push_back({lease, target, flow});
+    return grant;
+}
+
+} // namespace
+
+// A grant is held up in the network for longer than its term. The owner has waited the term out and
+// given the slot to another node; were the late grant used, a cold target would get one request too
+// many.
+TEST(LeaseHolder, AGrantThatComesAfterItsTermCannotBeUsed)
+{
+    PausedClock clock;
+    LeaseHolder holder(pool);
+    const TimePoint asked = clock.now();
+    clock.advance(2100ms);
+    for (const LeaseId lease : holder.onGrant(owner, 1, grantOf(10, 1, asked), clock.now()))
+        EXPECT_FALSE(holder.mayBegin(lease, clock.now()));
+}
+
+// Two grants cross in the network. The owner sees a demand that speaks of the later one and takes
+// the earlier for lost; when it comes after all it must be ignored.
+TEST(LeaseHolder, AnOvertakenGrantIsIgnored)
+{
+    PausedClock clock;
+    LeaseHolder holder(pool);
+    EXPECT_EQ(holder.onGrant(owner, 1, grantOf(11, 2, clock.now()), clock.now()).size(), 1U);
+    EXPECT_TRUE(holder.onGrant(owner, 1, grantOf(10, 1, clock.now()), clock.now()).empty());
+    EXPECT_FALSE(holder.find(10));
+}
+
+TEST(LeaseHolder, ShortRequestsShareALeaseUpToTheQuantum)
+{
+    PausedClock clock;
+    LeaseHolder holder(pool);
+    holder.onGrant(owner, 1, grantOf(10, 1, clock.now()), clock.now());
+    int runs = 0;
+    do {
+        holder.begin(10);
+        clock.advance(20ms);
+        ++runs;
+    } while (holder.end(10, 20ms, true, clock.now()));
+    EXPECT_EQ(runs, 13);
+    const ReturnedLease returned = holder.giveBack(10);
+    EXPECT_EQ(returned.completed, 13U);
+    EXPECT_EQ(returned.usedMs, 260U);
+}
+
+// The process was paused and wakes with leases in hand. Their terms may seem to run by its clock,
+// but the owner may have been replaced meanwhile: none is used again.
+TEST(LeaseHolder, AfterAPauseNothingBeginsOnOldLeases)
+{
+    PausedClock clock;
+    LeaseHolder holder(pool);
+    holder.onGrant(owner, 1, grantOf(10, 1, clock.now()), clock.now());
+    holder.onGrant(owner, 1, grantOf(11, 2, clock.now()), clock.now());
+    holder.begin(10);
+    holder.dropIdle();
+    EXPECT_FALSE(holder.find(11));
+    EXPECT_FALSE(holder.end(10, 1ms, true, clock.now()));
+}
+
+TEST(LeaseHolder, TheOwnerHearsAtOnceWhenItKnowsOfNothing)
+{
+    PausedClock clock;
+    LeaseHolder holder(pool);
+    EXPECT_TRUE(holder.isOwnerBehind(flow, 1));
+    holder.demandMessage({{flow, 4, 0, 100}}, clock.now());
+    EXPECT_FALSE(holder.isOwnerBehind(flow, 5));
+    EXPECT_TRUE(holder.isOwnerBehind(flow, 9));
+    EXPECT_FALSE(holder.isOwnerBehind(flow, 0));
+}
