Start stand-ins and daemons from tests, and prove the stand-ins first

Cause: the process tests judge by what the stand-ins counted; a stand-in that miscounts would let a doubled purchase or an overloaded engine pass.

Weighed: scripts against GoogleTest for the process tests. GoogleTest: one way to run and report, and the clients of berylload judge the answers. Each fleet claims a block of loopback addresses by a port that it listens at, so that runs side by side on one machine don't meet.

The relay knows a sender by its source address and swallows what a cut link carries; it refuses nothing, as a partition does.

--- /dev/null
+++ b/test/process/FleetFixture.cpp
@@ -0,0 +1,71 @@
+#include "FleetFixture.h"
+
+#include "JsonText.h"
+
+namespace berylridge::test {
+
+namespace {
+
+/// A berylload that found a broken promise ends with this.
+constexpr int violationStatus = 1;
+constexpr int overloadStatus = 70;
+
+} // namespace
+
+void FleetProcess::startFleet(const FleetPlan &plan)
+{
+    m_fleet = std::make_unique<TestFleet>(plan);
+    ASSERT_TRUE(m_fleet->start()) << "the fleet did not get ready\n" << m_fleet->logs();
+}
+
+void FleetProcess::startLoad(double seconds)
+{
+    m_load = m_fleet->startLoad(m_fleet->profile(seconds));
+}
+
+Json::Value FleetProcess::endLoad()
+{
+    const auto status = m_load->wait(std::chrono::seconds(120));
+    const auto report = m_fleet->loadReport();
+    EXPECT_TRUE(status) << "the load did not end";
+    EXPECT_NE(status.value_or(0), violationStatus) << toText(report);
+    EXPECT_EQ(status.value_or(0), 0) << m_fleet->logs();
+    EXPECT_EQ(report["violations"].asUInt64(), 0U) << toText(report);
+    EXPECT_GT(report["purchases"]["served"].asUInt64(), 0U) << toText(report);
+    EXPECT_GT(total(report, "served"), 0U);
+    return report;
+}
+
+void FleetProcess::expectNoOverload()
+{
+    for (std::size_t i = 0; i < m_fleet->engines().size(); ++i)
+        EXPECT_NE(m_fleet->engineProcess(i).status().value_or(0), overloadStatus)
+            << m_fleet->engines()[i].name << " got more than a cold engine bears\n"
+            << m_fleet->logs();
+}
+
+std::uint64_t FleetProcess::total(const Json::Value &report, const std::string &outcome)
+{
+    std::uint64_t sum = 0;
+    for (const auto &row : report["workspaces"])
+        sum += row["outcomes"][outcome].asUInt64();
+    return sum;
+}
+
+std::uint64_t FleetProcess::startedInZone(const std::string &zone) const
+{
+    std::uint64_t started = 0;
+    for (std::size_t i = 0; i < m_fleet->engines().size(); ++i) {
+        if (m_fleet->engines()[i].zone == zone)
+            started += m_fleet->engineStats(i)["started"].asUInt64();
+    }
+    return started;
+}
+
+bool FleetProcess::zoneGetsWork(const std::string &zone) const
+{
+    const auto before = startedInZone(zone);
+    return eventually([&] { return startedInZone(zone) > before; });
+}
+
+} // namespace berylridge::test
--- /dev/null
+++ b/test/process/FleetProcessTest.cpp
@@ -0,0 +1,293 @@
+// Real daemons under faults, judged by what the stand-ins counted and the callers got.
+#include "AnswerText.h"
+#include "FleetFixture.h"
+#include "JsonText.h"
+#include "Outcome.h"
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace berylridge;
+using namespace berylridge::test;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *generatePath = "/v1/services/assistant/generate";
+constexpr const char *purchasePath = "/v1/services/catalogue/purchases";
+constexpr int deadlyStatus = 71;
+
+/// A UUIDv7 of now, told apart by its last digits.
+std::string freshKey(unsigned number)
+{
+    const auto ms
+        = static_cast<unsigned long long>(SystemClock().wallNow().time_since_epoch().count());
+    std::array<char, 37> text {};
+    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7000-8000-%012x", ms >> 16,
+                  ms & 0xffffULL, number);
+    return text.data();
+}
+
+/// Long enough for a lease and a suspicion to run out at the daemons' default settings.
+void outlastLeases()
+{
+    std::this_thread::sleep_for(seconds(4));
+}
+
+} // namespace
+
+// The whole path without any fault: callers of three workspaces stream, look up and buy through
+// three routers; every answer must be whole and its own, and every purchase executed once.
+TEST_F(FleetProcess, WholePath)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 3;
+    startFleet(plan);
+    startLoad(5);
+    const auto report = endLoad();
+    expectNoOverload();
+    for (const auto &row : report["workspaces"])
+        EXPECT_GT(row["outcomes"]["served"].asUInt64(), 0U) << row["name"];
+    EXPECT_EQ(report["purchases"]["served"], report["purchases"]["keys"]);
+    EXPECT_EQ(total(report, "no-answer") + total(report, "incomplete"), 0U) << toText(report);
+}
+
+// A router dies with requests in its hands and comes back with no memory of them. Callers that got
+// no answer buy again through another router with the same key: no purchase may run twice, and the
+// leases that the dead router had given must not add up with its successor's on a cold engine.
+TEST_F(FleetProcess, RouterKilledAndRestarted)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 2;
+    startFleet(plan);
+    startLoad(10);
+    for (const std::size_t victim : {0U, 3U}) {
+        std::this_thread::sleep_for(milliseconds(1500));
+        m_fleet->routerProcess(victim).kill();
+        std::this_thread::sleep_for(milliseconds(1500));
+        m_fleet->startRouter(victim);
+    }
+    endLoad();
+    expectNoOverload();
+    EXPECT_TRUE(eventually([&] { return m_fleet->isReady(0) && m_fleet->isReady(3); }));
+}
+
+// A router is frozen for longer than a lease, others take its work over, and it wakes with its old
+// view. If it acted on that view, a purchase that was sent again elsewhere would run twice.
+TEST_F(FleetProcess, RouterFrozenLongerThanALease)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 2;
+    startFleet(plan);
+    startLoad(12);
+    std::this_thread::sleep_for(seconds(2));
+    m_fleet->routerProcess(1).signal(SIGSTOP);
+    outlastLeases();
+    m_fleet->routerProcess(1).signal(SIGCONT);
+    endLoad();
+    expectNoOverload();
+    EXPECT_TRUE(eventually([&] { return m_fleet->isReady(1); }));
+}
+
+// Zone a is cut off from the other zones while callers resend purchases on both sides of the cut.
+// Both sides go on with lookups and streams; no purchase may run on both.
+TEST_F(FleetProcess, ZoneCutOffFromOthers)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 2;
+    plan.hasRelay = true;
+    startFleet(plan);
+    startLoad(12);
+    std::this_thread::sleep_for(seconds(2));
+    m_fleet->relay().cutOff("a");
+    EXPECT_TRUE(zoneGetsWork("a"));
+    outlastLeases();
+    m_fleet->relay().mend();
+    endLoad();
+    expectNoOverload();
+    EXPECT_GT(m_fleet->relay().relayedDatagrams(), 0U);
+    EXPECT_GT(m_fleet->relay().swallowedDatagrams(), 0U);
+}
+
+// The platform stops answering, then shows an old state: callers see nothing of it, and a router
+// that restarts meanwhile must not bring the old state back, which would give work to zone c again.
+TEST_F(FleetProcess, PlatformDownThenStale)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 2;
+    startFleet(plan);
+    startLoad(20);
+    m_fleet->orderPlatform(R"({"mode":"down"})");
+    for (const char *zone : {"a", "b", "c"})
+        EXPECT_TRUE(zoneGetsWork(zone));
+    m_fleet->orderPlatform(R"({"mode":"normal"})");
+    m_fleet->publishZonesOut({"c"});
+    std::uint64_t started = 0;
+    ASSERT_TRUE(eventually([&] {
+        started = startedInZone("c");
+        std::this_thread::sleep_for(seconds(1));
+        return startedInZone("c") == started;
+    })) << "zone c still gets work\n"
+        << m_fleet->logs();
+    // Revision 4 is the last one before zone c was taken out.
+    m_fleet->orderPlatform(R"({"mode":"stale","revision":4})");
+    m_fleet->routerProcess(0).kill();
+    m_fleet->startRouter(0);
+    EXPECT_TRUE(eventually([&] { return m_fleet->isReady(0); })) << m_fleet->logs();
+    endLoad();
+    EXPECT_EQ(startedInZone("c"), started) << "the old configuration came back";
+}
+
+// Operators take zone b out of service under load and bring it back: a few seconds after the
+// document nothing new starts there, what runs is left to end, and after its return it gets work.
+TEST_F(FleetProcess, ZoneOutAndBack)
+{
+    FleetPlan plan;
+    startFleet(plan);
+    startLoad(15);
+    ASSERT_TRUE(zoneGetsWork("b"));
+    m_fleet->publishZonesOut({"b"});
+    std::this_thread::sleep_for(seconds(3));
+    const auto started = startedInZone("b");
+    std::this_thread::sleep_for(seconds(3));
+    EXPECT_EQ(startedInZone("b"), started) << "work began in a zone that was taken out";
+    m_fleet->publishZonesOut({});
+    EXPECT_TRUE(zoneGetsWork("b")) << m_fleet->logs();
+    const auto report = endLoad();
+    EXPECT_EQ(total(report, "no-answer") + total(report, "incomplete"), 0U) << toText(report);
+    expectNoOverload();
+}
+
+// A router is told to stop while streams run through it. Their callers must get them whole, and
+// the process must end by itself with status 0.
+TEST_F(FleetProcess, GracefulStopCutsNothing)
+{
+    FleetPlan plan;
+    plan.warmAfter = 1;
+    plan.tokensPerSecond = 20;
+    startFleet(plan);
+    constexpr unsigned tokens = 60;
+    constexpr int streams = 3;
+    boost::asio::io_context io;
+    HttpCaller caller(io);
+    std::vector<Outcome> outcomes;
+    for (int i = 0; i < streams; ++i) {
+        auto spec = m_fleet->callerSpec(0, 0, "POST", generatePath);
+        spec.body = R"({"tokens":60,"prompt":")" + std::to_string(i) + "\"}";
+        caller.call(spec, [&outcomes, whole = wholeStream(spec.body, tokens)](const auto &result) {
+            outcomes.push_back(judge(result, whole, false));
+        });
+    }
+    // All of them must run before the stop; the engines are warm after one answer each.
+    std::thread running([&] { io.run(); });
+    std::uint64_t started = 0;
+    EXPECT_TRUE(eventually([&] {
+        started = startedInZone("a") + startedInZone("b") + startedInZone("c");
+        return started >= streams;
+    })) << m_fleet->logs();
+    m_fleet->routerProcess(0).signal(SIGTERM);
+    running.join();
+    EXPECT_EQ(outcomes, std::vector<Outcome>(streams, Outcome::Served)) << m_fleet->logs();
+    EXPECT_EQ(m_fleet->routerProcess(0).wait(seconds(30)), 0) << m_fleet->logs();
+}
+
+// An engine dies under load and comes back cold. Routers that took it for warm would send it all
+// that it bore before, and it would fall over at once, again and again.
+TEST_F(FleetProcess, EngineRestartsCold)
+{
+    FleetPlan plan;
+    plan.routersPerZone = 2;
+    startFleet(plan);
+    startLoad(12);
+    std::this_thread::sleep_for(seconds(3));
+    for (int i = 0; i < 2; ++i) {
+        m_fleet->engineProcess(0).kill();
+        m_fleet->startEngine(0);
+        std::this_thread::sleep_for(seconds(2));
+    }
+    EXPECT_TRUE(zoneGetsWork("a")) << m_fleet->logs();
+    endLoad();
+    expectNoOverload();
+}
+
+// A plain service executes a purchase and dies to the caller before it answers. The router must
+// say that it may have run, and whoever resends the key, through whichever router, must not make
+// it run again.
+TEST_F(FleetProcess, ExecutedPurchaseIsNotRepeated)
+{
+    FleetPlan plan;
+    startFleet(plan);
+    const auto key = freshKey(1);
+    for (const auto &service : m_fleet->services())
+        m_fleet->orderTarget(service.endpoint, R"({"order":"cut-answer","count":1})");
+    const auto buy = [&](std::size_t router) {
+        auto spec = m_fleet->callerSpec(router, 0, "POST", purchasePath);
+        spec.headers.emplace_back("Idempotency-Key", key);
+        spec.body = "{}";
+        return fetch(spec);
+    };
+    const auto first = buy(0);
+    EXPECT_EQ(judge(first, purchaseAnswer("{}"), false), Outcome::MayHaveRun) << first.body;
+    for (std::size_t i = 0; i < m_fleet->routerCount(); ++i) {
+        const auto again = buy(i);
+        EXPECT_NE(judge(again, purchaseAnswer("{}"), false), Outcome::NotRun) << again.body;
+    }
+    EXPECT_EQ(m_fleet->executionsOf(key), 1U);
+}
+
+// One body crashes every engine that runs it, and its caller sends it again and again through all
+// routers. After two engines the fleet must refuse it instead of losing the rest.
+TEST_F(FleetProcess, QueryOfDeathStopsAtTwoEngines)
+{
+    FleetPlan plan;
+    plan.enginesPerZone = 2;
+    startFleet(plan);
+    for (const auto &engine : m_fleet->engines())
+        m_fleet->orderTarget(engine.endpoint, R"({"marker":"poison"})");
+    for (int round = 0; round < 2; ++round) {
+        for (std::size_t router = 0; router < m_fleet->routerCount(); ++router) {
+            auto spec = m_fleet->callerSpec(router, 0, "POST", generatePath);
+            spec.body = R"({"tokens":4,"prompt":"poison"})";
+            spec.timeout = seconds(20);
+            EXPECT_NE(fetch(spec).status, 200U);
+            // News of a crash need a moment to reach the other routers.
+            std::this_thread::sleep_for(seconds(1));
+        }
+    }
+    int crashed = 0;
+    for (std::size_t i = 0; i < m_fleet->engines().size(); ++i)
+        crashed += m_fleet->engineProcess(i).status() == deadlyStatus ? 1 : 0;
+    EXPECT_LE(crashed, 2) << m_fleet->logs();
+    EXPECT_GE(crashed, 1);
+}
+
+// An engine answers with another attempt's id, with more than it announced, or cuts a stream: the
+// caller must get its own whole answer from elsewhere, or see that it has none.
+TEST_F(FleetProcess, WrongAnswersNeverReachACallerAsWhole)
+{
+    FleetPlan plan;
+    startFleet(plan);
+    const std::string body = R"({"tokens":12,"prompt":"slip"})";
+    for (const char *order : {"crossed", "over-long", "cut-answer", "late"}) {
+        for (const auto &engine : m_fleet->engines())
+            m_fleet->orderTarget(engine.endpoint,
+                                 R"({"order":")" + std::string(order) + R"(","count":1})");
+        for (int i = 0; i < 4; ++i) {
+            auto spec = m_fleet->callerSpec(0, 0, "POST", generatePath);
+            spec.body = body;
+            const auto outcome = judge(fetch(spec), wholeStream(body, 12), false);
+            EXPECT_NE(outcome, Outcome::Wrong) << order;
+            EXPECT_NE(outcome, Outcome::BadRefusal) << order;
+        }
+    }
+    auto spec = m_fleet->callerSpec(0, 0, "POST", generatePath);
+    spec.body = body;
+    EXPECT_TRUE(eventually([&] {
+        return judge(fetch(spec), wholeStream(body, 12), false) == Outcome::Served;
+    })) << m_fleet->logs();
+}
--- /dev/null
+++ b/test/process/StandInsTest.cpp
@@ -0,0 +1,183 @@
+// The stand-ins themselves: if they judged wrongly, every process test would prove nothing.
+#include "AnswerText.h"
+#include "ChildProcess.h"
+#include "HttpCall.h"
+#include "JsonText.h"
+#include "Outcome.h"
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <regex>
+#include <sstream>
+
+using namespace berylridge;
+using namespace berylridge::test;
+
+namespace {
+
+/// A stand-in on a free port.
+class StandIn
+{
+public:
+    StandIn(const std::string &program, std::vector<std::string> arguments)
+        : m_log((std::filesystem::temp_directory_path()
+                 / (program + "-" + std::to_string(getpid()) + "-" + std::to_string(s_count++)))
+                    .string())
+        , process(program, std::move(arguments), m_log)
+    {
+        eventually([this] { return readPort(); });
+    }
+    ~StandIn() { std::filesystem::remove(m_log); }
+    StandIn(const StandIn &) = delete;
+    StandIn &operator=(const StandIn &) = delete;
+
+    CallSpec spec(const std::string &method, const std::string &target,
+                  const std::string &body = "") const
+    {
+        CallSpec spec;
+        spec.endpoint = m_endpoint;
+        spec.method = method;
+        spec.target = target;
+        spec.body = body;
+        return spec;
+    }
+    Json::Value json(const std::string &target) const
+    {
+        const auto value = parseJson(fetch(spec("GET", target)).body);
+        return value ? *value : Json::Value();
+    }
+
+private:
+    bool readPort()
+    {
+        std::ostringstream text;
+        text << std::ifstream(m_log).rdbuf();
+        const std::string whole = text.str();
+        std::smatch match;
+        if (!std::regex_search(whole, match, std::regex("listening on ([0-9.]+):([0-9]+)\n")))
+            return false;
+        m_endpoint = {match[1], static_cast<std::uint16_t>(std::stoi(match[2]))};
+        return true;
+    }
+
+    inline static int s_count = 0;
+    std::string m_log;
+    Endpoint m_endpoint;
+
+public:
+    ChildProcess process;
+};
+
+const std::string prompt = R"({"prompt":"celadon","tokens":10})";
+
+} // namespace
+
+TEST(StandIns, StreamIsAFunctionOfTheBodyAndResumes)
+{
+    const StandIn engine("standin-engine", {"--tokens-per-second", "1000"});
+    const auto whole = wholeStream(prompt, 10);
+    const auto first = fetch(engine.spec("POST", "/generate", prompt));
+    EXPECT_EQ(judge(first, whole, true), Outcome::Served);
+    EXPECT_FALSE(first.header("X-Boot-Id").empty());
+
+    auto spec = engine.spec("POST", "/generate", prompt);
+    spec.headers.emplace_back("Last-Event-ID", "4");
+    const auto rest = fetch(spec);
+    EXPECT_TRUE(whole.ends_with(rest.body));
+    EXPECT_TRUE(rest.body.starts_with("id: 5\n"));
+}
+
+TEST(StandIns, OrderedFaultsAreSeenAsSuch)
+{
+    const StandIn engine("standin-engine", {"--tokens-per-second", "1000", "--warm-after", "0"});
+    const auto after = [&](const std::string &order, Duration limit = std::chrono::seconds(30)) {
+        fetch(engine.spec("POST", "/control", order));
+        auto spec = engine.spec("POST", "/generate", prompt);
+        spec.headers.emplace_back("X-Attempt-Id", "attempt-1");
+        spec.timeout = limit;
+        return fetch(spec);
+    };
+    EXPECT_EQ(after(R"({"order":"cut-answer"})").end, CallEnd::Cut);
+    EXPECT_EQ(after(R"({"order":"cut-before"})").end, CallEnd::NoAnswer);
+    EXPECT_EQ(after(R"({"order":"hang"})", std::chrono::seconds(1)).end, CallEnd::TimedOut);
+    EXPECT_EQ(after(R"({"order":"crossed"})").header("X-Attempt-Id"), "another-attempt-1");
+    EXPECT_EQ(after(R"({"order":"none"})").header("X-Attempt-Id"), "attempt-1");
+}
+
+TEST(StandIns, ColdEngineCrashesUnderMoreThanItBears)
+{
+    StandIn engine("standin-engine", {"--cold-slots", "1", "--tokens-per-second", "5"});
+    auto spec = engine.spec("POST", "/generate", prompt);
+    boost::asio::io_context io;
+    HttpCaller caller(io);
+    std::vector<CallEnd> ends;
+    for (int i = 0; i < 2; ++i)
+        caller.call(spec, [&](const CallResult &result) { ends.push_back(result.end); });
+    io.run();
+    EXPECT_EQ(ends.size(), 2U);
+    EXPECT_EQ(engine.process.wait(std::chrono::seconds(30)), 70);
+}
+
+TEST(StandIns, MarkedBodyCrashesTheEngine)
+{
+    StandIn engine("standin-engine", {"--deadly-marker", "poison"});
+    fetch(engine.spec("POST", "/generate", R"({"prompt":"poison"})"));
+    EXPECT_EQ(engine.process.wait(std::chrono::seconds(30)), 71);
+}
+
+TEST(StandIns, ClosingTheConnectionCancels)
+{
+    const StandIn engine("standin-engine", {"--tokens-per-second", "5"});
+    auto spec = engine.spec("POST", "/generate", prompt);
+    spec.timeout = std::chrono::milliseconds(300);
+    EXPECT_EQ(fetch(spec).end, CallEnd::TimedOut);
+    EXPECT_TRUE(eventually([&] { return engine.json("/stats")["cancels"].asUInt64() == 1; }));
+    EXPECT_EQ(engine.json("/load")["running"].asUInt(), 0U);
+}
+
+// The service runs the purchase and its answer is lost on the way: the caller can't tell, but the
+// count must show the execution, or a doubled purchase would go unseen.
+TEST(StandIns, PurchaseCountsThoughItsAnswerIsCut)
+{
+    const StandIn service("standin-service", {});
+    fetch(service.spec("POST", "/control", R"({"order":"cut-answer"})"));
+    auto spec = service.spec("POST", "/purchases", "{}");
+    spec.headers.emplace_back("Idempotency-Key", "k1");
+    EXPECT_NE(fetch(spec).end, CallEnd::Whole);
+    EXPECT_EQ(judge(fetch(spec), purchaseAnswer("{}"), true), Outcome::Served);
+    EXPECT_EQ(service.json("/stats")["executionsByKey"]["k1"].asUInt64(), 2U);
+}
+
+TEST(StandIns, PlatformWatchWakesAndStaleShowsTheOldRevision)
+{
+    const StandIn platform("standin-platform", {});
+    const auto put = [&](int version) {
+        const auto text = R"({"name":"fleet","text":"{}","version":)" + std::to_string(version);
+        EXPECT_EQ(fetch(platform.spec("PUT", "/v1/documents", text + "}")).status, 200U);
+    };
+    put(1);
+    const auto first = platform.json("/v1/documents?since=0");
+    const auto revision = first["revision"].asUInt64();
+    EXPECT_EQ(first["documents"][0]["version"].asUInt(), 1U);
+
+    // A caller waits for what comes next, and gets it as soon as it is put.
+    boost::asio::io_context io;
+    HttpCaller caller(io);
+    CallResult watched;
+    caller.call(
+        platform.spec("GET", "/v1/documents?since=" + std::to_string(revision) + "&wait=60"),
+        [&](CallResult result) { watched = std::move(result); });
+    io.run_for(std::chrono::milliseconds(100));
+    put(2);
+    io.run();
+    EXPECT_EQ((*parseJson(watched.body))["documents"][0]["version"].asUInt(), 2U);
+
+    fetch(platform.spec("POST", "/control",
+                        R"({"mode":"stale","revision":)" + std::to_string(revision) + "}"));
+    EXPECT_EQ(platform.json("/v1/documents")["documents"][0]["version"].asUInt(), 1U);
+    fetch(platform.spec("POST", "/control", R"({"mode":"down"})"));
+    EXPECT_EQ(fetch(platform.spec("GET", "/v1/documents")).end, CallEnd::NoAnswer);
+    fetch(platform.spec("POST", "/control", R"({"mode":"normal"})"));
+    EXPECT_EQ(platform.json("/v1/documents")["documents"][0]["version"].asUInt(), 2U);
+}
--- /dev/null
+++ b/test/process/TestFleet.h
@@ -0,0 +1,128 @@
+// A small fleet of real daemons with its stand-ins, started by a test on loopback addresses of its
+// own and gone when the test is over.
+#pragma once
+
+#include "ChildProcess.h"
+#include "HttpCall.h"
+#include "LinkRelay.h"
+
+#include "berylridge/Support/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <filesystem>
+#include <json/json.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylridge::test {
+
+struct FleetPlan
+{
+    std::vector<std::string> zones {"a", "b", "c"};
+    std::uint32_t routersPerZone = 1;
+    std::uint32_t enginesPerZone = 1;
+    std::uint32_t servicesPerZone = 1;
+    std::uint32_t workspaces = 3;
+    std::uint32_t slots = 4;
+    std::uint32_t coldSlots = 1;
+    std::uint32_t warmAfter = 4;
+    double tokensPerSecond = 100;
+    bool hasRelay = false; ///< Links between nodes can be cut.
+};
+
+/// One router and where it is.
+struct RouterPlace
+{
+    std::string node;
+    std::string zone;
+    Endpoint callers;
+    Endpoint peers;
+    Endpoint admin;
+    Endpoint advertised; ///< Where other nodes reach it: its peers endpoint, or the relay's.
+};
+
+struct TargetPlace
+{
+    std::string name;
+    std::string zone;
+    Endpoint endpoint;
+};
+
+class TestFleet
+{
+public:
+    explicit TestFleet(FleetPlan plan);
+    ~TestFleet();
+    TestFleet(const TestFleet &) = delete;
+    TestFleet &operator=(const TestFleet &) = delete;
+
+    /// Starts everything. False where a router isn't ready within the limit.
+    bool start();
+
+    std::size_t routerCount() const { return m_routers.size(); }
+    const RouterPlace &router(std::size_t index) const { return m_routers[index]; }
+    ChildProcess &routerProcess(std::size_t index) { return *m_routerProcesses[index]; }
+    const std::vector<TargetPlace> &engines() const { return m_engines; }
+    const std::vector<TargetPlace> &services() const { return m_services; }
+    ChildProcess &engineProcess(std::size_t index) { return *m_engineProcesses[index]; }
+    LinkRelay &relay() { return *m_relay; }
+
+    void startRouter(std::size_t index);
+    void startEngine(std::size_t index);
+    bool isReady(std::size_t index) const;
+
+    /// Puts the next version of the fleet document into force at the platform.
+    void publishZonesOut(const std::vector<std::string> &zones);
+    void orderPlatform(const std::string &order);
+    /// A stand-in's counts.
+    Json::Value engineStats(std::size_t index) const;
+    Json::Value serviceStats(std::size_t index) const;
+    void orderTarget(const Endpoint &target, const std::string &order) const;
+    /// Over all plain services.
+    std::uint64_t executionsOf(const std::string &key) const;
+
+    /// A call to a router in the name of a workspace.
+    CallSpec callerSpec(std::size_t router, std::uint32_t workspace, const std::string &method,
+                        const std::string &target) const;
+    /// A profile for berylload over all routers, to be changed and passed to startLoad().
+    Json::Value profile(double seconds) const;
+    /// Starts berylload; its report is read by loadReport() when it has ended.
+    std::unique_ptr<ChildProcess> startLoad(const Json::Value &profile);
+    Json::Value loadReport() const;
+    /// What the logs of all processes hold, for a failed test.
+    std::string logs() const;
+
+private:
+    void claimAddresses();
+    void place();
+    void startStandIns();
+    void startRelay();
+    std::string address(unsigned group, unsigned number) const;
+    std::string file(const std::string &name) const { return (m_directory / name).string(); }
+    void writeSettings(const RouterPlace &router) const;
+    Json::Value vmList() const;
+    Json::Value serviceDocument(const std::string &name, const std::vector<TargetPlace> &targets,
+                                bool isEngine) const;
+    void putDocument(const std::string &name, const Json::Value &body);
+    static Json::Value stats(const Endpoint &endpoint);
+
+    FleetPlan m_plan;
+    std::filesystem::path m_directory;
+    unsigned m_block = 0; ///< Second number of all addresses: 127.BLOCK.x.y.
+    boost::asio::io_context m_io;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_claim;
+    Endpoint m_platform;
+    std::vector<RouterPlace> m_routers;
+    std::vector<TargetPlace> m_engines;
+    std::vector<TargetPlace> m_services;
+    std::uint64_t m_documentVersion = 0;
+    std::unique_ptr<LinkRelay> m_relay;
+    std::unique_ptr<ChildProcess> m_platformProcess;
+    std::vector<std::unique_ptr<ChildProcess>> m_engineProcesses;
+    std::vector<std::unique_ptr<ChildProcess>> m_serviceProcesses;
+    std::vector<std::unique_ptr<ChildProcess>> m_routerProcesses;
+};
+
+} // namespace berylridge::test
