--- a/test/process/ChildProcess.cpp
+++ b/test/process/ChildProcess.cpp
@@ -18,6 +18,7 @@
 pid_t spawn(const std::string &path, std::vector<std::string> &arguments, const std::string &log)
 {
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (auto &argument : arguments)
         argv.push_back(argument.data());
     argv.push_back(nullptr);
--- a/test/process/StandInsTest.cpp
+++ b/test/process/StandInsTest.cpp
@@ -22,7 +22,7 @@
 public:
     StandIn(const std::string &program, std::vector<std::string> arguments)
         : m_log((std::filesystem::temp_directory_path()
-                 / (program + "-" + std::to_string(getpid()) + "-" + std::to_string(s_count++)))
+                 / (program + "-" + std::to_string(getpid()) + "-" + std::to_string(newNumber())))
                     .string())
         , process(program, std::move(arguments), m_log)
     {
@@ -61,7 +61,12 @@
         return true;
     }
 
-    inline static int s_count = 0;
+    static int newNumber()
+    {
+        static int number = 0;
+        return number++;
+    }
+
     std::string m_log;
     Endpoint m_endpoint;
 
--- a/test/process/TestFleet.cpp
+++ b/test/process/TestFleet.cpp
@@ -140,14 +140,18 @@
                 router.advertised.address = address(relayGroup + zoneNumber, i);
             m_routers.push_back(router);
         }
-        for (unsigned i = 1; i <= m_plan.enginesPerZone; ++i)
-            m_engines.push_back({std::string("engine-") + zone + std::to_string(i),
-                                 zone,
-                                 {address(engineGroup + zoneNumber, i), targetPort}});
-        for (unsigned i = 1; i <= m_plan.servicesPerZone; ++i)
-            m_services.push_back({std::string("catalogue-") + zone + std::to_string(i),
-                                  zone,
-                                  {address(serviceGroup + zoneNumber, i), targetPort}});
+        placeTargets(zone, "engine-", engineGroup + zoneNumber, m_plan.enginesPerZone, m_engines);
+        placeTargets(zone, "catalogue-", serviceGroup + zoneNumber, m_plan.servicesPerZone,
+                     m_services);
+    }
+}
+
+void TestFleet::placeTargets(const std::string &zone, const std::string &prefix, unsigned group,
+                             unsigned count, std::vector<TargetPlace> &targets) const
+{
+    for (unsigned i = 1; i <= count; ++i) {
+        const Endpoint endpoint {address(group, i), targetPort};
+        targets.push_back({prefix + zone + std::to_string(i), zone, endpoint});
     }
 }
 
@@ -178,12 +182,13 @@
         std::vector<std::string> {"--address", m_platform.address, "--port",
                                   std::to_string(m_platform.port), "--vms", file("vms.json")},
         file("platform.log"));
-    for (const auto &service : m_services)
+    for (const auto &service : m_services) {
         m_serviceProcesses.push_back(std::make_unique<ChildProcess>(
             "standin-service",
             std::vector<std::string> {"--address", service.endpoint.address, "--port",
                                       std::to_string(service.endpoint.port)},
             file(service.name + ".log")));
+    }
     eventually([this] { return isListening(m_platform); });
     for (const auto &service : m_services)
         eventually([&] { return isListening(service.endpoint); });
--- a/test/process/TestFleet.h
+++ b/test/process/TestFleet.h
@@ -97,6 +97,8 @@
 private:
     void claimAddresses();
     void place();
+    void placeTargets(const std::string &zone, const std::string &prefix, unsigned group,
+                      unsigned count, std::vector<TargetPlace> &targets) const;
     void startStandIns();
     void startRelay();
     std::string address(unsigned group, unsigned number) const;
