Add the administration API, its client and the bounded audit trail

Cause: operators need status, explain, leave, return, documents, events and the trail of one node, by JSON-RPC 2.0, with every call audited. Weighed: the library's HTTP connectors (they run threads of their own, block, and would be a second HTTP beside Beast) or a connector that carries a body from a string into a string. The client's headers in Debian carry dynamic exception specifications, which C++17 dropped: one file, RpcClient.cpp, is compiled as C++14 behind a plain function. Calls that only look, and rejected ones, are kept in a ring of their own, so that a dashboard or a stranger who tries keys can't push out who took a zone out.

--- a/include/berylridge/Support/LogEvent.h
+++ b/include/berylridge/Support/LogEvent.h
@@ -16,6 +16,9 @@
 #undef BERYLRIDGE_EVENT
 };
 
+/// The word used in logs and in the catalogue.
+std::string_view logLevelName(LogLevel level);
+
 /// One line of the catalogue.
 struct LogEventInfo
 {
--- /dev/null
+++ b/lib/Admin/AdminApi.cpp
@@ -0,0 +1,245 @@
+// The JSON-RPC methods, and the connector that carries a request from a string into a string.
+#include "berylridge/Admin/AdminApi.h"
+
+#include "StatusJson.h"
+
+#include <algorithm>
+#include <cassert>
+#include <jsonrpccpp/server.h>
+
+namespace berylridge {
+
+namespace {
+
+constexpr std::size_t whoLengthMost = 64;
+constexpr std::size_t requestIdLengthMost = 128;
+constexpr Json::UInt64 auditLimitMost = 1000;
+constexpr int unauthorizedError = -32001;
+
+[[noreturn]] void refuseParameters(const std::string &message)
+{
+    throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, message);
+}
+
+const Json::Value *parameter(const Json::Value &parameters, const std::string &name)
+{
+    if (parameters.isNull())
+        return nullptr;
+    if (!parameters.isObject())
+        refuseParameters("params must be an object");
+    return parameters.find(name.data(), name.data() + name.size());
+}
+
+std::string textParameter(const Json::Value &parameters, const std::string &name,
+                          const std::string &otherwise, std::size_t most)
+{
+    const auto *value = parameter(parameters, name);
+    if (!value)
+        return otherwise;
+    auto text = value->isString() ? value->asString() : std::string();
+    const bool isPrintable
+        = std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+    if (text.empty() || text.size() > most || !isPrintable) {
+        refuseParameters(name + " must be a string of 1 to " + std::to_string(most)
+                         + " visible ASCII characters");
+    }
+    return text;
+}
+
+Json::UInt64 numberParameter(const Json::Value &parameters, const std::string &name,
+                             Json::UInt64 otherwise)
+{
+    const auto *value = parameter(parameters, name);
+    if (!value)
+        return otherwise;
+    if (!value->isUInt64())
+        refuseParameters(name + " must be a whole number, 0 or more");
+    return value->asUInt64();
+}
+
+bool flagParameter(const Json::Value &parameters, const std::string &name)
+{
+    const auto *value = parameter(parameters, name);
+    if (value && !value->isBool())
+        refuseParameters(name + " must be true or false");
+    return value && value->asBool();
+}
+
+std::string errorBody(int code, const std::string &message)
+{
+    return R"({"jsonrpc":"2.0","id":null,"error":{"code":)" + std::to_string(code)
+        + R"(,"message":")" + message + "\"}}\n";
+}
+
+} // namespace
+
+/// libjsonrpccpp's HTTP connectors in Debian run threads of their own and block; this one is handed
+/// a body by whoever read it.
+class AdminApi::Connector : public jsonrpc::AbstractServerConnector
+{
+public:
+    std::string carry(const std::string &request)
+    {
+        std::string response;
+        OnRequest(request, &response);
+        return response;
+    }
+
+    bool StartListening() override { return true; } // NOLINT: the library's name
+    bool StopListening() override { return true; }  // NOLINT: as above
+    bool SendResponse(const std::string &response, void *place) override // NOLINT: as above
+    {
+        *static_cast<std::string *>(place) = response;
+        return true;
+    }
+};
+
+class AdminApi::Server : public jsonrpc::AbstractServer<AdminApi::Server>
+{
+public:
+    Server(Connector &connector, AdminHooks hooks, AuditTrail &trail)
+        : jsonrpc::AbstractServer<Server>(connector)
+        , m_hooks(std::move(hooks))
+        , m_trail(trail)
+    {
+        add("status", jsonrpc::JSON_OBJECT, &Server::status);
+        add("explain", jsonrpc::JSON_OBJECT, &Server::explain);
+        add("leave", jsonrpc::JSON_OBJECT, &Server::leave);
+        add("return", jsonrpc::JSON_OBJECT, &Server::comeBack);
+        add("audit", jsonrpc::JSON_OBJECT, &Server::audit);
+        add("documents", jsonrpc::JSON_OBJECT, &Server::documents);
+        add("events", jsonrpc::JSON_ARRAY, &Server::events);
+    }
+
+    void rejected()
+    {
+        m_hooks.log({LogEventId::OperatorRejected, "a call without the operators' key"});
+        m_trail.appendRead(entryOf("unknown", "rejected"));
+    }
+
+private:
+    void add(const char *name, jsonrpc::jsontype_t result, methodPointer_t method)
+    {
+        [[maybe_unused]] const bool isNew = bindAndAddMethod(
+            jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, result, nullptr), method);
+        assert(isNew && "two methods of one name");
+    }
+
+    AuditEntry entryOf(std::string who, std::string what) const
+    {
+        AuditEntry entry;
+        entry.kind = AuditKind::OperatorCall;
+        entry.who = std::move(who);
+        entry.what = std::move(what);
+        entry.when = m_hooks.wallNow();
+        return entry;
+    }
+
+    std::string whoOf(const Json::Value &parameters) const
+    {
+        return textParameter(parameters, "who", "operator", whoLengthMost);
+    }
+
+    void auditRead(const Json::Value &parameters, const std::string &what)
+    {
+        m_trail.appendRead(entryOf(whoOf(parameters), what));
+    }
+
+    /// Changes are logged too: the log leaves the VM, the trail does so only when it is gathered.
+    std::string auditChange(const Json::Value &parameters, const std::string &what)
+    {
+        auto who = whoOf(parameters);
+        m_hooks.log({LogEventId::OperatorCall, who + " called " + what});
+        m_trail.appendChange(entryOf(who, what));
+        return who;
+    }
+
+    void status(const Json::Value &parameters, Json::Value &result)
+    {
+        auditRead(parameters, "status");
+        result = statusValue(m_hooks.status());
+    }
+
+    void explain(const Json::Value &parameters, Json::Value &result)
+    {
+        const auto requestId = textParameter(parameters, "requestId", "", requestIdLengthMost);
+        if (requestId.empty())
+            refuseParameters("requestId is missing");
+        auditRead(parameters, "explain " + requestId);
+        result["lines"] = Json::Value(Json::arrayValue);
+        for (const auto &line : m_hooks.explain(requestId))
+            result["lines"].append(line);
+    }
+
+    void leave(const Json::Value &parameters, Json::Value &result)
+    {
+        m_hooks.leave(auditChange(parameters, "leave"));
+        result["state"] = m_hooks.status().state;
+    }
+
+    void comeBack(const Json::Value &parameters, Json::Value &result)
+    {
+        m_hooks.comeBack(auditChange(parameters, "return"));
+        result["state"] = m_hooks.status().state;
+    }
+
+    void audit(const Json::Value &parameters, Json::Value &result)
+    {
+        const auto after = numberParameter(parameters, "after", 0);
+        const auto limit
+            = std::min(numberParameter(parameters, "limit", auditLimitMost), auditLimitMost);
+        result = auditValue(m_trail.after(after, limit));
+        // After the page was made: a reader that goes on would else always find its own last call.
+        auditRead(parameters, "audit");
+    }
+
+    void documents(const Json::Value &parameters, Json::Value &result)
+    {
+        const bool withText = flagParameter(parameters, "withText");
+        auditRead(parameters, "documents");
+        result["documents"] = Json::Value(Json::arrayValue);
+        if (!withText || !m_hooks.documents) {
+            for (const auto &head : m_hooks.status().documents)
+                result["documents"].append(headValue(head));
+            return;
+        }
+        for (const auto &document : m_hooks.documents()) {
+            auto value = headValue({document.name, document.version});
+            value["text"] = document.text;
+            result["documents"].append(std::move(value));
+        }
+    }
+
+    void events(const Json::Value &parameters, Json::Value &result)
+    {
+        auditRead(parameters, "events");
+        result = eventsValue();
+    }
+
+    AdminHooks m_hooks;
+    AuditTrail &m_trail;
+};
+
+AdminApi::AdminApi(AdminHooks hooks, AuditTrail &trail)
+    : m_connector(std::make_unique<Connector>())
+    , m_server(std::make_unique<Server>(*m_connector, std::move(hooks), trail))
+{
+}
+
+AdminApi::~AdminApi() = default;
+
+std::string AdminApi::handleRpc(std::string_view request, bool isOperator)
+{
+    if (!isOperator) {
+        m_server->rejected();
+        return errorBody(unauthorizedError, "the operators' key is missing or wrong");
+    }
+    try {
+        return m_connector->carry(std::string(request));
+    } catch (const std::exception &) {
+        // jsoncpp throws on deep nesting and where the library takes a member for what it isn't.
+        return errorBody(jsonrpc::Errors::ERROR_RPC_INVALID_REQUEST, "not a JSON-RPC 2.0 request");
+    }
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Admin/RpcClient.cpp
@@ -0,0 +1,58 @@
+// The only file that includes libjsonrpccpp's client; compiled as C++14 (see the header).
+#include "berylridge/Admin/RpcClient.h"
+
+#include <jsonrpccpp/client.h>
+
+namespace berylridge {
+
+namespace {
+
+class TransportConnector : public jsonrpc::IClientConnector
+{
+public:
+    explicit TransportConnector(const RpcTransport &transport)
+        : m_transport(transport)
+    {
+    }
+
+    /// Keeps the transport's failure: the base class allows but one kind of exception here, and the
+    /// library would put its own words before ours.
+    void SendRPCMessage(const std::string &message, std::string &result) noexcept override // NOLINT
+    {
+        try {
+            if (m_transport(message, result))
+                return;
+            m_failure = result;
+        } catch (const std::exception &error) {
+            m_failure = error.what();
+        }
+        result.clear();
+    }
+
+    const std::string &failure() const { return m_failure; }
+
+private:
+    const RpcTransport &m_transport;
+    std::string m_failure;
+};
+
+} // namespace
+
+RpcReply callRpc(const RpcTransport &transport, const std::string &method,
+                 const Json::Value &parameters)
+{
+    TransportConnector connector(transport);
+    RpcReply reply;
+    try {
+        jsonrpc::Client client(connector);
+        client.CallMethod(method, parameters, reply.result);
+        reply.isFine = true;
+    } catch (const jsonrpc::JsonRpcException &error) {
+        reply.reason = connector.failure().empty() ? error.GetMessage() : connector.failure();
+    } catch (const std::exception &error) {
+        reply.reason = error.what();
+    }
+    return reply;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Admin/StatusJson.h
@@ -0,0 +1,17 @@
+// What the administration API gives back, as JSON. Names are those of the structs.
+#pragma once
+
+#include "berylridge/Admin/AuditTrail.h"
+#include "berylridge/Config/Documents.h"
+#include "berylridge/Router/Status.h"
+
+#include <json/value.h>
+
+namespace berylridge {
+
+Json::Value statusValue(const NodeStatus &status);
+Json::Value auditValue(const AuditPage &page);
+Json::Value headValue(const DocumentHead &head);
+Json::Value eventsValue();
+
+} // namespace berylridge
--- a/lib/Support/LogEvent.cpp
+++ b/lib/Support/LogEvent.cpp
@@ -17,6 +17,21 @@
 
 } // namespace
 
+std::string_view logLevelName(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    case LogLevel::Retired:
+        return "retired";
+    }
+    return "unknown";
+}
+
 std::span<const LogEventInfo> logEventCatalogue()
 {
     return catalogue;
--- a/tools/berylctl/Events.cpp
+++ b/tools/berylctl/Events.cpp
@@ -10,21 +10,6 @@
 
 namespace {
 
-std::string_view levelName(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Info:
-        return "info";
-    case LogLevel::Warning:
-        return "warning";
-    case LogLevel::Error:
-        return "error";
-    case LogLevel::Retired:
-        return "retired";
-    }
-    return "unknown";
-}
-
 std::string_view groupName(unsigned thousand)
 {
     switch (thousand) {
@@ -66,8 +51,8 @@
                       << "\n\n| number | name | level | what it means and what to do |\n"
                          "|---|---|---|---|\n";
         }
-        std::cout << "| " << number << " | " << info.name << " | " << levelName(info.level) << " | "
-                  << info.text << " |\n";
+        std::cout << "| " << number << " | " << info.name << " | " << logLevelName(info.level)
+                  << " | " << info.text << " |\n";
     }
     return exitFine;
 }
--- /dev/null
+++ b/unittests/Admin/AuditTrailTest.cpp
@@ -0,0 +1,91 @@
+// The bounded audit trail of one node.
+#include "berylridge/Admin/AuditTrail.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace berylridge;
+
+namespace {
+
+AuditEntry entry(std::string what)
+{
+    AuditEntry made;
+    made.what = std::move(what);
+    return made;
+}
+
+std::vector<std::string> whats(const AuditPage &page)
+{
+    std::vector<std::string> names;
+    for (const auto &numbered : page.entries)
+        names.push_back(numbered.entry.what);
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST(AuditTrail, AReaderGoesOnWhereItStopped)
+{
+    AuditTrail trail;
+    trail.appendChange(entry("a"));
+    trail.appendRead(entry("b"));
+    trail.appendChange(entry("c"));
+
+    const auto first = trail.after(0, 2);
+    EXPECT_EQ(whats(first), (Names {"a", "b"}));
+    EXPECT_TRUE(first.hasMore);
+    const auto second = trail.after(first.last, 2);
+    EXPECT_EQ(whats(second), Names {"c"});
+    EXPECT_FALSE(second.hasMore);
+    EXPECT_FALSE(second.hasGap);
+    EXPECT_EQ(trail.after(second.last, 2).last, second.last);
+}
+
+// A dashboard asks for the status each second for an hour after an operator took a zone out. The
+// trail is bounded, so its calls drop out, but the operator's entry must still be there.
+TEST(AuditTrail, CallsThatLookDontPushOutChanges)
+{
+    AuditTrail trail({4, 4});
+    trail.appendChange(entry("zone b out"));
+    for (int i = 0; i < 3600; ++i)
+        trail.appendRead(entry("status"));
+    const auto page = trail.after(0, 100);
+    EXPECT_EQ(whats(page), (Names {"zone b out", "status", "status", "status", "status"}));
+    EXPECT_EQ(page.last, 3601U);
+}
+
+// A reader that was away while more was written than is kept must see that it missed some, else it
+// would report a whole trail that isn't.
+TEST(AuditTrail, WhatWasGivenUpIsTold)
+{
+    AuditTrail trail({2, 2});
+    for (const auto *what : {"a", "b", "c"})
+        trail.appendChange(entry(what));
+    EXPECT_TRUE(trail.after(0, 10).hasGap);
+    EXPECT_FALSE(trail.after(1, 10).hasGap);
+    EXPECT_EQ(whats(trail.after(1, 10)), (Names {"b", "c"}));
+}
+
+TEST(AuditTrail, TwoThreadsMayWriteAndAThirdRead)
+{
+    AuditTrail trail({100, 100});
+    const auto write = [&] {
+        for (int i = 0; i < 1000; ++i)
+            trail.appendChange(entry("x"));
+    };
+    std::thread one(write);
+    std::thread other(write);
+    std::uint64_t last = 0;
+    for (int i = 0; i < 100; ++i) {
+        for (const auto &numbered : trail.after(last, 10).entries) {
+            EXPECT_GT(numbered.sequence, last);
+            last = numbered.sequence;
+        }
+    }
+    one.join();
+    other.join();
+    EXPECT_EQ(trail.after(0, 1000).last, 2000U);
+}
