Tell the shell whose request it dispatches and whether it may be repeated

The target must be told the workspace (X-Workspace, protocols.md), which only the core knows from the credential. And a kept connection may be closed by the target just as a request is sent on it; then nobody can tell whether it ran, so the shell reuses connections for requests that may be repeated and only the core knows a service's routes. Both fields stand at the end and default to the safe side: an unset isIdempotent means a fresh connection.

--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -26,6 +26,10 @@
     Duration idleTimeout {0};
     bool isResumed = false;   ///< Continue the stream after what the caller already has.
     bool keepsAnswer = false; ///< Hand the answer back in AttemptDone, for repeats of its key.
+    WorkspaceId workspace;    ///< Whose request it is; the target is told.
+    /// Whether the request may be repeated. Only then may it go on a kept connection, which the
+    /// target can close just as the request is sent.
+    bool isIdempotent = false;
 };
 
 /// Stop an attempt; nothing more of it reaches the caller.
