Give only cold slots to a target without any evidence of its boot

Cause: the mark for 'no evidence' was time zero, which is recent just after a start; found by LeavingTakesNothingAndComesBackColdUntilItIsHeard, which failed first. Conclusion: an optional time.

--- a/include/berylridge/Policy/TargetGauge.h
+++ b/include/berylridge/Policy/TargetGauge.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -75,9 +76,9 @@
     std::uint32_t m_slots = 1;
     std::uint32_t m_coldSlots = 1;
     std::uint32_t m_warmAfter = 1;
-    std::uint64_t m_completed = 0; ///< Whole answers in this boot.
-    bool m_isDown = false;         ///< Its boot has ended and no new one was heard.
-    TimePoint m_evidenceAt {};     ///< When this boot was last known to run.
+    std::uint64_t m_completed = 0;         ///< Whole answers in this boot.
+    bool m_isDown = false;                 ///< Its boot has ended and no new one was heard.
+    std::optional<TimePoint> m_evidenceAt; ///< When this boot was last known to run.
     std::uint32_t m_reportedRunning = 0;
     TimePoint m_reportedAt {};
 };
--- a/lib/Policy/TargetGauge.cpp
+++ b/lib/Policy/TargetGauge.cpp
@@ -30,7 +30,7 @@
 TargetGauge::TargetGauge(const TargetLife &chart, TimePoint now)
     : m_chart(&chart)
     , m_state(chart.initial())
-    , m_evidenceAt(now - 2 * evidenceLasts)
+
     , m_reportedAt(now - 2 * evidenceLasts)
 {
 }
@@ -44,7 +44,7 @@
         return;
     step(isLeaving ? TargetSign::LeaveOrdered : TargetSign::ReturnOrdered);
     // It may have been restarted while it was out: only cold slots until its boot is heard again.
-    m_evidenceAt = TimePoint {};
+    m_evidenceAt.reset();
 }
 
 bool TargetGauge::onSign(TargetSign sign, std::string_view bootId, TimePoint now)
@@ -113,7 +113,8 @@
         || m_state == TargetState::Suspect) {
         return 0;
     }
-    if (isCold() || now - m_evidenceAt > evidenceLasts)
+    const bool isEvidenceFresh = m_evidenceAt && now - *m_evidenceAt <= evidenceLasts;
+    if (isCold() || !isEvidenceFresh)
         return partOfSlots(m_coldSlots, part);
     // Beyond warmAfter the limit doubles with each round of answers, so that a target whose
     // document is too hopeful is found out by one more request at a time and not by all of them.
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -68,6 +68,8 @@
     dispatch.idleTimeout = document.idleTimeout;
     dispatch.isResumed = request.isResumed;
     dispatch.keepsAnswer = !request.key.empty();
+    dispatch.workspace = request.workspace;
+    dispatch.isIdempotent = request.isIdempotent;
     m_context.act(std::move(dispatch));
     return true;
 }
