--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -37,6 +37,15 @@
     std::optional<Duration> patience; ///< How long the caller is willing to wait in the queue.
 };
 
+/// A caller asks for an idempotency key (POST /v1/idempotency-keys): this process alone admits it,
+/// so a zone that is cut off can serve it. Answered by AnswerKept with status 201, or by Refuse.
+struct KeyIssueAsked
+{
+    RequestHandle handle = 0;
+    std::string requestId;
+    std::string credential;
+};
+
 /// The caller closed its connection before its answer was whole.
 struct CallerGone
 {
@@ -150,8 +159,9 @@
 {
 };
 
-using Event = std::variant<RequestArrived, CallerGone, AttemptHead, AttemptDone, AttemptFailed,
-                           TargetReport, TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived,
-                           VmListArrived, PlatformReach, LeaveOrdered, ReturnOrdered, TimerDue>;
+using Event = std::variant<RequestArrived, KeyIssueAsked, CallerGone, AttemptHead, AttemptDone,
+                           AttemptFailed, TargetReport, TargetPollFailed, NodeMessage, ProbeEnded,
+                           DocumentArrived, VmListArrived, PlatformReach, LeaveOrdered,
+                           ReturnOrdered, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -95,6 +95,7 @@
 {
     std::visit(Overloaded {
                    [&](const RequestArrived &e) { m_requests.onArrived(e, m_fleet.isJoining()); },
+                   [&](const KeyIssueAsked &e) { m_requests.onKeyIssueAsked(e); },
                    [&](const CallerGone &e) { m_requests.onCallerGone(e); },
                    [&](const AttemptHead &e) { m_requests.onHead(e); },
                    [&](const AttemptDone &e) { m_requests.onDone(e); },
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -115,6 +115,22 @@
     carryOut(std::move(output));
 }
 
+void RequestManager::onKeyIssueAsked(const KeyIssueAsked &event)
+{
+    const std::string digest = credentialDigest(event.credential);
+    const bool isKnown = std::any_of(m_services.begin(), m_services.end(), [&](const auto &entry) {
+        return entry.second.byCredential.contains(digest);
+    });
+    if (!isKnown) {
+        m_context.act(Refuse {event.handle, 401, Verdict::NotRun, "no workspace has this key",
+                              "unknown-workspace", std::nullopt});
+        return;
+    }
+    const std::string key = m_keys.issueKey(m_context.now, m_context.wall);
+    m_context.act(AnswerKept {
+        event.handle, 201, {{"Content-Type", "application/json"}}, "{\"key\":\"" + key + "\"}\n"});
+}
+
 void RequestManager::admit(Request &request, Service &service)
 {
     if (const auto blocked = m_crashes.blockedFor(request.fingerprint, m_context.now)) {
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -28,6 +28,7 @@
     void connect(PoolManager &pools) { m_pools = &pools; }
 
     void onArrived(const RequestArrived &event, bool isJoining);
+    void onKeyIssueAsked(const KeyIssueAsked &event);
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
@@ -40,8 +41,6 @@
     void onKeyMessage(const NodeId &from, Incarnation incarnation, const KeyMessage &message);
     void onMembers();
     void onVmList(const VmList &list);
-    /// Issues a key that this process alone admits.
-    std::string issueKey() { return m_keys.issueKey(m_context.now, m_context.wall); }
 
     /// Refuses what has waited too long and tries again what was put off.
     void tick();
