Take a request's deadline with it when its key's decision ends it

Cause: a request refused or answered by its idempotency key left its entry in the list of deadlines; ten seconds later the timer looked it up and the process ended with std::out_of_range. Ruled out: erasing in each of the ways that end a request, since the next one would be forgotten again. Conclusion: finish(), through which all go, takes the deadline away.

--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -374,6 +374,8 @@
 void RequestManager::finish(RequestHandle handle)
 {
     const auto found = m_requests.find(handle);
+    // Whoever ends a request, no deadline may speak of it afterwards.
+    m_deadlines.erase({found->second.giveUpAt, handle});
     m_ended.emplace_back(found->second.id, std::move(found->second.trace));
     if (m_ended.size() > explainLimit)
         m_ended.pop_front();
