Don't add holders' completed answers to those that the target's report holds

Cause: the count of a boot's answers took the target's own number and then added what holders returned, which are the same answers; a target passed for warm after 3 to 7 of 8 and got a full load. Ruled out: believing the report alone, since it lags and would slow the ramp. Conclusion: the larger of the two counts; both are lower bounds.

--- a/include/berylridge/Policy/TargetGauge.h
+++ b/include/berylridge/Policy/TargetGauge.h
@@ -77,6 +77,7 @@
     std::uint32_t m_coldSlots = 1;
     std::uint32_t m_warmAfter = 1;
     std::uint64_t m_completed = 0;         ///< Whole answers in this boot.
+    std::uint64_t m_told = 0;              ///< Those of them that holders told.
     bool m_isDown = false;                 ///< Its boot has ended and no new one was heard.
     std::optional<TimePoint> m_evidenceAt; ///< When this boot was last known to run.
     std::uint32_t m_reportedRunning = 0;
--- a/lib/Policy/TargetGauge.cpp
+++ b/lib/Policy/TargetGauge.cpp
@@ -78,7 +78,9 @@
     if (count == 0 || isOfDeadBoot || hasEnded(bootId))
         return;
     heardBoot(bootId, now);
-    m_completed += count;
+    // The target's report counts the same answers, so the two are never added up.
+    m_told += count;
+    m_completed = std::max(m_completed, m_told);
     step(TargetSign::FirstAnswer);
     if (m_completed >= m_warmAfter)
         step(TargetSign::RampDone);
@@ -160,6 +162,7 @@
     step(TargetSign::NewBoot);
     m_bootId = bootId;
     m_completed = 0;
+    m_told = 0;
     m_reportedRunning = 0;
     return true;
 }
--- a/unittests/Policy/TargetGaugeTest.cpp
+++ b/unittests/Policy/TargetGaugeTest.cpp
@@ -51,6 +51,19 @@
     EXPECT_EQ(m_gauge.state(), TargetState::Warm);
 }
 
+// A cold engine completes three answers. Its load report tells so, then the holders' returns tell
+// of the same three. Added up they pass for six, the target counts as warm, and the full load
+// brings it down while it still warms up.
+TEST_F(TargetGaugeTest, AnswersThatTheReportHoldsAreNotCountedTwice)
+{
+    m_gauge.onReport("boot1", 1, 3, 0ms, m_clock.now());
+    m_gauge.onCompleted(1, "boot1", m_clock.now());
+    m_gauge.onCompleted(2, "boot1", m_clock.now());
+    EXPECT_EQ(limit(), 2U);
+    m_gauge.onCompleted(1, "boot1", m_clock.now());
+    EXPECT_EQ(limit(), 4U);
+}
+
 // A warm engine restarts between two requests and nobody saw a broken connection. Its next answer
 // or load report carries another boot id. Were it still taken for warm, a full load would bring it
 // down again.
