Let a holder say that a slot fits none of the requests that wait

Cause: a request that avoids the target which failed it waits; the owner offers that target's slot, the holder gives it back and repeats its demand, and the owner offers it again. Ruled out: letting the request run there after all (it may crash the target a second time); a pause for the flow after each unused slot (idles slots whenever another pool was faster). Conclusion: the return says so, the owner leaves that target out for the flow on that node for 200 ms, and goes on with the other flows.

--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -172,7 +172,8 @@
     LeaseId lease = 0;
     std::uint32_t usedMs = 0;    ///< Slot time that the flow's requests took.
     std::uint32_t completed = 0; ///< Whole answers.
-    MSGPACK_DEFINE(lease, usedMs, completed)
+    bool isUnfit = false;        ///< Requests of the flow wait, but none may run at this target.
+    MSGPACK_DEFINE(lease, usedMs, completed, isUnfit)
 };
 
 /// From a holder: these leases are free again.
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -110,14 +111,18 @@
     void free(std::map<LeaseId, Lease>::iterator lease, Duration used);
     bool hasRunOut(const Lease &lease, TimePoint now) const;
     std::uint32_t freeSlots(const Target &target, TimePoint now) const;
-    std::optional<TargetHash> pickTarget(FlowId flow, TimePoint now) const;
+    /// Whose requests: a flow's at one node.
+    using Want = std::pair<NodeId, FlowId>;
+    std::optional<TargetHash> pickTarget(const Want &want, TimePoint now) const;
+    bool hasFreeSlot(TimePoint now) const;
+    bool isUnfit(const Want &want, TargetHash target, TimePoint now) const;
     struct Choice
     {
         NodeId node;
         FlowId flow = 0;
         double virtualTime = 0;
     };
-    std::optional<Choice> pickFlow(TimePoint now) const;
+    std::optional<Choice> pickFlow(const std::set<Want> &passedOver, TimePoint now) const;
     std::uint32_t ungranted(const NodeId &node, const FlowDemand &want) const;
 
     const TargetLife *m_chart;
@@ -131,7 +136,9 @@
     std::map<LeaseId, Lease> m_leases;
     std::map<NodeId, Holder> m_holders;
     /// Leases not yet seen by their holder, by holder and flow.
-    std::map<std::pair<NodeId, FlowId>, std::uint32_t> m_unseen;
+    std::map<Want, std::uint32_t> m_unseen;
+    /// Until when a target is not offered to a flow at a node, which has said that nothing fits.
+    std::map<std::pair<Want, TargetHash>, TimePoint> m_unfit;
     FlowShares m_shares;
     PickMemory m_memory;
     Duration m_attemptTimeout {0};
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -13,6 +13,10 @@
 constexpr Duration wantsLast = std::chrono::milliseconds(1500);
 /// Beyond the term, for a holder's clock that runs slower than the owner's.
 constexpr Duration clockMargin = std::chrono::milliseconds(100);
+/// How long a target is not offered again to a flow of which nothing may run there: a request
+/// avoids a target that failed it. Without it the slot goes to and fro between owner and holder
+/// without end, and nothing else is done.
+constexpr Duration unfitLasts = std::chrono::milliseconds(200);
 /// Slot time that a flow's short requests may use on one lease before the slot goes back. Without
 /// it a slot stands idle for a round trip after each request: 3 ms of 20 ms for a lookup across
 /// zones.
@@ -164,6 +168,8 @@
         const auto target = m_targets.find(lease->second.target);
         if (target != m_targets.end())
             target->second.gauge.onCompleted(returned.completed, message.bootId, now);
+        if (returned.isUnfit)
+            m_unfit[{{from, lease->second.flow}, lease->second.target}] = now + unfitLasts;
         free(lease, fromMs(returned.usedMs));
     }
 }
@@ -234,6 +240,7 @@
         }
         lease = next;
     }
+    std::erase_if(m_unfit, [&](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_unseen, [](const auto &entry) { return entry.second == 0; });
     m_shares.expire(now);
 }
@@ -269,10 +276,15 @@
     if (now - m_began < m_options.leaseTerm + clockMargin)
         return messages;
     std::map<NodeId, PoolGrant> grants;
-    while (const std::optional<Choice> choice = pickFlow(now)) {
-        const std::optional<TargetHash> target = pickTarget(choice->flow, now);
-        if (!target)
+    std::set<Want> passedOver;
+    while (const std::optional<Choice> choice = pickFlow(passedOver, now)) {
+        const std::optional<TargetHash> target = pickTarget({choice->node, choice->flow}, now);
+        if (!target && !hasFreeSlot(now))
             break;
+        if (!target) {
+            passedOver.insert({choice->node, choice->flow});
+            continue;
+        }
         Holder &holder = m_holders[choice->node];
         auto [entry, isNew] = grants.try_emplace(choice->node);
         if (isNew) {
@@ -386,17 +398,29 @@
     return limit > occupied ? limit - occupied : 0;
 }
 
-std::optional<TargetHash> PoolOwner::pickTarget(FlowId flow, TimePoint now) const
+bool PoolOwner::hasFreeSlot(TimePoint now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto &entry) { return freeSlots(entry.second, now) > 0; });
+}
+
+bool PoolOwner::isUnfit(const Want &want, TargetHash target, TimePoint now) const
+{
+    const auto found = m_unfit.find({want, target});
+    return found != m_unfit.end() && now < found->second;
+}
+
+std::optional<TargetHash> PoolOwner::pickTarget(const Want &want, TimePoint now) const
 {
     std::optional<TargetHash> best;
     double bestLoad = 0;
     std::uint64_t bestAffinity = 0;
     for (const auto &[hash, target] : m_targets) {
         const std::uint32_t left = freeSlots(target, now);
-        if (left == 0)
+        if (left == 0 || isUnfit(want, hash, now))
             continue;
         const double load = static_cast<double>(target.occupied) / (left + target.occupied);
-        const std::uint64_t affinity = hash ^ flow;
+        const std::uint64_t affinity = hash ^ want.second;
         if (!best || load < bestLoad || (load == bestLoad && affinity < bestAffinity)) {
             best = hash;
             bestLoad = load;
@@ -406,7 +430,8 @@
     return best;
 }
 
-std::optional<PoolOwner::Choice> PoolOwner::pickFlow(TimePoint now) const
+std::optional<PoolOwner::Choice> PoolOwner::pickFlow(const std::set<Want> &passedOver,
+                                                     TimePoint now) const
 {
     std::optional<Choice> best;
     PickKey bestKey;
@@ -414,7 +439,7 @@
         if (now - holder.heardAt > wantsLast)
             continue;
         for (const auto &[flow, want] : holder.wants) {
-            if (ungranted(node, want) == 0)
+            if (ungranted(node, want) == 0 || passedOver.contains({node, flow}))
                 continue;
             PickCandidate candidate;
             candidate.node = &node;
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -134,7 +134,7 @@
         if (tryRun(entry, lease))
             continue;
         isVain = true;
-        giveBack(entry, lease, {});
+        giveBack(entry, lease, {}, isUnfit(entry, lease));
     }
     // The owner has a wrong picture of what waits here: other pools served it, or it was given up.
     if (!isVain)
@@ -410,11 +410,21 @@
     return true;
 }
 
-void PoolManager::giveBack(Entry &entry, LeaseId lease, const std::string &bootId)
+/// Whether a lease can't be used although it is valid and its flow waits.
+bool PoolManager::isUnfit(const Entry &entry, LeaseId lease) const
+{
+    const LeaseHolder::Held *held = entry.holder.find(lease);
+    const ServiceQueue *queue = m_user.queue(entry.pool.service);
+    return held && queue && entry.holder.mayBegin(lease, m_context.now)
+        && queue->waiting(held->flow) > 0;
+}
+
+void PoolManager::giveBack(Entry &entry, LeaseId lease, const std::string &bootId, bool isUnfit)
 {
     PoolReturn message;
     message.pool = entry.pool.id;
     message.leases.push_back(entry.holder.giveBack(lease));
+    message.leases.back().isUnfit = isUnfit;
     message.bootId = bootId;
     message.sequence = entry.holder.nextSequence();
     if (!entry.owner.isEmpty())
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -98,7 +98,8 @@
     bool hasOpenTarget(const Pool &pool) const;
     const TargetSpec *findTarget(const Entry &entry, TargetHash target) const;
     bool tryRun(Entry &entry, LeaseId lease);
-    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId);
+    bool isUnfit(const Entry &entry, LeaseId lease) const;
+    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId, bool isUnfit = false);
     std::vector<Entry *> poolsToAsk(const ServiceId &service);
     void tellDemand(Entry &entry, const ServiceQueue &queue);
     void tellPeriodically(Entry &entry);
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -215,3 +215,30 @@
     for (const GrantedLease &lease : grants())
         EXPECT_EQ(lease.flow, 2U);
 }
+
+// A request waits that avoids the only free target, since that target failed it before. The holder
+// gives the slot back at once, the owner grants it again at once, and neither does anything else:
+// the node hangs. The flow that could use the slot gets it instead.
+TEST_F(PoolOwnerTest, ASlotThatFitsNothingIsNotGrantedToAndFro)
+{
+    waitOutTakeover();
+    warmUp();
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    const auto first = grants();
+    ASSERT_EQ(first.size(), 1U);
+    ReturnedLease vain;
+    vain.lease = first.front().lease;
+    vain.isUnfit = true;
+    const auto giveBack = [&] {
+        PoolReturn message;
+        message.sequence = m_holderA.nextSequence();
+        message.leases.push_back(vain);
+        m_owner.onReturn(nodeA, message, m_clock.now());
+    };
+    giveBack();
+    EXPECT_TRUE(grants().empty());
+    demand(nodeB, m_holderB, {{8, 1, 0, 100}});
+    EXPECT_EQ(grants().size(), 1U) << "another flow is not held up";
+    m_clock.advance(300ms);
+    EXPECT_EQ(grants().size(), 1U) << "the target may fit again";
+}
