Hand a pool over to its successor when ownership moves while both live

Cause: a new owner waits out one lease term; at each planned stop or return of a node the warm targets of its pools idled for up to two seconds. Weighed: (1) shorter terms (more messages, gap no better); (2) the leaving owner goes on granting short leases (two owners for a while); (3) the owner tells its successor what it has given out and stops. Conclusion: (3); cold targets still wait, since a third node may have granted meanwhile.

--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -214,6 +214,35 @@
     MSGPACK_DEFINE(service, pool, epoch, flows)
 };
 
+/// One lease in a PoolHandover.
+struct HandedLease
+{
+    LeaseId lease = 0;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    TargetHash target = 0;
+    FlowId flow = 0;
+    MSGPACK_DEFINE(lease, node, incarnation, target, flow)
+};
+
+/// One flow in a PoolHandover.
+struct HandedFlow
+{
+    FlowId flow = 0;
+    double virtualTime = 0;
+    MSGPACK_DEFINE(flow, virtualTime)
+};
+
+/// From a pool's owner to its successor, when ownership moves while both live: everything that was
+/// given out. The sender grants nothing of the pool any more.
+struct PoolHandover
+{
+    PoolId pool = 0;
+    std::vector<HandedLease> leases;
+    std::vector<HandedFlow> flows;
+    MSGPACK_DEFINE(pool, leases, flows)
+};
+
 /// A request that crashed a target: its fingerprint, and which boot of which target it was.
 struct CrashNews
 {
@@ -229,8 +258,8 @@
     MSGPACK_DEFINE(sequence)
 };
 
-using FleetMessage
-    = std::variant<Heartbeat, ZoneView, DocumentsRequest, DocumentsReply, VmListMessage, PoolDemand,
-                   PoolGrant, PoolReturn, TargetNews, PoolService, CrashNews, Goodbye>;
+using FleetMessage = std::variant<Heartbeat, ZoneView, DocumentsRequest, DocumentsReply,
+                                  VmListMessage, PoolDemand, PoolGrant, PoolReturn, TargetNews,
+                                  PoolService, CrashNews, Goodbye, PoolHandover>;
 
 } // namespace berylridge
--- a/include/berylridge/Policy/FlowShares.h
+++ b/include/berylridge/Policy/FlowShares.h
@@ -33,6 +33,9 @@
     /// Weighted seconds. While work runs longer than estimated, it grows with the time that passes.
     double virtualTime(FlowId flow, TimePoint now) const;
 
+    /// Sets a flow that this owner has not charged yet to where an earlier owner left it.
+    void restore(FlowId flow, double virtualTime, TimePoint now);
+
     /// Remembers the virtual time at which a flow was last chosen.
     void chosen(double virtualTime);
 
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -49,6 +49,11 @@
     void onReport(TargetHash target, std::string_view bootId, std::uint32_t running,
                   std::uint64_t completed, Duration age, TimePoint now);
     void onPollFailed(TargetHash target, bool isRefused, TimePoint now);
+    /// Everything given out, for the successor; this owner must grant nothing afterwards.
+    PoolHandover handover(TimePoint now) const;
+    /// Goes on from where the earlier owner stopped. Warm targets get work at once; cold ones only
+    /// after the lease term, since a third node may have taken itself for the owner meanwhile.
+    void takeOver(const PoolHandover &message, TimePoint now);
     /// The run of a node has ended: what it held is free, what it wanted is void.
     void onHolderGone(const NodeId &node, Incarnation incarnation, TimePoint now);
     /// What another pool of the service gave.
@@ -105,7 +110,9 @@
         std::uint32_t occupied = 0;
     };
 
-    Lease *adopt(const NodeId &from, Incarnation incarnation, const HeldLease &held, TimePoint now);
+    Lease *adopt(LeaseId id, Lease lease, TimePoint now);
+    bool isWaiting(TimePoint now) const;
+
     void reconcile(const NodeId &from, Holder &holder, const PoolDemand &message, TimePoint now);
     void free(std::map<LeaseId, Lease>::iterator lease, Duration used);
     bool hasRunOut(const Lease &lease, TimePoint now) const;
@@ -126,6 +133,8 @@
     PoolId m_pool = 0;
     ServiceId m_service;
     TimePoint m_began;
+    bool m_isHandedOver = false; ///< The earlier owner told what it had given out.
+
     std::uint64_t m_nextLease;
     std::map<TargetHash, Target> m_targets;
     std::map<LeaseId, Lease> m_leases;
--- a/lib/Policy/FlowShares.cpp
+++ b/lib/Policy/FlowShares.cpp
@@ -72,6 +72,13 @@
     return toSeconds(state.settled + state.remote + inFlight) / weight(flow) + state.lift;
 }
 
+void FlowShares::restore(FlowId flow, double virtualTime, TimePoint now)
+{
+    Flow &state = m_flows[flow];
+    state.touched = now;
+    state.lift += std::max(0.0, virtualTime - this->virtualTime(flow, now));
+}
+
 void FlowShares::chosen(double virtualTime)
 {
     m_floor = std::max(m_floor, virtualTime);
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -103,8 +103,18 @@
 
     for (const HeldLease &held : message.held) {
         const auto found = m_leases.find(held.lease);
-        Lease *lease
-            = found != m_leases.end() ? &found->second : adopt(from, holder.incarnation, held, now);
+        Lease *lease = nullptr;
+        if (found != m_leases.end()) {
+            lease = &found->second;
+        } else {
+            // A lease of an earlier owner: its holder goes on with it, so it counts.
+            Lease earlier;
+            earlier.node = from;
+            earlier.incarnation = holder.incarnation;
+            earlier.target = held.target;
+            earlier.flow = held.flow;
+            lease = adopt(held.lease, std::move(earlier), now);
+        }
         if (!lease || lease->node != from)
             continue;
         lease->seenAt = now;
@@ -129,25 +139,60 @@
     }
 }
 
-/// A lease of an earlier owner: its holder goes on with it, so it counts.
-PoolOwner::Lease *PoolOwner::adopt(const NodeId &from, Incarnation incarnation,
-                                   const HeldLease &held, TimePoint now)
+/// Takes in a lease that an earlier owner gave.
+PoolOwner::Lease *PoolOwner::adopt(LeaseId id, Lease lease, TimePoint now)
 {
-    const auto target = m_targets.find(held.target);
+    const auto target = m_targets.find(lease.target);
     if (target == m_targets.end())
         return nullptr;
-    Lease lease;
-    lease.node = from;
-    lease.incarnation = incarnation;
-    lease.target = held.target;
-    lease.flow = held.flow;
     lease.grantedAt = now;
     lease.startsBy = now + m_options.leaseTerm;
+    lease.seenAt = now;
     lease.isSeen = true;
     ++target->second.occupied;
-    m_shares.touch(held.flow, now);
-    m_shares.begin(held.flow, lease.estimate, now);
-    return &m_leases.emplace(held.lease, std::move(lease)).first->second;
+    m_shares.touch(lease.flow, now);
+    m_shares.begin(lease.flow, lease.estimate, now);
+    return &m_leases.emplace(id, std::move(lease)).first->second;
+}
+
+PoolHandover PoolOwner::handover(TimePoint now) const
+{
+    PoolHandover message;
+    message.pool = m_pool;
+    for (const auto &[id, lease] : m_leases)
+        message.leases.push_back(
+            {id, lease.node.str(), lease.incarnation, lease.target, lease.flow});
+    m_shares.forEach([&](FlowId flow) {
+        message.flows.push_back({flow, m_shares.virtualTime(flow, now)});
+    });
+    return message;
+}
+
+void PoolOwner::takeOver(const PoolHandover &message, TimePoint now)
+{
+    if (m_isHandedOver || !isWaiting(now))
+        return;
+    m_isHandedOver = true;
+    for (const HandedFlow &flow : message.flows)
+        m_shares.restore(flow.flow, flow.virtualTime, now);
+    for (const HandedLease &handed : message.leases) {
+        if (m_leases.contains(handed.lease))
+            continue;
+        Lease lease;
+        lease.node = NodeId(handed.node);
+        lease.incarnation = handed.incarnation;
+        lease.target = handed.target;
+        lease.flow = handed.flow;
+        // The holder may have returned it to the earlier owner after this was sent: then its demand
+        // doesn't list it, and as a lease without a number it is freed.
+        adopt(handed.lease, std::move(lease), now);
+    }
+}
+
+/// Whether an earlier owner's leases may still start requests.
+bool PoolOwner::isWaiting(TimePoint now) const
+{
+    return now - m_began < m_options.leaseTerm + clockMargin;
 }
 
 void PoolOwner::onReturn(const NodeId &from, const PoolReturn &message, TimePoint now)
@@ -266,7 +311,7 @@
 {
     std::vector<OwnerMessage> messages;
     // An earlier owner's leases may still start requests until their term ends.
-    if (now - m_began < m_options.leaseTerm + clockMargin)
+    if (isWaiting(now) && !m_isHandedOver)
         return messages;
     std::map<NodeId, PoolGrant> grants;
     while (const std::optional<Choice> choice = pickFlow(now)) {
@@ -376,6 +421,8 @@
 
 std::uint32_t PoolOwner::freeSlots(const Target &target, TimePoint now) const
 {
+    if (isWaiting(now) && target.gauge.isCold())
+        return 0;
     const std::uint32_t limit = target.gauge.limit(m_part, now);
     std::uint32_t occupied = target.occupied;
     // Work that an earlier or another owner put there is not in our leases, but the target reports
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -149,6 +149,7 @@
                    [&](const PoolService &m) { m_pools.onRemoteService(m); },
                    [&](const CrashNews &m) { m_requests.onCrashNews(m); },
                    [&](const Goodbye &) { m_fleet.onGoodbye(from); },
+                   [&](const PoolHandover &m) { m_pools.onHandover(m); },
                },
                message);
 }
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -84,10 +84,14 @@
                           entry.pool.name + " from '" + entry.owner.str() + "' to '" + owner.str()
                               + "'");
         }
+        if (entry.own)
+            handOver(entry, owner);
         entry.owner = owner;
         entry.own.reset();
-        if (m_context.isSelf(owner))
+        if (m_context.isSelf(owner)) {
             beginOwning(entry);
+            takeEarlyHandover(entry);
+        }
         // The new owner must learn at once what is held, so that it counts it.
         entry.holder.toldAt = TimePoint {};
         tellPeriodically(entry);
@@ -173,6 +177,16 @@
     }
 }
 
+void PoolManager::onHandover(const PoolHandover &message)
+{
+    const auto found = m_pools.find(message.pool);
+    if (found == m_pools.end())
+        return;
+    m_earlyHandovers[message.pool] = {m_context.now, message};
+    if (found->second.own)
+        takeEarlyHandover(found->second);
+}
+
 void PoolManager::onReport(const TargetReport &report)
 {
     const auto found = m_targetPool.find(report.target);
@@ -350,6 +364,25 @@
     entry.isOwnChanged = true;
 }
 
+/// Ownership moves while this node lives: the successor need not wait for what it can be told.
+void PoolManager::handOver(Entry &entry, const NodeId &successor)
+{
+    if (!successor.isEmpty())
+        m_context.send(successor, FleetMessage(entry.own->handover(m_context.now)));
+}
+
+void PoolManager::takeEarlyHandover(Entry &entry)
+{
+    const auto found = m_earlyHandovers.find(entry.pool.id);
+    if (found == m_earlyHandovers.end())
+        return;
+    // An older one tells of a reign that others may have followed.
+    if (m_context.now - found->second.first <= m_context.options.leaseTerm)
+        entry.own->takeOver(found->second.second, m_context.now);
+    m_earlyHandovers.erase(found);
+    entry.isOwnChanged = true;
+}
+
 void PoolManager::configureOwn(Entry &entry)
 {
     Pool pool = entry.pool;
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -52,6 +52,7 @@
     void onReturn(const NodeId &from, const PoolReturn &message);
     void onNews(const TargetNews &message);
     void onRemoteService(const PoolService &message);
+    void onHandover(const PoolHandover &message);
     void onReport(const TargetReport &report);
     void onPollFailed(const TargetPollFailed &failure);
 
@@ -91,6 +92,9 @@
     };
 
     void beginOwning(Entry &entry);
+    void handOver(Entry &entry, const NodeId &successor);
+    void takeEarlyHandover(Entry &entry);
+
     void configureOwn(Entry &entry);
     NodeId ownerOf(const Pool &pool) const;
     OwnerPart partOf(const Pool &pool) const;
@@ -114,6 +118,8 @@
         m_spillUntil; ///< Until then other zones' pools are asked at once.
     std::set<ServiceId> m_changedServices;
     TimePoint m_exchangeAt {};
+    /// Handovers that came before this node knew that it is the owner, and when they came.
+    std::map<PoolId, std::pair<TimePoint, PoolHandover>> m_earlyHandovers;
 };
 
 } // namespace berylridge
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -215,3 +215,38 @@
     for (const GrantedLease &lease : grants())
         EXPECT_EQ(lease.flow, 2U);
 }
+
+// A node stops by plan and its pool moves to another one. The successor is told what was given out;
+// if it waited out a lease term instead, the target would idle for two seconds at each planned
+// stop.
+TEST_F(PoolOwnerTest, ASuccessorThatWasToldGoesOnAtOnce)
+{
+    waitOutTakeover();
+    warmUp();
+    demand(nodeA, m_holderA, {{1, 3, 0, 500}});
+    ASSERT_EQ(grants().size(), 3U);
+    m_holderA.onGrant(nodeB, ownerRun, m_lastGrant, m_clock.now());
+
+    PoolOwner successor(m_chart, {ownerRun + 1, 2s, FleetRule {}}, m_clock.now());
+    successor.configure(m_document, m_pool, m_clock.now());
+    successor.onReport(targetHash(TargetId("engine")), "boot1", 3, 100, 0ms, m_clock.now());
+    successor.takeOver(m_owner.handover(m_clock.now()), m_clock.now());
+    successor.onDemand(nodeB, holderRun, m_holderB.demandMessage({{2, 9, 0, 500}}, m_clock.now()),
+                       m_clock.now());
+    std::size_t count = 0;
+    for (const OwnerMessage &message : successor.grant(m_clock.now()))
+        count += message.grant.leases.size();
+    EXPECT_EQ(count, 1U) << "three of the four slots were given out before";
+}
+
+TEST_F(PoolOwnerTest, ASuccessorThatWasToldStillWaitsWithColdTargets)
+{
+    waitOutTakeover();
+    PoolOwner successor(m_chart, {ownerRun + 1, 2s, FleetRule {}}, m_clock.now());
+    successor.configure(m_document, m_pool, m_clock.now());
+    successor.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    successor.takeOver(m_owner.handover(m_clock.now()), m_clock.now());
+    successor.onDemand(nodeB, holderRun, m_holderB.demandMessage({{2, 9, 0, 500}}, m_clock.now()),
+                       m_clock.now());
+    EXPECT_TRUE(successor.grant(m_clock.now()).empty());
+}
