--- a/tools/berylload/Generator.cpp
+++ b/tools/berylload/Generator.cpp
@@ -48,6 +48,11 @@
         arrivals(i, RequestKind::Stream, spec.streams);
         arrivals(i, RequestKind::Lookup, spec.lookups);
         arrivals(i, RequestKind::Purchase, spec.purchases);
+        for (std::uint32_t caller = 0; caller < spec.lookupCallers; ++caller) {
+            Job job = newJob(i, RequestKind::Lookup);
+            job.isRepeated = true;
+            send(std::move(job));
+        }
     }
 }
 
@@ -115,6 +120,7 @@
         job.spec.target = "/generate";
         job.spec.body = R"({"prompt":")" + serial + R"(","tokens":)" + std::to_string(tokens) + "}";
         job.wanted = wholeStream(job.spec.body, tokens);
+        job.tokens = tokens;
     } else if (kind == RequestKind::Lookup) {
         job.spec.target = "/recipes/" + serial;
         job.wanted = lookupAnswer(job.spec.target);
@@ -153,8 +159,10 @@
 void Generator::send(Job job)
 {
     auto &tally = m_tally.workspaces[job.workspace];
-    if (job.attempt == 1)
+    if (job.attempt == 1) {
         ++tally.sent;
+        tally.tokensAsked += job.tokens;
+    }
     if (job.kind == RequestKind::Stream)
         ++tally.openStreams;
     ++m_openRequests;
@@ -189,8 +197,14 @@
 {
     auto &tally = m_tally.workspaces[job.workspace];
     tally.add(outcome);
+    if (job.isRepeated && std::chrono::steady_clock::now() < m_end) {
+        Job next = newJob(job.workspace, job.kind);
+        next.isRepeated = true;
+        send(std::move(next));
+    }
     if (outcome != Outcome::Served)
         return;
+    tally.tokensServed += job.tokens;
     if (job.kind == RequestKind::Lookup)
         tally.lookup.add(SystemClock().now() - job.start);
     if (job.kind == RequestKind::Purchase)
--- a/tools/berylload/Generator.h
+++ b/tools/berylload/Generator.h
@@ -1,4 +1,5 @@
-// Sends the load of a profile, open loop: arrivals follow the clock, not the answers.
+// Sends the load of a profile, open loop: arrivals follow the clock, not the answers. For the
+// measure of throughput, some callers wait for their answers instead.
 #pragma once
 
 #include "HttpCall.h"
@@ -31,10 +32,12 @@
         RequestKind kind = RequestKind::Lookup;
         CallSpec spec;
         std::string wanted;
+        std::uint64_t tokens = 0;
         std::string key;
         std::uint32_t attempt = 1;
         TimePoint start {};
         std::size_t router = 0;
+        bool isRepeated = false; ///< Of a caller that sends the next one after its answer.
     };
 
     void arrivals(std::size_t workspace, RequestKind kind, double rate);
--- a/tools/berylload/Profile.cpp
+++ b/tools/berylload/Profile.cpp
@@ -118,6 +118,7 @@
     reader.read("streams", spec.streams);
     reader.read("lookups", spec.lookups);
     reader.read("purchases", spec.purchases);
+    reader.read("lookupCallers", spec.lookupCallers);
     reader.read("fewestTokens", spec.fewestTokens);
     reader.read("mostTokens", spec.mostTokens);
     if (spec.mostTokens < spec.fewestTokens)
--- a/tools/berylload/Profile.h
+++ b/tools/berylload/Profile.h
@@ -15,11 +15,12 @@
 struct WorkspaceLoadSpec
 {
     std::string name;
-    std::string key;      ///< Their credential.
-    double weight = 1;    ///< As published; used for the report only.
-    double streams = 0;   ///< A second; Poisson.
-    double lookups = 0;   ///< A second; Poisson.
-    double purchases = 0; ///< A second; Poisson.
+    std::string key;                 ///< Their credential.
+    double weight = 1;               ///< As published; used for the report only.
+    double streams = 0;              ///< A second; Poisson.
+    double lookups = 0;              ///< A second; Poisson.
+    double purchases = 0;            ///< A second; Poisson.
+    std::uint32_t lookupCallers = 0; ///< Each sends its next lookup once it has its answer.
     std::uint32_t fewestTokens = 8;
     std::uint32_t mostTokens = 64;
     std::vector<std::uint32_t> routers; ///< Indices of those that it uses; empty means all.
--- a/tools/berylload/Report.cpp
+++ b/tools/berylload/Report.cpp
@@ -2,6 +2,7 @@
 
 #include "JsonText.h"
 
+#include <algorithm>
 #include <iomanip>
 #include <numeric>
 
@@ -37,7 +38,7 @@
 }
 
 Json::Value workspaceRow(const WorkspaceLoadSpec &spec, const WorkspaceTally &tally, double share,
-                         double weightShare)
+                         double fairShare)
 {
     Json::Value row;
     row["name"] = spec.name;
@@ -46,7 +47,7 @@
     for (std::size_t i = 0; i < outcomeCount; ++i)
         row["outcomes"][outcomeName(static_cast<Outcome>(i))] = number(tally.outcomes[i]);
     row["serviceShare"] = share;
-    row["weightShare"] = weightShare;
+    row["fairShare"] = fairShare;
     row["firstByteP50Ms"] = tally.firstByte.quantileMs(0.5);
     row["firstByteP99Ms"] = tally.firstByte.quantileMs(0.99);
     row["lookupP50Ms"] = tally.lookup.quantileMs(0.5);
@@ -56,6 +57,25 @@
     return row;
 }
 
+/// Each workspace's part of the tokens served, had they been shared fairly.
+std::vector<double> fairShares(const Profile &profile, const Tally &tally)
+{
+    std::vector<double> demands;
+    std::vector<double> weights;
+    demands.reserve(profile.workspaces.size());
+    weights.reserve(profile.workspaces.size());
+    double served = 0;
+    for (std::size_t i = 0; i < profile.workspaces.size(); ++i) {
+        demands.push_back(static_cast<double>(tally.workspaces[i].tokensAsked));
+        weights.push_back(profile.workspaces[i].weight);
+        served += static_cast<double>(tally.workspaces[i].tokensServed);
+    }
+    auto parts = fairParts(demands, weights, served);
+    for (double &part : parts)
+        part /= std::max(served, 1.0);
+    return parts;
+}
+
 Json::Value purchasesToJson(const PurchaseJudgement &purchases)
 {
     Json::Value value;
@@ -98,7 +118,7 @@
          {row["sent"].asUInt64(), served, notRun, mayHaveRun, all - served - notRun - mayHaveRun})
         out << std::setw(countWidth) << count;
     out << std::fixed << std::setprecision(3);
-    for (const char *column : {"serviceShare", "weightShare"})
+    for (const char *column : {"serviceShare", "fairShare"})
         out << std::setw(countWidth) << row[column].asDouble();
     out << std::setprecision(1);
     for (const char *column : {"firstByteP50Ms", "firstByteP99Ms", "lookupP99Ms"})
@@ -137,18 +157,16 @@
                        const PurchaseJudgement &purchases)
 {
     Json::Value report;
-    double weights = 0;
-    for (const auto &spec : profile.workspaces)
-        weights += spec.weight;
     const double busy
         = std::accumulate(fairness.busySeconds.begin(), fairness.busySeconds.end(), 0.0);
+    const auto fair = fairShares(profile, tally);
     std::uint64_t violations = purchases.violations();
     std::uint64_t served = 0;
     for (std::size_t i = 0; i < profile.workspaces.size(); ++i) {
         const auto &spec = profile.workspaces[i];
         const auto &own = tally.workspaces[i];
         const double share = busy > 0 ? fairness.busySeconds[i] / busy : 0;
-        report["workspaces"].append(workspaceRow(spec, own, share, spec.weight / weights));
+        report["workspaces"].append(workspaceRow(spec, own, share, fair[i]));
         violations += own.count(Outcome::Wrong) + own.count(Outcome::BadRefusal);
         served += own.count(Outcome::Served);
     }
--- a/tools/berylload/Sampler.cpp
+++ b/tools/berylload/Sampler.cpp
@@ -48,6 +48,33 @@
 
 } // namespace
 
+std::vector<double> fairParts(const std::vector<double> &demands,
+                              const std::vector<double> &weights, double capacity)
+{
+    std::vector<double> parts(demands.size(), -1);
+    double left = capacity;
+    bool isSettling = true;
+    while (isSettling) {
+        isSettling = false;
+        double openWeight = 0;
+        for (std::size_t i = 0; i < parts.size(); ++i)
+            openWeight += parts[i] < 0 ? weights[i] : 0;
+        const double level = openWeight > 0 ? left / openWeight : 0;
+        for (std::size_t i = 0; i < parts.size(); ++i) {
+            if (parts[i] >= 0 || demands[i] > level * weights[i])
+                continue;
+            parts[i] = demands[i];
+            left -= demands[i];
+            isSettling = true;
+        }
+        if (isSettling)
+            continue;
+        for (std::size_t i = 0; i < parts.size(); ++i)
+            parts[i] = parts[i] < 0 ? level * weights[i] : parts[i];
+    }
+    return parts;
+}
+
 Fairness measureFairness(const std::vector<Sample> &samples, const std::vector<double> &weights)
 {
     Fairness fairness;
--- a/tools/berylload/Sampler.h
+++ b/tools/berylload/Sampler.h
@@ -30,6 +30,11 @@
     std::size_t backloggedSamples = 0;
 };
 
+/// Weighted max-min fair parts of a capacity: nobody gets more than it asks for, and what one
+/// leaves over goes to the others by weight.
+std::vector<double> fairParts(const std::vector<double> &demands,
+                              const std::vector<double> &weights, double capacity);
+
 /// The largest change of the difference in service per weight between two workspaces while both
 /// are backlogged without a break.
 Fairness measureFairness(const std::vector<Sample> &samples, const std::vector<double> &weights);
--- a/tools/berylload/Tally.cpp
+++ b/tools/berylload/Tally.cpp
@@ -6,25 +6,25 @@
 
 namespace {
 
-constexpr unsigned bins = 200;
+constexpr unsigned bins = 900;
 constexpr double lowestMs = 0.01;
 constexpr double highestMs = 200000;
 
 } // namespace
 
-LatencyHistogram::LatencyHistogram()
+LatencySamples::LatencySamples()
     : m_bins(boost::histogram::make_histogram(Axis(bins, lowestMs, highestMs)))
 {
 }
 
-void LatencyHistogram::add(Duration latency)
+void LatencySamples::add(Duration latency)
 {
     const double ms = std::chrono::duration<double, std::milli>(latency).count();
     m_bins(std::clamp(ms, lowestMs, highestMs * 0.999));
     ++m_count;
 }
 
-double LatencyHistogram::quantileMs(double part) const
+double LatencySamples::quantileMs(double part) const
 {
     if (m_count == 0)
         return 0;
--- a/tools/berylload/Tally.h
+++ b/tools/berylload/Tally.h
@@ -14,11 +14,11 @@
 
 namespace berylridge {
 
-/// Latencies in milliseconds, in bins that grow by a tenth or less.
-class LatencyHistogram
+/// Latencies in milliseconds, in bins that grow by a fiftieth.
+class LatencySamples
 {
 public:
-    LatencyHistogram();
+    LatencySamples();
     void add(Duration latency);
     /// The upper edge of the bin that holds this part of all samples; 0 where there are none.
     double quantileMs(double part) const;
@@ -33,10 +33,12 @@
 struct WorkspaceTally
 {
     std::uint64_t sent = 0;
+    std::uint64_t tokensAsked = 0;
+    std::uint64_t tokensServed = 0;
     std::array<std::uint64_t, outcomeCount> outcomes {};
-    LatencyHistogram firstByte;    ///< Of streams.
-    LatencyHistogram lookup;       ///< To the end.
-    LatencyHistogram purchase;     ///< To the receipt, over all attempts.
+    LatencySamples firstByte;      ///< Of streams.
+    LatencySamples lookup;         ///< To the end.
+    LatencySamples purchase;       ///< To the receipt, over all attempts.
     std::uint32_t openStreams = 0; ///< Sent and not yet ended.
 
     std::uint64_t count(Outcome outcome) const
