Let berylctl speak to routers: status, explain, audit, leave and return

Cause: operators look at and order one node or many by the administration API. Weighed: asking routers one after the other (with 840 nodes, a few silent ones at 5 s each hold up all others) or side by side. Side by side, 16 at once. The key comes from a file or the environment, never from the command line, which others can list. audit reads each trail page by page and merges by time, so that it outlives a VM; status marks documents whose versions differ between nodes. The check of a credential against its digest, in constant time, is Support's hasDigest(), so that the HTTP side can use it too. Sessions run against fake_routers: the real API over two fixed nodes.

--- a/include/berylridge/Admin/AdminApi.h
+++ b/include/berylridge/Admin/AdminApi.h
@@ -19,6 +19,7 @@
 /// What the API asks of the node. All are called within handleRpc(), on its thread.
 struct AdminHooks
 {
+    NodeId node; ///< Stands in every answer that is an object.
     std::function<NodeStatus()> status;
     std::function<std::vector<std::string>(const std::string &requestId)> explain;
     std::function<void(const std::string &who)> leave;
--- a/include/berylridge/Support/Hash.h
+++ b/include/berylridge/Support/Hash.h
@@ -18,6 +18,9 @@
 /// BLAKE2b-256 as lower-case hex: how workspace credentials stand in documents.
 std::string credentialDigest(std::string_view credential);
 
+/// Whether a credential has this digest. Takes the same time for any wrong one.
+bool hasDigest(std::string_view credential, std::string_view digest);
+
 /// Bytes of the authenticator that ends each datagram.
 inline constexpr std::size_t authenticatorSize = 16;
 
--- a/lib/Admin/AdminApi.cpp
+++ b/lib/Admin/AdminApi.cpp
@@ -125,6 +125,13 @@
         assert(isNew && "two methods of one name");
     }
 
+    Json::Value answer() const
+    {
+        Json::Value value;
+        value["node"] = m_hooks.node.str();
+        return value;
+    }
+
     AuditEntry entryOf(std::string who, std::string what) const
     {
         AuditEntry entry;
@@ -166,6 +173,7 @@
         if (requestId.empty())
             refuseParameters("requestId is missing");
         auditRead(parameters, "explain " + requestId);
+        result = answer();
         result["lines"] = Json::Value(Json::arrayValue);
         for (const auto &line : m_hooks.explain(requestId))
             result["lines"].append(line);
@@ -174,12 +182,14 @@
     void leave(const Json::Value &parameters, Json::Value &result)
     {
         m_hooks.leave(auditChange(parameters, "leave"));
+        result = answer();
         result["state"] = m_hooks.status().state;
     }
 
     void comeBack(const Json::Value &parameters, Json::Value &result)
     {
         m_hooks.comeBack(auditChange(parameters, "return"));
+        result = answer();
         result["state"] = m_hooks.status().state;
     }
 
@@ -189,6 +199,7 @@
         const auto limit
             = std::min(numberParameter(parameters, "limit", auditLimitMost), auditLimitMost);
         result = auditValue(m_trail.after(after, limit));
+        result["node"] = m_hooks.node.str();
         // After the page was made: a reader that goes on would else always find its own last call.
         auditRead(parameters, "audit");
     }
@@ -197,6 +208,7 @@
     {
         const bool withText = flagParameter(parameters, "withText");
         auditRead(parameters, "documents");
+        result = answer();
         result["documents"] = Json::Value(Json::arrayValue);
         if (!withText || !m_hooks.documents) {
             for (const auto &head : m_hooks.status().documents)
--- a/lib/Admin/RpcClient.cpp
+++ b/lib/Admin/RpcClient.cpp
@@ -36,6 +36,17 @@
     std::string m_failure;
 };
 
+/// The message without the library's own words for its code, which it puts before ours at both
+/// ends.
+std::string bareMessage(const jsonrpc::JsonRpcException &error)
+{
+    std::string message = error.GetMessage();
+    const std::string words = jsonrpc::Errors::GetErrorMessage(error.GetCode()) + ": ";
+    while (words.size() > 2 && message.compare(0, words.size(), words) == 0)
+        message.erase(0, words.size());
+    return message;
+}
+
 } // namespace
 
 RpcReply callRpc(const RpcTransport &transport, const std::string &method,
@@ -48,7 +59,7 @@
         client.CallMethod(method, parameters, reply.result);
         reply.isFine = true;
     } catch (const jsonrpc::JsonRpcException &error) {
-        reply.reason = connector.failure().empty() ? error.GetMessage() : connector.failure();
+        reply.reason = connector.failure().empty() ? bareMessage(error) : connector.failure();
     } catch (const std::exception &error) {
         reply.reason = error.what();
     }
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -37,6 +37,15 @@
     return hex;
 }
 
+bool hasDigest(std::string_view credential, std::string_view digest)
+{
+    const auto wanted = credentialDigest(credential);
+    // A comparison that ends at the first wrong digit would tell by its time how far a guess is
+    // right; digests have one length, so this one takes the same time for every credential.
+    return wanted.size() == digest.size()
+        && sodium_memcmp(wanted.data(), digest.data(), wanted.size()) == 0;
+}
+
 void authenticate(std::string_view key, std::span<const std::byte> bytes,
                   std::span<std::byte, authenticatorSize> out)
 {
--- a/test/berylctl/golden.sh
+++ b/test/berylctl/golden.sh
@@ -2,18 +2,35 @@
 # Runs the sessions of berylctl under cases/: each is a folder with `session` (shell lines), `expected`
 # (what they print, with exit statuses) and input files. With --update, writes what was printed into
 # `expected` instead of comparing; nothing else updates them.
-# usage: golden.sh BERYLCTL [--update] [CASE...]
+# usage: golden.sh FOLDER-OF-PROGRAMS [--update] [CASE...]
 set -uo pipefail
-export BERYLCTL=$1
+export PROGRAMS=$1
 shift
 update=no
 if [ "${1:-}" = --update ]; then update=yes; shift; fi
-COMPLETIONS=$(cd "$(dirname "$0")/../../utils/completions" && pwd)
-export COMPLETIONS
-cases=$(cd "$(dirname "$0")/cases" && pwd)
+here=$(cd "$(dirname "$0")" && pwd)
+cases=$here/cases
+export COMPLETIONS=$here/../../utils/completions
+export USER=lan
 if [ $# -eq 0 ]; then set -- $(ls "$cases"); fi
-berylctl() { "$BERYLCTL" "$@"; }
-export -f berylctl
+
+berylctl() { "$PROGRAMS/berylctl" "$@"; }
+
+# Runs a line while two fake routers serve at $A and $B; their ports are printed as A and B.
+with_routers() {
+    local ports line status
+    coproc routers { exec "$PROGRAMS/fake_routers"; }
+    read -r -u "${routers[0]}" ports
+    export A=127.0.0.1:${ports% *} B=127.0.0.1:${ports#* }
+    export BERYLRIDGE_OPERATORS_KEY="operators' key of the sessions"
+    eval "$1" 2>&1 | sed "s/$A/[A]/g; s/$B/[B]/g"
+    status=${PIPESTATUS[0]}
+    kill "$routers_PID"
+    wait "$routers_PID" 2>/dev/null
+    return "$status"
+}
+export -f berylctl with_routers
+
 failed=0
 for name in "$@"; do
     work=$(mktemp -d)
--- /dev/null
+++ b/tools/berylctl/Audit.cpp
@@ -0,0 +1,101 @@
+// `berylctl audit`: gathers the trails of many nodes, so that they outlive each VM.
+#include "Command.h"
+#include "Remote.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <iostream>
+#include <tuple>
+
+namespace berylridge::ctl {
+
+namespace {
+
+struct GatheredEntry
+{
+    std::int64_t whenMs = 0;
+    std::string node;
+    std::uint64_t sequence = 0;
+    Json::Value entry;
+};
+
+/// Reads a router's whole trail, page by page, into the list.
+RpcReply gather(const Remote &remote, const Endpoint &router, std::vector<GatheredEntry> &all)
+{
+    Json::Value parameters;
+    parameters["after"] = 0;
+    while (true) {
+        auto reply = remote.call(router, "audit", parameters);
+        if (!reply.isFine)
+            return reply;
+        const auto node = reply.result["node"].asString();
+        if (reply.result["hasGap"].asBool())
+            std::cerr << "warning: " << node << " has given up its oldest entries\n";
+        for (const auto &entry : reply.result["entries"]) {
+            all.push_back({entry["whenMs"].asInt64(), node, entry["sequence"].asUInt64(), entry});
+        }
+        // An empty page ends it too: a router that always claims more must not hold us for ever.
+        if (!reply.result["hasMore"].asBool() || reply.result["entries"].empty())
+            return reply;
+        parameters["after"] = reply.result["last"];
+    }
+}
+
+std::string timeText(std::int64_t milliseconds)
+{
+    const std::time_t seconds = milliseconds / 1000;
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text {};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    auto fraction = std::to_string(milliseconds % 1000);
+    fraction.insert(0, 3 - std::min<std::size_t>(3, fraction.size()), '0');
+    return std::string(text.data()) + "." + fraction + "Z";
+}
+
+void printEntry(const GatheredEntry &gathered)
+{
+    const auto &entry = gathered.entry;
+    std::cout << timeText(gathered.whenMs) << ' ' << gathered.node << ' '
+              << entry["kind"].asString() << " by " << entry["who"].asString() << ": "
+              << entry["what"].asString();
+    const auto from = entry["from"].asString();
+    const auto to = entry["to"].asString();
+    if (!from.empty() || !to.empty())
+        std::cout << " " << (from.empty() ? "none" : from) << " -> " << (to.empty() ? "none" : to);
+    std::cout << '\n';
+}
+
+} // namespace
+
+int runAudit(int argc, Arguments argv)
+{
+    CommandLine line(
+        {"berylctl audit",
+         "gather the audit trails of routers, by time",
+         "Reads the whole trail of each router and prints all entries by rising time: when,\n"
+         "node, kind, who, what, and the version or state before and after. Trails are held\n"
+         "in memory and bounded; run this regularly and keep its output.",
+         {{"ENVIRONMENT", remoteEnvironmentHelp},
+          {"EXAMPLES", "berylctl audit --router 10.0.1.1:7500 --kind zone-state"}}});
+    Remote remote(line);
+    TCLAP::ValueArg<std::string> kind("", "kind", "print entries of this kind only", false, "",
+                                      "KIND", line.arguments());
+    if (const auto status = remote.parse(argc, argv))
+        return *status;
+    std::vector<GatheredEntry> all;
+    std::vector<RouterReply> replies;
+    for (const auto &router : remote.routers())
+        replies.push_back({router, gather(remote, router, all)});
+    std::sort(all.begin(), all.end(), [](const GatheredEntry &a, const GatheredEntry &b) {
+        return std::tie(a.whenMs, a.node, a.sequence) < std::tie(b.whenMs, b.node, b.sequence);
+    });
+    for (const auto &gathered : all) {
+        if (!kind.isSet() || gathered.entry["kind"].asString() == kind.getValue())
+            printEntry(gathered);
+    }
+    return reportFailures(replies);
+}
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/Operate.cpp
@@ -0,0 +1,82 @@
+// `berylctl explain`, `leave` and `return`.
+#include "Command.h"
+#include "Remote.h"
+
+#include <iostream>
+
+namespace berylridge::ctl {
+
+namespace {
+
+int orderState(ManPage page, const std::string &method, int argc, Arguments argv)
+{
+    CommandLine line(std::move(page));
+    Remote remote(line);
+    if (const auto status = remote.parse(argc, argv))
+        return *status;
+    const auto replies = remote.callAll(method, Json::objectValue);
+    for (const auto &[router, reply] : replies) {
+        if (reply.isFine) {
+            std::cout << reply.result["node"].asString() << ": " << reply.result["state"].asString()
+                      << '\n';
+        }
+    }
+    return reportFailures(replies);
+}
+
+} // namespace
+
+int runExplain(int argc, Arguments argv)
+{
+    CommandLine line(
+        {"berylctl explain",
+         "tell why a request went where it did, waited or was refused",
+         "Asks each router for what it knows of the request with this X-Request-Id, and\n"
+         "prints one line a step. Routers keep their latest requests only.",
+         {{"ENVIRONMENT", remoteEnvironmentHelp},
+          {"EXAMPLES", "berylctl explain --router 10.0.1.1:7500 7d1f0c"}}});
+    Remote remote(line);
+    TCLAP::UnlabeledValueArg<std::string> id("id", "the X-Request-Id", true, "", "REQUEST-ID",
+                                             line.arguments());
+    if (const auto status = remote.parse(argc, argv))
+        return *status;
+    Json::Value parameters;
+    parameters["requestId"] = id.getValue();
+    const auto replies = remote.callAll("explain", parameters);
+    bool isKnown = false;
+    for (const auto &[router, reply] : replies) {
+        for (const auto &step : reply.result["lines"]) {
+            std::cout << reply.result["node"].asString() << ": " << step.asString() << '\n';
+            isKnown = true;
+        }
+    }
+    if (const auto status = reportFailures(replies); status != exitFine || isKnown)
+        return status;
+    std::cerr << "berylctl: no router knows the request " << id.getValue() << '\n';
+    return exitErrorsFound;
+}
+
+int runLeave(int argc, Arguments argv)
+{
+    return orderState(
+        {"berylctl leave",
+         "take routers out of service by a planned stop",
+         "Each router turns its readiness off, hands over what it owns, finishes what runs\n"
+         "and then ends. To take a whole zone out, publish it in zonesOut instead: that\n"
+         "holds for its targets too, and survives a restart.",
+         {{"ENVIRONMENT", remoteEnvironmentHelp},
+          {"EXAMPLES", "berylctl leave --router 10.0.1.1:7500"}}},
+        "leave", argc, argv);
+}
+
+int runReturn(int argc, Arguments argv)
+{
+    return orderState({"berylctl return",
+                       "take back a leave that has not ended",
+                       "Each router that is leaving but still runs becomes ready again.",
+                       {{"ENVIRONMENT", remoteEnvironmentHelp},
+                        {"EXAMPLES", "berylctl return --router 10.0.1.1:7500"}}},
+                      "return", argc, argv);
+}
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/Remote.cpp
@@ -0,0 +1,117 @@
+// Calls routers side by side, so that a few silent ones don't hold up the others.
+#include "Remote.h"
+
+#include "Files.h"
+#include "HttpTransport.h"
+#include "Sources.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+namespace berylridge::ctl {
+
+namespace {
+
+constexpr std::size_t callsAtOnce = 16;
+
+std::string environment(const char *name, const std::string &otherwise)
+{
+    const char *value = std::getenv(name); // NOLINT(concurrency-mt-unsafe): before any thread
+    return value && *value ? value : otherwise;
+}
+
+} // namespace
+
+Remote::Remote(CommandLine &line)
+    : m_line(line)
+    , m_routers("r", "router", "administration listener of a router; may be given for many", true,
+                "ADDRESS:PORT", line.arguments())
+    , m_keyFile("k", "key-file", "file with the operators' key", false, "", "FILE",
+                line.arguments())
+    , m_timeout("", "timeout", "seconds to wait for a router; 5 without this option", false, 5,
+                "SECONDS", line.arguments())
+    , m_who("", "who", "whom the audit trail names", false, "", "NAME", line.arguments())
+{
+}
+
+std::optional<int> Remote::parse(int argc, const char *const *argv)
+{
+    if (const auto status = m_line.parse(argc, argv))
+        return status;
+    for (const auto &text : m_routers.getValue()) {
+        auto endpoint = parseEndpoint(text);
+        if (!endpoint) {
+            complain("--router " + text + ": " + endpoint.lastReason());
+            return exitWrongUsage;
+        }
+        m_endpoints.push_back(*std::move(endpoint));
+    }
+    if (m_timeout.getValue() == 0 || m_timeout.getValue() > 3600) {
+        complain("--timeout: must be from 1 to 3600");
+        return exitWrongUsage;
+    }
+    auto key = readKey();
+    if (!key)
+        return exitWrongUsage;
+    m_key = *std::move(key);
+    return std::nullopt;
+}
+
+std::optional<std::string> Remote::readKey()
+{
+    if (!m_keyFile.isSet()) {
+        auto key = environment("BERYLRIDGE_OPERATORS_KEY", "");
+        if (!key.empty())
+            return key;
+        complain("no operators' key: give --key-file or set BERYLRIDGE_OPERATORS_KEY");
+        return std::nullopt;
+    }
+    auto text = readFile(m_keyFile.getValue());
+    if (!text) {
+        complain(text.lastReason());
+        return std::nullopt;
+    }
+    return text->substr(0, text->find_first_of("\r\n"));
+}
+
+RpcReply Remote::call(const Endpoint &router, const std::string &method,
+                      Json::Value parameters) const
+{
+    parameters["who"] = m_who.isSet() ? m_who.getValue() : environment("USER", "operator");
+    const auto timeLimit = std::chrono::seconds(m_timeout.getValue());
+    return callRpc(httpTransport(router, m_key, timeLimit), method, parameters);
+}
+
+std::vector<RouterReply> Remote::callAll(const std::string &method,
+                                         const Json::Value &parameters) const
+{
+    std::vector<RouterReply> replies(m_endpoints.size());
+    std::atomic<std::size_t> next = 0;
+    const auto work = [&] {
+        for (auto i = next++; i < replies.size(); i = next++)
+            replies[i] = {m_endpoints[i], call(m_endpoints[i], method, parameters)};
+    };
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < std::min(callsAtOnce, replies.size()); ++i)
+        threads.emplace_back(work);
+    for (auto &thread : threads)
+        thread.join();
+    return replies;
+}
+
+int reportFailures(const std::vector<RouterReply> &replies)
+{
+    int status = exitFine;
+    for (const auto &[router, reply] : replies) {
+        if (reply.isFine)
+            continue;
+        complain(endpointText(router) + ": " + reply.reason);
+        status = exitErrorsFound;
+    }
+    return status;
+}
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/Status.cpp
@@ -0,0 +1,151 @@
+// `berylctl status`: the fleet in one table, the documents in force, and single routers in detail.
+#include "Command.h"
+#include "Remote.h"
+#include "Table.h"
+
+#include <iostream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace berylridge::ctl {
+
+namespace {
+
+ManPage statusPage()
+{
+    return {
+        "berylctl status",
+        "show nodes, documents in force, targets and workspaces",
+        "Asks each router and prints one line a node, then the version of each document in force;\n"
+        "a document whose versions differ between nodes is marked. With --detail, members, "
+        "targets\n"
+        "and workspaces follow as each node sees them.",
+        {{"ENVIRONMENT", remoteEnvironmentHelp},
+         {"EXAMPLES", "berylctl status --router 10.0.1.1:7500 --router 10.0.1.2:7500"}}};
+}
+
+std::string number(const Json::Value &value)
+{
+    std::ostringstream out;
+    out.precision(4);
+    if (value.isIntegral())
+        out << value.asUInt64();
+    else
+        out << value.asDouble();
+    return out.str();
+}
+
+std::uint64_t sumOf(const Json::Value &list, const char *name)
+{
+    std::uint64_t sum = 0;
+    for (const auto &element : list)
+        sum += element[name].asUInt64();
+    return sum;
+}
+
+std::uint64_t ownedBy(const Json::Value &targets, const std::string &node)
+{
+    std::uint64_t count = 0;
+    for (const auto &target : targets)
+        count += target["owner"].asString() == node ? 1 : 0;
+    return count;
+}
+
+void printNodes(const std::vector<RouterReply> &replies)
+{
+    Table table({"router", "node", "zone", "state", "reader", "vms", "members", "owns", "waiting",
+                 "running"});
+    for (const auto &[router, reply] : replies) {
+        if (!reply.isFine)
+            continue;
+        const auto &node = reply.result;
+        table.add({endpointText(router), node["node"].asString(), node["zone"].asString(),
+                   node["state"].asString(), node["isReader"].asBool() ? "yes" : "no",
+                   number(node["vmListRevision"]), std::to_string(node["members"].size()),
+                   std::to_string(ownedBy(node["targets"], node["node"].asString())),
+                   std::to_string(sumOf(node["workspaces"], "waiting")),
+                   std::to_string(sumOf(node["workspaces"], "running"))});
+    }
+    table.print();
+}
+
+/// Versions of a document with the nodes that have each in force.
+using Versions = std::map<std::uint64_t, std::set<std::string>>;
+
+std::string nodesText(const std::set<std::string> &nodes)
+{
+    std::string text;
+    for (const auto &node : nodes)
+        text += (text.empty() ? "" : " ") + node;
+    return text;
+}
+
+void printDocuments(const std::vector<RouterReply> &replies)
+{
+    std::map<std::string, Versions> documents;
+    for (const auto &[router, reply] : replies) {
+        for (const auto &head : reply.result["documents"]) {
+            documents[head["name"].asString()][head["version"].asUInt64()].insert(
+                reply.result["node"].asString());
+        }
+    }
+    Table table({"document", "version", "nodes"});
+    for (const auto &[name, versions] : documents) {
+        for (const auto &[version, nodes] : versions) {
+            table.add({name, std::to_string(version),
+                       (versions.size() == 1 ? "same: " : "differs: ") + nodesText(nodes)});
+        }
+    }
+    if (table.isEmpty())
+        return;
+    std::cout << '\n';
+    table.print();
+}
+
+void printList(const Json::Value &list, const std::vector<std::string> &names)
+{
+    Table table(names);
+    for (const auto &element : list) {
+        std::vector<std::string> row;
+        for (const auto &name : names) {
+            const auto &value = element[name];
+            row.push_back(value.isString() ? value.asString() : number(value));
+        }
+        table.add(std::move(row));
+    }
+    table.print("    ");
+}
+
+void printDetail(const Json::Value &node)
+{
+    std::cout << '\n' << node["node"].asString() << '\n';
+    printList(node["members"], {"node", "zone", "state", "silentSeconds"});
+    printList(
+        node["targets"],
+        {"service", "target", "zone", "state", "owner", "limit", "granted", "held", "running"});
+    printList(node["workspaces"],
+              {"service", "workspace", "weight", "virtualTime", "charged", "waiting", "running"});
+}
+
+} // namespace
+
+int runStatus(int argc, Arguments argv)
+{
+    CommandLine line(statusPage());
+    Remote remote(line);
+    TCLAP::SwitchArg detail("d", "detail", "print members, targets and workspaces too",
+                            line.arguments());
+    if (const auto status = remote.parse(argc, argv))
+        return *status;
+    const auto replies = remote.callAll("status", Json::objectValue);
+    printNodes(replies);
+    printDocuments(replies);
+    for (const auto &[router, reply] : replies) {
+        if (detail.getValue() && reply.isFine)
+            printDetail(reply.result);
+    }
+    return reportFailures(replies);
+}
+
+} // namespace berylridge::ctl
--- /dev/null
+++ b/tools/berylctl/Table.h
@@ -0,0 +1,24 @@
+// A table of text with aligned columns.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace berylridge::ctl {
+
+class Table
+{
+public:
+    explicit Table(std::vector<std::string> head);
+
+    void add(std::vector<std::string> row) { m_rows.push_back(std::move(row)); }
+    bool isEmpty() const { return m_rows.size() == 1; }
+
+    /// Prints on standard output, each line after the given margin. Nothing where it is empty.
+    void print(const std::string &margin = "") const;
+
+private:
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+} // namespace berylridge::ctl
--- a/unittests/Admin/AdminApiTest.cpp
+++ b/unittests/Admin/AdminApiTest.cpp
@@ -20,6 +20,7 @@
     AdminHooks hooks()
     {
         AdminHooks made;
+        made.node = NodeId("a1");
         made.status = [this] { return status(); };
         made.explain = [](const std::string &id) { return std::vector {"request " + id, id}; };
         made.leave = [this](const std::string &who) { order("leave " + who, "leaving"); };
@@ -103,6 +104,7 @@
         EXPECT_TRUE(node.call(method).isFine) << method;
     EXPECT_TRUE(node.call("explain", parameters("requestId", "r-1")).isFine);
     const auto page = node.call("audit").result;
+    EXPECT_EQ(page["node"].asString(), "a1");
     ASSERT_EQ(page["entries"].size(), 4U);
     EXPECT_EQ(page["entries"][3]["what"].asString(), "explain r-1");
     const auto next = node.call("audit", parameters("after", page["last"])).result;
