--- a/include/berylridge/Idempotency/KeyRegistry.h
+++ b/include/berylridge/Idempotency/KeyRegistry.h
@@ -32,10 +32,11 @@
     Duration silenceLimit = std::chrono::milliseconds(2500); ///< Until a run is not heard.
     Duration claimTimeout = std::chrono::milliseconds(1500); ///< Longest wait for witnesses.
     Duration resendPeriod = std::chrono::milliseconds(100);  ///< For lost datagrams.
-    std::size_t rosterLimit = 9;                             ///< Witnesses of a roster.
-    std::size_t keyLimit = 100'000;                          ///< Keys held, and votes given.
-    std::size_t keptBytes = 8 << 20;                         ///< Kept answers, all together.
-    std::size_t keptAnswerLimit = 64 << 10;                  ///< One kept answer.
+    Duration gossipPeriod = std::chrono::seconds(1); ///< Between signs of life to witnesses.
+    std::size_t rosterLimit = 9;                     ///< Witnesses of a roster.
+    std::size_t keyLimit = 100'000;                  ///< Keys held, and votes given.
+    std::size_t keptBytes = 8 << 20;                 ///< Kept answers, all together.
+    std::size_t keptAnswerLimit = 64 << 10;          ///< One kept answer.
 };
 
 /// One node's part in running each key at most once. A value: tests copy it.
@@ -77,6 +78,7 @@
     /// When to call tick() next; TimePoint::max() when there is nothing to wait for.
     TimePoint nextTimer() const;
 
+    KeyPhase phase(const std::string &key) const;
     /// The rosters that this node knows, for operators.
     const RosterChain &rosters() const { return m_keeper.chain(); }
     /// One line with all that decides what this node does next; for operators and searches.
--- a/include/berylridge/Idempotency/RosterKeeper.h
+++ b/include/berylridge/Idempotency/RosterKeeper.h
@@ -44,7 +44,7 @@
     void onVmList(const VmList &list, TimePoint now);
     void onProposal(const NodeRun &from, const RosterProposal &proposal, TimePoint now,
                     WallTime wall, KeyOutput &out);
-    void onConsent(const NodeRun &from, const RosterConsent &consent, TimePoint now, WallTime wall,
+    void onConsent(const NodeRun &from, const RosterConsent &consent, TimePoint now,
                    KeyOutput &out);
     void onDecision(const NodeRun &from, const RosterDecision &decision);
     void onNews(const NodeRun &from, const RosterNews &news, KeyOutput &out);
@@ -76,7 +76,7 @@
     bool addListedRuns(std::set<NodeRun> &runs) const;
     void propose(TimePoint now, WallTime wall, KeyOutput &out);
     void sendProposal(TimePoint now, KeyOutput &out);
-    void decide(TimePoint now, WallTime wall, KeyOutput &out);
+    void decide(TimePoint now, KeyOutput &out);
     void activate(KeyOutput &out);
     void giveUp(TimePoint now, KeyOutput &out);
     bool isComplete() const;
--- a/lib/Idempotency/KeyClaims.cpp
+++ b/lib/Idempotency/KeyClaims.cpp
@@ -281,7 +281,7 @@
 
 void KeyRegistry::take(const NodeRun &from, const RosterConsent &consent, KeyOutput &out)
 {
-    m_keeper.onConsent(from, consent, m_now, m_wall, out);
+    m_keeper.onConsent(from, consent, m_now, out);
 }
 
 void KeyRegistry::take(const NodeRun &from, const RosterDecision &decision, KeyOutput &out)
--- a/lib/Idempotency/KeyRegistry.cpp
+++ b/lib/Idempotency/KeyRegistry.cpp
@@ -28,6 +28,7 @@
     roster.decisionWindow = options.decisionWindow;
     roster.settleTime = options.settleTime;
     roster.silenceLimit = options.silenceLimit;
+    roster.gossipPeriod = options.gossipPeriod;
     roster.resendPeriod = options.resendPeriod;
     roster.rosterLimit = options.rosterLimit;
     return roster;
@@ -151,6 +152,12 @@
     return std::max(wall, m_wall) <= from + milliseconds(m_options.lifetime);
 }
 
+KeyPhase KeyRegistry::phase(const std::string &key) const
+{
+    const auto it = m_held.find(key);
+    return it == m_held.end() ? KeyPhase::Unknown : it->second.phase;
+}
+
 void KeyRegistry::dispatched(const std::string &key)
 {
     const auto it = m_held.find(key);
@@ -294,6 +301,7 @@
         if (!held.claim)
             continue;
         text += '#' + std::to_string(held.claim->number) + '@' + std::to_string(held.claim->roster);
+        text += '!' + std::to_string(held.claim->deadline.time_since_epoch().count());
         for (const NodeRun &run : held.claim->yes)
             text += " +" + run.node.str() + std::to_string(run.incarnation);
         for (const NodeRun &run : held.claim->no)
--- a/lib/Idempotency/RosterKeeper.cpp
+++ b/lib/Idempotency/RosterKeeper.cpp
@@ -175,6 +175,8 @@
     Proposal proposal;
     proposal.roster.proposer = m_options.self;
     proposal.roster.sequence = ++m_sequence;
+    // Members that are gone by now voted for no key beyond their own clocks and the tolerance, and
+    // two clocks differ by two skews at most. The window is for those that are asked.
     proposal.roster.startsAt = wall + leadTime() + milliseconds(m_options.decisionWindow);
     proposal.roster.listRevision = m_view.list().revision;
     proposal.roster.members = wanted;
@@ -188,7 +190,7 @@
     proposal.consented.insert(m_options.self);
     m_proposal = std::move(proposal);
     sendProposal(now, out);
-    decide(now, wall, out);
+    decide(now, out);
 }
 
 void RosterKeeper::sendProposal(TimePoint now, KeyOutput &out)
@@ -246,14 +248,14 @@
 }
 
 void RosterKeeper::onConsent(const NodeRun &from, const RosterConsent &consent, TimePoint now,
-                             WallTime wall, KeyOutput &out)
+                             KeyOutput &out)
 {
     const bool isOurs = m_proposal && m_proposal->roster.id == consent.roster;
     if (!isOurs)
         return;
     if (consent.isGiven) {
         m_proposal->consented.insert(from);
-        decide(now, wall, out);
+        decide(now, out);
         return;
     }
     giveUp(now, out);
@@ -274,16 +276,13 @@
                        [&](const NodeRun &run) { return proposal.consented.contains(run); });
 }
 
-void RosterKeeper::decide(TimePoint now, WallTime wall, KeyOutput &out)
+void RosterKeeper::decide(TimePoint now, KeyOutput &out)
 {
-    // What a member that is gone now voted before is covered too: it voted for no key beyond its
-    // own clock and the tolerance, and this clock differs from that one by two skews at most.
-    const bool isInTime = wall + leadTime() < m_proposal->roster.startsAt;
-    if (isComplete() && isInTime) {
+    if (isComplete()) {
         activate(out);
         return;
     }
-    if (!isInTime || now >= m_proposal->deadline)
+    if (now >= m_proposal->deadline)
         giveUp(now, out);
 }
 
@@ -382,7 +381,7 @@
     if (m_proposal && now >= m_proposal->resendAt)
         sendProposal(now, out);
     if (m_proposal)
-        decide(now, wall, out);
+        decide(now, out);
     if (!m_proposal && now >= m_proposeAfter) {
         m_proposeAfter = now + m_options.settleTime;
         propose(now, wall, out);
@@ -403,9 +402,12 @@
 std::string RosterKeeper::describe() const
 {
     std::string text = m_chain.describe() + m_view.describe();
+    text += std::to_string(m_proposeAfter.time_since_epoch().count()) + ' '
+        + std::to_string(m_gossipAt.time_since_epoch().count());
     if (!m_proposal)
         return text;
-    text += '!' + std::to_string(m_proposal->roster.id);
+    text += '!' + std::to_string(m_proposal->roster.id) + ' '
+        + std::to_string(m_proposal->deadline.time_since_epoch().count());
     for (const NodeRun &run : m_proposal->consented)
         text += ' ' + run.node.str() + std::to_string(run.incarnation);
     return text;
