--- a/unittests/Idempotency/KeySearch.cpp
+++ b/unittests/Idempotency/KeySearch.cpp
@@ -3,6 +3,7 @@
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <set>
@@ -16,7 +17,6 @@
 
 constexpr KeyRequest request = 1;
 constexpr std::uint64_t bodyHash = 7;
-constexpr Incarnation firstIncarnation = 100;
 
 using NodePointer = std::shared_ptr<const SearchNode>;
 using MessagePointer = std::shared_ptr<const SearchMessage>;
@@ -109,6 +109,12 @@
     return outcome;
 }
 
+/// The node's own clock.
+WallTime wallOf(const SearchSetup &setup, const SearchWorld &world, std::size_t index)
+{
+    return world.wall + setup.skews[index];
+}
+
 void addMessage(SearchWorld &world, const MessagePointer &message)
 {
     const auto at
@@ -124,20 +130,26 @@
     const NodeRun run {setup.names[index], incarnation};
     SearchNode node {run, KeyRegistry(options(run)), 0, true};
     KeyOutput out;
-    node.registry.onVmList(setup.lists[index], world.now, world.wall, out);
+    node.registry.onVmList(setup.lists[index], world.now, wallOf(setup, world, index), out);
     node.digest = digestOf(node);
     return std::make_shared<const SearchNode>(std::move(node));
 }
 
-NodePointer toldOfEnd(const SearchSetup &setup, const SearchNode &node, const NodeRun &ended,
-                      const SearchWorld &world)
+/// Ends the node's run in the world; the other nodes get the proof.
+void endRun(const SearchSetup &setup, SearchWorld &world, std::size_t index)
 {
+    const NodeRun ended = world.nodes[index]->run;
+    world.nodes[index] = nullptr;
     const KeyMember gone {ended.node, ended.incarnation, false, false, true};
-    return outcomeOf(setup, node,
-                     [&](KeyRegistry &registry, KeyOutput &out) {
-                         registry.onMembers(std::span(&gone, 1), world.now, world.wall, out);
-                     })
-        .node;
+    for (std::size_t i = 0; i < world.nodes.size(); ++i) {
+        if (!world.nodes[i])
+            continue;
+        const Outcome told
+            = outcomeOf(setup, *world.nodes[i], [&](KeyRegistry &registry, KeyOutput &out) {
+                  registry.onMembers(std::span(&gone, 1), world.now, wallOf(setup, world, i), out);
+              });
+        world.nodes[i] = told.node;
+    }
 }
 
 class Searcher
@@ -244,7 +256,7 @@
         if (registry.nextTimer() <= world.now) {
             const Outcome &ticked
                 = outcome(world, index, "tick", 0, [&](KeyRegistry &node, KeyOutput &out) {
-                      node.tick(world.now, world.wall, out);
+                      node.tick(world.now, wallOf(m_setup, world, index), out);
                   });
             act(world, index, "tick", ticked, world);
         }
@@ -253,7 +265,7 @@
             if (!isUsed && m_setup.budget.routers[entry] == index)
                 beginMove(world, index, entry);
         }
-        if (registry.mayDispatch(m_setup.key, world.now, world.wall)) {
+        if (registry.mayDispatch(m_setup.key, world.now, wallOf(m_setup, world, index))) {
             dispatchMove(world, index);
             releaseMove(world, index);
         }
@@ -265,7 +277,8 @@
     {
         const Outcome &begun
             = outcome(world, index, "begin", 0, [&](KeyRegistry &node, KeyOutput &out) {
-                  node.begin(request, m_setup.key, bodyHash, world.now, world.wall, out);
+                  node.begin(request, m_setup.key, bodyHash, world.now,
+                             wallOf(m_setup, world, index), out);
               });
         SearchWorld next = world;
         next.routersUsed |= 1U << entry;
@@ -326,7 +339,8 @@
     {
         SearchWorld next = world;
         ++next.starts;
-        next.nodes[index] = startedNode(m_setup, index, world, firstIncarnation * 2 + next.starts);
+        next.nodes[index]
+            = startedNode(m_setup, index, world, m_setup.lastIncarnation + next.starts);
         push(world, "start " + m_setup.names[index].str(), std::move(next));
     }
 
@@ -334,15 +348,10 @@
     {
         if (!world.nodes[index] || world.kills >= m_setup.budget.kills)
             return;
-        const NodeRun ended = world.nodes[index]->run;
         SearchWorld next = world;
         ++next.kills;
-        next.nodes[index] = nullptr;
-        for (NodePointer &node : next.nodes) {
-            if (node)
-                node = toldOfEnd(m_setup, *node, ended, world);
-        }
-        push(world, "kill " + ended.node.str(), std::move(next));
+        endRun(m_setup, next, index);
+        push(world, "kill " + m_setup.names[index].str(), std::move(next));
     }
 
     void delayMove(const SearchWorld &world)
@@ -371,8 +380,9 @@
         for (std::uint32_t at = last.parent; at != 0; at = m_history[at].parent)
             steps.push_back(m_nameTexts[m_history[at].name]);
         std::string text = m_violation + ":";
-        for (auto it = steps.rbegin(); it != steps.rend(); ++it)
-            text += "\n  " + *it;
+        std::reverse(steps.begin(), steps.end());
+        for (const std::string &step : steps)
+            text += "\n  " + step;
         return text;
     }
 
@@ -399,6 +409,7 @@
     for (const std::string &name : names) {
         setup.names.emplace_back(name);
         setup.lists.push_back(list);
+        setup.skews.emplace_back(0);
         setup.start.nodes.emplace_back();
     }
     for (std::size_t i = 0; i < names.size(); ++i)
@@ -410,7 +421,7 @@
 {
     constexpr Duration step = std::chrono::milliseconds(100);
     SearchWorld &world = setup.start;
-    std::vector<MessagePointer> sent;
+    std::deque<MessagePointer> sent;
     const auto apply = [&](std::size_t index, const Act &act) {
         Outcome outcome = outcomeOf(setup, *world.nodes[index], act);
         world.nodes[index] = outcome.node;
@@ -423,19 +434,19 @@
             if (!world.nodes[i])
                 continue;
             apply(i, [&](KeyRegistry &registry, KeyOutput &out) {
-                registry.tick(world.now, world.wall, out);
+                registry.tick(world.now, wallOf(setup, world, i), out);
             });
         }
-        for (std::size_t i = 0; i < sent.size(); ++i) {
-            const MessagePointer message = sent[i];
+        while (!sent.empty()) {
+            const MessagePointer message = sent.front();
+            sent.pop_front();
             if (!world.nodes[message->to])
                 continue;
             apply(message->to, [&](KeyRegistry &registry, KeyOutput &out) {
                 registry.onMessage(message->from.node, message->from.incarnation, message->message,
-                                   world.now, world.wall, out);
+                                   world.now, wallOf(setup, world, message->to), out);
             });
         }
-        sent.clear();
     }
     for (NodePointer &node : world.nodes) {
         if (!node)
@@ -453,25 +464,18 @@
     if (!node)
         return;
     node = outcomeOf(setup, *node, [&](KeyRegistry &registry, KeyOutput &out) {
-               registry.onVmList(list, setup.start.now, setup.start.wall, out);
+               registry.onVmList(list, setup.start.now, wallOf(setup, setup.start, index), out);
            }).node;
 }
 
 void start(SearchSetup &setup, std::size_t index)
 {
-    NodePointer &node = setup.start.nodes[index];
-    const Incarnation incarnation = node ? node->run.incarnation + 1 : firstIncarnation;
-    node = startedNode(setup, index, setup.start, incarnation);
+    setup.start.nodes[index] = startedNode(setup, index, setup.start, ++setup.lastIncarnation);
 }
 
 void kill(SearchSetup &setup, std::size_t index)
 {
-    const NodeRun ended = setup.start.nodes[index]->run;
-    setup.start.nodes[index] = nullptr;
-    for (NodePointer &node : setup.start.nodes) {
-        if (node)
-            node = toldOfEnd(setup, *node, ended, setup.start);
-    }
+    endRun(setup, setup.start, index);
 }
 
 SearchResult search(const SearchSetup &setup, const SearchLimits &limits)
--- a/unittests/Idempotency/KeySearch.h
+++ b/unittests/Idempotency/KeySearch.h
@@ -60,9 +60,11 @@
 struct SearchSetup
 {
     std::vector<NodeId> names;
-    std::vector<VmList> lists; ///< The list that a node gets when it starts.
+    std::vector<VmList> lists;                    ///< The list that a node gets when it starts.
+    std::vector<std::chrono::milliseconds> skews; ///< Of the nodes' clocks against true time.
     std::string key;
     SearchBudget budget;
+    Incarnation lastIncarnation = 100;
     SearchWorld start;
 };
 
--- a/unittests/Idempotency/KeySearchTest.cpp
+++ b/unittests/Idempotency/KeySearchTest.cpp
@@ -65,3 +65,23 @@
     EXPECT_EQ(result.violation, "");
     EXPECT_GT(result.dispatches, 0U);
 }
+
+// VMs are replaced: the list names d instead of a, but b still has a list that names a alone
+// missing, so both a and b propose rosters of their own. Clocks differ as far as is allowed.
+TEST(KeySearch, DifferingListsAndClocks)
+{
+    SearchSetup setup = makeSetup({"a", "b", "c", "d"}, listOf(1, {"a", "b", "c"}));
+    kill(setup, 3);
+    settle(setup, std::chrono::seconds(10));
+    setup.key = timedKey(setup.start.wall + std::chrono::milliseconds(3900));
+    setup.skews = {std::chrono::milliseconds(500), std::chrono::milliseconds(-500),
+                   std::chrono::milliseconds(0), std::chrono::milliseconds(0)};
+    setList(setup, 0, listOf(2, {"a", "b", "d"}));
+    setList(setup, 1, listOf(3, {"b", "c", "d"}));
+    setList(setup, 3, listOf(3, {"b", "c", "d"}));
+    start(setup, 3);
+    setup.budget = {{0, 1}, {}, 0, 0, {oneSecond, 2 * oneSecond, oneSecond}};
+    const auto result = search(setup, {60, 1'000'000});
+    report("differing lists and clocks", result);
+    EXPECT_EQ(result.violation, "");
+}
