Measure a flow's drain only while something waits

Ruled out: forgetting the rate after a while, since a stalled flow must get slower. Conclusion: the meter starts when the first request begins to wait. Failed first: ServiceQueue.IdleTimeIsNotASlowDrain.

--- a/include/berylridge/Policy/ServiceQueue.h
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -17,13 +17,15 @@
 class DrainMeter
 {
 public:
+    /// A first request waits: from now on the flow could drain.
+    void onBusy(TimePoint now) { m_last = now; }
     void onLeft(TimePoint now);
     /// Requests a second; 0 when nothing has left yet.
     double rate(TimePoint now) const;
 
 private:
-    double m_interval = 0; ///< Smoothed seconds between two; 0 before the second.
-    std::optional<TimePoint> m_last;
+    double m_interval = 0;           ///< Smoothed seconds between two; 0 before the second.
+    std::optional<TimePoint> m_last; ///< When one left last, or when the first began to wait.
 };
 
 class ServiceQueue
@@ -39,7 +41,7 @@
 
     void push(FlowId flow, Handle handle, TimePoint now);
     /// A request that is to be tried again goes before those that wait.
-    void pushFront(FlowId flow, Handle handle, TimePoint since);
+    void pushFront(FlowId flow, Handle handle, TimePoint since, TimePoint now);
     /// The flow's first request for which isFit(handle) holds, taken out.
     template <typename IsFit>
     std::optional<Handle> popIf(FlowId flow, TimePoint now, IsFit isFit)
@@ -94,6 +96,8 @@
         double cost = 0; ///< Smoothed slot seconds of a request; 0 before the first.
     };
 
+    Flow &touch(FlowId flow, TimePoint now);
+
     std::map<FlowId, Flow> m_flows;
     std::size_t m_size = 0;
 };
--- a/lib/Policy/ServiceQueue.cpp
+++ b/lib/Policy/ServiceQueue.cpp
@@ -41,16 +41,27 @@
 
 void ServiceQueue::push(FlowId flow, Handle handle, TimePoint now)
 {
-    m_flows[flow].queue.push_back({handle, now});
+    touch(flow, now).queue.push_back({handle, now});
     ++m_size;
 }
 
-void ServiceQueue::pushFront(FlowId flow, Handle handle, TimePoint since)
+void ServiceQueue::pushFront(FlowId flow, Handle handle, TimePoint since, TimePoint now)
 {
-    m_flows[flow].queue.push_front({handle, since});
+    touch(flow, now).queue.push_front({handle, since});
     ++m_size;
 }
 
+/// A flow that is about to get a waiting request. Time in which nothing waited says nothing about
+/// how fast it drains: counted in, the second request after an idle minute was refused as if it had
+/// to wait for half a minute.
+ServiceQueue::Flow &ServiceQueue::touch(FlowId flow, TimePoint now)
+{
+    Flow &state = m_flows[flow];
+    if (state.queue.empty())
+        state.drain.onBusy(now);
+    return state;
+}
+
 bool ServiceQueue::remove(FlowId flow, Handle handle)
 {
     const auto found = m_flows.find(flow);
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -196,7 +196,7 @@
 void RequestManager::retry(Request &request)
 {
     Service &service = m_services.at(request.service);
-    service.queue.pushFront(request.flow, request.handle, request.arrivedAt);
+    service.queue.pushFront(request.flow, request.handle, request.arrivedAt, m_context.now);
     m_pools->onQueueChanged(request.service);
 }
 
--- a/unittests/Policy/ServiceQueueTest.cpp
+++ b/unittests/Policy/ServiceQueueTest.cpp
@@ -18,7 +18,7 @@
     ServiceQueue queue;
     queue.push(flow, 1, clock.now());
     queue.push(flow, 2, clock.now());
-    queue.pushFront(flow, 3, clock.now());
+    queue.pushFront(flow, 3, clock.now(), clock.now());
     EXPECT_EQ(queue.popIf(flow, clock.now(), any), 3U);
     EXPECT_EQ(queue.popIf(flow, clock.now(), any), 1U);
     EXPECT_TRUE(queue.remove(flow, 2));
@@ -44,6 +44,24 @@
     EXPECT_EQ(queue.expectedWait(flow, clock.now()), Duration(50s));
 }
 
+// A workspace sends two requests after half a minute without any. The first is about to get its
+// slot; the second was refused as one that would wait too long, though every slot was free: the
+// idle time had been taken for a slow drain.
+TEST(ServiceQueue, IdleTimeIsNotASlowDrain)
+{
+    PausedClock clock;
+    ServiceQueue queue;
+    for (ServiceQueue::Handle handle = 1; handle <= 5; ++handle) {
+        queue.push(flow, handle, clock.now());
+        clock.advance(2ms);
+        queue.popIf(flow, clock.now(), any);
+        clock.advance(30s);
+    }
+    queue.push(flow, 6, clock.now());
+    clock.advance(1ms);
+    EXPECT_EQ(queue.expectedWait(flow, clock.now()), Duration(2ms));
+}
+
 TEST(ServiceQueue, DemandTellsTheLongestWaitsFirst)
 {
     PausedClock clock;
