Count a grant of which nothing was heard until it is proved unused

Ruled out: waiting the attempt's whole time, which idles slots for each lost VM. Conclusion: the grant is lost when its holder was heard after the term without it; else the silent holder's rule decides, by the target's own report. Failed first: PoolOwnerTest.AGrantWithoutWordMayBeInUse.

--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -295,10 +295,13 @@
 {
     if (now <= lease.startsBy + clockMargin)
         return false;
-    if (!lease.isSeen)
-        return true;
     const auto holder = m_holders.find(lease.node);
-    const bool isHeard = holder != m_holders.end() && now - holder->second.heardAt <= wantsLast;
+    const bool isKnown = holder != m_holders.end();
+    // The holder was heard after the term and does not have it: the grant was lost on its way. One
+    // of which nothing was heard may have begun a request and been cut off before it could tell.
+    if (!lease.isSeen && isKnown && holder->second.heardAt > lease.startsBy)
+        return true;
+    const bool isHeard = isKnown && now - holder->second.heardAt <= wantsLast;
     if (isHeard)
         return false;
     // The holder is silent: paused, cut off from here, or lost with its VM. Its request may still
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -277,3 +277,23 @@
     m_clock.advance(300ms);
     EXPECT_EQ(grants().size(), 1U) << "the target may fit again";
 }
+
+// A holder gets a grant, begins a request on a cold target and is cut off before it can tell. The
+// owner hears nothing of the grant. If it took the grant for lost once the term was over, it would
+// give the slot away and the target would fall over under one request too many.
+TEST_F(PoolOwnerTest, AGrantWithoutWordMayBeInUse)
+{
+    waitOutTakeover();
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+    m_clock.advance(3s);
+    demand(nodeB, m_holderB, {{8, 1, 0, 100}});
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
+    m_owner.tick(m_clock.now());
+    EXPECT_TRUE(grants().empty()) << "the target says that something runs";
+
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    m_owner.tick(m_clock.now());
+    EXPECT_EQ(grants().size(), 1U) << "the target says that nothing runs";
+}
