Tell a node that starts anew which requests crash targets

Ruled out: a wait for such words before the node is ready, which would hold up every start. Conclusion: whoever hears a new incarnation of a node tells it what it remembers; the record is small, since only blocked or suspected requests are in it.

--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -24,6 +24,16 @@
     /// How long the request is still refused; none when it may run.
     std::optional<Duration> blockedFor(std::uint64_t fingerprint, TimePoint now) const;
 
+    /// Calls visit(fingerprint, boot) for each crash that is remembered.
+    template <typename Visit>
+    void forEach(Visit visit) const
+    {
+        for (const auto &[fingerprint, entry] : m_entries) {
+            for (const std::uint64_t boot : entry.boots)
+                visit(fingerprint, boot);
+        }
+    }
+
     void expire(TimePoint now);
 
 private:
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -106,12 +106,14 @@
     void crashCheckDone(const CrashCheck &check);
     void noteBoot(Request &request, const std::string &bootId);
     void carryOut(KeyOutput output);
+    void tellCrashes();
     Duration retryAfterFor(const Service &service, FlowId flow) const;
 
     CoreContext &m_context;
     PoolManager *m_pools = nullptr;
     KeyRegistry m_keys;
     CrashRecord m_crashes;
+    std::map<NodeId, Incarnation> m_crashesToldTo;
     std::map<ServiceId, Service> m_services;
     std::unordered_map<RequestHandle, Request> m_requests;
     std::set<std::pair<TimePoint, RequestHandle>> m_deadlines; ///< Of requests that wait.
