--- /dev/null
+++ b/benchmarks/LoneNode.cpp
@@ -0,0 +1,428 @@
+#include "LoneNode.h"
+
+#include "berylridge/Chart/MemberLife.h"
+#include "berylridge/Config/DocumentStore.h"
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <malloc.h>
+#include <set>
+#include <variant>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration stepTime = std::chrono::milliseconds(10);
+constexpr Duration warmUpTime = std::chrono::seconds(12);
+constexpr Duration heartbeatPeriod = std::chrono::milliseconds(250);
+constexpr Duration crossZonePeriod = std::chrono::milliseconds(500);
+constexpr Duration demandPeriod = std::chrono::milliseconds(400);
+/// IP, UDP, the datagram's own head and its authenticator. Each message is taken to travel alone.
+constexpr std::size_t datagramHead = 28 + 20 + authenticatorSize;
+constexpr Incarnation peerRun = 7;
+
+double cpuNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+double memoryNow()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+std::string zoneName(unsigned zone)
+{
+    return "z" + std::to_string(zone);
+}
+
+std::string credential(unsigned workspace)
+{
+    return "credential-" + std::to_string(workspace);
+}
+
+} // namespace
+
+LoneNode::LoneNode(const FleetShape &shape)
+    : m_shape(shape)
+{
+    VmList list;
+    list.revision = 1;
+    for (unsigned zone = 0; zone < shape.zones; ++zone) {
+        for (unsigned index = 0; index < shape.nodesPerZone; ++index) {
+            const std::string name = zoneName(zone) + "-n" + std::to_string(index);
+            list.vms.push_back({NodeId(name), ZoneId(zoneName(zone)), "127.0.0.1",
+                                static_cast<std::uint16_t>(7400 + index), false});
+            if (zone == 0 && index == 0)
+                continue;
+            Peer peer;
+            peer.node = NodeId(name);
+            peer.zone = ZoneId(zoneName(zone));
+            m_peers.emplace(peer.node, std::move(peer));
+        }
+    }
+    for (unsigned service = 0; service < shape.services; ++service) {
+        m_documents.push_back(documentOf(service));
+        for (Pool &pool : poolsOf(m_documents.back()))
+            m_pools.emplace(pool.id, std::move(pool));
+    }
+    m_memoryBefore = memoryNow();
+    CoreOptions options;
+    options.node = NodeId("z0-n0");
+    options.zone = ZoneId("z0");
+    options.endpoint = {"127.0.0.1", 7400};
+    options.incarnation = 1;
+    options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+    auto core = Core::create(std::move(options), m_clock.now(), m_clock.wallNow());
+    if (!core) {
+        std::fprintf(stderr, "%s\n", core.lastReason().c_str());
+        std::exit(1);
+    }
+    m_core = *std::move(core);
+    give(VmListArrived {list});
+    publish();
+}
+
+LoneNode::~LoneNode() = default;
+
+ServiceDocument LoneNode::documentOf(unsigned service) const
+{
+    ServiceDocument document;
+    document.service = ServiceId("service" + std::to_string(service));
+    for (unsigned zone = 0; zone < m_shape.zones; ++zone) {
+        for (unsigned index = 0; index < m_shape.targetsPerZone; ++index) {
+            TargetSpec target;
+            target.target = TargetId(document.service.str() + '-' + zoneName(zone) + "-t"
+                                     + std::to_string(index));
+            target.zone = ZoneId(zoneName(zone));
+            target.address = "127.0.0.1";
+            target.port = static_cast<std::uint16_t>(9000 + index);
+            document.targets.push_back(std::move(target));
+        }
+    }
+    for (unsigned index = 0; index < m_shape.workspaces; ++index) {
+        WorkspaceShare share;
+        share.workspace = WorkspaceId("workspace" + std::to_string(index));
+        share.credentialDigest = credentialDigest(credential(index));
+        document.workspaces.push_back(std::move(share));
+    }
+    return document;
+}
+
+std::string LoneNode::textOf(unsigned service, unsigned revision) const
+{
+    const ServiceDocument &document = m_documents[service];
+    std::string text = "{\"service\":\"" + document.service.str()
+        + "\",\"kind\":\"modelEngine\",\"slots\":8,\"coldSlots\":2,\"warmAfter\":8,"
+          "\"queueTimeoutMs\":"
+        + std::to_string(10000 + revision) + ",\"targets\":[";
+    const char *separator = "";
+    for (const TargetSpec &target : document.targets) {
+        text += separator;
+        text += "{\"target\":\"" + target.target.str() + "\",\"zone\":\"" + target.zone.str()
+            + "\",\"address\":\"" + target.address + "\",\"port\":" + std::to_string(target.port)
+            + "}";
+        separator = ",";
+    }
+    text += "],\"workspaces\":[";
+    separator = "";
+    for (const WorkspaceShare &share : document.workspaces) {
+        text += separator;
+        text += "{\"workspace\":\"" + share.workspace.str()
+            + "\",\"weight\":1,\"credentialDigest\":\"" + share.credentialDigest + "\"}";
+        separator = ",";
+    }
+    return text + "]}";
+}
+
+void LoneNode::publish()
+{
+    DocumentStore same;
+    for (unsigned service = 0; service < m_shape.services; ++service) {
+        const DocumentText text {"service/" + m_documents[service].service.str(), m_revision,
+                                 textOf(service, m_revision)};
+        const AcceptResult result = same.accept(text);
+        for (const Diagnostic &diagnostic : result.diagnostics)
+            std::fprintf(stderr, "%s\n", diagnostic.str().c_str());
+        if (result.status != AcceptStatus::Accepted)
+            std::exit(1);
+        give(DocumentArrived {text});
+    }
+    m_documentsDigest = same.digest();
+}
+
+void LoneNode::give(const Event &event)
+{
+    Actions actions;
+    const double before = cpuNow();
+    m_core->handle(event, m_clock.now(), m_clock.wallNow(), actions);
+    const double used = cpuNow() - before;
+    if (m_isCounting)
+        m_cpuSeconds += used;
+    carryOut(actions);
+}
+
+void LoneNode::carryOut(const Actions &actions)
+{
+    for (const Action &action : actions) {
+        if (const auto *send = std::get_if<SendToNode>(&action)) {
+            onSent(*send);
+        } else if (const auto *dispatch = std::get_if<Dispatch>(&action)) {
+            AttemptDone done;
+            done.handle = dispatch->handle;
+            done.attempt = dispatch->attempt;
+            done.status = 200;
+            done.bootId = "boot";
+            m_due.push({m_clock.now() + m_shape.requestTime, done});
+        } else if (const auto *poll = std::get_if<PollTarget>(&action)) {
+            TargetReport report;
+            report.target = poll->target;
+            report.bootId = "boot";
+            report.completed = 1000;
+            m_due.push({m_clock.now() + stepTime, report});
+        }
+    }
+}
+
+void LoneNode::count(const PeerMessage &message, bool isSent)
+{
+    if (!m_isCounting)
+        return;
+    const std::size_t bytes = packPeerMessage(message).size() + datagramHead;
+    (isSent ? m_sentBytes : m_receivedBytes) += bytes;
+    m_bytesByKind[std::string(peerMessageKindName(peerMessageKind(message)))]
+        += static_cast<double>(bytes);
+}
+
+void LoneNode::onSent(const SendToNode &send)
+{
+    count(send.message, true);
+    const auto found = m_peers.find(send.to);
+    if (found == m_peers.end())
+        return;
+    const auto *message = std::get_if<FleetMessage>(&send.message);
+    if (!message)
+        return;
+    if (const auto *heartbeat = std::get_if<Heartbeat>(message))
+        m_zoneDigest = heartbeat->zoneDigest;
+    else if (const auto *demand = std::get_if<PoolDemand>(message))
+        onDemand(found->second, *demand);
+    else if (const auto *grant = std::get_if<PoolGrant>(message))
+        onGrant(found->second, *grant);
+}
+
+/// A peer as owner gives out what is wanted.
+void LoneNode::onDemand(Peer &peer, const PoolDemand &demand)
+{
+    const auto pool = m_pools.find(demand.pool);
+    if (pool == m_pools.end() || demand.demand.empty())
+        return;
+    PoolGrant grant;
+    grant.pool = demand.pool;
+    grant.number
+        = ++peer.sequence + static_cast<std::uint64_t>(m_clock.now().time_since_epoch().count());
+    grant.echo = demand.sentAt;
+    grant.termMs = 2000;
+    grant.quantumMs = 250;
+    for (const FlowDemand &want : demand.demand) {
+        const std::vector<TargetSpec> &targets = pool->second.targets;
+        const TargetSpec &target = targets[peer.nextLease % targets.size()];
+        grant.leases.push_back(
+            {hash64(peer.node.str(), peer.nextLease++), targetHash(target.target), want.flow});
+    }
+    NodeMessage message {peer.node, peerRun, FleetMessage(std::move(grant))};
+    m_due.push({m_clock.now() + std::chrono::milliseconds(1), std::move(message)});
+}
+
+/// A peer as holder runs a request on each lease and gives it back.
+void LoneNode::onGrant(Peer &peer, const PoolGrant &grant)
+{
+    peer.lastGrant[grant.pool] = grant.number;
+    for (const GrantedLease &lease : grant.leases) {
+        peer.held[grant.pool][lease.lease] = {lease.lease, lease.target, lease.flow, 0};
+        PoolReturn back;
+        back.pool = grant.pool;
+        back.leases.push_back({lease.lease, 2000, 1, false});
+        back.bootId = "boot";
+        back.sequence = 0;
+        m_due.push({m_clock.now() + m_shape.requestTime,
+                    NodeMessage {peer.node, peerRun, FleetMessage(std::move(back))}});
+    }
+}
+
+void LoneNode::say(Peer &peer, FleetMessage message)
+{
+    count(message, false);
+    give(NodeMessage {peer.node, peerRun, std::move(message)});
+}
+
+void LoneNode::heartbeat(Peer &peer)
+{
+    Heartbeat heartbeat;
+    heartbeat.sequence = ++peer.sequence;
+    heartbeat.zone = peer.zone.str();
+    heartbeat.nodeState = static_cast<std::uint8_t>(MemberState::Live);
+    heartbeat.documentsDigest = m_documentsDigest;
+    heartbeat.vmListRevision = 1;
+    heartbeat.address = "127.0.0.1";
+    heartbeat.port = 7400;
+    heartbeat.zoneDigest = m_zoneDigest;
+    heartbeat.knownDigest = hash64("view", m_zoneDigest);
+    say(peer, FleetMessage(std::move(heartbeat)));
+}
+
+void LoneNode::demand(Peer &peer)
+{
+    if (peer.zone != ZoneId("z0"))
+        return;
+    for (const PoolId id : m_ownPools) {
+        const Pool &pool = m_pools.at(id);
+        PoolDemand message;
+        message.pool = id;
+        message.sequence = ++peer.sequence;
+        message.sentAt = m_clock.now().time_since_epoch().count();
+        message.owner = 1;
+        message.lastGrant = peer.lastGrant[id];
+        const std::uint64_t start = hash64(peer.node.str());
+        for (unsigned flow = 0; flow < m_shape.flowsPerDemand; ++flow) {
+            const WorkspaceShare &share
+                = m_documents[0].workspaces[(start + flow) % m_shape.workspaces];
+            message.demand.push_back({flowId(pool.service, share.workspace), 1, 100, 2000});
+        }
+        for (const auto &[lease, held] : peer.held[id])
+            message.held.push_back(held);
+        say(peer, FleetMessage(std::move(message)));
+    }
+}
+
+void LoneNode::findOwnPools()
+{
+    m_ownPools.clear();
+    const NodeStatus status = m_core->status();
+    for (const auto &[id, pool] : m_pools) {
+        for (const TargetStatus &target : status.targets) {
+            const bool isOfPool = target.target == pool.targets.front().target;
+            if (isOfPool && target.owner == status.node)
+                m_ownPools.push_back(id);
+        }
+    }
+}
+
+void LoneNode::peersSpeak()
+{
+    std::set<ZoneId> spoken;
+    for (auto &[node, peer] : m_peers) {
+        const bool isNear = peer.zone == ZoneId("z0");
+        // One counterpart of each other zone.
+        if (!isNear && !spoken.insert(peer.zone).second)
+            continue;
+        if (m_clock.now() >= peer.nextHeartbeat) {
+            peer.nextHeartbeat = m_clock.now() + (isNear ? heartbeatPeriod : crossZonePeriod);
+            heartbeat(peer);
+        }
+        if (isNear && m_clock.now() >= peer.nextDemand) {
+            peer.nextDemand = m_clock.now() + demandPeriod;
+            demand(peer);
+        }
+    }
+}
+
+void LoneNode::requestsArrive()
+{
+    m_owedRequests += m_shape.requestsPerSecond * toSeconds(stepTime);
+    for (; m_owedRequests >= 1; m_owedRequests -= 1) {
+        const std::uint64_t handle = m_nextHandle++;
+        RequestArrived request;
+        request.handle = handle;
+        request.requestId = "request-" + std::to_string(handle);
+        request.service = m_documents[handle % m_documents.size()].service;
+        request.credential
+            = credential(static_cast<unsigned>(hash64("w", handle) % m_shape.workspaces));
+        request.method = "GET";
+        request.path = "/lookup";
+        give(request);
+    }
+}
+
+void LoneNode::changesArrive()
+{
+    m_owedChanges += m_shape.changesPerHour / 3600 * toSeconds(stepTime);
+    for (; m_owedChanges >= 1; m_owedChanges -= 1) {
+        ++m_revision;
+        publish();
+    }
+}
+
+void LoneNode::step()
+{
+    m_clock.advance(stepTime);
+    while (!m_due.empty() && m_due.top().at <= m_clock.now()) {
+        const Event event = m_due.top().event;
+        m_due.pop();
+        if (const auto *message = std::get_if<NodeMessage>(&event)) {
+            count(message->message, false);
+            const auto *fleet = std::get_if<FleetMessage>(&message->message);
+            const auto *back = fleet ? std::get_if<PoolReturn>(fleet) : nullptr;
+            if (back)
+                m_peers.at(message->from).held[back->pool].erase(back->leases.front().lease);
+        }
+        m_answered += std::holds_alternative<AttemptDone>(event) && m_isCounting ? 1 : 0;
+        give(event);
+    }
+    peersSpeak();
+    requestsArrive();
+    changesArrive();
+    if (m_core->nextTimer() <= m_clock.now())
+        give(TimerDue {});
+}
+
+CoreCost LoneNode::run(Duration time)
+{
+    // Zones are known by their views, which their nodes would send.
+    for (unsigned zone = 1; zone < m_shape.zones; ++zone) {
+        ZoneView view;
+        view.zone = zoneName(zone);
+        Peer *speaker = nullptr;
+        for (auto &[node, peer] : m_peers) {
+            if (peer.zone != ZoneId(view.zone))
+                continue;
+            speaker = speaker ? speaker : &peer;
+            view.members.push_back({node.str(), peerRun,
+                                    static_cast<std::uint8_t>(MemberState::Live), "127.0.0.1",
+                                    7400});
+        }
+        if (speaker)
+            say(*speaker, FleetMessage(std::move(view)));
+    }
+    const TimePoint begun = m_clock.now();
+    while (m_clock.now() < begun + warmUpTime) {
+        step();
+        if (m_ownPools.empty())
+            findOwnPools();
+    }
+    m_isCounting = true;
+    const TimePoint counted = m_clock.now();
+    while (m_clock.now() < counted + time)
+        step();
+    m_isCounting = false;
+
+    const double seconds = toSeconds(time);
+    CoreCost cost;
+    cost.cpuPerSecond = m_cpuSeconds / seconds;
+    cost.memoryBytes = memoryNow() - m_memoryBefore;
+    cost.sentBytesPerSecond = static_cast<double>(m_sentBytes) / seconds;
+    cost.receivedBytesPerSecond = static_cast<double>(m_receivedBytes) / seconds;
+    cost.requestsPerSecond = static_cast<double>(m_answered) / seconds;
+    for (const auto &[kind, bytes] : m_bytesByKind)
+        cost.bytesByKind[kind] = bytes / seconds;
+    return cost;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/benchmarks/LoneNode.h
@@ -0,0 +1,114 @@
+// One real decision core in the middle of a fleet that is only played: the messages that it would
+// get from its peers at a given size of fleet are made here, and what it costs is counted.
+#pragma once
+
+#include "berylridge/Net/Datagram.h"
+#include "berylridge/Policy/Pool.h"
+#include "berylridge/Router/Core.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace berylridge {
+
+/// The size of a fleet and of what one node of it has to do.
+struct FleetShape
+{
+    unsigned zones = 3;
+    unsigned nodesPerZone = 3;
+    unsigned services = 1;
+    unsigned targetsPerZone = 4; ///< Of each service.
+    unsigned workspaces = 16;
+    unsigned flowsPerDemand = 3;   ///< Of each service, that wait at each peer of the zone.
+    double requestsPerSecond = 20; ///< Arriving at this node.
+    Duration requestTime = std::chrono::seconds(2);
+    double changesPerHour = 0; ///< Each is a new version of every document.
+};
+
+/// What the core used over a run.
+struct CoreCost
+{
+    double cpuPerSecond = 0; ///< Part of one core.
+    double memoryBytes = 0;
+    double sentBytesPerSecond = 0; ///< Between nodes, with headers.
+    double receivedBytesPerSecond = 0;
+    double requestsPerSecond = 0;              ///< Answered.
+    std::map<std::string, double> bytesByKind; ///< Sent and received, a second.
+};
+
+class LoneNode
+{
+public:
+    explicit LoneNode(const FleetShape &shape);
+    ~LoneNode();
+
+    /// Runs the given time on the paused clock, after a warm-up that is not counted.
+    CoreCost run(Duration time);
+
+private:
+    struct Peer
+    {
+        NodeId node;
+        ZoneId zone;
+        TimePoint nextHeartbeat;
+        TimePoint nextDemand;
+        std::uint64_t sequence = 0;
+        std::map<PoolId, std::map<LeaseId, HeldLease>> held;
+        std::map<PoolId, std::uint64_t> lastGrant;
+        std::uint64_t nextLease = 1;
+    };
+    struct Due
+    {
+        TimePoint at;
+        Event event;
+        bool operator>(const Due &other) const { return at > other.at; }
+    };
+
+    void publish();
+    ServiceDocument documentOf(unsigned service) const;
+    std::string textOf(unsigned service, unsigned revision) const;
+    void give(const Event &event);
+    void carryOut(const Actions &actions);
+    void onSent(const SendToNode &send);
+    void onDemand(Peer &peer, const PoolDemand &demand);
+    void onGrant(Peer &peer, const PoolGrant &grant);
+    void findOwnPools();
+    void step();
+    void peersSpeak();
+    void heartbeat(Peer &peer);
+    void demand(Peer &peer);
+    void say(Peer &peer, FleetMessage message);
+    void requestsArrive();
+    void changesArrive();
+    void count(const PeerMessage &message, bool isSent);
+
+    FleetShape m_shape;
+    PausedClock m_clock;
+    std::unique_ptr<Core> m_core;
+    std::map<NodeId, Peer> m_peers;
+    std::vector<ServiceDocument> m_documents;
+    std::map<PoolId, Pool> m_pools;
+    std::vector<PoolId> m_ownPools; ///< That the core owns.
+    std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
+    std::uint64_t m_zoneDigest = 0;
+    std::uint64_t m_documentsDigest = 0;
+    std::uint64_t m_nextHandle = 1;
+    double m_owedRequests = 0;
+    double m_owedChanges = 0;
+    unsigned m_revision = 1;
+    bool m_isCounting = false;
+    double m_cpuSeconds = 0;
+    double m_memoryBefore = 0;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_sentBytes = 0;
+    std::uint64_t m_receivedBytes = 0;
+    std::map<std::string, double> m_bytesByKind;
+};
+
+} // namespace berylridge
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -1,5 +1,7 @@
 #include "PoolManager.h"
 
+#include "berylridge/Support/Hash.h"
+
 #include <algorithm>
 
 namespace berylridge {
@@ -13,6 +15,10 @@
 /// After a spill other zones are asked at once for this long: the own zone is full.
 constexpr Duration spillLasts = std::chrono::seconds(2);
 constexpr Duration exchangePeriod = std::chrono::milliseconds(500);
+/// Pools that one node asks for a service's slots. Which ones differs from node to node, so that
+/// each pool is asked by as many; with today's few pools it is all of them.
+constexpr std::size_t nearPoolLimit = 4;
+constexpr std::size_t farPoolLimit = 6;
 /// Flows in one demand message, so that it fits into a datagram. The longest waits come first, so
 /// none is left out for ever.
 constexpr std::size_t demandLimit = 32;
@@ -57,10 +63,14 @@
             entry.document = document;
             if (entry.own)
                 configureOwn(entry);
-            const bool isNear = entry.pool.zone == m_context.options.zone;
-            ids.insert(isNear ? ids.begin() : ids.end(), id);
+            ids.push_back(id);
             kept.emplace(id, std::move(entry));
         }
+        const std::string &node = m_context.options.node.str();
+        std::sort(ids.begin(), ids.end(), [&](PoolId a, PoolId b) {
+            return rendezvousWeight(kept.at(a).pool.name, node)
+                > rendezvousWeight(kept.at(b).pool.name, node);
+        });
     }
     m_pools = std::move(kept);
     onMembers();
@@ -464,23 +474,25 @@
         m_context.send(entry.owner, FleetMessage(std::move(message)));
 }
 
-/// The pools that are to know of the service's waiting requests: this zone's, and all when those
-/// have no open target or did not serve them for a while.
+/// The pools that are to know of the service's waiting requests: some of this zone's, and some of
+/// other zones' when those have no open target or did not serve them for a while.
 std::vector<PoolManager::Entry *> PoolManager::poolsToAsk(const ServiceId &service)
 {
     std::vector<Entry *> near;
-    std::vector<Entry *> all;
+    std::vector<Entry *> far;
     for (const PoolId id : m_byService[service]) {
         Entry &entry = m_pools.at(id);
-        if (entry.owner.isEmpty() || !hasOpenTarget(entry.pool))
-            continue;
-        all.push_back(&entry);
-        if (entry.pool.zone == m_context.options.zone)
-            near.push_back(&entry);
+        const bool isNear = entry.pool.zone == m_context.options.zone;
+        std::vector<Entry *> &chosen = isNear ? near : far;
+        const std::size_t limit = isNear ? nearPoolLimit : farPoolLimit;
+        if (chosen.size() < limit && !entry.owner.isEmpty() && hasOpenTarget(entry.pool))
+            chosen.push_back(&entry);
     }
     const auto spill = m_spillUntil.find(service);
     const bool isSpilling = spill != m_spillUntil.end() && m_context.now < spill->second;
-    return near.empty() || isSpilling ? all : near;
+    if (near.empty() || isSpilling)
+        near.insert(near.end(), far.begin(), far.end());
+    return near;
 }
 
 void PoolManager::tellDemand(Entry &entry, const ServiceQueue &queue)
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -113,7 +113,7 @@
     CoreContext &m_context;
     LeaseUser &m_user;
     std::map<PoolId, Entry> m_pools;
-    std::map<ServiceId, std::vector<PoolId>> m_byService; ///< This zone's pools first.
+    std::map<ServiceId, std::vector<PoolId>> m_byService; ///< In this node's order of asking.
     std::map<TargetId, std::pair<PoolId, ServiceId>> m_targetPool;
     std::map<ServiceId, TimePoint>
         m_spillUntil; ///< Until then other zones' pools are asked at once.
