--- a/include/berylridge/Router/Core.h
+++ b/include/berylridge/Router/Core.h
@@ -67,6 +67,9 @@
     /// Why the request with this id went where it did, waited or was refused: one line a step.
     std::vector<std::string> explain(const std::string &requestId) const;
 
+    /// The documents in force; costs a copy.
+    std::vector<DocumentText> documents() const;
+
 private:
     class Impl;
     explicit Core(std::unique_ptr<Impl> impl);
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -46,6 +46,7 @@
     void handle(const Event &event, TimePoint now, WallTime wall, Actions &actions);
     TimePoint nextTimer() const;
     NodeStatus status() const;
+    std::vector<DocumentText> documents() const;
     std::vector<std::string> explain(const std::string &id) const { return m_requests.explain(id); }
 
 private:
@@ -222,6 +223,14 @@
     return status;
 }
 
+std::vector<DocumentText> Core::Impl::documents() const
+{
+    std::vector<DocumentText> documents;
+    for (const auto &[name, document] : m_context.documents.texts())
+        documents.push_back(document);
+    return documents;
+}
+
 Expected<std::unique_ptr<Core>> Core::create(CoreOptions options, TimePoint now, WallTime wall)
 {
     Expected<Charts> charts = Charts::load(options.chartDirectory);
@@ -253,6 +262,11 @@
     return m_impl->status();
 }
 
+std::vector<DocumentText> Core::documents() const
+{
+    return m_impl->documents();
+}
+
 std::vector<std::string> Core::explain(const std::string &requestId) const
 {
     return m_impl->explain(requestId);
--- /dev/null
+++ b/tools/berylridged/Main.cpp
@@ -0,0 +1,156 @@
+// The router daemon: reads its settings, builds the decision core and the shell around it, and
+// serves until a planned stop has ended.
+#include "berylridge/Admin/AdminApi.h"
+#include "berylridge/Admin/AuditTrail.h"
+#include "berylridge/Config/Settings.h"
+#include "berylridge/Net/LogSink.h"
+#include "berylridge/Net/RouterNode.h"
+#include "berylridge/Router/Core.h"
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <tclap/CmdLine.h>
+
+using namespace berylridge;
+
+namespace {
+
+enum ExitStatus { Fine = 0, Failed = 1, WrongUsage = 2 };
+
+constexpr const char *description
+    = "Routes callers' requests of many workspaces to targets and shares their capacity fairly.\n\n"
+      "SIGTERM and SIGINT begin a planned stop: running requests end first; a second one ends the "
+      "process "
+      "at once. Log lines go to standard error; each begins with the number of its event, which "
+      "`berylctl "
+      "events` explains. Exit status: 0 after a planned stop, 1 when a listener could not be "
+      "opened, 2 for "
+      "wrong arguments or settings.";
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::optional<Settings> loadSettings(const std::string &path)
+{
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    ReadResult<Settings> result = readSettings(path, *text);
+    for (const Diagnostic &diagnostic : result.diagnostics)
+        std::cerr << diagnostic.str() << '\n';
+    return result.value;
+}
+
+SharingPolicy policyOf(const std::string &name)
+{
+    if (name == "per-node")
+        return SharingPolicy::PerNode;
+    if (name == "round-robin")
+        return SharingPolicy::RoundRobin;
+    return name == "fifo" ? SharingPolicy::Fifo : SharingPolicy::Fleet;
+}
+
+CoreOptions coreOptions(const Settings &settings, WallTime wall)
+{
+    CoreOptions options;
+    options.node = settings.node;
+    options.zone = settings.zone;
+    options.endpoint = settings.peers;
+    options.incarnation = static_cast<Incarnation>(
+        std::chrono::duration_cast<std::chrono::microseconds>(wall.time_since_epoch()).count());
+    options.seeds = settings.seeds;
+    options.chartDirectory = settings.chartDirectory;
+    options.policy = policyOf(settings.sharing);
+    options.heartbeatPeriod = settings.heartbeatPeriod;
+    options.suspectAfter = settings.suspectAfter;
+    options.leaseTerm = settings.leaseTerm;
+    options.stopLimit = settings.stopLimit;
+    return options;
+}
+
+int serve(const Settings &settings)
+{
+    const SystemClock clock;
+    const CoreOptions options = coreOptions(settings, clock.wallNow());
+    Expected<std::unique_ptr<Core>> core = Core::create(options, clock.now(), clock.wallNow());
+    if (!core) {
+        std::cerr << core.lastReason() << '\n';
+        return WrongUsage;
+    }
+    Core &decisions = **core;
+    LogSink log(logLevelOf(settings.logLevel), log4cplusWriter());
+    AuditTrail trail;
+    std::unique_ptr<RouterNode> node;
+
+    AdminHooks hooks;
+    hooks.node = settings.node;
+    hooks.status = [&] { return decisions.status(); };
+    hooks.explain = [&](const std::string &id) { return decisions.explain(id); };
+    hooks.leave = [&](const std::string &who) { node->handleNow(LeaveOrdered {who}); };
+    hooks.comeBack = [&](const std::string &who) { node->handleNow(ReturnOrdered {who}); };
+    hooks.documents = [&] { return decisions.documents(); };
+    hooks.log = [&](LogRecord record) { log.add(record); };
+    hooks.wallNow = [&] { return clock.wallNow(); };
+    AdminApi admin(std::move(hooks), trail);
+
+    Expected<std::unique_ptr<RouterNode>> built
+        = RouterNodeBuilder(settings, options.incarnation, log)
+              .core(CoreHandle::of(decisions))
+              .rpc([&](std::string_view request, bool isOperator) {
+                  return admin.handleRpc(request, isOperator);
+              })
+              .audit([&](const AuditEntry &entry) { trail.appendChange(entry); })
+              .handlesSignals(true)
+              .build();
+    if (!built) {
+        std::cerr << built.lastReason() << '\n';
+        return Failed;
+    }
+    node = *std::move(built);
+    log.add({LogEventId::NodeStarted,
+             settings.node.str() + " zone " + settings.zone.str() + " callers at "
+                 + node->callers().address + ':' + std::to_string(node->callers().port)});
+    node->run();
+    return Fine;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::string path;
+    bool isCheckOnly = false;
+    try {
+        TCLAP::CmdLine line(description, ' ', BERYLRIDGE_VERSION);
+        TCLAP::ValueArg<std::string> settingsArg(
+            "s", "settings", "the settings file, JSON with comments", true, "", "FILE", line);
+        TCLAP::SwitchArg checkArg("c", "check", "check the settings, print every error and end",
+                                  line);
+        line.setExceptionHandling(false);
+        line.parse(argc, argv);
+        path = settingsArg.getValue();
+        isCheckOnly = checkArg.getValue();
+    } catch (const TCLAP::ExitException &e) {
+        return e.getExitStatus();
+    } catch (const TCLAP::ArgException &e) {
+        std::cerr << "berylridged: " << e.error() << ' ' << e.argId()
+                  << "\nsee berylridged --help\n";
+        return WrongUsage;
+    }
+    const std::optional<Settings> settings = loadSettings(path);
+    if (!settings)
+        return WrongUsage;
+    return isCheckOnly ? Fine : serve(*settings);
+}
