Free a silent holder's slot at a cold target only when nothing runs there

Cause: the owner took fewer running requests than leases for proof that a silent holder's request had ended; the difference was another holder between two requests. Ruled out: holding the slot for the attempt's whole time at warm targets too, which idles slots after each lost VM. Conclusion: at a cold target the report must say that nothing runs. Failed first: PoolOwnerTest.OneOfTwoRunningAtAColdTargetDoesNotFreeTheSilentHolder.

--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -312,7 +312,11 @@
         return true;
     const TargetGauge &gauge = target->second.gauge;
     const bool isReportNewer = gauge.reportedAt() > lease.seenAt + wantsLast;
-    if (isReportNewer && gauge.reportedRunning() < target->second.occupied)
+    // Another holder may be between two requests at the moment of the report: fewer running than
+    // leases proves nothing about this one. A warm target bears the one too many, a cold one falls
+    // over.
+    const std::uint32_t most = gauge.isCold() ? 1 : target->second.occupied;
+    if (isReportNewer && gauge.reportedRunning() < most)
         return true;
     return now - lease.seenAt > m_attemptTimeout;
 }
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -297,3 +297,26 @@
     m_owner.tick(m_clock.now());
     EXPECT_EQ(grants().size(), 1U) << "the target says that nothing runs";
 }
+
+// A cold target bears two. One holder runs a long request there and is cut off; the other's request
+// has just ended when the target reports that one runs. Were the silent holder's slot given away
+// for it, a third request would bring the target down.
+TEST_F(PoolOwnerTest, OneOfTwoRunningAtAColdTargetDoesNotFreeTheSilentHolder)
+{
+    m_document.coldSlots = 2;
+    m_owner.configure(m_document, m_pool, m_clock.now());
+    waitOutTakeover();
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+    m_holderA.onGrant(nodeB, ownerRun, m_lastGrant, m_clock.now());
+    demand(nodeA, m_holderA, {});
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+
+    m_clock.advance(4s);
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    m_owner.tick(m_clock.now());
+    EXPECT_EQ(grants().size(), 1U) << "holder B's lost grant is free, holder A's slot is not";
+}
