Let a node advertise another peers' endpoint than it listens at

Cause: process tests cut links between nodes by a relay, but heartbeats tell every node the listener's own address, so nodes would go round the relay. The same holds behind any forwarder.

Weighed: platform stand-ins that lie about addresses to each zone (heartbeats undo it), packet filters (none may be used), an optional setting. The setting is additive; without it nothing changes.

--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -20,6 +20,7 @@
     ZoneId zone;
     Endpoint callers;               ///< Listens here for callers' HTTP.
     Endpoint peers;                 ///< Listens here for nodes: datagrams (UDP) and calls (TCP).
+    Endpoint advertised;            ///< Where other nodes reach peers; the same unless given.
     Endpoint admin;                 ///< Listens here for operators, health checks and metrics.
     std::string fleetKey;           ///< 32 to 64 bytes; seals datagrams and calls between nodes.
     std::string operatorsKeyDigest; ///< credentialDigest() of the operators' key.
--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -174,9 +174,9 @@
         out = milliseconds(*value);
 }
 
-void FieldReader::endpoint(std::string_view name, Endpoint &out)
+void FieldReader::endpoint(std::string_view name, Endpoint &out, Presence presence)
 {
-    const auto *value = find(name, Presence::Required, R"({"address": "10.0.1.7", "port": 7400})");
+    const auto *value = find(name, presence, R"({"address": "10.0.1.7", "port": 7400})");
     if (!value)
         return;
     FieldReader fields(m_source, *value, pathOf(name));
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -62,7 +62,7 @@
                                     Presence presence = Presence::Optional);
     /// Whole milliseconds; the name ends in Ms.
     void duration(std::string_view name, Duration &out, Duration low, Duration high);
-    void endpoint(std::string_view name, Endpoint &out);
+    void endpoint(std::string_view name, Endpoint &out, Presence presence = Presence::Required);
 
     template <typename Kind>
     void id(std::string_view name, Name<Kind> &out, Presence presence = Presence::Required)
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -61,6 +61,8 @@
     fields.id("zone", settings.zone);
     fields.endpoint("callers", settings.callers);
     fields.endpoint("peers", settings.peers);
+    settings.advertised = settings.peers;
+    fields.endpoint("advertised", settings.advertised, Presence::Optional);
     fields.endpoint("admin", settings.admin);
     fields.text("fleetKey", settings.fleetKey, fleetKeyRule, Presence::Required);
     fields.text("operatorsKeyDigest", settings.operatorsKeyDigest, digestRule, Presence::Required);
--- a/unittests/Config/SettingsTest.cpp
+++ b/unittests/Config/SettingsTest.cpp
@@ -27,11 +27,23 @@
     const auto read = readSettings("r.json", good);
     ASSERT_TRUE(read.value) << (read.diagnostics.empty() ? "" : read.diagnostics[0].str());
     EXPECT_EQ(read.value->peers, (Endpoint {"127.0.1.1", 7400}));
+    EXPECT_EQ(read.value->advertised, read.value->peers);
     EXPECT_EQ(read.value->stopLimit, std::chrono::seconds(5));
     EXPECT_EQ(read.value->seeds.at(0).node, NodeId("b1"));
     EXPECT_EQ(read.value->sharing, "fleet");
 }
 
+// Nodes reach each other through a forwarder: they must be told its address, not the listener's.
+TEST(Settings, AdvertisedEndpointMayDiffer)
+{
+    std::string text = good;
+    text.insert(1, R"("advertised": {"address": "127.0.7.1", "port": 7400},)");
+    const auto read = readSettings("r.json", text);
+    ASSERT_TRUE(read.value) << (read.diagnostics.empty() ? "" : read.diagnostics[0].str());
+    EXPECT_EQ(read.value->advertised, (Endpoint {"127.0.7.1", 7400}));
+    EXPECT_EQ(read.value->peers, (Endpoint {"127.0.1.1", 7400}));
+}
+
 TEST(Settings, ReportsAllErrorsWithWhatIsAllowed)
 {
     std::string text = good;
