--- a/test/process/FleetProcessTest.cpp
+++ b/test/process/FleetProcessTest.cpp
@@ -3,10 +3,9 @@
 #include "FleetFixture.h"
 #include "JsonText.h"
 #include "Outcome.h"
+#include "Uuid.h"
 
-#include <array>
 #include <csignal>
-#include <cstdio>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -22,17 +21,6 @@
 constexpr const char *purchasePath = "/v1/services/catalogue/purchases";
 constexpr int deadlyStatus = 71;
 
-/// A UUIDv7 of now, told apart by its last digits.
-std::string freshKey(unsigned number)
-{
-    const auto ms
-        = static_cast<unsigned long long>(SystemClock().wallNow().time_since_epoch().count());
-    std::array<char, 37> text {};
-    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7000-8000-%012x", ms >> 16,
-                  ms & 0xffffULL, number);
-    return text.data();
-}
-
 /// Long enough for a lease and a suspicion to run out at the daemons' default settings.
 void outlastLeases()
 {
@@ -222,7 +210,8 @@
 {
     FleetPlan plan;
     startFleet(plan);
-    const auto key = freshKey(1);
+    RandomEngine random(1);
+    const auto key = uuidV7(SystemClock().wallNow(), random);
     for (const auto &service : m_fleet->services())
         m_fleet->orderTarget(service.endpoint, R"({"order":"cut-answer","count":1})");
     const auto buy = [&](std::size_t router) {
--- a/tools/berylload/Generator.cpp
+++ b/tools/berylload/Generator.cpp
@@ -1,10 +1,9 @@
 #include "Generator.h"
 
 #include "AnswerText.h"
+#include "Uuid.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <cstdlib>
 #include <memory>
 #include <utility>
@@ -84,22 +83,6 @@
     });
 }
 
-std::string Generator::newKey()
-{
-    // UUIDv7 (RFC 9562): 48 bits of milliseconds, then version, variant and random bits.
-    const auto ms = static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count());
-    const std::uint64_t high = (ms << 16) | 0x7000U | (m_random() & 0x0fffU);
-    const std::uint64_t low = (m_random() & 0x3fffffffffffffffU) | 0x8000000000000000U;
-    std::array<char, 37> text {};
-    std::snprintf(text.data(), text.size(), "%08llx-%04llx-%04llx-%04llx-%012llx",
-                  static_cast<unsigned long long>(high >> 32),
-                  static_cast<unsigned long long>((high >> 16) & 0xffffU),
-                  static_cast<unsigned long long>(high & 0xffffU),
-                  static_cast<unsigned long long>(low >> 48),
-                  static_cast<unsigned long long>(low & 0xffffffffffffU));
-    return text.data();
-}
-
 Generator::Job Generator::newJob(std::size_t workspace, RequestKind kind)
 {
     const auto &spec = m_profile.workspaces[workspace];
@@ -128,7 +111,7 @@
         job.spec.target = "/purchases";
         job.spec.body = R"({"item":")" + serial + R"("})";
         job.wanted = purchaseAnswer(job.spec.body);
-        job.key = newKey();
+        job.key = uuidV7(SystemClock().wallNow(), m_random);
         job.spec.headers.emplace_back("Idempotency-Key", job.key);
         job.spec.timeout = m_profile.purchaseTimeout;
     }
--- a/tools/berylload/Generator.h
+++ b/tools/berylload/Generator.h
@@ -50,7 +50,6 @@
     void settle(const Job &job, Outcome outcome);
     void note(const Job &job, Outcome outcome, const CallResult &result);
     void retryPurchase(Job job, const CallResult &result);
-    std::string newKey();
 
     boost::asio::io_context &m_io;
     const Profile &m_profile;
