--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -13,6 +13,10 @@
 constexpr Duration wantsLast = std::chrono::milliseconds(1500);
 /// Beyond the term, for a holder's clock that runs slower than the owner's.
 constexpr Duration clockMargin = std::chrono::milliseconds(100);
+/// How long a target is not offered again to a flow of which nothing may run there: a request
+/// avoids a target that failed it. Without it the slot goes to and fro between owner and holder
+/// without end, and nothing else is done.
+constexpr Duration unfitLasts = std::chrono::milliseconds(200);
 /// Slot time that a flow's short requests may use on one lease before the slot goes back. Without
 /// it a slot stands idle for a round trip after each request: 3 ms of 20 ms for a lookup across
 /// zones.
@@ -103,8 +107,18 @@
 
     for (const HeldLease &held : message.held) {
         const auto found = m_leases.find(held.lease);
-        Lease *lease
-            = found != m_leases.end() ? &found->second : adopt(from, holder.incarnation, held, now);
+        Lease *lease = nullptr;
+        if (found != m_leases.end()) {
+            lease = &found->second;
+        } else {
+            // A lease of an earlier owner: its holder goes on with it, so it counts.
+            Lease earlier;
+            earlier.node = from;
+            earlier.incarnation = holder.incarnation;
+            earlier.target = held.target;
+            earlier.flow = held.flow;
+            lease = adopt(held.lease, std::move(earlier), now);
+        }
         if (!lease || lease->node != from)
             continue;
         lease->seenAt = now;
@@ -129,25 +143,60 @@
     }
 }
 
-/// A lease of an earlier owner: its holder goes on with it, so it counts.
-PoolOwner::Lease *PoolOwner::adopt(const NodeId &from, Incarnation incarnation,
-                                   const HeldLease &held, TimePoint now)
+/// Takes in a lease that an earlier owner gave.
+PoolOwner::Lease *PoolOwner::adopt(LeaseId id, Lease lease, TimePoint now)
 {
-    const auto target = m_targets.find(held.target);
+    const auto target = m_targets.find(lease.target);
     if (target == m_targets.end())
         return nullptr;
-    Lease lease;
-    lease.node = from;
-    lease.incarnation = incarnation;
-    lease.target = held.target;
-    lease.flow = held.flow;
     lease.grantedAt = now;
     lease.startsBy = now + m_options.leaseTerm;
+    lease.seenAt = now;
     lease.isSeen = true;
     ++target->second.occupied;
-    m_shares.touch(held.flow, now);
-    m_shares.begin(held.flow, lease.estimate, now);
-    return &m_leases.emplace(held.lease, std::move(lease)).first->second;
+    m_shares.touch(lease.flow, now);
+    m_shares.begin(lease.flow, lease.estimate, now);
+    return &m_leases.emplace(id, std::move(lease)).first->second;
+}
+
+PoolHandover PoolOwner::handover(TimePoint now) const
+{
+    PoolHandover message;
+    message.pool = m_pool;
+    for (const auto &[id, lease] : m_leases)
+        message.leases.push_back(
+            {id, lease.node.str(), lease.incarnation, lease.target, lease.flow});
+    m_shares.forEach([&](FlowId flow) {
+        message.flows.push_back({flow, m_shares.virtualTime(flow, now)});
+    });
+    return message;
+}
+
+void PoolOwner::takeOver(const PoolHandover &message, TimePoint now)
+{
+    if (m_isHandedOver || !isWaiting(now))
+        return;
+    m_isHandedOver = true;
+    for (const HandedFlow &flow : message.flows)
+        m_shares.restore(flow.flow, flow.virtualTime, now);
+    for (const HandedLease &handed : message.leases) {
+        if (m_leases.contains(handed.lease))
+            continue;
+        Lease lease;
+        lease.node = NodeId(handed.node);
+        lease.incarnation = handed.incarnation;
+        lease.target = handed.target;
+        lease.flow = handed.flow;
+        // The holder may have returned it to the earlier owner after this was sent: then its demand
+        // doesn't list it, and as a lease without a number it is freed.
+        adopt(handed.lease, std::move(lease), now);
+    }
+}
+
+/// Whether an earlier owner's leases may still start requests.
+bool PoolOwner::isWaiting(TimePoint now) const
+{
+    return now - m_began < m_options.leaseTerm + clockMargin;
 }
 
 void PoolOwner::onReturn(const NodeId &from, const PoolReturn &message, TimePoint now)
@@ -164,6 +213,8 @@
         const auto target = m_targets.find(lease->second.target);
         if (target != m_targets.end())
             target->second.gauge.onCompleted(returned.completed, message.bootId, now);
+        if (returned.isUnfit)
+            m_unfit[{{from, lease->second.flow}, lease->second.target}] = now + unfitLasts;
         free(lease, fromMs(returned.usedMs));
     }
 }
@@ -234,6 +285,7 @@
         }
         lease = next;
     }
+    std::erase_if(m_unfit, [&](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_unseen, [](const auto &entry) { return entry.second == 0; });
     m_shares.expire(now);
 }
@@ -266,13 +318,18 @@
 {
     std::vector<OwnerMessage> messages;
     // An earlier owner's leases may still start requests until their term ends.
-    if (now - m_began < m_options.leaseTerm + clockMargin)
+    if (isWaiting(now) && !m_isHandedOver)
         return messages;
     std::map<NodeId, PoolGrant> grants;
-    while (const std::optional<Choice> choice = pickFlow(now)) {
-        const std::optional<TargetHash> target = pickTarget(choice->flow, now);
-        if (!target)
+    std::set<Want> passedOver;
+    while (const std::optional<Choice> choice = pickFlow(passedOver, now)) {
+        const std::optional<TargetHash> target = pickTarget({choice->node, choice->flow}, now);
+        if (!target && !hasFreeSlot(now))
             break;
+        if (!target) {
+            passedOver.insert({choice->node, choice->flow});
+            continue;
+        }
         Holder &holder = m_holders[choice->node];
         auto [entry, isNew] = grants.try_emplace(choice->node);
         if (isNew) {
@@ -376,6 +433,8 @@
 
 std::uint32_t PoolOwner::freeSlots(const Target &target, TimePoint now) const
 {
+    if (isWaiting(now) && target.gauge.isCold())
+        return 0;
     const std::uint32_t limit = target.gauge.limit(m_part, now);
     std::uint32_t occupied = target.occupied;
     // Work that an earlier or another owner put there is not in our leases, but the target reports
@@ -386,17 +445,29 @@
     return limit > occupied ? limit - occupied : 0;
 }
 
-std::optional<TargetHash> PoolOwner::pickTarget(FlowId flow, TimePoint now) const
+bool PoolOwner::hasFreeSlot(TimePoint now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto &entry) { return freeSlots(entry.second, now) > 0; });
+}
+
+bool PoolOwner::isUnfit(const Want &want, TargetHash target, TimePoint now) const
+{
+    const auto found = m_unfit.find({want, target});
+    return found != m_unfit.end() && now < found->second;
+}
+
+std::optional<TargetHash> PoolOwner::pickTarget(const Want &want, TimePoint now) const
 {
     std::optional<TargetHash> best;
     double bestLoad = 0;
     std::uint64_t bestAffinity = 0;
     for (const auto &[hash, target] : m_targets) {
         const std::uint32_t left = freeSlots(target, now);
-        if (left == 0)
+        if (left == 0 || isUnfit(want, hash, now))
             continue;
         const double load = static_cast<double>(target.occupied) / (left + target.occupied);
-        const std::uint64_t affinity = hash ^ flow;
+        const std::uint64_t affinity = hash ^ want.second;
         if (!best || load < bestLoad || (load == bestLoad && affinity < bestAffinity)) {
             best = hash;
             bestLoad = load;
@@ -406,7 +477,8 @@
     return best;
 }
 
-std::optional<PoolOwner::Choice> PoolOwner::pickFlow(TimePoint now) const
+std::optional<PoolOwner::Choice> PoolOwner::pickFlow(const std::set<Want> &passedOver,
+                                                     TimePoint now) const
 {
     std::optional<Choice> best;
     PickKey bestKey;
@@ -414,7 +486,7 @@
         if (now - holder.heardAt > wantsLast)
             continue;
         for (const auto &[flow, want] : holder.wants) {
-            if (ungranted(node, want) == 0)
+            if (ungranted(node, want) == 0 || passedOver.contains({node, flow}))
                 continue;
             PickCandidate candidate;
             candidate.node = &node;
