--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -172,7 +172,8 @@
     LeaseId lease = 0;
     std::uint32_t usedMs = 0;    ///< Slot time that the flow's requests took.
     std::uint32_t completed = 0; ///< Whole answers.
-    MSGPACK_DEFINE(lease, usedMs, completed)
+    bool isUnfit = false;        ///< Requests of the flow wait, but none may run at this target.
+    MSGPACK_DEFINE(lease, usedMs, completed, isUnfit)
 };
 
 /// From a holder: these leases are free again.
@@ -214,6 +215,35 @@
     MSGPACK_DEFINE(service, pool, epoch, flows)
 };
 
+/// One lease in a PoolHandover.
+struct HandedLease
+{
+    LeaseId lease = 0;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    TargetHash target = 0;
+    FlowId flow = 0;
+    MSGPACK_DEFINE(lease, node, incarnation, target, flow)
+};
+
+/// One flow in a PoolHandover.
+struct HandedFlow
+{
+    FlowId flow = 0;
+    double virtualTime = 0;
+    MSGPACK_DEFINE(flow, virtualTime)
+};
+
+/// From a pool's owner to its successor, when ownership moves while both live: everything that was
+/// given out. The sender grants nothing of the pool any more.
+struct PoolHandover
+{
+    PoolId pool = 0;
+    std::vector<HandedLease> leases;
+    std::vector<HandedFlow> flows;
+    MSGPACK_DEFINE(pool, leases, flows)
+};
+
 /// A request that crashed a target: its fingerprint, and which boot of which target it was.
 struct CrashNews
 {
@@ -229,8 +259,8 @@
     MSGPACK_DEFINE(sequence)
 };
 
-using FleetMessage
-    = std::variant<Heartbeat, ZoneView, DocumentsRequest, DocumentsReply, VmListMessage, PoolDemand,
-                   PoolGrant, PoolReturn, TargetNews, PoolService, CrashNews, Goodbye>;
+using FleetMessage = std::variant<Heartbeat, ZoneView, DocumentsRequest, DocumentsReply,
+                                  VmListMessage, PoolDemand, PoolGrant, PoolReturn, TargetNews,
+                                  PoolService, CrashNews, Goodbye, PoolHandover>;
 
 } // namespace berylridge
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -49,6 +50,11 @@
     void onReport(TargetHash target, std::string_view bootId, std::uint32_t running,
                   std::uint64_t completed, Duration age, TimePoint now);
     void onPollFailed(TargetHash target, bool isRefused, TimePoint now);
+    /// Everything given out, for the successor; this owner must grant nothing afterwards.
+    PoolHandover handover(TimePoint now) const;
+    /// Goes on from where the earlier owner stopped. Warm targets get work at once; cold ones only
+    /// after the lease term, since a third node may have taken itself for the owner meanwhile.
+    void takeOver(const PoolHandover &message, TimePoint now);
     /// The run of a node has ended: what it held is free, what it wanted is void.
     void onHolderGone(const NodeId &node, Incarnation incarnation, TimePoint now);
     /// What another pool of the service gave.
@@ -105,19 +111,25 @@
         std::uint32_t occupied = 0;
     };
 
-    Lease *adopt(const NodeId &from, Incarnation incarnation, const HeldLease &held, TimePoint now);
+    Lease *adopt(LeaseId id, Lease lease, TimePoint now);
+    bool isWaiting(TimePoint now) const;
+
     void reconcile(const NodeId &from, Holder &holder, const PoolDemand &message, TimePoint now);
     void free(std::map<LeaseId, Lease>::iterator lease, Duration used);
     bool hasRunOut(const Lease &lease, TimePoint now) const;
     std::uint32_t freeSlots(const Target &target, TimePoint now) const;
-    std::optional<TargetHash> pickTarget(FlowId flow, TimePoint now) const;
+    /// Whose requests: a flow's at one node.
+    using Want = std::pair<NodeId, FlowId>;
+    std::optional<TargetHash> pickTarget(const Want &want, TimePoint now) const;
+    bool hasFreeSlot(TimePoint now) const;
+    bool isUnfit(const Want &want, TargetHash target, TimePoint now) const;
     struct Choice
     {
         NodeId node;
         FlowId flow = 0;
         double virtualTime = 0;
     };
-    std::optional<Choice> pickFlow(TimePoint now) const;
+    std::optional<Choice> pickFlow(const std::set<Want> &passedOver, TimePoint now) const;
     std::uint32_t ungranted(const NodeId &node, const FlowDemand &want) const;
 
     const TargetLife *m_chart;
@@ -126,12 +138,16 @@
     PoolId m_pool = 0;
     ServiceId m_service;
     TimePoint m_began;
+    bool m_isHandedOver = false; ///< The earlier owner told what it had given out.
+
     std::uint64_t m_nextLease;
     std::map<TargetHash, Target> m_targets;
     std::map<LeaseId, Lease> m_leases;
     std::map<NodeId, Holder> m_holders;
     /// Leases not yet seen by their holder, by holder and flow.
-    std::map<std::pair<NodeId, FlowId>, std::uint32_t> m_unseen;
+    std::map<Want, std::uint32_t> m_unseen;
+    /// Until when a target is not offered to a flow at a node, which has said that nothing fits.
+    std::map<std::pair<Want, TargetHash>, TimePoint> m_unfit;
     FlowShares m_shares;
     PickMemory m_memory;
     Duration m_attemptTimeout {0};
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -52,6 +52,7 @@
     void onReturn(const NodeId &from, const PoolReturn &message);
     void onNews(const TargetNews &message);
     void onRemoteService(const PoolService &message);
+    void onHandover(const PoolHandover &message);
     void onReport(const TargetReport &report);
     void onPollFailed(const TargetPollFailed &failure);
 
@@ -91,6 +92,9 @@
     };
 
     void beginOwning(Entry &entry);
+    void handOver(Entry &entry, const NodeId &successor);
+    void takeEarlyHandover(Entry &entry);
+
     void configureOwn(Entry &entry);
     NodeId ownerOf(const Pool &pool) const;
     OwnerPart partOf(const Pool &pool) const;
@@ -98,7 +102,8 @@
     bool hasOpenTarget(const Pool &pool) const;
     const TargetSpec *findTarget(const Entry &entry, TargetHash target) const;
     bool tryRun(Entry &entry, LeaseId lease);
-    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId);
+    bool isUnfit(const Entry &entry, LeaseId lease) const;
+    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId, bool isUnfit = false);
     std::vector<Entry *> poolsToAsk(const ServiceId &service);
     void tellDemand(Entry &entry, const ServiceQueue &queue);
     void tellPeriodically(Entry &entry);
@@ -114,6 +119,8 @@
         m_spillUntil; ///< Until then other zones' pools are asked at once.
     std::set<ServiceId> m_changedServices;
     TimePoint m_exchangeAt {};
+    /// Handovers that came before this node knew that it is the owner, and when they came.
+    std::map<PoolId, std::pair<TimePoint, PoolHandover>> m_earlyHandovers;
 };
 
 } // namespace berylridge
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -215,3 +215,65 @@
     for (const GrantedLease &lease : grants())
         EXPECT_EQ(lease.flow, 2U);
 }
+
+// A node stops by plan and its pool moves to another one. The successor is told what was given out;
+// if it waited out a lease term instead, the target would idle for two seconds at each planned
+// stop.
+TEST_F(PoolOwnerTest, ASuccessorThatWasToldGoesOnAtOnce)
+{
+    waitOutTakeover();
+    warmUp();
+    demand(nodeA, m_holderA, {{1, 3, 0, 500}});
+    ASSERT_EQ(grants().size(), 3U);
+    m_holderA.onGrant(nodeB, ownerRun, m_lastGrant, m_clock.now());
+
+    PoolOwner successor(m_chart, {ownerRun + 1, 2s, FleetRule {}}, m_clock.now());
+    successor.configure(m_document, m_pool, m_clock.now());
+    successor.onReport(targetHash(TargetId("engine")), "boot1", 3, 100, 0ms, m_clock.now());
+    successor.takeOver(m_owner.handover(m_clock.now()), m_clock.now());
+    successor.onDemand(nodeB, holderRun, m_holderB.demandMessage({{2, 9, 0, 500}}, m_clock.now()),
+                       m_clock.now());
+    std::size_t count = 0;
+    for (const OwnerMessage &message : successor.grant(m_clock.now()))
+        count += message.grant.leases.size();
+    EXPECT_EQ(count, 1U) << "three of the four slots were given out before";
+}
+
+TEST_F(PoolOwnerTest, ASuccessorThatWasToldStillWaitsWithColdTargets)
+{
+    waitOutTakeover();
+    PoolOwner successor(m_chart, {ownerRun + 1, 2s, FleetRule {}}, m_clock.now());
+    successor.configure(m_document, m_pool, m_clock.now());
+    successor.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    successor.takeOver(m_owner.handover(m_clock.now()), m_clock.now());
+    successor.onDemand(nodeB, holderRun, m_holderB.demandMessage({{2, 9, 0, 500}}, m_clock.now()),
+                       m_clock.now());
+    EXPECT_TRUE(successor.grant(m_clock.now()).empty());
+}
+
+// A request waits that avoids the only free target, since that target failed it before. The holder
+// gives the slot back at once, the owner grants it again at once, and neither does anything else:
+// the node hangs. The flow that could use the slot gets it instead.
+TEST_F(PoolOwnerTest, ASlotThatFitsNothingIsNotGrantedToAndFro)
+{
+    waitOutTakeover();
+    warmUp();
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    const auto first = grants();
+    ASSERT_EQ(first.size(), 1U);
+    ReturnedLease vain;
+    vain.lease = first.front().lease;
+    vain.isUnfit = true;
+    const auto giveBack = [&] {
+        PoolReturn message;
+        message.sequence = m_holderA.nextSequence();
+        message.leases.push_back(vain);
+        m_owner.onReturn(nodeA, message, m_clock.now());
+    };
+    giveBack();
+    EXPECT_TRUE(grants().empty());
+    demand(nodeB, m_holderB, {{8, 1, 0, 100}});
+    EXPECT_EQ(grants().size(), 1U) << "another flow is not held up";
+    m_clock.advance(300ms);
+    EXPECT_EQ(grants().size(), 1U) << "the target may fit again";
+}
