--- /dev/null
+++ b/include/berylridge/Net/LogSink.h
@@ -0,0 +1,55 @@
+// Writes numbered events to the log without ever making its callers wait.
+#pragma once
+
+#include "berylridge/Support/LogEvent.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace berylridge {
+
+/// A bounded queue before a writer thread. A reader of the log that is slow, or has stopped, blocks
+/// the writer alone; lines beyond the bound are dropped, counted, and said once there is room.
+class LogSink
+{
+public:
+    using Write = std::function<void(LogLevel level, const std::string &line)>;
+
+    static constexpr std::size_t queueLimit = 4096;
+
+    /// write is called on the writer thread alone.
+    LogSink(LogLevel lowest, Write write);
+    /// Writes what is queued, but waits no longer than a second for a reader that has stopped.
+    ~LogSink();
+    LogSink(const LogSink &) = delete;
+    LogSink &operator=(const LogSink &) = delete;
+
+    /// From any thread.
+    void add(const LogRecord &record);
+
+    std::uint64_t dropped() const;
+
+private:
+    struct Line
+    {
+        LogLevel level;
+        std::string text;
+    };
+    struct Shared;
+
+    const LogLevel m_lowest;
+    std::shared_ptr<Shared> m_shared; ///< With the writer, which may outlive a stuck write.
+    std::thread m_writer;
+};
+
+/// A write function over log4cplus, to standard error.
+LogSink::Write log4cplusWriter();
+
+/// "debug" is not known: "info", "warning" or "error", as the settings have it.
+LogLevel logLevelOf(std::string_view name);
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Net/Metrics.h
@@ -0,0 +1,85 @@
+// Counters and latency histograms of one process, in the Prometheus text format.
+#pragma once
+
+#include "berylridge/Net/Datagram.h"
+#include "berylridge/Support/Time.h"
+#include "berylridge/Support/Verdict.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace berylridge {
+
+/// Latencies of requests in logarithmic buckets (Boost.Histogram); for any thread.
+class LatencyHistogram
+{
+public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+
+    void add(Duration latency);
+
+    /// Appends the buckets, sum and count under the name.
+    void print(const std::string &name, const std::string &help, std::string &out) const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Bytes and messages of one kind, in one direction.
+struct MessageCounter
+{
+    std::atomic<std::uint64_t> messages {0};
+    std::atomic<std::uint64_t> bytes {0};
+};
+
+/// Everything that /metrics shows but the core's own view.
+class Metrics
+{
+public:
+    using Counter = std::atomic<std::uint64_t>;
+
+    std::array<Counter, 3> requestsByVerdict {}; ///< Indexed by Verdict: requests that ended.
+    Counter requestsReceived {0};
+    Counter callersGone {0};
+    Counter connectionsOpen {0};
+    Counter connectionsRefused {0};
+    Counter attemptsStarted {0};
+    Counter attemptsFailed {0};
+    Counter connectionsReused {0};
+    std::array<MessageCounter, peerMessageKinds> sent {};
+    std::array<MessageCounter, peerMessageKinds> received {};
+    Counter datagramsSent {0};
+    Counter datagramsReceived {0};
+    Counter datagramBytesSent {0};
+    Counter datagramBytesReceived {0};
+    Counter callsSent {0};
+    Counter callBytesSent {0};
+    Counter callsReceived {0};
+    Counter callBytesReceived {0};
+    Counter datagramsRejected {0};
+    Counter platformCalls {0};
+    Counter targetPolls {0};
+    Counter logLinesDropped {0};
+    Counter controlEvents {0};
+    LatencyHistogram firstByte;
+    LatencyHistogram whole;
+
+    /// Counts a refusal under its problem type.
+    void addRefusal(const std::string &type);
+
+    /// controlSeconds is the processor time of the control thread.
+    std::string print(double controlSeconds) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::uint64_t> m_refusals;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/CallerListener.h
@@ -0,0 +1,38 @@
+// Accepts callers' connections and deals them out to the traffic threads in turn.
+#pragma once
+
+#include "Asio.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylridge {
+
+class TrafficThread;
+
+/// Lives on the first traffic thread, so that a burst of connections doesn't hold up control.
+class CallerListener
+{
+public:
+    explicit CallerListener(std::vector<std::unique_ptr<TrafficThread>> &threads);
+
+    /// Before the threads start. Empty where it listens, else why it can't.
+    std::string listen(const Endpoint &endpoint);
+    Endpoint endpoint() const { return m_endpoint; }
+
+    /// From any thread.
+    void close();
+
+private:
+    void accept();
+
+    std::vector<std::unique_ptr<TrafficThread>> &m_threads;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
+    Endpoint m_endpoint;
+    std::size_t m_next = 0;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/CallerSession.cpp
@@ -0,0 +1,338 @@
+#include "CallerSession.h"
+
+#include "CallerRequest.h"
+#include "Exchange.h"
+#include "TrafficThread.h"
+#include "WireText.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+/// Between two requests on a connection.
+constexpr std::chrono::seconds idleLimit {75};
+/// For the caller to take in an answer that makes the router close.
+constexpr std::chrono::seconds lingerLimit {2};
+constexpr std::size_t headReadBytes = 2 << 10;
+constexpr std::size_t bodyReadBytes = 64 << 10;
+/// Room beyond the head limit, so that the parser can say which limit was passed.
+constexpr std::size_t bufferSlack = 128 << 10;
+constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+CallerSession::CallerSession(TrafficThread &thread, tcp::socket socket)
+    : m_thread(thread)
+    , m_socket(std::move(socket))
+    , m_deadline(std::make_shared<Deadline>(thread.context()))
+    , m_buffer(thread.options().headerLimit + bufferSlack)
+{
+    ++m_thread.metrics().connectionsOpen;
+}
+
+CallerSession::~CallerSession()
+{
+    --m_thread.metrics().connectionsOpen;
+    m_thread.forget(this);
+}
+
+void CallerSession::start()
+{
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    if (m_thread.metrics().connectionsOpen > m_thread.options().connectionLimit) {
+        ++m_thread.metrics().connectionsRefused;
+        answerProblem({503, "too-many-connections", "the router has too many connections open",
+                       Verdict::NotRun, std::chrono::seconds(1)},
+                      false);
+        return;
+    }
+    awaitRequest();
+}
+
+void CallerSession::awaitRequest()
+{
+    m_state = State::Idle;
+    if (m_buffer.size() > 0) {
+        readHead();
+        return;
+    }
+    m_buffer.shrink_to_fit(); // An idle connection holds no buffer.
+    m_deadline->set(Deadline::Clock::now() + idleLimit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
+    watch();
+}
+
+void CallerSession::watch()
+{
+    if (std::exchange(m_isWatching, true))
+        return;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->m_isWatching = false;
+        self->onReadable(error);
+    });
+}
+
+void CallerSession::onReadable(error_code error)
+{
+    if (error == asio::error::operation_aborted)
+        return;
+    if (m_state == State::Idle)
+        readHead();
+    else if (m_state == State::Waiting)
+        lookForEnd();
+}
+
+void CallerSession::lookForEnd()
+{
+    std::array<char, 1> byte {};
+    error_code error;
+    m_socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    if (error == asio::error::would_block) {
+        watch();
+        return;
+    }
+    if (error) {
+        callerGone();
+        return;
+    }
+    // A pipelined request: kept up to the head limit, read when its turn comes. Beyond that the
+    // connection is no longer watched, so that a caller can't make memory grow.
+    const std::size_t limit = m_thread.options().headerLimit;
+    if (m_buffer.size() >= limit)
+        return;
+    const std::size_t room = std::min(limit - m_buffer.size(), headReadBytes);
+    m_buffer.commit(m_socket.read_some(m_buffer.prepare(room), error));
+    watch();
+}
+
+void CallerSession::readHead()
+{
+    m_state = State::Reading;
+    m_isOverdue = false;
+    const TrafficOptions &options = m_thread.options();
+    m_parser = std::make_unique<http::request_parser<http::string_body>>();
+    m_parser->header_limit(static_cast<std::uint32_t>(options.headerLimit));
+    m_parser->body_limit(options.bodyLimit);
+    // One limit for head and body: a caller that sends a byte now and then can't hold on for
+    // longer.
+    m_deadline->set(Deadline::Clock::now() + options.readTimeout, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_isOverdue = true;
+            error_code ignored;
+            self->m_socket.cancel(ignored);
+        }
+    });
+    m_buffer.reserve(headReadBytes);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](error_code error, std::size_t) { self->onHead(error); });
+}
+
+void CallerSession::onHead(error_code error)
+{
+    if (m_state != State::Reading)
+        return;
+    if (error) {
+        onReadError(error);
+        return;
+    }
+    const auto &request = m_parser->get();
+    if (request.version() != 11) {
+        // Without chunks an older caller couldn't tell a cut answer from a whole one.
+        answerProblem({505, "http-version", "the router speaks HTTP/1.1", Verdict::NotRun, {}},
+                      false);
+        return;
+    }
+    if (m_parser->is_done()) {
+        onRequest();
+        return;
+    }
+    if (beast::iequals(request[http::field::expect], "100-continue") && m_buffer.size() == 0)
+        write(std::string(continueAnswer), [] {});
+    readRest();
+}
+
+void CallerSession::readRest()
+{
+    const std::uint64_t length = m_parser->content_length().value_or(bodyReadBytes);
+    m_buffer.reserve(
+        std::min<std::size_t>(std::max<std::size_t>(length, headReadBytes), bodyReadBytes));
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, std::size_t) {
+                         if (self->m_state != State::Reading)
+                             return;
+                         if (error)
+                             self->onReadError(error);
+                         else
+                             self->onRequest();
+                     });
+}
+
+void CallerSession::onReadError(error_code error)
+{
+    if (m_isOverdue) {
+        answerProblem({408, "read-timeout", "the request did not arrive in time", Verdict::NotRun,
+                       std::nullopt},
+                      false);
+        return;
+    }
+    if (const auto problem = problemOfParser(error)) {
+        answerProblem(*problem, false);
+        return;
+    }
+    close();
+}
+
+void CallerSession::onRequest()
+{
+    m_deadline->clear();
+    m_state = State::Waiting;
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit(); // A waiting request may wait for long.
+    ++m_thread.metrics().requestsReceived;
+    beginExchange();
+}
+
+void CallerSession::beginExchange()
+{
+    const RequestHandle handle = m_thread.nextHandle();
+    const std::string freshId = m_thread.options().idPrefix + std::to_string(handle);
+    StringRequest request = m_parser->release();
+    m_parser.reset();
+    auto read = readCallerRequest(request, freshId);
+    if (const auto *problem = std::get_if<Problem>(&read)) {
+        answerProblem(*problem, request.keep_alive());
+        return;
+    }
+    auto arrived = std::get<RequestArrived>(std::move(read));
+    arrived.handle = handle;
+    m_exchange
+        = std::make_shared<Exchange>(m_thread, shared_from_this(), arrived, std::move(request));
+    m_thread.begin(handle, m_exchange);
+    m_thread.report(std::move(arrived));
+    watch();
+}
+
+void CallerSession::answerProblem(const Problem &problem, bool isKept)
+{
+    m_state = State::Waiting;
+    m_deadline->clear();
+    ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
+    m_thread.metrics().addRefusal(problem.type);
+    auto response = problemResponse(problem, m_thread.options().idPrefix + "0");
+    response.keep_alive(isKept);
+    write(wireText(response), [self = shared_from_this(), isKept] { self->endExchange(isKept); });
+}
+
+void CallerSession::write(std::string bytes, std::function<void()> written)
+{
+    if (m_state == State::Closing)
+        return;
+    m_out.push_back({std::move(bytes), std::move(written)});
+    if (!m_isWriteActive)
+        writeFront();
+}
+
+void CallerSession::writeFront()
+{
+    m_isWriteActive = true;
+    asio::async_write(m_socket, asio::buffer(m_out.front().bytes),
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                          self->m_isWriteActive = false;
+                          self->onWritten(error);
+                      });
+}
+
+void CallerSession::onWritten(error_code error)
+{
+    if (m_state == State::Closing)
+        return;
+    if (error) {
+        callerGone();
+        return;
+    }
+    const auto written = std::move(m_out.front().written);
+    m_out.pop_front();
+    if (!m_out.empty())
+        writeFront();
+    written();
+}
+
+void CallerSession::endExchange(bool isKept)
+{
+    if (m_state == State::Closing)
+        return;
+    m_exchange.reset();
+    if (isKept)
+        awaitRequest();
+    else
+        linger();
+}
+
+void CallerSession::callerGone()
+{
+    if (m_state == State::Closing)
+        return;
+    const auto exchange = std::move(m_exchange);
+    close();
+    if (exchange)
+        exchange->callerGone();
+}
+
+void CallerSession::linger()
+{
+    // Closing with unread bytes would make the system send a reset, which can destroy the answer
+    // before the caller has read it. So the caller is told the end, and its bytes are dropped for a
+    // short while.
+    m_state = State::Closing;
+    m_buffer.clear();
+    error_code error;
+    m_socket.shutdown(tcp::socket::shutdown_send, error);
+    if (error) {
+        close();
+        return;
+    }
+    m_deadline->set(Deadline::Clock::now() + lingerLimit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
+    discard();
+}
+
+void CallerSession::discard()
+{
+    m_socket.async_read_some(m_buffer.prepare(headReadBytes),
+                             [self = shared_from_this()](error_code error, std::size_t) {
+                                 if (error)
+                                     self->close();
+                                 else
+                                     self->discard();
+                             });
+}
+
+void CallerSession::cut()
+{
+    callerGone();
+    close();
+}
+
+void CallerSession::close()
+{
+    m_state = State::Closing;
+    m_deadline->stop();
+    m_out.clear();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/CallerSession.h
@@ -0,0 +1,87 @@
+// One connection of a caller: reads its requests one after another and writes their answers.
+#pragma once
+
+#include "Asio.h"
+#include "Deadline.h"
+#include "Problem.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace berylridge {
+
+class Exchange;
+class TrafficThread;
+
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    CallerSession(TrafficThread &thread, tcp::socket socket);
+    ~CallerSession();
+    CallerSession(const CallerSession &) = delete;
+    CallerSession &operator=(const CallerSession &) = delete;
+
+    void start();
+
+    /// Queues bytes of an answer; written is called once the operating system has taken them.
+    void write(std::string bytes, std::function<void()> written);
+
+    /// The request's answer is written: goes on to the next request, or closes.
+    void endExchange(bool isKept);
+
+    /// Closes at once, so that the caller sees that its answer is incomplete.
+    void cut();
+
+    bool isWriting() const { return !m_out.empty(); }
+
+private:
+    enum class State : std::uint8_t {
+        Idle,    ///< Between requests.
+        Reading, ///< A request is coming in.
+        Waiting, ///< For the answer, or while it streams.
+        Closing,
+    };
+
+    /// Bytes of an answer on their way out.
+    struct Outgoing
+    {
+        std::string bytes;
+        std::function<void()> written;
+    };
+
+    void awaitRequest();
+    void watch();
+    void onReadable(error_code error);
+    void lookForEnd();
+    void readHead();
+    void onHead(error_code error);
+    void readRest();
+    void onRequest();
+    void onReadError(error_code error);
+    void beginExchange();
+    void answerProblem(const Problem &problem, bool isKept);
+    void writeFront();
+    void onWritten(error_code error);
+    void callerGone();
+    void linger();
+    void discard();
+    void close();
+
+    TrafficThread &m_thread;
+    tcp::socket m_socket;
+    std::shared_ptr<Deadline> m_deadline;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<http::request_parser<http::string_body>> m_parser;
+    std::shared_ptr<Exchange> m_exchange;
+    std::deque<Outgoing> m_out;
+    State m_state = State::Idle;
+    bool m_isWatching = false;
+    bool m_isOverdue = false;
+    bool m_isWriteActive = false;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/ControlLoop.cpp
@@ -0,0 +1,66 @@
+#include "ControlLoop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration longestWait = std::chrono::hours(1);
+
+} // namespace
+
+ControlLoop::ControlLoop(asio::io_context &context, CoreHandle core, Metrics &metrics,
+                         CarryOut carryOut, std::function<void()> endTurn)
+    : m_core(std::move(core))
+    , m_metrics(metrics)
+    , m_carryOut(std::move(carryOut))
+    , m_endTurn(std::move(endTurn))
+    , m_timer(context)
+    , m_inbox(context, [this](std::vector<Event> &events) {
+        for (const Event &event : events)
+            handle(event);
+        this->endTurn();
+    })
+{
+}
+
+void ControlLoop::handle(const Event &event)
+{
+    ++m_metrics.controlEvents;
+    m_core.handle(event, m_clock.now(), m_clock.wallNow(), m_actions);
+    // An action may lead to another event at once, whose actions must come after these.
+    Actions actions = std::exchange(m_actions, {});
+    for (Action &action : actions)
+        m_carryOut(action);
+    actions.clear();
+    if (m_actions.empty())
+        m_actions = std::move(actions); // Keeps the memory.
+}
+
+void ControlLoop::endTurn()
+{
+    m_endTurn();
+    armTimer();
+}
+
+void ControlLoop::armTimer()
+{
+    // A time far off, as of a core that waits for nothing, doesn't fit the steady clock's units.
+    const TimePoint due = std::min(m_core.nextTimer(), m_clock.now() + longestWait);
+    if (m_armedFor == due)
+        return;
+    m_armedFor = due;
+    // The core's time is that of the steady clock.
+    m_timer.expires_at(std::chrono::steady_clock::time_point(due.time_since_epoch()));
+    m_timer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        m_armedFor.reset();
+        handle(TimerDue {});
+        this->endTurn();
+    });
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/Datagram.cpp
@@ -0,0 +1,195 @@
+#include "berylridge/Net/Datagram.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <array>
+#include <cassert>
+#include <msgpack.hpp>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+constexpr std::uint32_t datagramFormat = 1;
+/// Fleet messages are numbered from 0 and key messages from here, so that each list can grow.
+constexpr std::uint32_t firstKeyType = 100;
+/// Largest heads of the arrays and numbers around the packed messages, the node's name apart.
+constexpr std::size_t envelopeBytes = 32;
+/// Bounds what a datagram's own length fields can make the reader allocate.
+constexpr std::size_t listLimit = 1 << 16;
+constexpr std::size_t textLimit = 8 << 20;
+constexpr std::size_t depthLimit = 16;
+
+constexpr std::size_t fleetKinds = std::variant_size_v<FleetMessage>;
+constexpr std::size_t keyKinds = std::variant_size_v<KeyMessage>;
+
+/// A type's name without its namespace, as the compiler gives it: a list of names by hand would
+/// have to follow each change of the vocabularies.
+template <typename T>
+constexpr std::string_view typeName()
+{
+    constexpr std::string_view before = "T = berylridge::";
+    const std::string_view text = __PRETTY_FUNCTION__;
+    const std::size_t begin = text.find(before) + before.size();
+    return text.substr(begin, text.find_first_of(";]", begin) - begin);
+}
+
+template <typename Vocabulary, std::size_t... Indices>
+constexpr auto typeNames(std::index_sequence<Indices...>)
+{
+    return std::array<std::string_view, sizeof...(Indices)> {
+        typeName<std::variant_alternative_t<Indices, Vocabulary>>()...};
+}
+
+constexpr auto fleetNames = typeNames<FleetMessage>(std::make_index_sequence<fleetKinds>());
+constexpr auto keyNames = typeNames<KeyMessage>(std::make_index_sequence<keyKinds>());
+static_assert(fleetNames[0] == "Heartbeat");
+
+std::span<const std::byte> bytesOf(const std::string &text)
+{
+    return std::as_bytes(std::span(text));
+}
+
+template <typename Vocabulary, std::size_t Index>
+PeerMessage readAs(const msgpack::object &body)
+{
+    return PeerMessage(Vocabulary(std::in_place_index<Index>,
+                                  body.as<std::variant_alternative_t<Index, Vocabulary>>()));
+}
+
+using ReadFunction = PeerMessage (*)(const msgpack::object &);
+
+template <typename Vocabulary, std::size_t... Indices>
+constexpr auto readers(std::index_sequence<Indices...>)
+{
+    return std::array<ReadFunction, sizeof...(Indices)> {&readAs<Vocabulary, Indices>...};
+}
+
+constexpr auto fleetReaders = readers<FleetMessage>(std::make_index_sequence<fleetKinds>());
+constexpr auto keyReaders = readers<KeyMessage>(std::make_index_sequence<keyKinds>());
+
+ReadFunction readerOf(std::uint32_t type)
+{
+    if (type < fleetKinds)
+        return fleetReaders[type];
+    if (type >= firstKeyType && type - firstKeyType < keyKinds)
+        return keyReaders[type - firstKeyType];
+    return nullptr;
+}
+
+/// The elements of an array of at least so many; throws msgpack::type_error otherwise.
+std::span<const msgpack::object> arrayOf(const msgpack::object &object, std::size_t least)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < least)
+        throw msgpack::type_error();
+    return {object.via.array.ptr, object.via.array.size};
+}
+
+void readMessages(const msgpack::object &list, Datagram &datagram)
+{
+    for (const msgpack::object &entry : arrayOf(list, 0)) {
+        const auto parts = arrayOf(entry, 2);
+        const ReadFunction read = readerOf(parts[0].as<std::uint32_t>());
+        if (read == nullptr) {
+            ++datagram.unknownMessages;
+            continue;
+        }
+        datagram.messages.push_back(read(parts[1]));
+    }
+}
+
+Expected<Datagram> readEnvelope(std::span<const std::byte> bytes)
+{
+    const msgpack::unpack_limit limit(listLimit, 0, textLimit, textLimit, 0, depthLimit);
+    const std::string_view text(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+    try {
+        std::size_t offset = 0;
+        const auto handle
+            = msgpack::unpack(text.data(), text.size(), offset, nullptr, nullptr, limit);
+        const auto parts = arrayOf(handle.get(), 4);
+        if (parts[0].as<std::uint32_t>() != datagramFormat)
+            return Reason {"datagram of an unknown format"};
+        Datagram datagram;
+        datagram.from = NodeId(parts[1].as<std::string>());
+        datagram.incarnation = parts[2].as<Incarnation>();
+        readMessages(parts[3], datagram);
+        return datagram;
+    } catch (const std::exception &error) {
+        return Reason {std::string("datagram can't be read: ") + error.what()};
+    }
+}
+
+} // namespace
+
+std::size_t peerMessageKind(const PeerMessage &message)
+{
+    if (const auto *fleet = std::get_if<FleetMessage>(&message))
+        return fleet->index();
+    return fleetKinds + std::get<KeyMessage>(message).index();
+}
+
+std::string_view peerMessageKindName(std::size_t kind)
+{
+    assert(kind < peerMessageKinds && "no such kind of message");
+    return kind < fleetKinds ? fleetNames[kind] : keyNames[kind - fleetKinds];
+}
+
+std::string packPeerMessage(const PeerMessage &message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(2);
+    if (const auto *fleet = std::get_if<FleetMessage>(&message)) {
+        packer.pack(static_cast<std::uint32_t>(fleet->index()));
+        std::visit([&](const auto &body) { packer.pack(body); }, *fleet);
+    } else {
+        const auto &key = std::get<KeyMessage>(message);
+        packer.pack(firstKeyType + static_cast<std::uint32_t>(key.index()));
+        std::visit([&](const auto &body) { packer.pack(body); }, key);
+    }
+    return {buffer.data(), buffer.size()};
+}
+
+DatagramSealer::DatagramSealer(NodeId from, Incarnation incarnation, std::string fleetKey)
+    : m_from(std::move(from))
+    , m_incarnation(incarnation)
+    , m_fleetKey(std::move(fleetKey))
+{
+    assert(m_from.str().size() < datagramLimit / 2 && "node name leaves no room for messages");
+}
+
+std::size_t DatagramSealer::capacity() const
+{
+    return datagramLimit - authenticatorSize - envelopeBytes - m_from.str().size();
+}
+
+std::string DatagramSealer::seal(std::span<const std::string> packedMessages) const
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(4);
+    packer.pack(datagramFormat);
+    packer.pack(m_from.str());
+    packer.pack(m_incarnation);
+    packer.pack_array(static_cast<std::uint32_t>(packedMessages.size()));
+    for (const std::string &message : packedMessages)
+        buffer.write(message.data(), message.size());
+    std::string sealed(buffer.data(), buffer.size());
+    std::array<std::byte, authenticatorSize> tag {};
+    authenticate(m_fleetKey, bytesOf(sealed), tag);
+    sealed.append(reinterpret_cast<const char *>(tag.data()), tag.size());
+    return sealed;
+}
+
+Expected<Datagram> openDatagram(std::string_view fleetKey, std::span<const std::byte> bytes)
+{
+    if (bytes.size() <= authenticatorSize)
+        return Reason {"datagram is too short"};
+    const auto body = bytes.first(bytes.size() - authenticatorSize);
+    if (!isAuthentic(fleetKey, body, bytes.last<authenticatorSize>()))
+        return Reason {"datagram fails authentication"};
+    return readEnvelope(body);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/DeliverServer.cpp
@@ -0,0 +1,68 @@
+#include "DeliverServer.h"
+
+#include "Base64.h"
+
+#include <jsonrpccpp/server.h>
+#include <utility>
+
+namespace berylridge {
+
+/// The library's server connector over whatever reads the requests.
+class DeliverServer::Connector : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override { return true; }                 // NOLINT: the library's name
+    bool StopListening() override { return true; }                  // NOLINT: the library's name
+    bool SendResponse(const std::string &response, void *) override // NOLINT: the library's name
+    {
+        m_response = response;
+        return true;
+    }
+
+    std::string answer(const std::string &request)
+    {
+        m_response.clear();
+        OnRequest(request);
+        return std::move(m_response);
+    }
+
+private:
+    std::string m_response;
+};
+
+class DeliverServer::Methods : public jsonrpc::AbstractServer<DeliverServer::Methods>
+{
+public:
+    Methods(Connector &connector, std::function<void(const std::string &)> take)
+        : AbstractServer(connector, jsonrpc::JSONRPC_SERVER_V2)
+        , m_take(std::move(take))
+    {
+        bindAndAddNotification(jsonrpc::Procedure(deliverMethod, jsonrpc::PARAMS_BY_NAME,
+                                                  deliverParameter, jsonrpc::JSON_STRING, nullptr),
+                               &Methods::deliver);
+    }
+
+private:
+    void deliver(const Json::Value &parameters)
+    {
+        const auto sealed = decodeBase64(parameters[deliverParameter].asString());
+        m_take(sealed.value_or(std::string()));
+    }
+
+    std::function<void(const std::string &)> m_take;
+};
+
+DeliverServer::DeliverServer(std::function<void(const std::string &)> deliver)
+    : m_connector(std::make_unique<Connector>())
+    , m_methods(std::make_unique<Methods>(*m_connector, std::move(deliver)))
+{
+}
+
+DeliverServer::~DeliverServer() = default;
+
+std::string DeliverServer::handle(const std::string &request)
+{
+    return m_connector->answer(request);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/EventStream.cpp
@@ -0,0 +1,120 @@
+#include "EventStream.h"
+
+#include <charconv>
+
+namespace berylridge {
+
+namespace {
+
+constexpr std::string_view endOfStream = "[DONE]";
+
+std::optional<std::uint64_t> numberIn(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+/// One line without its end; removes it from the text.
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    if (!line.empty() && line.back() == '\r')
+        line.remove_suffix(1);
+    return line;
+}
+
+/// The value of a field's line, where the line is of that field.
+std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name))
+        return std::nullopt;
+    line.remove_prefix(name.size());
+    if (line.empty())
+        return line;
+    if (line.front() != ':')
+        return std::nullopt;
+    line.remove_prefix(1);
+    if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
+    return line;
+}
+
+/// Where the first event ends, its blank line included.
+std::size_t endOfEvent(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        const std::string_view rest = text.substr(at + 1);
+        if (rest.starts_with('\n'))
+            return at + 2;
+        if (rest.starts_with("\r\n"))
+            return at + 3;
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+void EventStream::setLastId(std::string_view id)
+{
+    m_lastId = id;
+    m_lastNumber = numberIn(id);
+}
+
+bool EventStream::feed(std::string_view bytes, std::string &out)
+{
+    // An end may straddle two pieces by three bytes at most ("\n\r" + "\n").
+    const std::size_t before = m_pending.size();
+    std::size_t searchFrom = before < 3 ? 0 : before - 3;
+    m_pending.append(bytes);
+    std::string_view rest = m_pending;
+    while (true) {
+        const std::size_t end = endOfEvent(rest, searchFrom);
+        if (end == std::string_view::npos)
+            break;
+        if (!takeEvent(rest.substr(0, end), out))
+            return false;
+        rest.remove_prefix(end);
+        searchFrom = 0;
+    }
+    m_pending.erase(0, m_pending.size() - rest.size());
+    return m_pending.size() <= eventLimit;
+}
+
+bool EventStream::takeEvent(std::string_view event, std::string &out)
+{
+    std::optional<std::string_view> id;
+    std::string_view data;
+    bool isBlank = true;
+    for (std::string_view rest = event; !rest.empty();) {
+        const std::string_view line = takeLine(rest);
+        isBlank = isBlank && line.empty();
+        if (const auto value = fieldValue(line, "id"))
+            id = value;
+        if (const auto value = fieldValue(line, "data"))
+            data = *value;
+    }
+    if (isBlank)
+        return true;
+    if (m_isDone)
+        return false;
+    const std::optional<std::uint64_t> number = id ? numberIn(*id) : std::nullopt;
+    // A replica that resumes may repeat events: ids rise, so what isn't higher was passed on
+    // before.
+    if (number && m_lastNumber && *number <= *m_lastNumber)
+        return true;
+    if (id) {
+        m_lastId = *id;
+        m_lastNumber = number;
+    }
+    m_isDone = data == endOfStream;
+    out.append(event);
+    return true;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/EventStream.h
@@ -0,0 +1,46 @@
+// Passes on a server-sent event stream by whole events, so that it can be resumed after the last
+// one.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace berylridge {
+
+/// Follows the events of one answer over all attempts that add to it. Only whole events come out:
+/// a caller never gets half of one that a resumed stream would bring again.
+class EventStream
+{
+public:
+    /// Longest event that is held back until it is whole.
+    static constexpr std::size_t eventLimit = 1 << 20;
+
+    /// Takes in bytes of the current attempt; appends to out what may be passed on. False where the
+    /// stream is unusable: an event beyond the limit or something after the end.
+    bool feed(std::string_view bytes, std::string &out);
+
+    /// Another attempt goes on after lastId(): drops the half event that the last one left.
+    void beginAttempt() { m_pending.clear(); }
+
+    /// Sets the id that the caller itself had from an earlier connection.
+    void setLastId(std::string_view id);
+
+    /// The id of the last event that was passed on; empty where none had one.
+    const std::string &lastId() const { return m_lastId; }
+
+    /// Whether `data: [DONE]` was passed on.
+    bool isDone() const { return m_isDone; }
+
+private:
+    bool takeEvent(std::string_view event, std::string &out);
+
+    std::string m_pending;
+    std::string m_lastId;
+    std::optional<std::uint64_t> m_lastNumber;
+    bool m_isDone = false;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/HttpClient.cpp
@@ -0,0 +1,164 @@
+#include "HttpClient.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+AttemptFailure failureOf(const error_code &error)
+{
+    if (error == asio::error::connection_refused)
+        return AttemptFailure::ConnectRefused;
+    if (error == beast::error::timeout)
+        return AttemptFailure::Timeout;
+    if (error.category() == make_error_code(http::error::end_of_stream).category()
+        && error != http::error::end_of_stream)
+        return AttemptFailure::BadAnswer;
+    return AttemptFailure::Reset;
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void HttpClient::get(std::string_view target, Duration timeout, Done done)
+{
+    enqueue(http::verb::get, target, {}, timeout, std::move(done));
+}
+
+void HttpClient::post(std::string_view target, std::string body, Duration timeout, Done done)
+{
+    enqueue(http::verb::post, target, std::move(body), timeout, std::move(done));
+}
+
+void HttpClient::enqueue(http::verb method, std::string_view target, std::string body,
+                         Duration timeout, Done done)
+{
+    if (m_calls.size() >= queueLimit) {
+        done({AttemptFailure::Timeout, 0, {}});
+        return;
+    }
+    StringRequest request(method, beastView(target), 11);
+    request.set(http::field::host, m_endpoint.address + ":" + std::to_string(m_endpoint.port));
+    if (method == http::verb::post)
+        request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    m_calls.push_back({std::move(request), timeout, std::move(done), false});
+    if (m_calls.size() == 1)
+        begin();
+}
+
+void HttpClient::begin()
+{
+    if (m_stream)
+        send();
+    else
+        connect();
+}
+
+void HttpClient::connect()
+{
+    const auto endpoint = asioEndpoint<tcp>(m_endpoint);
+    if (!endpoint) {
+        asio::post(m_context, [self = shared_from_this()] {
+            if (!self->m_calls.empty())
+                self->complete({AttemptFailure::ConnectRefused, 0, {}});
+        });
+        return;
+    }
+    m_isKept = false;
+    m_buffer.clear();
+    m_stream.emplace(m_context);
+    m_stream->expires_after(m_calls.front().timeout);
+    m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
+        if (!self->m_stream || self->m_calls.empty())
+            return;
+        if (error) {
+            self->onFailure(failureOf(error));
+            return;
+        }
+        error_code ignored;
+        self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+        self->send();
+    });
+}
+
+void HttpClient::send()
+{
+    m_stream->expires_after(m_calls.front().timeout);
+    http::async_write(*m_stream, m_calls.front().request,
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                          if (!self->m_stream || self->m_calls.empty())
+                              return;
+                          if (error)
+                              self->onFailure(failureOf(error));
+                          else
+                              self->receive();
+                      });
+}
+
+void HttpClient::receive()
+{
+    m_parser.emplace();
+    m_parser->body_limit(answerLimit);
+    http::async_read(*m_stream, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, std::size_t) {
+                         if (!self->m_stream || self->m_calls.empty())
+                             return;
+                         if (error)
+                             self->onFailure(failureOf(error));
+                         else
+                             self->onAnswer();
+                     });
+}
+
+void HttpClient::onFailure(AttemptFailure failure)
+{
+    m_stream.reset();
+    const bool wasKept = std::exchange(m_isKept, false);
+    // The server may have closed a kept connection just as the call was sent.
+    if (wasKept && failure == AttemptFailure::Reset && !m_calls.front().isRepeated) {
+        m_calls.front().isRepeated = true;
+        begin();
+        return;
+    }
+    complete({failure, 0, {}});
+}
+
+void HttpClient::onAnswer()
+{
+    auto &answer = m_parser->get();
+    HttpReply reply {std::nullopt, answer.result_int(), std::move(answer.body())};
+    m_isKept = m_parser->keep_alive() && m_buffer.size() == 0;
+    if (m_isKept)
+        m_stream->expires_never();
+    else
+        m_stream.reset();
+    complete(std::move(reply));
+}
+
+void HttpClient::complete(HttpReply reply)
+{
+    const auto done = std::move(m_calls.front().done);
+    m_calls.pop_front();
+    const auto self = shared_from_this(); // done() may close this client.
+    if (!m_calls.empty())
+        begin();
+    done(std::move(reply));
+}
+
+void HttpClient::close()
+{
+    m_calls.clear();
+    m_stream.reset();
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/HttpListener.h
@@ -0,0 +1,57 @@
+// A small HTTP server for operators and other nodes, on the control thread.
+#pragma once
+
+#include "Asio.h"
+
+#include "berylridge/Support/Expected.h"
+#include "berylridge/Support/Time.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace berylridge {
+
+struct ListenerLimits
+{
+    std::uint64_t bodyLimit = 1 << 20;
+    std::uint32_t connectionLimit = 256;
+    Duration idleTimeout = std::chrono::seconds(60); ///< Also for a request to come in whole.
+};
+
+/// Answers each request by one call of a function.
+class HttpListener
+{
+public:
+    using Answer = std::function<StringResponse(const StringRequest &)>;
+
+    HttpListener(asio::io_context &context, ListenerLimits limits, Answer answer);
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
+
+    /// Empty where it listens; else why it can't.
+    std::string listen(const Endpoint &endpoint);
+
+    /// Where it listens, with the port that the system chose where 0 was asked for.
+    Endpoint endpoint() const;
+
+private:
+    struct Shared;
+    class Session;
+
+    void accept();
+
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
+    std::shared_ptr<Shared> m_shared;
+};
+
+/// Opens a listening socket on the endpoint; empty where it listens, else why it can't.
+std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint);
+
+/// Where a listening socket is bound.
+Endpoint boundEndpoint(const tcp::acceptor &acceptor);
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/Metrics.cpp
@@ -0,0 +1,170 @@
+#include "berylridge/Net/Metrics.h"
+
+#include <boost/histogram.hpp>
+#include <ctime>
+#include <limits>
+#include <string_view>
+
+namespace berylridge {
+
+namespace {
+
+namespace histogram = boost::histogram;
+using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
+
+constexpr unsigned bucketCount = 40;
+constexpr double lowestBound = 0.0001; ///< Seconds.
+constexpr double highestBound = 1000;
+
+void printHead(std::string_view name, std::string_view help, std::string_view type,
+               std::string &out)
+{
+    out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ");
+    out.append(name).append(" ").append(type).append("\n");
+}
+
+template <typename Number>
+void printValue(std::string_view name, std::string_view labels, Number value, std::string &out)
+{
+    out.append(name).append(labels).append(" ").append(std::to_string(value)).append("\n");
+}
+
+template <typename Number>
+void printOne(std::string_view name, std::string_view help, std::string_view type, Number value,
+              std::string &out)
+{
+    printHead(name, help, type, out);
+    printValue(name, "", value, out);
+}
+
+std::string label(std::string_view name, std::string_view value)
+{
+    return std::string("{").append(name).append("=\"").append(value).append("\"}");
+}
+
+using MessageCounters = std::array<MessageCounter, peerMessageKinds>;
+
+void printMessages(const std::string &prefix, const MessageCounters &counters, std::string &out)
+{
+    const std::string messages = prefix + "_messages_total";
+    printHead(messages, "control messages by kind", "counter", out);
+    for (std::size_t kind = 0; kind < counters.size(); ++kind)
+        printValue(messages, label("kind", peerMessageKindName(kind)),
+                   counters[kind].messages.load(), out);
+    const std::string bytes = prefix + "_bytes_total";
+    printHead(bytes, "packed bytes of control messages by kind", "counter", out);
+    for (std::size_t kind = 0; kind < counters.size(); ++kind)
+        printValue(bytes, label("kind", peerMessageKindName(kind)), counters[kind].bytes.load(),
+                   out);
+}
+
+double processSeconds()
+{
+    timespec used {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+} // namespace
+
+class LatencyHistogram::Impl
+{
+public:
+    using Histogram = decltype(histogram::make_histogram(LogAxis(1, 1., 2.)));
+
+    std::mutex mutex;
+    Histogram buckets = histogram::make_histogram(LogAxis(bucketCount, lowestBound, highestBound));
+    double sum = 0;
+};
+
+LatencyHistogram::LatencyHistogram()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::add(Duration latency)
+{
+    const double seconds = toSeconds(latency);
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->buckets(seconds);
+    m_impl->sum += seconds;
+}
+
+void LatencyHistogram::print(const std::string &name, const std::string &help,
+                             std::string &out) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    printHead(name, help, "histogram", out);
+    double below = 0;
+    for (const auto &bucket : histogram::indexed(m_impl->buckets, histogram::coverage::all)) {
+        below += *bucket;
+        const double upper = bucket.bin(0).upper();
+        const bool isLast = upper == std::numeric_limits<double>::infinity();
+        printValue(name, "_bucket" + label("le", isLast ? "+Inf" : std::to_string(upper)),
+                   static_cast<std::uint64_t>(below), out);
+    }
+    printValue(name, "_sum", m_impl->sum, out);
+    printValue(name, "_count", static_cast<std::uint64_t>(below), out);
+}
+
+void Metrics::addRefusal(const std::string &type)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_refusals[type];
+}
+
+std::string Metrics::print(double controlSeconds) const
+{
+    std::string out;
+    const auto counter
+        = [&out](std::string_view name, std::string_view help, const Counter &value) {
+              printOne(name, help, "counter", value.load(), out);
+          };
+    counter("berylridge_requests_received_total", "requests read whole", requestsReceived);
+    printHead("berylridge_requests_total", "requests that ended, by verdict", "counter", out);
+    for (const Verdict verdict : {Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran})
+        printValue("berylridge_requests_total", label("verdict", verdictName(verdict)),
+                   requestsByVerdict[static_cast<std::size_t>(verdict)].load(), out);
+    printHead("berylridge_refusals_total", "refusals by problem type", "counter", out);
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[type, count] : m_refusals)
+            printValue("berylridge_refusals_total", label("type", type), count, out);
+    }
+    counter("berylridge_callers_gone_total", "callers that left before their answer", callersGone);
+    printOne("berylridge_caller_connections", "open connections of callers", "gauge",
+             connectionsOpen.load(), out);
+    counter("berylridge_caller_connections_refused_total", "connections beyond the limit",
+            connectionsRefused);
+    counter("berylridge_attempts_total", "attempts at targets", attemptsStarted);
+    counter("berylridge_attempts_failed_total", "attempts that failed", attemptsFailed);
+    counter("berylridge_target_connections_reused_total", "attempts on a kept connection",
+            connectionsReused);
+    firstByte.print("berylridge_first_byte_seconds", "from request to first byte", out);
+    whole.print("berylridge_request_seconds", "from request to end of answer", out);
+    printMessages("berylridge_control_sent", sent, out);
+    printMessages("berylridge_control_received", received, out);
+    counter("berylridge_datagrams_sent_total", "datagrams sent", datagramsSent);
+    counter("berylridge_datagrams_received_total", "datagrams received", datagramsReceived);
+    counter("berylridge_datagram_bytes_sent_total", "bytes of them", datagramBytesSent);
+    counter("berylridge_datagram_bytes_received_total", "bytes of them", datagramBytesReceived);
+    counter("berylridge_calls_sent_total", "calls to nodes", callsSent);
+    counter("berylridge_call_bytes_sent_total", "bytes of their bodies", callBytesSent);
+    counter("berylridge_calls_received_total", "calls from nodes", callsReceived);
+    counter("berylridge_call_bytes_received_total", "bytes of their bodies", callBytesReceived);
+    counter("berylridge_datagrams_rejected_total", "unauthentic or unreadable datagrams",
+            datagramsRejected);
+    counter("berylridge_platform_calls_total", "calls to the platform", platformCalls);
+    counter("berylridge_target_polls_total", "load polls of targets", targetPolls);
+    counter("berylridge_log_lines_dropped_total", "log lines that found no room", logLinesDropped);
+    counter("berylridge_control_events_total", "events of the decision core", controlEvents);
+    printOne("berylridge_control_cpu_seconds_total", "processor time of the control thread",
+             "counter", controlSeconds, out);
+    printOne("process_cpu_seconds_total", "processor time of the process", "counter",
+             processSeconds(), out);
+    return out;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/PeerLink.h
@@ -0,0 +1,86 @@
+// Messages to and from other nodes: datagrams, calls for what is too large for one, and probes.
+#pragma once
+
+#include "Asio.h"
+#include "DeliverServer.h"
+#include "HttpClient.h"
+#include "HttpListener.h"
+
+#include "berylridge/Net/Datagram.h"
+#include "berylridge/Net/Metrics.h"
+#include "berylridge/Router/Actions.h"
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylridge {
+
+struct PeerOptions
+{
+    NodeId node;
+    Incarnation incarnation = 0;
+    std::string fleetKey;
+};
+
+/// Lives on the control thread.
+class PeerLink
+{
+public:
+    struct Events
+    {
+        std::function<void(Event)> take; ///< Called once for each event...
+        std::function<void()> endTurn;   ///< ...and once after those of one wake-up.
+        std::function<void(LogRecord)> log;
+    };
+
+    PeerLink(asio::io_context &context, PeerOptions options, Metrics &metrics, Events events);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Opens the datagram socket and the listener for calls on the same port. Empty where it
+    /// listens, else why it can't.
+    std::string listen(const Endpoint &endpoint);
+    Endpoint endpoint() const { return m_calls.endpoint(); }
+
+    /// Kept until flush(), so that messages to one node share datagrams.
+    void send(const SendToNode &order);
+    void flush();
+    void probe(const ProbeNode &order);
+
+private:
+    using PackedMessages = std::vector<std::string>;
+
+    void receive();
+    void receiveAll();
+    void takeSealed(std::span<const std::byte> bytes);
+    void reject(const std::string &reason);
+    void sendPacked(const Endpoint &to, const PackedMessages &messages);
+    void sendDatagram(const Endpoint &to, std::span<const std::string> messages);
+    void call(const Endpoint &to, const std::string &message);
+    StringResponse answerCall(const StringRequest &request);
+    void closeIdleClients();
+
+    asio::io_context &m_context;
+    const std::string m_fleetKey;
+    Metrics &m_metrics;
+    Events m_events;
+    DatagramSealer m_sealer;
+    udp::socket m_socket;
+    std::array<std::byte, 65536> m_received {};
+    DeliverServer m_deliver;
+    HttpListener m_calls;
+    std::map<Endpoint, PackedMessages> m_outgoing;
+    std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
+    asio::steady_timer m_idleTimer;
+    std::chrono::steady_clock::time_point m_lastRejectLog {};
+    std::uint64_t m_rejectedSinceLog = 0;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/RouterNode.cpp
@@ -0,0 +1,362 @@
+#include "berylridge/Net/RouterNode.h"
+
+#include "AdminFace.h"
+#include "CallerListener.h"
+#include "ControlLoop.h"
+#include "PeerLink.h"
+#include "PlatformWatch.h"
+#include "TargetPoller.h"
+#include "TrafficThread.h"
+
+#include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <cassert>
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+std::string idPrefixOf(const Settings &settings, Incarnation incarnation)
+{
+    return settings.node.str() + "-" + std::to_string(incarnation) + "-";
+}
+
+TrafficOptions trafficOptions(const Settings &settings, Incarnation incarnation)
+{
+    TrafficOptions options;
+    options.idPrefix = idPrefixOf(settings, incarnation);
+    options.headerLimit = settings.headerLimit;
+    options.bodyLimit = settings.bodyLimit;
+    options.connectionLimit = settings.connectionLimit;
+    options.readTimeout = settings.readTimeout;
+    options.threads = settings.trafficThreads;
+    return options;
+}
+
+/// Processor time of the calling thread.
+double threadSeconds()
+{
+    timespec used {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+std::string auditText(const AuditEntry &entry)
+{
+    std::string text = auditKindName(entry.kind);
+    text.append(" by ").append(entry.who).append(": ").append(entry.what);
+    text.append(" from '").append(entry.from).append("' to '").append(entry.to).append("'");
+    return text;
+}
+
+} // namespace
+
+class RouterNode::Impl
+{
+public:
+    Impl(const Settings &settings, Incarnation incarnation, LogSink &log, CoreHandle core,
+         RpcHandler rpc, AuditHandler audit);
+    ~Impl();
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    /// Empty where all listeners are open, else why one is not.
+    std::string open(const Settings &settings);
+    void handleSignals();
+    void run();
+    void stop() { m_context.stop(); }
+
+    void post(Event event) { m_loop.post(std::move(event)); }
+    void handleNow(const Event &event);
+
+    void operator()(Dispatch &action);
+    void operator()(AbortAttempt &action);
+    void operator()(Refuse &action);
+    void operator()(AnswerKept &action);
+    void operator()(const SendToNode &action) { m_peers.send(action); }
+    void operator()(const ProbeNode &action) { m_peers.probe(action); }
+    void operator()(const PollTarget &action) { m_poller.poll(action); }
+    void operator()(const WatchPlatform &action) { m_watch.set(action.isOn); }
+    void operator()(const Readiness &action);
+    void operator()(const Stopped &action);
+    void operator()(const Log &action) { m_log.add(action.record); }
+    void operator()(const Audit &action);
+
+    Metrics m_metrics; // NOLINT: used by the face
+    CallerListener &listener() { return *m_listener; }
+    PeerLink &peers() { return m_peers; }
+    AdminFace &admin() { return m_admin; }
+
+private:
+    PeerLink::Events peerEvents();
+    AdminFace::Sources adminSources(const Settings &settings, RpcHandler rpc);
+    TrafficThread &threadOf(RequestHandle handle);
+    void awaitSignal();
+    std::string printMetrics();
+
+    // The order matters: what stands below uses what stands above while it is destroyed.
+    asio::io_context m_context {1};
+    LogSink &m_log;
+    AuditHandler m_audit;
+    ControlLoop m_loop;
+    TrafficOptions m_options;
+    std::vector<std::unique_ptr<TrafficThread>> m_threads;
+    std::unique_ptr<CallerListener> m_listener;
+    PeerLink m_peers;
+    PlatformWatch m_watch;
+    TargetPoller m_poller;
+    AdminFace m_admin;
+    asio::signal_set m_signals;
+    int m_signalsSeen = 0;
+    std::atomic<std::size_t> m_threadsLeft {0};
+    bool m_isReady = false;
+    bool m_isStopping = false;
+};
+
+RouterNode::Impl::Impl(const Settings &settings, Incarnation incarnation, LogSink &log,
+                       CoreHandle core, RpcHandler rpc, AuditHandler audit)
+    : m_log(log)
+    , m_audit(std::move(audit))
+    , m_loop(
+          m_context, std::move(core), m_metrics,
+          [this](Action &action) { std::visit(*this, action); }, [this] { m_peers.flush(); })
+    , m_options(trafficOptions(settings, incarnation))
+    , m_peers(m_context, {settings.node, incarnation, settings.fleetKey}, m_metrics, peerEvents())
+    , m_watch(m_context, settings.platform, incarnation, m_metrics,
+              [this](Event event) { m_loop.post(std::move(event)); })
+    , m_poller(m_context, m_metrics, [this](Event event) { m_loop.post(std::move(event)); })
+    , m_admin(m_context, adminSources(settings, std::move(rpc)))
+    , m_signals(m_context)
+{
+    m_options.report = [this](Event event) { m_loop.post(std::move(event)); };
+    for (unsigned i = 0; i < settings.trafficThreads; ++i)
+        m_threads.push_back(std::make_unique<TrafficThread>(i, m_options, m_metrics));
+    m_listener = std::make_unique<CallerListener>(m_threads);
+}
+
+RouterNode::Impl::~Impl()
+{
+    for (const auto &thread : m_threads)
+        thread->stop();
+    // The listener lives on the first thread's context, which has stopped.
+    m_listener.reset();
+    m_threads.clear();
+}
+
+PeerLink::Events RouterNode::Impl::peerEvents()
+{
+    return {[this](const Event &event) { m_loop.handle(event); }, [this] { m_loop.endTurn(); },
+            [this](const LogRecord &record) { m_log.add(record); }};
+}
+
+AdminFace::Sources RouterNode::Impl::adminSources(const Settings &settings, RpcHandler rpc)
+{
+    return {[this] { return m_isReady; }, [this] { return printMetrics(); }, std::move(rpc),
+            settings.operatorsKeyDigest};
+}
+
+std::string RouterNode::Impl::open(const Settings &settings)
+{
+    std::string reason = m_listener->listen(settings.callers);
+    if (reason.empty())
+        reason = m_peers.listen(settings.peers);
+    if (reason.empty())
+        reason = m_admin.listen(settings.admin);
+    return reason;
+}
+
+void RouterNode::Impl::handleSignals()
+{
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    awaitSignal();
+}
+
+void RouterNode::Impl::awaitSignal()
+{
+    m_signals.async_wait([this](error_code error, int number) {
+        if (error)
+            return;
+        if (++m_signalsSeen > 1) {
+            stop();
+            return;
+        }
+        handleNow(LeaveOrdered {number == SIGINT ? "SIGINT" : "SIGTERM"});
+        awaitSignal();
+    });
+}
+
+void RouterNode::Impl::run()
+{
+    for (const auto &thread : m_threads)
+        thread->start();
+    handleNow(TimerDue {});
+    const auto work = asio::make_work_guard(m_context);
+    m_context.run();
+}
+
+void RouterNode::Impl::handleNow(const Event &event)
+{
+    m_loop.handle(event);
+    m_loop.endTurn();
+}
+
+TrafficThread &RouterNode::Impl::threadOf(RequestHandle handle)
+{
+    return *m_threads[handle % m_threads.size()];
+}
+
+void RouterNode::Impl::operator()(Dispatch &action)
+{
+    TrafficThread &thread = threadOf(action.handle);
+    thread.order(std::move(action));
+}
+
+void RouterNode::Impl::operator()(AbortAttempt &action)
+{
+    threadOf(action.handle).order(action);
+}
+
+void RouterNode::Impl::operator()(Refuse &action)
+{
+    TrafficThread &thread = threadOf(action.handle);
+    thread.order(std::move(action));
+}
+
+void RouterNode::Impl::operator()(AnswerKept &action)
+{
+    TrafficThread &thread = threadOf(action.handle);
+    thread.order(std::move(action));
+}
+
+void RouterNode::Impl::operator()(const Readiness &action)
+{
+    m_isReady = action.isReady;
+    for (const auto &thread : m_threads)
+        thread->setLeaving(!m_isReady);
+}
+
+void RouterNode::Impl::operator()(const Stopped &)
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    m_listener->close();
+    m_threadsLeft = m_threads.size();
+    for (const auto &thread : m_threads) {
+        thread->drain([this] {
+            if (--m_threadsLeft == 0)
+                stop();
+        });
+    }
+}
+
+void RouterNode::Impl::operator()(const Audit &action)
+{
+    m_log.add({LogEventId::AuditEntryMade, auditText(action.entry)});
+    if (m_audit)
+        m_audit(action.entry);
+}
+
+std::string RouterNode::Impl::printMetrics()
+{
+    m_metrics.logLinesDropped = m_log.dropped();
+    return m_metrics.print(threadSeconds()); // Operators' calls run on the control thread.
+}
+
+RouterNode::RouterNode(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+RouterNode::~RouterNode() = default;
+
+void RouterNode::run()
+{
+    m_impl->run();
+}
+
+void RouterNode::stop()
+{
+    m_impl->stop();
+}
+
+void RouterNode::post(Event event)
+{
+    m_impl->post(std::move(event));
+}
+
+void RouterNode::handleNow(const Event &event)
+{
+    m_impl->handleNow(event);
+}
+
+Endpoint RouterNode::callers() const
+{
+    return m_impl->listener().endpoint();
+}
+
+Endpoint RouterNode::peers() const
+{
+    return m_impl->peers().endpoint();
+}
+
+Endpoint RouterNode::admin() const
+{
+    return m_impl->admin().endpoint();
+}
+
+const Metrics &RouterNode::metrics() const
+{
+    return m_impl->m_metrics;
+}
+
+RouterNodeBuilder::RouterNodeBuilder(const Settings &settings, Incarnation incarnation,
+                                     LogSink &log)
+    : m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_log(log)
+{
+}
+
+RouterNodeBuilder &RouterNodeBuilder::core(CoreHandle core)
+{
+    m_core = std::move(core);
+    return *this;
+}
+
+RouterNodeBuilder &RouterNodeBuilder::rpc(RpcHandler handler)
+{
+    m_rpc = std::move(handler);
+    return *this;
+}
+
+RouterNodeBuilder &RouterNodeBuilder::audit(AuditHandler handler)
+{
+    m_audit = std::move(handler);
+    return *this;
+}
+
+RouterNodeBuilder &RouterNodeBuilder::handlesSignals(bool isHandling)
+{
+    m_handlesSignals = isHandling;
+    return *this;
+}
+
+Expected<std::unique_ptr<RouterNode>> RouterNodeBuilder::build()
+{
+    assert(m_core.handle && m_core.nextTimer && "a node needs a core");
+    assert(m_settings.trafficThreads > 0 && "a node needs a traffic thread");
+    auto impl = std::make_unique<RouterNode::Impl>(m_settings, m_incarnation, m_log, m_core, m_rpc,
+                                                   m_audit);
+    std::string reason = impl->open(m_settings);
+    if (!reason.empty())
+        return Reason {std::move(reason)};
+    if (m_handlesSignals)
+        impl->handleSignals();
+    return std::unique_ptr<RouterNode>(new RouterNode(std::move(impl)));
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/TargetPoller.h
@@ -0,0 +1,48 @@
+// Asks targets for their load reports.
+#pragma once
+
+#include "Asio.h"
+#include "HttpClient.h"
+
+#include "berylridge/Net/Metrics.h"
+#include "berylridge/Router/Actions.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace berylridge {
+
+/// Reads the answer to GET /load; nothing where it is not one.
+std::optional<TargetReport> readLoadAnswer(const TargetId &target, const std::string &body);
+
+/// Lives on the control thread.
+class TargetPoller
+{
+public:
+    TargetPoller(asio::io_context &context, Metrics &metrics, std::function<void(Event)> take);
+    ~TargetPoller();
+    TargetPoller(const TargetPoller &) = delete;
+    TargetPoller &operator=(const TargetPoller &) = delete;
+
+    void poll(const PollTarget &order);
+
+private:
+    struct Client
+    {
+        std::shared_ptr<HttpClient> http;
+        std::chrono::steady_clock::time_point lastUse;
+    };
+
+    void closeUnused();
+
+    asio::io_context &m_context;
+    Metrics &m_metrics;
+    std::function<void(Event)> m_take;
+    std::map<Endpoint, Client> m_clients;
+    std::chrono::steady_clock::time_point m_lastSweep {};
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/TrafficThread.cpp
@@ -0,0 +1,150 @@
+#include "TrafficThread.h"
+
+#include "CallerSession.h"
+#include "Exchange.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+namespace {
+
+constexpr std::chrono::seconds idleSweepPeriod {1};
+constexpr std::chrono::milliseconds drainPeriod {10};
+constexpr int drainRounds = 500; ///< Five seconds for callers to take the last bytes.
+
+RequestHandle handleOf(const TrafficOrder &order)
+{
+    return std::visit([](const auto &each) { return each.handle; }, order);
+}
+
+/// Carries out one order on the request that it is for.
+struct CarryOut
+{
+    Exchange &exchange;
+
+    void operator()(Dispatch &order) const { exchange.dispatch(order); }
+    void operator()(AbortAttempt &order) const { exchange.abort(order.attempt); }
+    void operator()(Refuse &order) const { exchange.refuse(order); }
+    void operator()(AnswerKept &order) const { exchange.answerKept(order); }
+};
+
+} // namespace
+
+TrafficThread::TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics)
+    : m_index(index)
+    , m_options(options)
+    , m_metrics(metrics)
+    , m_work(m_context.get_executor())
+    , m_idleTimer(m_context)
+    , m_drainTimer(m_context)
+    , m_orders(m_context, [this](std::vector<TrafficOrder> &orders) { carryOut(orders); })
+{
+}
+
+TrafficThread::~TrafficThread()
+{
+    stop();
+    // Handlers that never ran own sessions and requests; they go while the rest is still there.
+    closeAll();
+    m_exchanges.clear();
+}
+
+void TrafficThread::start()
+{
+    closeIdleTargets();
+    m_thread = std::thread([this] { run(); });
+}
+
+void TrafficThread::run()
+{
+    m_context.run();
+}
+
+void TrafficThread::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void TrafficThread::adopt(tcp::socket socket)
+{
+    auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+    asio::post(m_context, [this, session = std::move(session)] {
+        m_sessions.insert(session.get());
+        session->start();
+    });
+}
+
+RequestHandle TrafficThread::nextHandle()
+{
+    return ++m_lastNumber * m_options.threads + m_index;
+}
+
+void TrafficThread::begin(RequestHandle handle, std::shared_ptr<Exchange> exchange)
+{
+    m_exchanges.emplace(handle, std::move(exchange));
+}
+
+void TrafficThread::carryOut(std::vector<TrafficOrder> &orders)
+{
+    for (TrafficOrder &order : orders) {
+        const auto found = m_exchanges.find(handleOf(order));
+        if (found != m_exchanges.end()) {
+            const auto exchange = found->second; // Carrying out may end it.
+            std::visit(CarryOut {*exchange}, order);
+            continue;
+        }
+        // The caller left while the order was on its way; the core must get its slot back.
+        if (const auto *dispatch = std::get_if<Dispatch>(&order))
+            report(AttemptFailed {dispatch->handle, dispatch->attempt, AttemptFailure::Reset, false,
+                                  false});
+    }
+}
+
+void TrafficThread::closeIdleTargets()
+{
+    m_pool.closeIdle();
+    m_idleTimer.expires_after(idleSweepPeriod);
+    m_idleTimer.async_wait([this](error_code error) {
+        if (!error)
+            closeIdleTargets();
+    });
+}
+
+void TrafficThread::drain(std::function<void()> done)
+{
+    asio::post(m_context, [this, done = std::move(done)]() mutable {
+        closeWhenWritten(std::move(done), drainRounds);
+    });
+}
+
+void TrafficThread::closeWhenWritten(std::function<void()> done, int roundsLeft)
+{
+    if (roundsLeft == 0 || !anyWriting()) {
+        closeAll();
+        done();
+        return;
+    }
+    m_drainTimer.expires_after(drainPeriod);
+    m_drainTimer.async_wait([this, done = std::move(done), roundsLeft](error_code) mutable {
+        closeWhenWritten(std::move(done), roundsLeft - 1);
+    });
+}
+
+bool TrafficThread::anyWriting() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(),
+                       [](const CallerSession *session) { return session->isWriting(); });
+}
+
+void TrafficThread::closeAll()
+{
+    const std::vector<CallerSession *> sessions(m_sessions.begin(), m_sessions.end());
+    for (CallerSession *session : sessions)
+        session->cut();
+    m_pool.clear();
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/TrafficThread.h
@@ -0,0 +1,100 @@
+// One thread that owns callers' connections, their requests and the connections to targets.
+#pragma once
+
+#include "Asio.h"
+#include "ConnectionPool.h"
+#include "Mailbox.h"
+
+#include "berylridge/Net/Metrics.h"
+#include "berylridge/Router/Actions.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+
+namespace berylridge {
+
+class CallerSession;
+class Exchange;
+
+/// What the control thread tells a traffic thread.
+using TrafficOrder = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept>;
+
+/// What all traffic threads of a process share; outlives them.
+struct TrafficOptions
+{
+    std::string idPrefix; ///< Of request and attempt ids; unique over the fleet.
+    std::uint64_t headerLimit = 16 << 10;
+    std::uint64_t bodyLimit = 4 << 20;
+    std::uint32_t connectionLimit = 4096;
+    Duration readTimeout = std::chrono::seconds(10);
+    unsigned threads = 1;
+    std::function<void(Event)> report; ///< To the control thread; safe from any thread.
+};
+
+class TrafficThread
+{
+public:
+    TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics);
+    ~TrafficThread();
+    TrafficThread(const TrafficThread &) = delete;
+    TrafficThread &operator=(const TrafficThread &) = delete;
+
+    void start();
+    /// From any thread.
+    void order(TrafficOrder order) { m_orders.put(std::move(order)); }
+    /// From any thread: serves a connection that was accepted for this thread's context().
+    void adopt(tcp::socket socket);
+    /// From any thread: answers from now on ask callers to connect anew, elsewhere.
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    /// From any thread: lets answers that are being written end, closes everything, calls done.
+    void drain(std::function<void()> done);
+    /// From any thread; returns when the thread has ended.
+    void stop();
+
+    // For sessions and requests, on this thread:
+    asio::io_context &context() { return m_context; }
+    const TrafficOptions &options() const { return m_options; }
+    Metrics &metrics() { return m_metrics; }
+    ConnectionPool &pool() { return m_pool; }
+    bool isLeaving() const { return m_isLeaving; }
+    void report(Event event) { m_options.report(std::move(event)); }
+    /// Its remainder by the number of threads is this thread's index.
+    RequestHandle nextHandle();
+    void begin(RequestHandle handle, std::shared_ptr<Exchange> exchange);
+    void end(RequestHandle handle) { m_exchanges.erase(handle); }
+    void forget(CallerSession *session) { m_sessions.erase(session); }
+
+private:
+    void run();
+    void carryOut(std::vector<TrafficOrder> &orders);
+    void closeIdleTargets();
+    void closeWhenWritten(std::function<void()> done, int roundsLeft);
+    bool anyWriting() const;
+    void closeAll();
+
+    const unsigned m_index;
+    const TrafficOptions &m_options;
+    Metrics &m_metrics;
+    // Before the context, whose end destroys sessions that take themselves out of here.
+    std::unordered_map<RequestHandle, std::shared_ptr<Exchange>> m_exchanges;
+    std::unordered_set<CallerSession *> m_sessions;
+    asio::io_context m_context {1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_idleTimer;
+    asio::steady_timer m_drainTimer;
+    Mailbox<TrafficOrder> m_orders;
+    ConnectionPool m_pool;
+    std::atomic<bool> m_isLeaving {false};
+    RequestHandle m_lastNumber = 0;
+    std::thread m_thread;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Net/WireText.h
@@ -0,0 +1,40 @@
+// HTTP heads and whole messages as the bytes that go over the wire.
+#pragma once
+
+#include "Asio.h"
+
+#include <boost/asio/buffers_iterator.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <string>
+
+namespace berylridge {
+
+/// Appends what Beast's serializer gives out for the message: all of it, or its head alone.
+template <bool isRequest, typename Body, typename Fields>
+void appendWireText(const http::message<isRequest, Body, Fields> &message, bool isHeadOnly,
+                    std::string &out)
+{
+    http::serializer<isRequest, Body, Fields> serializer(message);
+    serializer.split(isHeadOnly);
+    error_code error;
+    while (!error && !serializer.is_done() && !(isHeadOnly && serializer.is_header_done())) {
+        std::size_t size = 0;
+        serializer.next(error, [&](error_code &, const auto &buffers) {
+            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
+                out.append(static_cast<const char *>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+        });
+        serializer.consume(size);
+    }
+}
+
+template <bool isRequest, typename Body, typename Fields>
+std::string wireText(const http::message<isRequest, Body, Fields> &message)
+{
+    std::string out;
+    appendWireText(message, false, out);
+    return out;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/unittests/Net/CallerFaceTest.cpp
@@ -0,0 +1,205 @@
+#include "NodeFixture.h"
+
+namespace berylridge::test {
+namespace {
+
+FakeCore::Rule refuseAll()
+{
+    return [](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event))
+            actions.emplace_back(Refuse {arrived->handle, 429, Verdict::NotRun, "the queue is full",
+                                         "queue-full", std::chrono::milliseconds(1200)});
+    };
+}
+
+/// What a stranger sends, and the status that it must get.
+struct BadInputCase
+{
+    const char *name;
+    std::string input;
+    const char *status;
+};
+
+class BadInputTest : public testing::TestWithParam<BadInputCase>
+{
+};
+
+TEST_P(BadInputTest, getsAClearAnswerAndLeavesTheRouterServing)
+{
+    FakeCore core(refuseAll());
+    TestNode node(core, [](Settings &settings) {
+        settings.headerLimit = 2048;
+        settings.bodyLimit = 4096;
+        settings.readTimeout = std::chrono::milliseconds(100);
+    });
+    FakeCaller bad = node.caller();
+    bad.send(GetParam().input);
+    const std::string answer = bad.readAll();
+    EXPECT_TRUE(answer.starts_with(std::string("HTTP/1.1 ") + GetParam().status)) << answer;
+    EXPECT_NE(answer.find("application/problem+json"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"verdict\":\"not-run\""), std::string::npos) << answer;
+    EXPECT_TRUE(core.seen<RequestArrived>().empty());
+    FakeCaller good = node.caller();
+    good.send(requestText("GET", "/v1/services/shop/x"));
+    EXPECT_TRUE(good.readUntil("queue-full").starts_with("HTTP/1.1 429 "));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, BadInputTest,
+    testing::Values(
+        BadInputCase {
+            "LongHead",
+            requestText("GET", "/v1/services/shop/x", "X-Long: " + std::string(4000, 'x') + "\r\n"),
+            "431"},
+        BadInputCase {"LongTarget",
+                      requestText("GET", "/v1/services/shop/" + std::string(9000, 'x')), "431"},
+        BadInputCase {"LongBody",
+                      requestText("POST", "/v1/services/shop/x", {}, std::string(5000, 'x')),
+                      "413"},
+        BadInputCase {"LongChunks",
+                      requestText("POST", "/v1/services/shop/x", "Transfer-Encoding: chunked\r\n")
+                          + "2000\r\n" + std::string(8192, 'x') + "\r\n0\r\n\r\n",
+                      "413"},
+        BadInputCase {"BadChunking",
+                      requestText("POST", "/v1/services/shop/x", "Transfer-Encoding: chunked\r\n")
+                          + "zz\r\nabc\r\n0\r\n\r\n",
+                      "400"},
+        BadInputCase {"LengthAndChunks",
+                      requestText("POST", "/v1/services/shop/x",
+                                  "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n")
+                          + "0\r\n\r\n",
+                      "400"},
+        BadInputCase {
+            "TwoLengths",
+            requestText("POST", "/v1/services/shop/x", "Content-Length: 3\r\nContent-Length: 4\r\n")
+                + "abcd",
+            "400"},
+        BadInputCase {"NotHttp", "\x16\x03\x01 hello\r\n\r\n", "400"},
+        BadInputCase {"OldVersion", "GET /v1/services/shop/x HTTP/1.0\r\n\r\n", "505"},
+        BadInputCase {"OtherPath", requestText("GET", "/v2/x", "Connection: close\r\n"), "404"},
+        BadInputCase {"SlowHead", "GET /v1/services/shop/x HTTP/1.1\r\nHo", "408"},
+        BadInputCase {"SlowBody",
+                      requestText("POST", "/v1/services/shop/x", "Content-Length: 9\r\n") + "ab",
+                      "408"}),
+    [](const auto &each) { return each.param.name; });
+
+TEST(CallerFaceTest, refusalTellsAllThereIsToKnow)
+{
+    FakeCore core(refuseAll());
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/x", "X-Request-Id: r7\r\n"));
+    const std::string answer = caller.readUntil("}");
+    EXPECT_NE(answer.find("Retry-After: 2\r\n"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Berylridge-Verdict: not-run\r\n"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("X-Request-Id: r7\r\n"), std::string::npos) << answer;
+    for (const char *part : {"\"type\":\"urn:berylridge:problem:queue-full\"", "\"status\":429",
+                             "\"retryAfterMs\":1200", "\"requestId\":\"r7\""})
+        EXPECT_NE(answer.find(part), std::string::npos) << part << answer;
+}
+
+TEST(CallerFaceTest, readsChunkedBodiesAndContinues)
+{
+    FakeCore core(refuseAll());
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("POST", "/v1/services/shop/x",
+                            "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"));
+    EXPECT_EQ(caller.readUntil("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.take();
+    caller.send("4\r\nclay\r\n0\r\n\r\n");
+    EXPECT_TRUE(caller.readUntil("}").starts_with("HTTP/1.1 429 "));
+    EXPECT_EQ(core.seen<RequestArrived>().at(0).bodyBytes, 4U);
+}
+
+TEST(CallerFaceTest, refusesConnectionsBeyondTheLimit)
+{
+    FakeCore core(refuseAll());
+    TestNode node(core, [](Settings &settings) { settings.connectionLimit = 2; });
+    const FakeCaller first = node.caller();
+    const FakeCaller second = node.caller();
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 2; }));
+    FakeCaller third = node.caller();
+    const std::string answer = third.readAll();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("too-many-connections"), std::string::npos) << answer;
+}
+
+TEST(CallerFaceTest, noticesACallerThatLeavesWhileItWaits)
+{
+    FakeCore core;
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/x"));
+    const auto arrived = core.await<RequestArrived>(1);
+    caller.close();
+    EXPECT_EQ(core.await<CallerGone>(1)[0].handle, arrived[0].handle);
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 0; }));
+}
+
+TEST(CallerFaceTest, givesBackADispatchThatComesTooLate)
+{
+    // What the caller sees: it left while the core sent its request off.
+    // What happens: the order finds no request; the core hears that nothing was sent.
+    // Why: otherwise the slot would stay taken for ever.
+    FakeCore core([](const Event &event, Actions &actions) {
+        if (const auto *gone = std::get_if<CallerGone>(&event))
+            actions.emplace_back(dispatchOf(gone->handle, closedPort()));
+    });
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/x"));
+    core.await<RequestArrived>(1);
+    caller.close();
+    EXPECT_FALSE(core.await<AttemptFailed>(1)[0].sentAny);
+}
+
+TEST(CallerFaceTest, floodOfPipelinedRequestsIsBounded)
+{
+    // What the caller sees: nothing yet; its first request waits while it sends megabytes more.
+    // What happens: the router keeps no more than a head's worth and stops reading.
+    FakeCore core;
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/x"));
+    core.await<RequestArrived>(1);
+    std::thread flood([&] {
+        const std::string more = requestText("GET", "/v1/services/shop/y");
+        std::string all;
+        while (all.size() < (32U << 20))
+            all += more;
+        caller.send(all);
+    });
+    node.node().post(TimerDue {});
+    EXPECT_TRUE(eventually([&] { return core.seen<TimerDue>().size() >= 2; }));
+    EXPECT_EQ(core.seen<RequestArrived>().size(), 1U);
+    node.node().stop();
+    caller.shutdown();
+    flood.join();
+}
+
+TEST(CallerFaceTest, endsOnStoppedWithAnswersWritten)
+{
+    FakeCore core([](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            actions.emplace_back(AnswerKept {arrived->handle, 200, {}, std::string(1 << 20, 'x')});
+            actions.emplace_back(Stopped {});
+        }
+    });
+    LogSink log(LogLevel::Info, [](LogLevel, const std::string &) {});
+    Settings settings;
+    settings.node = NodeId("a1");
+    settings.callers = settings.peers = settings.admin = {"127.0.0.1", 0};
+    settings.fleetKey = TestNode::fleetKey;
+    auto node = RouterNodeBuilder(settings, 7, log).core(CoreHandle::of(core)).build();
+    ASSERT_TRUE(node) << node.lastReason();
+    std::thread control([&] { (*node)->run(); });
+    FakeCaller caller((*node)->callers());
+    caller.send(requestText("GET", "/v1/services/shop/x"));
+    const std::string answer = caller.readAll();
+    control.join();
+    EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, std::size_t {1 << 20});
+}
+
+} // namespace
+} // namespace berylridge::test
--- /dev/null
+++ b/unittests/Net/PeerLinkTest.cpp
@@ -0,0 +1,111 @@
+#include "NodeFixture.h"
+
+#include "berylridge/Net/Datagram.h"
+
+namespace berylridge::test {
+namespace {
+
+PeerMessage heartbeat(std::uint64_t sequence)
+{
+    Heartbeat beat;
+    beat.sequence = sequence;
+    return FleetMessage(beat);
+}
+
+PeerMessage longMessage(std::size_t bytes)
+{
+    DocumentsReply reply;
+    reply.documents.push_back({"service/shop", 3, std::string(bytes, 'x')});
+    return FleetMessage(reply);
+}
+
+/// A core that sends the messages to the endpoint at each PlatformReach.
+FakeCore::Rule sendAtReach(std::vector<PeerMessage> messages, const Endpoint &to)
+{
+    return [messages = std::move(messages), to](const Event &event, Actions &actions) {
+        if (std::get_if<PlatformReach>(&event) == nullptr)
+            return;
+        for (const PeerMessage &message : messages)
+            actions.emplace_back(SendToNode {NodeId("b1"), to, message});
+    };
+}
+
+void sendRaw(const Endpoint &to, const std::string &bytes)
+{
+    asio::io_context context;
+    udp::socket socket(context, udp::v4());
+    socket.send_to(asio::buffer(bytes), *asioEndpoint<udp>(to));
+}
+
+TEST(PeerLinkTest, messagesToOneNodeShareADatagram)
+{
+    FakeCore receiver;
+    TestNode to(receiver);
+    FakeCore sender(sendAtReach({heartbeat(1), heartbeat(2), heartbeat(3)}, to.node().peers()));
+    TestNode from(sender, [](Settings &settings) { settings.node = NodeId("a2"); });
+    from.node().post(PlatformReach {true});
+    const auto messages = receiver.await<NodeMessage>(3);
+    EXPECT_EQ(messages[2].from, NodeId("a2"));
+    EXPECT_EQ(messages[2].incarnation, 7U);
+    EXPECT_EQ(std::get<Heartbeat>(std::get<FleetMessage>(messages[2].message)).sequence, 3U);
+    EXPECT_EQ(from.node().metrics().datagramsSent, 1U);
+}
+
+TEST(PeerLinkTest, largeMessagesTravelByCall)
+{
+    FakeCore receiver;
+    TestNode to(receiver);
+    FakeCore sender(
+        sendAtReach({heartbeat(1), longMessage(300000), heartbeat(2)}, to.node().peers()));
+    TestNode from(sender);
+    from.node().post(PlatformReach {true});
+    receiver.await<NodeMessage>(3);
+    std::size_t longest = 0;
+    for (const NodeMessage &message : receiver.seen<NodeMessage>()) {
+        const auto &fleet = std::get<FleetMessage>(message.message);
+        if (const auto *reply = std::get_if<DocumentsReply>(&fleet))
+            longest = reply->documents.at(0).text.size();
+    }
+    EXPECT_EQ(longest, 300000U);
+    EXPECT_EQ(from.node().metrics().callsSent, 1U);
+    EXPECT_EQ(to.node().metrics().callsReceived, 1U);
+}
+
+TEST(PeerLinkTest, strangersChangeNothing)
+{
+    // What the caller sees: nothing. What happens: datagrams with another key, cut or random ones
+    // arrive in a burst; none reaches the core, and the log has a line, not one for each.
+    FakeCore core;
+    TestNode node(core);
+    const DatagramSealer stranger(NodeId("a2"), 9, "another key of thirty-two bytes!");
+    const std::string packed = packPeerMessage(heartbeat(1));
+    for (int i = 0; i < 50; ++i)
+        sendRaw(node.node().peers(), stranger.seal(std::span(&packed, 1)));
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().datagramsRejected >= 50; }));
+    const DatagramSealer member(NodeId("a2"), 9, TestNode::fleetKey);
+    sendRaw(node.node().peers(), member.seal(std::span(&packed, 1)));
+    EXPECT_EQ(core.await<NodeMessage>(1).size(), 1U);
+    EXPECT_TRUE(eventually([&] { return !node.logLines().empty(); }));
+    EXPECT_LE(node.logLines().size(), 10U);
+    EXPECT_TRUE(node.logLines()[0].starts_with("2005 DatagramRejected: ")) << node.logLines()[0];
+}
+
+TEST(PeerLinkTest, probeTellsARefusedPortFromALiveOne)
+{
+    FakeCore other;
+    TestNode live(other);
+    const Endpoint dead = closedPort();
+    FakeCore core([&](const Event &event, Actions &actions) {
+        if (std::get_if<PlatformReach>(&event) == nullptr)
+            return;
+        actions.emplace_back(ProbeNode {NodeId("live"), live.node().peers(), 3});
+        actions.emplace_back(ProbeNode {NodeId("dead"), dead, 4});
+    });
+    TestNode node(core);
+    node.node().post(PlatformReach {true});
+    for (const ProbeEnded &ended : core.await<ProbeEnded>(2))
+        EXPECT_EQ(ended.isRefused, ended.node == NodeId("dead"));
+}
+
+} // namespace
+} // namespace berylridge::test
--- /dev/null
+++ b/unittests/Net/PlatformTest.cpp
@@ -0,0 +1,105 @@
+#include "NodeFixture.h"
+
+#include <mutex>
+
+namespace berylridge::test {
+namespace {
+
+std::string jsonAnswer(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string documents(int revision, int version)
+{
+    return R"({"revision": )" + std::to_string(revision)
+        + R"(, "documents": [{"name": "fleet", "version": )" + std::to_string(version)
+        + R"(, "text": "{}"}, {"name": "service/shop", "version": 1, "text": "{}"}]})";
+}
+
+constexpr const char *vms = R"({"revision": 5, "vms": [{"node": "a1", "zone": "a", )"
+                            R"("address": "127.0.1.1", "port": 7400, "leaving": true}]})";
+
+FakeCore::Rule watchAtStart()
+{
+    return [isOn = false](const Event &, Actions &actions) mutable {
+        if (!std::exchange(isOn, true))
+            actions.emplace_back(WatchPlatform {true});
+    };
+}
+
+TEST(PlatformTest, passesOnWhatIsNew)
+{
+    // The first platform is closed; the second answers, changes one document, then waits.
+    FakeTarget platform([](TargetPeer &peer) {
+        for (int revision = 1; true; ++revision) {
+            const std::string head = peer.readRequest();
+            const bool isNews = head.find("since=2&") == std::string::npos
+                && head.find("since=5&") == std::string::npos;
+            if (head.empty() || !isNews) {
+                peer.awaitEnd();
+                return;
+            }
+            const bool isVms = head.starts_with("GET /v1/vms");
+            peer.send(jsonAnswer(isVms ? vms : documents(revision, revision)));
+        }
+    });
+    FakeCore core(watchAtStart());
+    TestNode node(core, [&](Settings &settings) {
+        settings.platform = {closedPort(), platform.endpoint()};
+    });
+    const auto arrived = core.await<DocumentArrived>(3);
+    EXPECT_EQ(arrived.size(), 3U) << "the unchanged document is no news";
+    EXPECT_EQ(arrived[2].document.version, 2U);
+    const auto lists = core.await<VmListArrived>(1);
+    EXPECT_EQ(lists[0].list.revision, 5U);
+    EXPECT_TRUE(lists[0].list.vms.at(0).isLeaving);
+    core.await<PlatformReach>(1);
+}
+
+TEST(PlatformTest, saysThatThePlatformIsSilentAndBack)
+{
+    // What happens: the platform answers nonsense at first, then properly. The nonsense is taken as
+    // silence, never as an empty list of documents.
+    std::atomic<bool> isWell {false};
+    FakeTarget platform([&](TargetPeer &peer) {
+        while (!peer.readRequest().empty())
+            peer.send(jsonAnswer(isWell ? documents(1, 1) : R"({"revision": 1})"));
+    });
+    FakeCore core(watchAtStart());
+    TestNode node(core, [&](Settings &settings) { settings.platform = {platform.endpoint()}; });
+    EXPECT_FALSE(core.await<PlatformReach>(1)[0].isReachable);
+    EXPECT_TRUE(core.seen<DocumentArrived>().empty());
+    isWell = true;
+    EXPECT_TRUE(eventually([&] { return core.seen<PlatformReach>().back().isReachable; }));
+    EXPECT_EQ(core.await<DocumentArrived>(2).size(), 2U);
+}
+
+TEST(PlatformTest, pollsATargetsLoad)
+{
+    FakeTarget target([](TargetPeer &peer) {
+        while (!peer.readRequest().empty())
+            peer.send(
+                jsonAnswer(R"({"bootId": "b7", "running": 3, "completed": 17, "ageMs": 200})"));
+    });
+    const Endpoint closed = closedPort();
+    FakeCore core([&](const Event &event, Actions &actions) {
+        if (std::get_if<PlatformReach>(&event) == nullptr)
+            return;
+        actions.emplace_back(PollTarget {TargetId("t1"), target.endpoint()});
+        actions.emplace_back(PollTarget {TargetId("t2"), closed});
+    });
+    TestNode node(core);
+    node.node().post(PlatformReach {true});
+    const auto report = core.await<TargetReport>(1)[0];
+    EXPECT_EQ(report.bootId, "b7");
+    EXPECT_EQ(report.running, 3U);
+    EXPECT_EQ(report.completed, 17U);
+    EXPECT_EQ(report.age, Duration(std::chrono::milliseconds(200)));
+    const auto failed = core.await<TargetPollFailed>(1)[0];
+    EXPECT_EQ(failed.target, TargetId("t2"));
+    EXPECT_EQ(failed.failure, AttemptFailure::ConnectRefused);
+}
+
+} // namespace
+} // namespace berylridge::test
--- /dev/null
+++ b/unittests/Net/ResumeTest.cpp
@@ -0,0 +1,162 @@
+#include "NodeFixture.h"
+
+namespace berylridge::test {
+namespace {
+
+constexpr const char *streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+}
+
+/// A rule that sends first attempts to one target and resumes at another.
+FakeCore::Rule resumeAt(const Endpoint &first, const Endpoint &second)
+{
+    return [=](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event))
+            actions.emplace_back(dispatchOf(arrived->handle, first));
+        if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
+            if (failed->attempt > 1) {
+                actions.emplace_back(Refuse {failed->handle, 502, Verdict::MayHaveRun, "failed",
+                                             "target-failed", std::nullopt});
+                return;
+            }
+            Dispatch again = dispatchOf(failed->handle, second, 2);
+            again.isResumed = true;
+            actions.emplace_back(again);
+        }
+    };
+}
+
+/// The events in a chunked answer, chunk frames left out.
+std::string eventsOf(const std::string &answer)
+{
+    std::string events;
+    std::istringstream lines(answer.substr(answer.find("\r\n\r\n") + 4));
+    for (std::string line; std::getline(lines, line);)
+        if (line.starts_with("id: ") || line.starts_with("data: "))
+            events += line + "\n";
+    return events;
+}
+
+TEST(ResumeTest, callerSeesOneStream)
+{
+    // What the caller sees: one stream without a gap or a repeat.
+    // What happens: the first replica is killed in the middle of event 3; the core resumes at a
+    // second one, which is told the last event that the caller has and repeats one more than asked.
+    // Why: half an event must not be passed on, else the caller would get it one and a half times.
+    FakeTarget first([](TargetPeer &peer) {
+        peer.readRequest();
+        peer.send(streamHead + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\ndata: tok"));
+        peer.reset();
+    });
+    std::string lastId;
+    FakeTarget second([&](TargetPeer &peer) {
+        peer.readRequest();
+        lastId = peer.field("Last-Event-ID");
+        peer.send(streamHead + chunk(event(2) + event(3)) + chunk("data: [DONE]\n\n")
+                  + "0\r\n\r\n");
+    });
+    // A reset may overtake the bytes before it; the answer is one stream all the same.
+    FakeCore core(resumeAt(first.endpoint(), second.endpoint()));
+    std::string answer;
+    {
+        TestNode node(core);
+        FakeCaller caller = node.caller();
+        caller.send(
+            requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", "prompt"));
+        answer = caller.readAll();
+        core.await<AttemptDone>(1);
+    }
+    const bool hasFirst = core.seen<AttemptFailed>().at(0).answerBegun;
+    EXPECT_EQ(lastId.empty(), !hasFirst);
+    const std::string all = eventsOf(answer);
+    EXPECT_TRUE(all.ends_with("id: 3\ndata: token3\ndata: [DONE]\n")) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << "one head only: " << answer;
+    EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos) << answer;
+    const std::string before = all.substr(0, all.find("id: 3"));
+    EXPECT_TRUE(before == "id: 2\ndata: token2\n"
+                || before == "id: 1\ndata: token1\nid: 2\ndata: token2\n")
+        << answer;
+}
+
+TEST(ResumeTest, resumesAfterWhatWasSentWithTheEnd)
+{
+    // What the caller sees: one stream, though the first replica ended it without [DONE].
+    // What happens: events and a proper last chunk come in one piece; the events are passed on, the
+    // missing end is noticed, and the second replica goes on after them.
+    FakeTarget first([](TargetPeer &peer) {
+        peer.readRequest();
+        peer.send(streamHead + chunk(event(1) + event(2)) + "0\r\n\r\n");
+        peer.awaitEnd();
+    });
+    std::string lastId;
+    FakeTarget second([&](TargetPeer &peer) {
+        peer.readRequest();
+        lastId = peer.field("Last-Event-ID");
+        peer.send(streamHead + chunk(event(3) + "data: [DONE]\n\n") + "0\r\n\r\n");
+    });
+    FakeCore core(resumeAt(first.endpoint(), second.endpoint()));
+    std::string answer;
+    {
+        TestNode node(core);
+        FakeCaller caller = node.caller();
+        caller.send(
+            requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", "prompt"));
+        answer = caller.readAll();
+    }
+    EXPECT_EQ(lastId, "2");
+    EXPECT_EQ(eventsOf(answer),
+              "id: 1\ndata: token1\nid: 2\ndata: token2\nid: 3\ndata: token3\n"
+              "data: [DONE]\n");
+    EXPECT_EQ(core.seen<AttemptFailed>().at(0).failure, AttemptFailure::CutShort);
+}
+
+TEST(ResumeTest, cutsTheCallerWhereTheSecondFailsToo)
+{
+    // What the caller sees: its connection breaks without a last chunk, so it knows.
+    const auto cutShort = [](TargetPeer &peer) {
+        peer.readRequest();
+        peer.send(streamHead + chunk(event(1)));
+    };
+    FakeTarget first(cutShort);
+    FakeTarget second(cutShort);
+    FakeCore core(resumeAt(first.endpoint(), second.endpoint()));
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(
+        requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", "prompt"));
+    const std::string answer = caller.readAll();
+    EXPECT_EQ(eventsOf(answer), "id: 1\ndata: token1\n");
+    EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("502"), std::string::npos) << answer;
+}
+
+TEST(ResumeTest, neverGluesAPlainAnswer)
+{
+    // What the caller sees: a cut connection, not the halves of two answers in one.
+    FakeTarget target([](TargetPeer &peer) {
+        peer.readRequest();
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    });
+    FakeCore core(resumeAt(target.endpoint(), target.endpoint()));
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/x"));
+    const std::string answer = caller.readAll();
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nhalf")) << answer;
+    EXPECT_EQ(core.await<AttemptFailed>(2)[1].failure, AttemptFailure::BadAnswer);
+    EXPECT_EQ(target.connections(), 1);
+}
+
+} // namespace
+} // namespace berylridge::test
