Compare and collect against what routers have in force

Cause: the folder of published documents carries the versions; where it was lost, is behind, or two operators published different texts under one version, a new publication would be refused or ignored by nodes. Weighed: asking operators to edit versions by hand, or taking the highest version over the folder and the routers that are given. The second; of two texts under one version neither is kept.

--- a/include/berylridge/Config/Publication.h
+++ b/include/berylridge/Config/Publication.h
@@ -42,7 +42,9 @@
 /// Gives each document the published version where its text is the same, else the next one.
 void assignVersions(std::vector<DocumentText> &documents, const DocumentSet &published);
 
-/// Keeps the higher version of each document in the set.
+/// Keeps the higher version of each document in the set. Of two texts under one version neither is
+/// kept, only the version: whatever is published next must rise above both, since nodes refuse a
+/// second text under a version that they know.
 void mergeNewer(DocumentSet &into, DocumentText document);
 
 } // namespace berylridge
--- a/lib/Config/Publication.cpp
+++ b/lib/Config/Publication.cpp
@@ -162,8 +162,12 @@
 void mergeNewer(DocumentSet &into, DocumentText document)
 {
     const auto [place, isNew] = into.try_emplace(document.name, document);
-    if (!isNew && place->second.version < document.version)
+    if (isNew || place->second.version > document.version)
+        return;
+    if (place->second.version < document.version)
         place->second = std::move(document);
+    else if (place->second.text != document.text)
+        place->second.text.clear();
 }
 
 } // namespace berylridge
--- a/test/berylctl/fake_routers.cpp
+++ b/test/berylctl/fake_routers.cpp
@@ -72,6 +72,9 @@
         };
         made.leave = [this](const std::string & /*who*/) { m_state = "leaving"; };
         made.comeBack = [this](const std::string & /*who*/) { m_state = "ready"; };
+        made.documents = [this] {
+            return std::vector<DocumentText> {{"fleet", m_fleetVersion, R"({"zonesOut":["a"]})"}};
+        };
         made.log = [](const LogRecord & /*record*/) {};
         made.wallNow = [this] { return now(); };
         return made;
--- a/tools/berylctl/Check.cpp
+++ b/tools/berylctl/Check.cpp
@@ -1,6 +1,7 @@
 // `berylctl check`: the checks of `collect` without writing, and what a publication would change.
 #include "Command.h"
 #include "Files.h"
+#include "Remote.h"
 #include "Sources.h"
 
 #include "berylridge/CommandLine/CommandLine.h"
@@ -77,22 +78,21 @@
                                        "the part of its share that a workspace may lose without a "
                                        "warning; 0.1 without this option",
                                        false, 0.1, "PART", line.arguments());
+    Remote remote(line, false);
     TCLAP::UnlabeledMultiArg<std::string> paths("path", "folders and files to read", true, "PATH",
                                                 line.arguments());
-    if (const auto status = line.parse(argc, argv))
+    if (const auto status = remote.parse(argc, argv))
         return *status;
     const auto publication = checkSources(paths.getValue());
     if (!publication)
         return exitErrorsFound;
-    if (!against.isSet()) {
+    if (!against.isSet() && remote.routers().empty()) {
         std::cout << publication->documents.size() << " documents, no errors\n";
         return exitFine;
     }
-    const auto published = readDocuments(against.getValue());
-    if (!published) {
-        complain(published.lastReason());
+    const auto published = publishedDocuments(against.getValue(), remote);
+    if (!published)
         return exitErrorsFound;
-    }
     compareWith(*published, publication->documents, allowedCut.getValue());
     return exitFine;
 }
--- a/tools/berylctl/Collect.cpp
+++ b/tools/berylctl/Collect.cpp
@@ -1,6 +1,7 @@
 // `berylctl collect`: the publishing step.
 #include "Command.h"
 #include "Files.h"
+#include "Remote.h"
 #include "Sources.h"
 
 #include "berylridge/CommandLine/CommandLine.h"
@@ -35,12 +36,12 @@
 
 /// False where a file could not be written.
 bool writeChanged(const std::string &folder, const std::vector<DocumentText> &documents,
-                  const DocumentSet &published)
+                  const DocumentSet &inFolder)
 {
     std::size_t changed = 0;
     for (const auto &document : documents) {
-        const auto found = published.find(document.name);
-        const auto before = found == published.end() ? 0 : found->second.version;
+        const auto found = inFolder.find(document.name);
+        const auto before = found == inFolder.end() ? 0 : found->second.version;
         std::cout << document.name << ": version " << document.version;
         if (before == document.version) {
             std::cout << ", unchanged\n";
@@ -57,6 +58,15 @@
     return true;
 }
 
+bool makeFolder(const std::string &folder)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error)
+        complain(folder + ": " + error.message());
+    return !error;
+}
+
 void warnOfOrphans(const std::vector<DocumentText> &documents, const DocumentSet &published)
 {
     DocumentSet orphans = published;
@@ -76,28 +86,22 @@
     CommandLine line(collectPage());
     TCLAP::ValueArg<std::string> out("o", "out", "the folder that documents are written to", true,
                                      "", "FOLDER", line.arguments());
+    Remote remote(line, false);
     TCLAP::UnlabeledMultiArg<std::string> paths("path", "folders and files to read", true, "PATH",
                                                 line.arguments());
-    if (const auto status = line.parse(argc, argv))
+    if (const auto status = remote.parse(argc, argv))
         return *status;
     auto publication = checkSources(paths.getValue());
     if (!publication)
         return exitErrorsFound;
-    const auto published = readDocuments(out.getValue());
-    if (!published) {
-        complain(published.lastReason());
+    const auto inFolder = readDocuments(out.getValue());
+    const auto published = publishedDocuments(out.getValue(), remote);
+    if (!inFolder || !published || !makeFolder(out.getValue()))
         return exitErrorsFound;
-    }
-    std::error_code error;
-    std::filesystem::create_directories(out.getValue(), error);
-    if (error) {
-        complain(out.getValue() + ": " + error.message());
-        return exitErrorsFound;
-    }
     assignVersions(publication->documents, *published);
     warnOfOrphans(publication->documents, *published);
-    return writeChanged(out.getValue(), publication->documents, *published) ? exitFine
-                                                                            : exitErrorsFound;
+    return writeChanged(out.getValue(), publication->documents, *inFolder) ? exitFine
+                                                                           : exitErrorsFound;
 }
 
 } // namespace berylridge::ctl
--- a/tools/berylctl/Remote.cpp
+++ b/tools/berylctl/Remote.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-Remote::Remote(CommandLine &line)
+Remote::Remote(CommandLine &line, bool isRequired)
     : m_line(line)
-    , m_routers("r", "router", "administration listener of a router; may be given for many", true,
-                "ADDRESS:PORT", line.arguments())
+    , m_routers("r", "router", "administration listener of a router; may be given for many",
+                isRequired, "ADDRESS:PORT", line.arguments())
     , m_keyFile("k", "key-file", "file with the operators' key", false, "", "FILE",
                 line.arguments())
     , m_timeout("", "timeout", "seconds to wait for a router; 5 without this option", false, 5,
@@ -53,6 +53,8 @@
         complain("--timeout: must be from 1 to 3600");
         return exitWrongUsage;
     }
+    if (m_endpoints.empty())
+        return std::nullopt;
     auto key = readKey();
     if (!key)
         return exitWrongUsage;
@@ -102,6 +104,28 @@
     return replies;
 }
 
+std::optional<DocumentSet> publishedDocuments(const std::string &folder, const Remote &remote)
+{
+    auto documents = folder.empty() ? Expected(DocumentSet()) : readDocuments(folder);
+    if (!documents) {
+        complain(documents.lastReason());
+        return std::nullopt;
+    }
+    Json::Value parameters;
+    parameters["withText"] = true;
+    const auto replies = remote.callAll("documents", parameters);
+    if (reportFailures(replies) != exitFine)
+        return std::nullopt;
+    for (const auto &[router, reply] : replies) {
+        for (const auto &document : reply.result["documents"]) {
+            mergeNewer(*documents,
+                       {document["name"].asString(), document["version"].asUInt64(),
+                        document["text"].asString()});
+        }
+    }
+    return *std::move(documents);
+}
+
 int reportFailures(const std::vector<RouterReply> &replies)
 {
     int status = exitFine;
--- a/tools/berylctl/Remote.h
+++ b/tools/berylctl/Remote.h
@@ -3,6 +3,7 @@
 
 #include "berylridge/Admin/RpcClient.h"
 #include "berylridge/CommandLine/CommandLine.h"
+#include "berylridge/Config/Publication.h"
 #include "berylridge/Support/Endpoint.h"
 
 #include <json/value.h>
@@ -21,8 +22,9 @@
 class Remote
 {
 public:
-    /// Adds --router, --key-file, --timeout and --who to the line, which must outlive this.
-    explicit Remote(CommandLine &line);
+    /// Adds --router, --key-file, --timeout and --who to the line, which must outlive this. Where
+    /// no router needs to be given, no key is asked for without one.
+    explicit Remote(CommandLine &line, bool isRequired = true);
 
     /// The exit status where the program should end at once.
     std::optional<int> parse(int argc, const char *const *argv);
@@ -45,6 +47,10 @@
     std::string m_key;
 };
 
+/// The documents of a folder, unless its name is empty, and those in force at the routers, each in
+/// its highest version. None where one could not be had, which is said.
+std::optional<DocumentSet> publishedDocuments(const std::string &folder, const Remote &remote);
+
 /// Prints what failed, by router; the exit status is fine where nothing did.
 int reportFailures(const std::vector<RouterReply> &replies);
 
