--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -295,10 +295,13 @@
 {
     if (now <= lease.startsBy + clockMargin)
         return false;
-    if (!lease.isSeen)
-        return true;
     const auto holder = m_holders.find(lease.node);
-    const bool isHeard = holder != m_holders.end() && now - holder->second.heardAt <= wantsLast;
+    const bool isKnown = holder != m_holders.end();
+    // The holder was heard after the term and does not have it: the grant was lost on its way. One
+    // of which nothing was heard may have begun a request and been cut off before it could tell.
+    if (!lease.isSeen && isKnown && holder->second.heardAt > lease.startsBy)
+        return true;
+    const bool isHeard = isKnown && now - holder->second.heardAt <= wantsLast;
     if (isHeard)
         return false;
     // The holder is silent: paused, cut off from here, or lost with its VM. Its request may still
@@ -309,7 +312,11 @@
         return true;
     const TargetGauge &gauge = target->second.gauge;
     const bool isReportNewer = gauge.reportedAt() > lease.seenAt + wantsLast;
-    if (isReportNewer && gauge.reportedRunning() < target->second.occupied)
+    // Another holder may be between two requests at the moment of the report: fewer running than
+    // leases proves nothing about this one. A warm target bears the one too many, a cold one falls
+    // over.
+    const std::uint32_t most = gauge.isCold() ? 1 : target->second.occupied;
+    if (isReportNewer && gauge.reportedRunning() < most)
         return true;
     return now - lease.seenAt > m_attemptTimeout;
 }
