--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -102,7 +102,8 @@
     bool hasOpenTarget(const Pool &pool) const;
     const TargetSpec *findTarget(const Entry &entry, TargetHash target) const;
     bool tryRun(Entry &entry, LeaseId lease);
-    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId);
+    bool isUnfit(const Entry &entry, LeaseId lease) const;
+    void giveBack(Entry &entry, LeaseId lease, const std::string &bootId, bool isUnfit = false);
     std::vector<Entry *> poolsToAsk(const ServiceId &service);
     void tellDemand(Entry &entry, const ServiceQueue &queue);
     void tellPeriodically(Entry &entry);
@@ -112,7 +113,7 @@
     CoreContext &m_context;
     LeaseUser &m_user;
     std::map<PoolId, Entry> m_pools;
-    std::map<ServiceId, std::vector<PoolId>> m_byService; ///< This zone's pools first.
+    std::map<ServiceId, std::vector<PoolId>> m_byService; ///< In this node's order of asking.
     std::map<TargetId, std::pair<PoolId, ServiceId>> m_targetPool;
     std::map<ServiceId, TimePoint>
         m_spillUntil; ///< Until then other zones' pools are asked at once.
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -250,3 +250,75 @@
                        m_clock.now());
     EXPECT_TRUE(successor.grant(m_clock.now()).empty());
 }
+
+// A request waits that avoids the only free target, since that target failed it before. The holder
+// gives the slot back at once, the owner grants it again at once, and neither does anything else:
+// the node hangs. The flow that could use the slot gets it instead.
+TEST_F(PoolOwnerTest, ASlotThatFitsNothingIsNotGrantedToAndFro)
+{
+    waitOutTakeover();
+    warmUp();
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    const auto first = grants();
+    ASSERT_EQ(first.size(), 1U);
+    ReturnedLease vain;
+    vain.lease = first.front().lease;
+    vain.isUnfit = true;
+    const auto giveBack = [&] {
+        PoolReturn message;
+        message.sequence = m_holderA.nextSequence();
+        message.leases.push_back(vain);
+        m_owner.onReturn(nodeA, message, m_clock.now());
+    };
+    giveBack();
+    EXPECT_TRUE(grants().empty());
+    demand(nodeB, m_holderB, {{8, 1, 0, 100}});
+    EXPECT_EQ(grants().size(), 1U) << "another flow is not held up";
+    m_clock.advance(300ms);
+    EXPECT_EQ(grants().size(), 1U) << "the target may fit again";
+}
+
+// A holder gets a grant, begins a request on a cold target and is cut off before it can tell. The
+// owner hears nothing of the grant. If it took the grant for lost once the term was over, it would
+// give the slot away and the target would fall over under one request too many.
+TEST_F(PoolOwnerTest, AGrantWithoutWordMayBeInUse)
+{
+    m_document.coldSlots = 2;
+    m_owner.configure(m_document, m_pool, m_clock.now());
+    waitOutTakeover();
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+    m_clock.advance(4s);
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
+    m_owner.tick(m_clock.now());
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    EXPECT_EQ(grants().size(), 1U) << "the target says that something runs";
+
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    m_owner.tick(m_clock.now());
+    EXPECT_EQ(grants().size(), 1U) << "the target says that nothing runs";
+}
+
+// A cold target bears two. One holder runs a long request there and is cut off; the other's request
+// has just ended when the target reports that one runs. Were the silent holder's slot given away
+// for it, a third request would bring the target down.
+TEST_F(PoolOwnerTest, OneOfTwoRunningAtAColdTargetDoesNotFreeTheSilentHolder)
+{
+    m_document.coldSlots = 2;
+    m_owner.configure(m_document, m_pool, m_clock.now());
+    waitOutTakeover();
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
+    demand(nodeA, m_holderA, {{7, 1, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+    m_holderA.onGrant(nodeB, ownerRun, m_lastGrant, m_clock.now());
+    demand(nodeA, m_holderA, {});
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    ASSERT_EQ(grants().size(), 1U);
+
+    m_clock.advance(4s);
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    m_owner.tick(m_clock.now());
+    EXPECT_EQ(grants().size(), 1U) << "holder B's lost grant is free, holder A's slot is not";
+}
