Count no vote that was given to an earlier run of the same node

Cause: a vote named its claim by a number that starts anew with each run. A router that ran a purchase, restarted and was given it again took late votes for its earlier run as its own, and ran the purchase twice. The vote and the holder's word now name the run that asked.

--- a/include/berylridge/Idempotency/Messages.h
+++ b/include/berylridge/Idempotency/Messages.h
@@ -28,7 +28,8 @@
     std::uint8_t vote = 0; ///< Idempotency/Witness.h, Vote.
     std::string holder;    ///< Who holds the key, where it is not the asker.
     std::uint64_t holderIncarnation = 0;
-    MSGPACK_DEFINE(key, roster, claim, vote, holder, holderIncarnation)
+    std::uint64_t askerIncarnation = 0; ///< The run whose claim this answers.
+    MSGPACK_DEFINE(key, roster, claim, vote, holder, holderIncarnation, askerIncarnation)
 };
 
 /// The sender has not run the key under any of its claims up to this one, and never will.
@@ -63,8 +64,9 @@
     std::uint32_t status = 0;
     std::vector<KeyHeader> headers;
     std::string body;
-    std::uint64_t bodyHash = 0; ///< Of the request that the holder took.
-    MSGPACK_DEFINE(key, query, state, status, headers, body, bodyHash)
+    std::uint64_t bodyHash = 0;         ///< Of the request that the holder took.
+    std::uint64_t askerIncarnation = 0; ///< The run whose query this answers.
+    MSGPACK_DEFINE(key, query, state, status, headers, body, bodyHash, askerIncarnation)
 };
 
 struct RosterMemberMessage
--- a/lib/Idempotency/KeyClaims.cpp
+++ b/lib/Idempotency/KeyClaims.cpp
@@ -187,7 +187,7 @@
     out.sends.push_back(
         {from.node,
          KeyVote {claim.key, claim.roster, claim.claim, static_cast<std::uint8_t>(result.vote),
-                  result.holder.node.str(), result.holder.incarnation}});
+                  result.holder.node.str(), result.holder.incarnation, from.incarnation}});
 }
 
 void KeyRegistry::take(const NodeRun &from, const KeyVote &vote, KeyOutput &out)
@@ -198,6 +198,10 @@
     const Claim &claim = *it->second.claim;
     const bool isWitness
         = std::find(claim.witnesses.begin(), claim.witnesses.end(), from) != claim.witnesses.end();
+    // A vote for an earlier run of this node is no vote for this one: that run may have dispatched
+    // the key, and the witness holds it for that run alone.
+    if (vote.askerIncarnation != m_options.incarnation)
+        return;
     // Votes of another roster, of an earlier claim or of a witness that restarted don't add up.
     if (!isWitness || vote.claim != claim.number || vote.roster != claim.roster)
         return;
@@ -216,6 +220,7 @@
     KeyState state;
     state.key = query.key;
     state.query = query.query;
+    state.askerIncarnation = from.incarnation;
     state.state = static_cast<std::uint8_t>(KeyPhase::Unknown);
     const auto it = m_held.find(query.key);
     if (it != m_held.end()) {
@@ -245,7 +250,8 @@
     if (it == m_held.end() || it->second.phase != KeyPhase::Claiming)
         return;
     const Held &held = it->second;
-    if (state.query != held.claim->number || held.claim->holder != from)
+    if (state.query != held.claim->number || held.claim->holder != from
+        || state.askerIncarnation != m_options.incarnation)
         return;
     const auto phase = static_cast<KeyPhase>(state.state);
     if (phase == KeyPhase::Unknown) {
--- a/unittests/Idempotency/KeySearch.cpp
+++ b/unittests/Idempotency/KeySearch.cpp
@@ -54,6 +54,7 @@
     for (const MessagePointer &message : world.network)
         values.push_back(message->digest);
     values.push_back(world.routersUsed);
+    values.push_back(world.ticksUsed);
     values.push_back(world.delaysUsed + 100ULL * world.kills + 10'000ULL * world.starts);
     values.push_back(world.dispatches * 2ULL + (world.isFinished ? 1 : 0));
     return digestOf(values);
@@ -66,6 +67,7 @@
     options.incarnation = run.incarnation;
     // Periodic signs of life change nothing about safety; without them time can pass in few steps.
     options.gossipPeriod = std::chrono::hours(1);
+    options.silenceLimit = std::chrono::hours(1);
     options.resendPeriod = std::chrono::milliseconds(400);
     return options;
 }
@@ -219,12 +221,34 @@
         return it->second;
     }
 
+    /// Votes and states for a claim that is over change nothing any more, for numbers only rise.
+    bool isStale(const SearchWorld &world, const SearchMessage &message) const
+    {
+        const NodePointer &node = world.nodes[message.to];
+        if (!node)
+            return false;
+        const auto isOver = [&](std::uint64_t claim, Incarnation incarnation) {
+            const KeyRegistry &registry = node->registry;
+            if (incarnation != node->run.incarnation)
+                return incarnation < node->run.incarnation;
+            return claim < registry.claimCount()
+                || registry.phase(m_setup.key) != KeyPhase::Claiming;
+        };
+        if (const auto *vote = std::get_if<KeyVote>(&message.message))
+            return isOver(vote->claim, vote->askerIncarnation);
+        if (const auto *state = std::get_if<KeyState>(&message.message))
+            return isOver(state->query, state->askerIncarnation);
+        return false;
+    }
+
     void act(const SearchWorld &world, std::size_t index, const std::string &name,
              const Outcome &outcome, SearchWorld next)
     {
         next.nodes[index] = outcome.node;
         for (const MessagePointer &message : outcome.sent)
             addMessage(next, message);
+        std::erase_if(next.network,
+                      [&](const MessagePointer &message) { return isStale(next, *message); });
         for (const KeyDecision &decision : outcome.decisions)
             checkDecision(world, decision);
         push(world, name + ' ' + m_setup.names[index].str(), std::move(next));
@@ -253,26 +277,37 @@
     void nodeMoves(const SearchWorld &world, std::size_t index)
     {
         const KeyRegistry &registry = world.nodes[index]->registry;
-        if (registry.nextTimer() <= world.now) {
-            const Outcome &ticked
-                = outcome(world, index, "tick", 0, [&](KeyRegistry &node, KeyOutput &out) {
-                      node.tick(world.now, wallOf(m_setup, world, index), out);
-                  });
-            act(world, index, "tick", ticked, world);
+        for (std::size_t entry = 0; entry < m_setup.budget.ticks.size(); ++entry) {
+            const bool isUsed = (world.ticksUsed >> entry & 1U) != 0;
+            const bool isDue = registry.nextTimer() <= world.now;
+            if (!isUsed && isDue && m_setup.budget.ticks[entry] == index)
+                tickMove(world, index, entry);
         }
         for (std::size_t entry = 0; entry < m_setup.budget.routers.size(); ++entry) {
             const bool isUsed = (world.routersUsed >> entry & 1U) != 0;
             if (!isUsed && m_setup.budget.routers[entry] == index)
                 beginMove(world, index, entry);
         }
-        if (registry.mayDispatch(m_setup.key, world.now, wallOf(m_setup, world, index))) {
+        if (registry.mayDispatch(m_setup.key, world.now, wallOf(m_setup, world, index)))
             dispatchMove(world, index);
+        const KeyPhase phase = registry.phase(m_setup.key);
+        if (phase == KeyPhase::Claiming || phase == KeyPhase::Admitted)
             releaseMove(world, index);
-        }
-        if (registry.phase(m_setup.key) == KeyPhase::Running)
+        if (phase == KeyPhase::Running)
             finishMove(world, index);
     }
 
+    void tickMove(const SearchWorld &world, std::size_t index, std::size_t entry)
+    {
+        const Outcome &ticked
+            = outcome(world, index, "tick", 0, [&](KeyRegistry &node, KeyOutput &out) {
+                  node.tick(world.now, wallOf(m_setup, world, index), out);
+              });
+        SearchWorld next = world;
+        next.ticksUsed |= 1U << entry;
+        act(world, index, "tick", ticked, std::move(next));
+    }
+
     void beginMove(const SearchWorld &world, std::size_t index, std::size_t entry)
     {
         const Outcome &begun
@@ -299,13 +334,13 @@
 
     void releaseMove(const SearchWorld &world, std::size_t index)
     {
+        // The caller is told what release() says, as by any other refusal.
         const Outcome &released
             = outcome(world, index, "release", 0, [&](KeyRegistry &node, KeyOutput &out) {
-                  static_cast<void>(node.release(m_setup.key, out));
+                  KeyRefused refused {request, m_setup.key, 503, Verdict::MayHaveRun, "", "", {}};
+                  refused.verdict = node.release(m_setup.key, out);
+                  out.decisions.emplace_back(std::move(refused));
               });
-        // A node in the phase Admitted answers with "not run".
-        if (world.dispatches > 0)
-            m_violation = "given up as not run after it was dispatched";
         act(world, index, "release", released, world);
     }
 
@@ -341,9 +376,38 @@
         ++next.starts;
         next.nodes[index]
             = startedNode(m_setup, index, world, m_setup.lastIncarnation + next.starts);
+        greet(next, index);
         push(world, "start " + m_setup.names[index].str(), std::move(next));
     }
 
+    /// The new run and the others learn of each other at once: before that it could only refuse.
+    void greet(SearchWorld &world, std::size_t index)
+    {
+        const auto tick = [&](KeyRegistry &node, KeyOutput &out) {
+            node.tick(world.now, wallOf(m_setup, world, index), out);
+        };
+        std::deque<MessagePointer> sent;
+        const auto apply = [&](std::size_t at, const Act &act) {
+            const Outcome outcome = outcomeOf(m_setup, *world.nodes[at], act);
+            world.nodes[at] = outcome.node;
+            sent.insert(sent.end(), outcome.sent.begin(), outcome.sent.end());
+        };
+        apply(index, tick);
+        while (!sent.empty()) {
+            const MessagePointer message = sent.front();
+            sent.pop_front();
+            if (!world.nodes[message->to])
+                continue;
+            apply(message->to, [&](KeyRegistry &node, KeyOutput &out) {
+                node.onMessage(message->from.node, message->from.incarnation, message->message,
+                               world.now, wallOf(m_setup, world, message->to), out);
+            });
+        }
+        auto known = std::make_shared<SearchNode>(*world.nodes[index]);
+        known->isNew = false;
+        world.nodes[index] = std::move(known);
+    }
+
     void killMove(const SearchWorld &world, std::size_t index)
     {
         if (!world.nodes[index] || world.kills >= m_setup.budget.kills)
--- a/unittests/Idempotency/KeySearch.h
+++ b/unittests/Idempotency/KeySearch.h
@@ -37,6 +37,7 @@
     unsigned kills = 0;               ///< Of any of them, all together.
     unsigned starts = 0;              ///< Of killed nodes, all together.
     std::vector<Duration> delays;     ///< Each passes once, in this order.
+    std::vector<std::size_t> ticks;   ///< Each entry wakes this node's timers once.
 };
 
 /// Everything that is so at one moment.
@@ -47,6 +48,7 @@
     TimePoint now;
     WallTime wall;
     std::uint32_t routersUsed = 0; ///< Bit by entry of the budget.
+    std::uint32_t ticksUsed = 0;   ///< As above.
     unsigned delaysUsed = 0;
     unsigned kills = 0;
     unsigned starts = 0;
--- a/unittests/Idempotency/KeySearchTest.cpp
+++ b/unittests/Idempotency/KeySearchTest.cpp
@@ -10,7 +10,15 @@
 
 namespace {
 
-constexpr Duration oneSecond = std::chrono::seconds(1);
+constexpr std::size_t nodeA = 0;
+constexpr std::size_t nodeB = 1;
+constexpr std::size_t nodeC = 2;
+constexpr std::size_t nodeD = 3;
+
+std::chrono::milliseconds ms(int count)
+{
+    return std::chrono::milliseconds(count);
+}
 
 VmList listOf(std::uint64_t revision, const std::vector<std::string> &names)
 {
@@ -21,6 +29,13 @@
     return list;
 }
 
+VmList leaving(VmList list, const std::string &name)
+{
+    for (VmEntry &entry : list.vms)
+        entry.isLeaving |= entry.node == NodeId(name);
+    return list;
+}
+
 /// The nodes have agreed on a roster of all of them, some time ago.
 SearchSetup settledSetup(const std::vector<std::string> &names)
 {
@@ -29,11 +44,28 @@
     return setup;
 }
 
-void report(const std::string &name, const SearchResult &result)
+/// One witness, a, which leaves for good; b takes its place. With such small rosters nobody's
+/// memory reaches from one to the next, so only the agreement keeps them apart.
+SearchSetup replacedWitness()
+{
+    SearchSetup setup = makeSetup({"a", "b", "c"}, listOf(1, {"a"}));
+    settle(setup, std::chrono::seconds(10));
+    const VmList list = leaving(listOf(2, {"a", "b"}), "a");
+    setList(setup, nodeA, list);
+    setList(setup, nodeB, list);
+    setup.key = timedKey(setup.start.wall + ms(3900));
+    return setup;
+}
+
+SearchResult looked(const std::string &name, const SearchSetup &setup, std::size_t states)
 {
+    const SearchResult result = search(setup, {80, states});
     std::cout << name << ": " << result.states << " states, depth " << result.depth
               << (result.isExhausted ? ", exhausted, " : ", bounded, ") << result.dispatches
               << " dispatches, " << result.rosters << " rosters\n";
+    EXPECT_EQ(result.violation, "");
+    EXPECT_GT(result.dispatches, 0U);
+    return result;
 }
 
 } // namespace
@@ -44,11 +76,28 @@
 {
     SearchSetup setup = settledSetup({"a", "b", "c"});
     setup.key = timedKey(setup.start.wall);
-    setup.budget = {{0, 1}, {0, 1, 2}, 1, 1, {}};
-    const auto result = search(setup, {60, 2'000'000});
-    report("two routers, one restart", result);
-    EXPECT_EQ(result.violation, "");
-    EXPECT_GT(result.dispatches, 0U);
+    setup.budget = {{nodeA, nodeB}, {nodeA, nodeB, nodeC}, 1, 1, {}, {}};
+    looked("one restart", setup, 2'000'000);
+}
+
+// A router is given the purchase, gives it up and is given it again, while another has it too. Late
+// votes and releases of the first claim must not count for the second.
+TEST(KeySearch, KeyGivenUpAndBegunAgain)
+{
+    SearchSetup setup = settledSetup({"a", "b", "c"});
+    setup.key = timedKey(setup.start.wall);
+    setup.budget = {{nodeA, nodeA, nodeB}, {}, 0, 0, {}, {}};
+    looked("begun again", setup, 2'000'000);
+}
+
+// A router runs the purchase, restarts without memory and is given it again. Votes for its earlier
+// run are still on their way: they must not admit the new run.
+TEST(KeySearch, RestartedRouterIsGivenTheKeyAgain)
+{
+    SearchSetup setup = settledSetup({"a", "b", "c"});
+    setup.key = timedKey(setup.start.wall);
+    setup.budget = {{nodeA, nodeA}, {nodeA}, 1, 1, {}, {}};
+    looked("router restarted", setup, 1'000'000);
 }
 
 // A witness has restarted, so the others agree on a roster with its new run. The same purchase
@@ -57,31 +106,86 @@
 TEST(KeySearch, OneKeyTwoRoutersOneRestartOneRosterChange)
 {
     SearchSetup setup = settledSetup({"a", "b", "c"});
-    setup.key = timedKey(setup.start.wall + std::chrono::milliseconds(3900));
-    start(setup, 2);
-    setup.budget = {{0, 1}, {}, 0, 0, {oneSecond, 2 * oneSecond, oneSecond}};
-    const auto result = search(setup, {60, 2'000'000});
-    report("two routers, one restart, one roster change", result);
-    EXPECT_EQ(result.violation, "");
-    EXPECT_GT(result.dispatches, 0U);
+    setup.key = timedKey(setup.start.wall + ms(3900));
+    start(setup, nodeC);
+    setup.budget = {{nodeA, nodeB}, {}, 0, 0, {ms(1000), ms(2000), ms(1000)}, {nodeA}};
+    EXPECT_GT(looked("one restart, one roster change", setup, 2'000'000).rosters, 1U);
+}
+
+// The only witness is replaced while the purchase reaches both it and the new one, which proposes.
+// Were the new one to vote before the old has promised not to, both would run it.
+TEST(KeySearch, WitnessReplacedWhileTheKeyIsClaimed)
+{
+    SearchSetup setup = replacedWitness();
+    setup.budget = {{nodeA, nodeB}, {}, 0, 0, {ms(1000), ms(2000), ms(1000)}, {nodeB}};
+    EXPECT_GT(looked("witness replaced", setup, 1'000'000).rosters, 1U);
+}
+
+// The same with a router that still knows the old roster only: the old witness must not vote for it
+// in a key that belongs to the new one.
+TEST(KeySearch, RouterThatMissedTheNewRoster)
+{
+    SearchSetup setup = replacedWitness();
+    setup.budget = {{nodeB, nodeC}, {}, 0, 0, {ms(1000), ms(2000), ms(1000)}, {nodeB}};
+    EXPECT_GT(looked("router behind", setup, 1'000'000).rosters, 1U);
 }
 
-// VMs are replaced: the list names d instead of a, but b still has a list that names a alone
-// missing, so both a and b propose rosters of their own. Clocks differ as far as is allowed.
+// The same with a router whose clock is ahead: the key lies in the future for the old witness,
+// which must not vote for it and then promise that it never will.
+TEST(KeySearch, RouterWhoseClockIsAhead)
+{
+    SearchSetup setup = replacedWitness();
+    setup.skews[nodeC] = ms(500);
+    setup.budget = {{nodeB, nodeC}, {}, 0, 0, {ms(1000), ms(1400), ms(600)}, {nodeB}};
+    EXPECT_GT(looked("router ahead", setup, 1'000'000).rosters, 1U);
+}
+
+// The old witness, whose clock is ahead, votes and dies; the new one's clock is behind. Its roster
+// must begin after any key that the dead one can have voted for.
+TEST(KeySearch, DeadWitnessWhoseClockWasAhead)
+{
+    SearchSetup setup = replacedWitness();
+    setup.skews = {ms(500), ms(-500), ms(0)};
+    setup.key = timedKey(setup.start.wall + ms(2400));
+    setList(setup, nodeB, listOf(3, {"b"}));
+    setup.budget
+        = {{nodeA, nodeB}, {nodeA}, 1, 0, {ms(1000), ms(1000), ms(1000), ms(1000)}, {nodeB}};
+    looked("dead witness ahead", setup, 1'000'000);
+}
+
+// Two lists replace the witness, one by b and one by c, and both propose. Both ask the old one,
+// which may go with one of them alone; the other must take in the first one's roster.
+TEST(KeySearch, TwoListsReplaceTheWitness)
+{
+    SearchSetup setup = replacedWitness();
+    setList(setup, nodeC, leaving(listOf(2, {"a", "c"}), "a"));
+    setup.budget = {{nodeB, nodeC}, {}, 0, 0, {ms(1000), ms(2000), ms(1000)}, {nodeB, nodeC}};
+    EXPECT_GT(looked("two lists", setup, 1'000'000).rosters, 1U);
+}
+
+// The old witness has handed over to b and died. c knows of the old one only, and its list names b,
+// which it can't hear: it must not start anew by itself.
+TEST(KeySearch, SuccessorThatIsNotHeard)
+{
+    SearchSetup setup = replacedWitness();
+    setList(setup, nodeC, listOf(3, {"b", "c"}));
+    setup.budget = {{nodeB, nodeC}, {nodeA}, 1, 0, {ms(1000), ms(2000), ms(1000)}, {nodeB, nodeC}};
+    EXPECT_GT(looked("successor not heard", setup, 1'000'000).rosters, 1U);
+}
+
+// VMs are replaced, and a and b hold lists that name different ones, so both propose rosters.
+// Clocks differ as far as is allowed.
 TEST(KeySearch, DifferingListsAndClocks)
 {
     SearchSetup setup = makeSetup({"a", "b", "c", "d"}, listOf(1, {"a", "b", "c"}));
-    kill(setup, 3);
+    kill(setup, nodeD);
     settle(setup, std::chrono::seconds(10));
-    setup.key = timedKey(setup.start.wall + std::chrono::milliseconds(3900));
-    setup.skews = {std::chrono::milliseconds(500), std::chrono::milliseconds(-500),
-                   std::chrono::milliseconds(0), std::chrono::milliseconds(0)};
-    setList(setup, 0, listOf(2, {"a", "b", "d"}));
-    setList(setup, 1, listOf(3, {"b", "c", "d"}));
-    setList(setup, 3, listOf(3, {"b", "c", "d"}));
-    start(setup, 3);
-    setup.budget = {{0, 1}, {}, 0, 0, {oneSecond, 2 * oneSecond, oneSecond}};
-    const auto result = search(setup, {60, 1'000'000});
-    report("differing lists and clocks", result);
-    EXPECT_EQ(result.violation, "");
+    setup.key = timedKey(setup.start.wall + ms(3900));
+    setup.skews = {ms(500), ms(-500), ms(0), ms(0)};
+    setList(setup, nodeA, listOf(2, {"a", "b", "d"}));
+    setList(setup, nodeB, listOf(3, {"b", "c", "d"}));
+    setList(setup, nodeD, listOf(3, {"b", "c", "d"}));
+    start(setup, nodeD);
+    setup.budget = {{nodeA, nodeB}, {}, 0, 0, {ms(1000), ms(2000), ms(1000)}, {nodeA, nodeB}};
+    looked("differing lists and clocks", setup, 1'000'000);
 }
