--- a/include/berylridge/Policy/TargetGauge.h
+++ b/include/berylridge/Policy/TargetGauge.h
@@ -7,6 +7,8 @@
 #include "berylridge/Support/Time.h"
 
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,7 +35,7 @@
     TargetGauge(const TargetLife &chart, TimePoint now);
 
     /// Limits from the document; they may change while the target runs.
-    void configure(const ServiceDocument &document, const TargetSpec &spec, bool isZoneOut);
+    void configure(const ServiceDocument &document, bool isLeaving);
 
     /// A sign from a node's news, an answer or a poll. An empty boot id means that it is unknown.
     /// Returns whether the target is cold again.
@@ -61,19 +63,23 @@
     TimePoint nextPoll {}; ///< Kept by the owner.
 
 private:
-    void reset(std::string_view bootId);
+    bool hasEnded(std::string_view bootId) const;
+
     void step(TargetSign sign) { m_chart->step(m_state, sign); }
     bool heardBoot(std::string_view bootId, TimePoint now);
 
     const TargetLife *m_chart;
     TargetState m_state;
     std::string m_bootId;
+    std::deque<std::string> m_endedBoots; ///< The last few, to know late word of them.
+
     std::uint32_t m_slots = 1;
     std::uint32_t m_coldSlots = 1;
     std::uint32_t m_warmAfter = 1;
-    std::uint64_t m_completed = 0; ///< Whole answers in this boot.
-    bool m_isDown = false;         ///< Its boot has ended and no new one was heard.
-    TimePoint m_evidenceAt {};     ///< When this boot was last known to run.
+    std::uint64_t m_completed = 0;         ///< Whole answers in this boot.
+    std::uint64_t m_told = 0;              ///< Those of them that holders told.
+    bool m_isDown = false;                 ///< Its boot has ended and no new one was heard.
+    std::optional<TimePoint> m_evidenceAt; ///< When this boot was last known to run.
     std::uint32_t m_reportedRunning = 0;
     TimePoint m_reportedAt {};
 };
--- /dev/null
+++ b/lib/Admin/OperatorsKey.cpp
@@ -0,0 +1,14 @@
+// Checks the operators' key by its digest.
+#include "berylridge/Admin/AdminApi.h"
+#include "berylridge/Support/Hash.h"
+
+namespace berylridge {
+
+bool isOperatorsKey(std::string_view authorization, std::string_view operatorsKeyDigest)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    return authorization.starts_with(scheme)
+        && hasDigest(authorization.substr(scheme.size()), operatorsKeyDigest);
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Admin/RpcClient.cpp
@@ -0,0 +1,69 @@
+// The only file that includes libjsonrpccpp's client; compiled as C++14 (see the header).
+#include "berylridge/Admin/RpcClient.h"
+
+#include <jsonrpccpp/client.h>
+
+namespace berylridge {
+
+namespace {
+
+class TransportConnector : public jsonrpc::IClientConnector
+{
+public:
+    explicit TransportConnector(const RpcTransport &transport)
+        : m_transport(transport)
+    {
+    }
+
+    /// Keeps the transport's failure: the base class allows but one kind of exception here, and the
+    /// library would put its own words before ours.
+    void SendRPCMessage(const std::string &message, std::string &result) noexcept override // NOLINT
+    {
+        try {
+            if (m_transport(message, result))
+                return;
+            m_failure = result;
+        } catch (const std::exception &error) {
+            m_failure = error.what();
+        }
+        result.clear();
+    }
+
+    const std::string &failure() const { return m_failure; }
+
+private:
+    const RpcTransport &m_transport;
+    std::string m_failure;
+};
+
+/// The message without the library's own words for its code, which it puts before ours at both
+/// ends.
+std::string bareMessage(const jsonrpc::JsonRpcException &error)
+{
+    std::string message = error.GetMessage();
+    const std::string words = jsonrpc::Errors::GetErrorMessage(error.GetCode()) + ": ";
+    while (words.size() > 2 && message.compare(0, words.size(), words) == 0)
+        message.erase(0, words.size());
+    return message;
+}
+
+} // namespace
+
+RpcReply callRpc(const RpcTransport &transport, const std::string &method,
+                 const Json::Value &parameters)
+{
+    TransportConnector connector(transport);
+    RpcReply reply;
+    try {
+        jsonrpc::Client client(connector);
+        client.CallMethod(method, parameters, reply.result);
+        reply.isFine = true;
+    } catch (const jsonrpc::JsonRpcException &error) {
+        reply.reason = connector.failure().empty() ? bareMessage(error) : connector.failure();
+    } catch (const std::exception &error) {
+        reply.reason = error.what();
+    }
+    return reply;
+}
+
+} // namespace berylridge
