Be ready only when callers' keys find witnesses

Ruled out: admitting keys older than the roster (a witness can't know them). After: FleetProcess.WholePath and ExecutedPurchaseIsNotRepeated pass, which failed first. In a fleet that can't agree the node is ready after three times the wait, and serves the rest.

--- a/include/berylridge/Idempotency/KeyRegistry.h
+++ b/include/berylridge/Idempotency/KeyRegistry.h
@@ -81,6 +81,10 @@
     KeyPhase phase(const std::string &key) const;
     /// How many claims this run has made; each has the next number.
     std::uint64_t claimCount() const { return m_claims; }
+    /// Whether a key that a caller makes now would find witnesses. Not before the first roster has
+    /// begun, nor for a moment after: the caller's clock may be behind.
+    bool takesKeysMadeNow(WallTime wall) const;
+
     /// The rosters that this node knows, for operators.
     const RosterChain &rosters() const { return m_keeper.chain(); }
     /// One line with all that decides what this node does next; for operators and searches.
--- a/lib/Idempotency/KeyRegistry.cpp
+++ b/lib/Idempotency/KeyRegistry.cpp
@@ -292,6 +292,13 @@
     return next;
 }
 
+bool KeyRegistry::takesKeysMadeNow(WallTime wall) const
+{
+    const Roster *roster
+        = m_keeper.chain().rosterAt(std::max(wall, m_wall) - milliseconds(m_options.clockSkew));
+    return roster && m_keeper.chain().lastActive();
+}
+
 std::string KeyRegistry::describe() const
 {
     std::map<std::string, std::string> sorted;
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -159,7 +159,7 @@
 {
     if (m_context.now >= m_nextHeartbeat) {
         m_nextHeartbeat = m_context.now + m_context.options.heartbeatPeriod;
-        m_fleet.tick();
+        m_fleet.tick(m_requests.takesKeys());
         m_fleet.checkStop(m_requests.size(), m_requests.lastArrival());
     }
     if (m_context.now >= m_nextTick || m_context.now >= m_requests.nextTimer()) {
--- a/lib/Router/FleetSync.cpp
+++ b/lib/Router/FleetSync.cpp
@@ -195,8 +195,9 @@
     m_context.membership.onWoke(m_context.now);
 }
 
-void FleetSync::tick()
+void FleetSync::tick(bool takesKeys)
 {
+    m_takesKeys = takesKeys;
     for (const Member &silent : m_context.membership.tick(m_context.now))
         m_context.act(ProbeNode {silent.node, silent.endpoint, silent.incarnation});
     checkReady();
@@ -263,7 +264,12 @@
 {
     if (m_state != NodeState::Joining || m_context.documents.digest() == 0)
         return;
-    if (!m_isSynchronised && m_context.now - m_startedAt < m_context.options.readinessWait)
+    const Duration waited = m_context.now - m_startedAt;
+    if (!m_isSynchronised && waited < m_context.options.readinessWait)
+        return;
+    // Purchases that came before the nodes agreed on witnesses would be refused as perhaps run. In
+    // a fleet that can't agree, as in a zone that is cut off, the rest is served without them.
+    if (!m_takesKeys && waited < 3 * m_context.options.readinessWait)
         return;
     step(NodeSign::DocumentsKnown);
     m_context.log(LogEventId::NodeReady, "");
--- a/lib/Router/FleetSync.h
+++ b/lib/Router/FleetSync.h
@@ -40,7 +40,8 @@
     void onReturn(const std::string &who);
     void onWoke();
 
-    void tick();
+    /// takesKeys: whether callers' idempotency keys find witnesses.
+    void tick(bool takesKeys);
     /// Ends a planned stop once nothing is left, or its time limit has passed.
     void checkStop(std::size_t requests, TimePoint lastArrival);
 
@@ -54,6 +55,7 @@
 private:
     void step(NodeSign sign);
     void checkReady();
+
     void chooseReaders();
     void sendHeartbeat(const Member &member);
     void pushZoneView();
@@ -69,6 +71,7 @@
     std::uint64_t m_pushedDigest = 0;
     bool m_isReader = false;
     bool m_isPlatformReachable = true;
+    bool m_takesKeys = false;
     bool m_isSynchronised = false; ///< A ready node's documents have been compared with ours.
     std::map<NodeId, TimePoint> m_requestedAt; ///< Last DocumentsRequest to each.
 };
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -42,6 +42,9 @@
     void onMembers();
     void onVmList(const VmList &list);
 
+    /// Whether a key that a caller makes now could be admitted.
+    bool takesKeys() const { return m_keys.takesKeysMadeNow(m_context.wall); }
+
     /// Refuses what has waited too long and tries again what was put off.
     void tick();
     TimePoint nextTimer() const;
