--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -12,6 +12,9 @@
 /// Time for a broken target's port to answer a poll, and for word of a crash to reach every node,
 /// before the request that may have caused it goes to a second target.
 constexpr Duration crashCheckTime = std::chrono::milliseconds(400);
+/// With a tenth of the datagrams lost, all four are lost once in ten thousand times.
+constexpr int crashNewsCopies = 4;
+constexpr Duration crashNewsPeriod = std::chrono::milliseconds(200);
 
 std::uint64_t bootHash(const TargetId &target, const std::string &bootId)
 {
@@ -252,10 +255,27 @@
     if (!m_crashes.add(check.fingerprint, boot, m_context.now))
         return;
     m_context.log(LogEventId::TargetCold, target.str() + " crashed while it ran a request");
-    for (const auto &[node, member] : m_context.membership.members()) {
-        if (member.state != MemberState::Gone)
-            m_context.send(node, FleetMessage(CrashNews {check.fingerprint, boot}));
+    m_crashEchoes.push_back({{check.fingerprint, boot}, m_context.now, crashNewsCopies});
+    repeatCrashNews();
+    refuseCrashing(check.fingerprint);
+}
+
+/// Sends word of crashes to all nodes, each several times: a datagram may be lost, and the node
+/// that misses it lets the request crash two more targets.
+void RequestManager::repeatCrashNews()
+{
+    for (CrashEcho &echo : m_crashEchoes) {
+        if (echo.left == 0 || echo.at > m_context.now)
+            continue;
+        --echo.left;
+        echo.at = m_context.now + crashNewsPeriod;
+        for (const auto &[node, member] : m_context.membership.members()) {
+            if (member.state != MemberState::Gone)
+                m_context.send(node, FleetMessage(echo.news));
+        }
     }
+    while (!m_crashEchoes.empty() && m_crashEchoes.front().left == 0)
+        m_crashEchoes.pop_front();
 }
 
 /// The time for word of a crash is over: the request goes on, or is given up.
@@ -280,18 +300,23 @@
 void RequestManager::onCrashNews(const CrashNews &news)
 {
     m_crashes.add(news.fingerprint, news.boot, m_context.now);
-    if (!m_crashes.blockedFor(news.fingerprint, m_context.now))
+    refuseCrashing(news.fingerprint);
+}
+
+/// Requests that wait with a blocked fingerprint would be the next to crash a target.
+void RequestManager::refuseCrashing(std::uint64_t fingerprint)
+{
+    if (!m_crashes.blockedFor(fingerprint, m_context.now))
         return;
-    // Requests that wait with the same fingerprint would be the next to crash a target.
     std::vector<RequestHandle> waiting;
     for (const auto &[handle, request] : m_requests) {
-        if (request.fingerprint == news.fingerprint && request.state == RequestState::Queued)
+        if (request.fingerprint == fingerprint && request.state == RequestState::Queued)
             waiting.push_back(handle);
     }
     for (const RequestHandle handle : waiting) {
         refuse(m_requests.at(handle),
                {503, "crashing-request", "this request crashed the targets that ran it",
-                m_crashes.blockedFor(news.fingerprint, m_context.now)});
+                m_crashes.blockedFor(fingerprint, m_context.now)});
     }
 }
 
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -332,6 +332,7 @@
         recordCrash(due, target);
         crashCheckDone(due);
     }
+    repeatCrashNews();
     m_crashes.expire(m_context.now);
     KeyOutput output;
     m_keys.tick(m_context.now, m_context.wall, output);
@@ -345,6 +346,8 @@
         next = std::min(next, m_deadlines.begin()->first);
     for (const auto &[target, check] : m_checks)
         next = std::min(next, check.until);
+    for (const CrashEcho &echo : m_crashEchoes)
+        next = std::min(next, echo.left > 0 ? echo.at : next);
     return next;
 }
 
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -102,6 +102,8 @@
     void retry(Request &request);
     void checkCrash(Request &request, bool isRetried);
     void resolveCrashChecks(const TargetId &target, bool isHeard, const std::string &bootId);
+    void repeatCrashNews();
+    void refuseCrashing(std::uint64_t fingerprint);
     void recordCrash(const CrashCheck &check, const TargetId &target);
     void crashCheckDone(const CrashCheck &check);
     void noteBoot(Request &request, const std::string &bootId);
@@ -113,6 +115,14 @@
     PoolManager *m_pools = nullptr;
     KeyRegistry m_keys;
     CrashRecord m_crashes;
+    /// Word of a crash that is still to be repeated.
+    struct CrashEcho
+    {
+        CrashNews news;
+        TimePoint at;
+        int left = 0;
+    };
+    std::deque<CrashEcho> m_crashEchoes;
     std::map<NodeId, Incarnation> m_crashesToldTo;
     std::map<ServiceId, Service> m_services;
     std::unordered_map<RequestHandle, Request> m_requests;
