--- a/test/process/TestFleet.h
+++ b/test/process/TestFleet.h
@@ -58,7 +58,7 @@
     TestFleet(const TestFleet &) = delete;
     TestFleet &operator=(const TestFleet &) = delete;
 
-    /// Starts everything. False where a router isn't ready within the limit.
+    /// Starts everything. False where a router isn't ready, or refuses purchases, beyond the limit.
     bool start();
 
     std::size_t routerCount() const { return m_routers.size(); }
@@ -95,6 +95,7 @@
     std::string logs() const;
 
 private:
+    bool admitsPurchases(std::size_t router) const;
     void claimAddresses();
     void place();
     void placeTargets(const std::string &zone, const std::string &prefix, unsigned group,
--- a/tools/berylridged/Main.cpp
+++ b/tools/berylridged/Main.cpp
@@ -67,7 +67,7 @@
     CoreOptions options;
     options.node = settings.node;
     options.zone = settings.zone;
-    options.endpoint = settings.peers;
+    options.endpoint = settings.advertised;
     options.incarnation = static_cast<Incarnation>(
         std::chrono::duration_cast<std::chrono::microseconds>(wall.time_since_epoch()).count());
     options.seeds = settings.seeds;
