--- a/test/process/FleetProcessTest.cpp
+++ b/test/process/FleetProcessTest.cpp
@@ -37,7 +37,7 @@
 {
     FleetPlan plan;
     plan.routersPerZone = 3;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(5);
     const auto report = endLoad();
     expectNoOverload();
@@ -54,7 +54,7 @@
 {
     FleetPlan plan;
     plan.routersPerZone = 2;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(10);
     for (const std::size_t victim : {0U, 3U}) {
         std::this_thread::sleep_for(milliseconds(1500));
@@ -73,7 +73,7 @@
 {
     FleetPlan plan;
     plan.routersPerZone = 2;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(12);
     std::this_thread::sleep_for(seconds(2));
     m_fleet->routerProcess(1).signal(SIGSTOP);
@@ -91,7 +91,7 @@
     FleetPlan plan;
     plan.routersPerZone = 2;
     plan.hasRelay = true;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(12);
     std::this_thread::sleep_for(seconds(2));
     m_fleet->relay().cutOff("a");
@@ -111,7 +111,7 @@
     FleetPlan plan;
     plan.routersPerZone = 2;
     plan.hasRelay = true;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     m_fleet->relay().cutOff("a");
     RandomEngine random(7);
     boost::asio::io_context io;
@@ -152,7 +152,7 @@
     FleetPlan plan;
     plan.routersPerZone = 2;
     plan.hasRelay = true;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(14);
     std::this_thread::sleep_for(seconds(2));
     m_fleet->relay().cutOff("a");
@@ -175,7 +175,7 @@
 {
     FleetPlan plan;
     plan.routersPerZone = 2;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(20);
     m_fleet->orderPlatform(R"({"mode":"down"})");
     for (const char *zone : {"a", "b", "c"})
@@ -203,7 +203,7 @@
 TEST_F(FleetProcess, ZoneOutAndBack)
 {
     FleetPlan plan;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(15);
     ASSERT_TRUE(zoneGetsWork("b"));
     m_fleet->publishZonesOut({"b"});
@@ -225,7 +225,7 @@
     FleetPlan plan;
     plan.warmAfter = 1;
     plan.tokensPerSecond = 20;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     constexpr unsigned tokens = 60;
     constexpr int streams = 3;
     boost::asio::io_context io;
@@ -257,7 +257,7 @@
 {
     FleetPlan plan;
     plan.routersPerZone = 2;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     startLoad(12);
     std::this_thread::sleep_for(seconds(3));
     for (int i = 0; i < 2; ++i) {
@@ -276,7 +276,7 @@
 TEST_F(FleetProcess, ExecutedPurchaseIsNotRepeated)
 {
     FleetPlan plan;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     RandomEngine random(1);
     const auto key = uuidV7(SystemClock().wallNow(), random);
     for (const auto &service : m_fleet->services())
@@ -302,7 +302,7 @@
 {
     FleetPlan plan;
     plan.enginesPerZone = 2;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     for (const auto &engine : m_fleet->engines())
         m_fleet->orderTarget(engine.endpoint, R"({"marker":"poison"})");
     for (int round = 0; round < 2; ++round) {
@@ -327,7 +327,7 @@
 TEST_F(FleetProcess, WrongAnswersNeverReachACallerAsWhole)
 {
     FleetPlan plan;
-    startFleet(plan);
+    ASSERT_NO_FATAL_FAILURE(startFleet(plan));
     const std::string body = R"({"tokens":12,"prompt":"slip"})";
     for (const char *order : {"crossed", "over-long", "cut-answer", "late"}) {
         for (const auto &engine : m_fleet->engines())
