--- /dev/null
+++ b/include/berylridge/Config/JsonList.h
@@ -0,0 +1,18 @@
+// A JSON list out of a vector.
+#pragma once
+
+#include <json/value.h>
+#include <vector>
+
+namespace berylridge {
+
+template <typename T>
+Json::Value listOf(const std::vector<T> &elements, Json::Value (*toValue)(const T &))
+{
+    Json::Value list(Json::arrayValue);
+    for (const auto &element : elements)
+        list.append(toValue(element));
+    return list;
+}
+
+} // namespace berylridge
--- a/lib/Admin/StatusJson.cpp
+++ b/lib/Admin/StatusJson.cpp
@@ -1,6 +1,7 @@
 // Field by field, so that a change of a struct is a choice about the API.
 #include "StatusJson.h"
 
+#include "berylridge/Config/JsonList.h"
 #include "berylridge/Support/LogEvent.h"
 
 namespace berylridge {
@@ -60,15 +61,6 @@
     return value;
 }
 
-template <typename T>
-Json::Value listOf(const std::vector<T> &elements, Json::Value (*toValue)(const T &))
-{
-    Json::Value list(Json::arrayValue);
-    for (const auto &element : elements)
-        list.append(toValue(element));
-    return list;
-}
-
 } // namespace
 
 Json::Value headValue(const DocumentHead &head)
--- a/lib/Config/DocumentReader.cpp
+++ b/lib/Config/DocumentReader.cpp
@@ -73,41 +73,30 @@
     readTargets(fields, document.targets);
 }
 
+void readZonesOut(FieldReader &fields, std::vector<ZoneId> &zones)
+{
+    Uniqueness unique(fields.source(), "an earlier entry names the same zone");
+    fields.list("zonesOut", [&](const Json::Value &element, const std::string &path) {
+        auto zone = readText(fields.source(), element, path, nameRule);
+        if (!zone)
+            return;
+        unique.check(element, path, *zone);
+        zones.emplace_back(std::move(*zone));
+    });
+}
+
 } // namespace
 
 ReadResult<ServiceDocument> readServiceDocument(std::string_view file, std::string_view text)
 {
-    JsonSource source(file, text);
-    ServiceDocument document;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
-        readServiceFields(fields, document);
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(document), {}};
+    return readRoot<ServiceDocument>(file, text, readServiceFields);
 }
 
 ReadResult<FleetDocument> readFleetDocument(std::string_view file, std::string_view text)
 {
-    JsonSource source(file, text);
-    FleetDocument document;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
-        Uniqueness unique(source, "an earlier entry names the same zone");
-        fields.list("zonesOut", [&](const Json::Value &element, const std::string &path) {
-            auto zone = readText(source, element, path, nameRule);
-            if (!zone)
-                return;
-            unique.check(element, path, *zone);
-            document.zonesOut.emplace_back(std::move(*zone));
-        });
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(document), {}};
+    return readRoot<FleetDocument>(file, text, [](FieldReader &fields, FleetDocument &document) {
+        readZonesOut(fields, document.zonesOut);
+    });
 }
 
 } // namespace berylridge
--- a/lib/Config/DocumentWriter.cpp
+++ b/lib/Config/DocumentWriter.cpp
@@ -3,6 +3,8 @@
 
 #include "FieldReader.h"
 
+#include "berylridge/Config/JsonList.h"
+
 #include <json/writer.h>
 
 namespace berylridge {
@@ -59,15 +61,6 @@
     return value;
 }
 
-template <typename T>
-Json::Value listOf(const std::vector<T> &elements, Json::Value (*toValue)(const T &))
-{
-    Json::Value list(Json::arrayValue);
-    for (const auto &element : elements)
-        list.append(toValue(element));
-    return list;
-}
-
 } // namespace
 
 std::string writeServiceDocument(const ServiceDocument &document)
@@ -109,19 +102,12 @@
 
 ReadResult<DocumentText> readEnvelope(std::string_view file, std::string_view text)
 {
-    JsonSource source(file, text);
-    DocumentText document;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
+    return readRoot<DocumentText>(file, text, [](FieldReader &fields, DocumentText &document) {
         fields.text("name", document.name, notEmptyRule, Presence::Required);
         fields.integer("version", document.version, 1, std::numeric_limits<std::int64_t>::max(),
                        Presence::Required);
         fields.text("text", document.text, notEmptyRule, Presence::Required);
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(document), {}};
+    });
 }
 
 } // namespace berylridge
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -107,6 +107,22 @@
     std::vector<std::string> m_known;
 };
 
+/// Reads a whole text whose root is an object: the function reads its fields into the value.
+template <typename T, std::invocable<FieldReader &, T &> ReadFields>
+ReadResult<T> readRoot(std::string_view file, std::string_view text, ReadFields readFields)
+{
+    JsonSource source(file, text);
+    T value;
+    if (const auto root = source.parse()) {
+        FieldReader fields(source, *root);
+        readFields(fields, value);
+        fields.finish();
+    }
+    if (source.hasErrors())
+        return {std::nullopt, source.takeDiagnostics()};
+    return {std::move(value), {}};
+}
+
 /// Reads an element that must be a string under a rule.
 std::optional<std::string> readText(JsonSource &source, const Json::Value &value,
                                     const std::string &path, const TextRule &rule);
--- a/lib/Config/ServiceFile.cpp
+++ b/lib/Config/ServiceFile.cpp
@@ -199,24 +199,18 @@
 ReadResult<ServiceDocument> readServiceFile(std::string_view file, std::string_view text,
                                             const WorkspacesFile &workspaces)
 {
-    JsonSource source(file, text);
-    ServiceDocument document;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
-        fields.id("service", document.service);
-        readServiceLimits(fields, document);
-        TargetsReader(fields, document).read();
-        fields.members(
-            "routes",
-            [&](const std::string &name, const Json::Value &member, const std::string &path) {
-                readRoute(fields, name, member, path, document);
-            });
-        document.workspaces = SharesReader(fields, workspaces).read();
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(document), {}};
+    return readRoot<ServiceDocument>(
+        file, text, [&](FieldReader &fields, ServiceDocument &document) {
+            fields.id("service", document.service);
+            readServiceLimits(fields, document);
+            TargetsReader(fields, document).read();
+            fields.members(
+                "routes",
+                [&](const std::string &name, const Json::Value &member, const std::string &path) {
+                    readRoute(fields, name, member, path, document);
+                });
+            document.workspaces = SharesReader(fields, workspaces).read();
+        });
 }
 
 } // namespace berylridge
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -101,18 +101,11 @@
 
 ReadResult<Settings> readSettings(std::string_view file, std::string_view text)
 {
-    JsonSource source(file, text);
-    Settings settings;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
+    return readRoot<Settings>(file, text, [](FieldReader &fields, Settings &settings) {
         readPlace(fields, settings);
         readWords(fields, settings);
         readLimits(fields, settings);
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(settings), {}};
+    });
 }
 
 } // namespace berylridge
--- a/lib/Config/WorkspacesFile.cpp
+++ b/lib/Config/WorkspacesFile.cpp
@@ -56,17 +56,11 @@
 
 ReadResult<WorkspacesFile> readWorkspacesFile(std::string_view file, std::string_view text)
 {
-    JsonSource source(file, text);
-    WorkspacesFile workspaces;
-    if (const auto root = source.parse()) {
-        FieldReader fields(source, *root);
-        readDigests(fields, workspaces);
-        readGroups(fields, workspaces);
-        fields.finish();
-    }
-    if (source.hasErrors())
-        return {std::nullopt, source.takeDiagnostics()};
-    return {std::move(workspaces), {}};
+    return readRoot<WorkspacesFile>(file, text,
+                                    [](FieldReader &fields, WorkspacesFile &workspaces) {
+                                        readDigests(fields, workspaces);
+                                        readGroups(fields, workspaces);
+                                    });
 }
 
 } // namespace berylridge
