--- a/tools/berylload/main.cpp
+++ b/tools/berylload/main.cpp
@@ -5,47 +5,25 @@
 #include "Report.h"
 #include "Sampler.h"
 
+#include "berylridge/CommandLine/CommandLine.h"
+
 #include <fstream>
 #include <iostream>
-#include <tclap/CmdLine.h>
 
 using namespace berylridge;
 
 namespace {
 
-constexpr int violationStatus = 1;
-constexpr int usageStatus = 2;
-
-struct Options
+ManPage manPage()
 {
-    std::string profile;
-    std::string json;
-    bool isDirect = false;
-};
-
-/// The options, or the exit status where there is nothing to run.
-std::optional<int> parseOptions(int argc, char **argv, Options &options)
-{
-    try {
-        TCLAP::CmdLine line("drives routers with an open-loop load, checks every answer and "
-                            "compares purchases with what the services executed; exits with 1 on "
-                            "a broken promise, with 2 on a wrong profile",
-                            ' ', BERYLRIDGE_VERSION);
-        line.setExceptionHandling(false);
-        TCLAP::ValueArg<std::string> profile("", "profile", "what to send: JSON with comments",
-                                             true, "", "file", line);
-        TCLAP::ValueArg<std::string> json("", "json", "write the report as JSON too", false, "",
-                                          "file", line);
-        TCLAP::SwitchArg direct("", "direct", "straight to the engines and services", line);
-        line.parse(argc, argv);
-        options = {profile.getValue(), json.getValue(), direct.getValue()};
-    } catch (const TCLAP::ExitException &exit) {
-        return exit.getExitStatus();
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << error.argId() << ": " << error.error() << '\n';
-        return usageStatus;
-    }
-    return std::nullopt;
+    return {"berylload",
+            "drive routers with an open-loop load",
+            "Sends what the profile says, checks every answer, compares purchases with what the "
+            "services\n"
+            "executed, and prints a report per workspace. Exit status 1 means that a promise was "
+            "broken,\n"
+            "2 a wrong command line or profile.",
+            {{"EXAMPLES", "berylload --profile load.json --json report.json"}}};
 }
 
 /// What the profile lacks for its kind of run; null where nothing is missing.
@@ -78,33 +56,38 @@
     const auto purchases = judgePurchases(profile, generator.tally());
     if (!purchases) {
         std::cerr << purchases.lastReason() << '\n';
-        return violationStatus;
+        return exitErrorsFound;
     }
     const auto fairness = measureFairness(sampler.samples(), weightsOf(profile));
     const auto report = makeReport(profile, generator.tally(), fairness, *purchases);
     printReport(std::cout, report);
     if (!jsonFile.empty())
         std::ofstream(jsonFile) << toText(report) << '\n';
-    return report["violations"].asUInt64() == 0 ? 0 : violationStatus;
+    return report["violations"].asUInt64() == 0 ? exitFine : exitErrorsFound;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    Options options;
-    if (const auto status = parseOptions(argc, argv, options))
+    CommandLine line(manPage());
+    TCLAP::ValueArg<std::string> profileFile("", "profile", "what to send: JSON with comments",
+                                             true, "", "FILE", line.arguments());
+    TCLAP::ValueArg<std::string> json("", "json", "write the report as JSON too", false, "", "FILE",
+                                      line.arguments());
+    TCLAP::SwitchArg direct("", "direct", "straight to the engines and services", line.arguments());
+    if (const auto status = line.parse(argc, argv))
         return *status;
-    const auto read = readProfile(options.profile);
+    const auto read = readProfile(profileFile.getValue());
     if (!read) {
         std::cerr << read.lastReason() << '\n';
-        return usageStatus;
+        return exitWrongUsage;
     }
     Profile profile = *read;
-    profile.isDirect = profile.isDirect || options.isDirect;
+    profile.isDirect = profile.isDirect || direct.getValue();
     if (const auto fault = unreachable(profile)) {
-        std::cerr << options.profile << ": " << fault << '\n';
-        return usageStatus;
+        std::cerr << profileFile.getValue() << ": " << fault << '\n';
+        return exitWrongUsage;
     }
-    return run(profile, options.json);
+    return run(profile, json.getValue());
 }
