Take a node's address from the VM list when no heartbeat has told it

Cause: a node that starts while the platform is stale hears another zone's node by a message about keys first; from then on the VM list no longer set that node's address, and nothing was ever sent to it. Ruled out: the witnesses' rosters, which agreed; votes came from the own zone alone. Conclusion: an empty address is filled. Failed first: MembershipTest.AMessageBeforeTheVmListDoesNotHideTheAddress (run both ways).

--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -57,7 +57,9 @@
             continue;
         Member &entry = member(vm.node);
         entry.isListed = true;
-        if (!entry.wasHeard) {
+        // A heartbeat tells where its sender is, other messages don't: a node that was heard by one
+        // of those alone would never be answered.
+        if (!entry.wasHeard || entry.endpoint.address.empty()) {
             entry.zone = vm.zone;
             entry.endpoint = {vm.address, vm.port};
         }
--- a/unittests/Fleet/MembershipTest.cpp
+++ b/unittests/Fleet/MembershipTest.cpp
@@ -180,3 +180,15 @@
     EXPECT_EQ(near, 2U);
     EXPECT_EQ(away, 2U);
 }
+
+// A node starts while the platform is stale. Another zone's node sends it a message about keys
+// before any VM list or heartbeat of that zone has come. Were it then taken for known, its address
+// would stay empty for good: nothing is sent to it, and callers' keys find too few witnesses.
+TEST_F(MembershipTest, AMessageBeforeTheVmListDoesNotHideTheAddress)
+{
+    const NodeId early("b2");
+    EXPECT_TRUE(m_members.onHeard(early, 5, m_clock.now()));
+    m_members.onVmList(vms(2, {"a1", "a2", "a3", "b1", "b2"}), m_clock.now());
+    EXPECT_EQ(m_members.find(early)->endpoint.port, 7400);
+    EXPECT_EQ(m_members.find(early)->zone, zoneB);
+}
