--- a/unittests/Fleet/MembershipTest.cpp
+++ b/unittests/Fleet/MembershipTest.cpp
@@ -24,7 +24,7 @@
         m_members.onVmList(vms(1, {"a1", "a2", "a3", "b1"}), m_clock.now());
     }
 
-    static VmList vms(std::uint64_t revision, std::vector<std::string> names)
+    static VmList vms(std::uint64_t revision, const std::vector<std::string> &names)
     {
         VmList list;
         list.revision = revision;
--- a/utils/bench.sh
+++ b/utils/bench.sh
@@ -5,6 +5,11 @@
 source "$root/utils/fleet.sh"
 install_packages
 build_all | tail -1
+# --policy [OPTIONS]: the sharing rules and a zone's leave under the paused clock, no processes.
+if [ "${1:-}" = --policy ]; then
+    shift
+    exec "$build/bin/fairnessbench" "$@"
+fi
 trap stop_fleet EXIT
 seconds=${BERYLRIDGE_BENCH_SECONDS:-10}
 start_fleet --size single --slots 256 --cold-slots 256 --lookup-ms 0
