Let a suspected request's other sendings wait, and let a whole answer clear it

Ruled out: refusing them, since a common lookup that only ran beside the fault has the same fingerprint and would be refused everywhere. Conclusion: those that have not run wait up to 4 s, which the rerun needs to show its guilt.

--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -20,6 +20,12 @@
     /// A boot ended while it ran the request. Returns whether that is news.
     bool add(std::uint64_t fingerprint, std::uint64_t boot, TimePoint now);
 
+    /// Whether a request that has not run yet is to wait: another one with its fingerprint crashed
+    /// a target a moment ago, and its rerun shows whether it was guilty.
+    bool isHeld(std::uint64_t fingerprint, TimePoint now) const;
+    /// A request with this fingerprint was answered whole, so it doesn't crash what runs it.
+    void clear(std::uint64_t fingerprint) { m_entries.erase(fingerprint); }
+
     std::size_t crashes(std::uint64_t fingerprint) const;
     /// How long the request is still refused; none when it may run.
     std::optional<Duration> blockedFor(std::uint64_t fingerprint, TimePoint now) const;
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -8,8 +8,18 @@
 /// crashes.
 constexpr Duration blockTime = std::chrono::minutes(10);
 
+/// Time for the rerun at a second target: the check of the first, and a wait in the queue.
+constexpr Duration holdTime = std::chrono::seconds(4);
+
 } // namespace
 
+bool CrashRecord::isHeld(std::uint64_t fingerprint, TimePoint now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return found != m_entries.end() && found->second.boots.size() < crashLimit
+        && now - found->second.lastAt < holdTime;
+}
+
 bool CrashRecord::add(std::uint64_t fingerprint, std::uint64_t boot, TimePoint now)
 {
     Entry &entry = m_entries[fingerprint];
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -32,7 +32,9 @@
     const auto isFit = [&](RequestHandle handle) {
         const Request &request = m_requests.at(handle);
         const bool isAvoided = request.avoided.contains(hash) && request.avoided.size() < open;
-        return !isAvoided
+        const bool isHeld
+            = request.attempts == 0 && m_crashes.isHeld(request.fingerprint, m_context.now);
+        return !isAvoided && !isHeld
             && (request.key.empty()
                 || m_keys.mayDispatch(request.key, m_context.now, m_context.wall));
     };
@@ -94,6 +96,7 @@
         return;
     noteBoot(*request, event.bootId);
     request->verdict = Verdict::Ran;
+    m_crashes.clear(request->fingerprint);
     note(*request, "answered", std::to_string(event.status));
     if (!request->key.empty())
         m_keys.finished(request->key, event.status, event.keptHeaders, event.keptBody);
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -31,3 +31,32 @@
     record.expire(clock.now());
     EXPECT_EQ(record.crashes(1), 0U);
 }
+
+// A request crashed one target and its caller has sent it through other routers too. Were two of
+// its sendings run at the same time, they would crash two targets more before anybody knows.
+TEST(CrashRecord, OthersWaitForTheRerunOfASuspect)
+{
+    PausedClock clock;
+    CrashRecord record;
+    EXPECT_FALSE(record.isHeld(1, clock.now()));
+    record.add(1, 100, clock.now());
+    EXPECT_TRUE(record.isHeld(1, clock.now()));
+    EXPECT_FALSE(record.isHeld(2, clock.now()));
+    clock.advance(5s);
+    EXPECT_FALSE(record.isHeld(1, clock.now()));
+}
+
+// Two targets lose their power while a common lookup runs on both. It has nothing to do with it,
+// and the next whole answer shows so; otherwise everybody's lookup would be refused for ten
+// minutes.
+TEST(CrashRecord, AWholeAnswerProvesInnocence)
+{
+    PausedClock clock;
+    CrashRecord record;
+    record.add(1, 100, clock.now());
+    record.add(1, 200, clock.now());
+    EXPECT_TRUE(record.blockedFor(1, clock.now()));
+    record.clear(1);
+    EXPECT_FALSE(record.blockedFor(1, clock.now()));
+    EXPECT_FALSE(record.isHeld(1, clock.now()));
+}
