Replay recorded traces, and compare whole sessions with golden files

berylreplay feeds a trace (JSON lines; messages as sealed datagrams) to a core under its recorded times and prints the session; exit status 1 when the outcome differs from the one that the trace's last line states. One trace of one node for each deployment's sizes, recorded on the rig by recordtrace: start, cold targets, a target's crash, a zone out, a planned stop.

--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -187,6 +187,8 @@
     if (!isUp())
         return;
     assert(!m_isPaused && "a paused process handles nothing");
+    if (watchEvents)
+        watchEvents(event, localNow(), m_world.queue.wallNow());
     Actions actions;
     m_core->handle(event, localNow(), m_world.queue.wallNow(), actions);
     const std::uint64_t run = m_run;
--- a/test/rig/FakeNode.h
+++ b/test/rig/FakeNode.h
@@ -88,6 +88,8 @@
     /// Runs the function later, unless this incarnation has ended by then.
     void later(Duration wait, const EventQueue::Function &function);
 
+    /// Every event is shown to it, with the node's own times, before it is handled.
+    std::function<void(const Event &, TimePoint, WallTime)> watchEvents;
     /// Every action is shown to it before it is carried out.
     std::function<void(const Action &)> watchActions;
 
--- /dev/null
+++ b/test/sessions/RecordTrace.cpp
@@ -0,0 +1,100 @@
+// Records a trace: runs a deployment on the test rig and prints what its first node was told. The
+// last line states the outcome, as the rig counted it.
+#include "Session.h"
+
+#include "rig/Faults.h"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace berylridge;
+using namespace berylridge::rig;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string lineOf(const Json::Value &json)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+class Recorder
+{
+public:
+    explicit Recorder(FakeNode &node)
+    {
+        node.watchEvents = [this, &node](const Event &event, TimePoint now, WallTime wall) {
+            if (!m_hasHead)
+                std::cout << lineOf(headToJson(node.options(), now, wall)) << '\n';
+            m_hasHead = true;
+            if (std::holds_alternative<AttemptDone>(event))
+                ++m_outcome["answered"];
+            std::cout << lineOf(eventToJson(event, now, wall)) << '\n';
+        };
+        node.watchActions = [this](const Action &action) {
+            if (std::holds_alternative<Dispatch>(action))
+                ++m_outcome["dispatched"];
+            if (std::holds_alternative<AnswerKept>(action))
+                ++m_outcome["kept"];
+            if (const auto *refusal = std::get_if<Refuse>(&action))
+                ++m_outcome["refused-" + std::string(verdictName(refusal->verdict))];
+        };
+    }
+
+    void finish() const
+    {
+        Json::Value json;
+        for (const auto &[name, count] : m_outcome)
+            json["expected"][name] = Json::UInt64(count);
+        std::cout << lineOf(json) << '\n';
+    }
+
+private:
+    bool m_hasHead = false;
+    Outcome m_outcome;
+};
+
+/// A short story: work on cold targets, a target crashes, a zone goes out, the node stops by plan.
+void record(DeploymentOptions options, std::uint64_t seed)
+{
+    options.callers.engineLoad = 0.2;
+    options.callers.meanCost = 1.0;
+    options.callers.lookupsPerSecond = 6;
+    options.callers.purchasesPerSecond = 4;
+    Rig rig(seed, std::move(options));
+    Faults faults(rig);
+    const Recorder recorder(*rig.nodes.front());
+    rig.start();
+    rig.callers->start();
+    rig.run(1500ms);
+    faults.inject(Fault::CrashTarget, 1s, 0);
+    rig.run(1500ms);
+    rig.takeOut({ZoneId("b")});
+    rig.run(1500ms);
+    rig.nodes.front()->leave();
+    rig.callers->stop();
+    rig.run(8s);
+    recorder.finish();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine command("Records a trace of one node on the test rig.", ' ',
+                               BERYLRIDGE_VERSION);
+        TCLAP::ValueArg<std::string> deployment("d", "deployment", "men-gom or riviere-bells",
+                                                false, "men-gom", "name", command);
+        TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "the run's seed", false, 1, "seed",
+                                            command);
+        command.parse(argc, argv);
+        record(deployment.getValue() == "men-gom" ? menGom() : riviereBells(), seed.getValue());
+        return 0;
+    } catch (const std::exception &error) {
+        std::cerr << "recordtrace: " << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/berylreplay/Session.cpp
@@ -0,0 +1,134 @@
+#include "Session.h"
+
+#include "berylridge/Net/Datagram.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <ostream>
+
+namespace berylridge {
+
+namespace {
+
+class SessionWriter
+{
+public:
+    SessionWriter(const Trace &trace, bool isWhole, std::ostream &out)
+        : m_start(trace.start)
+        , m_isWhole(isWhole)
+        , m_out(out)
+    {
+    }
+
+    void write(const Actions &actions, TimePoint now)
+    {
+        m_now = now;
+        for (const Action &action : actions)
+            std::visit([this](const auto &value) { write(value); }, action);
+    }
+
+    Outcome outcome;
+
+private:
+    std::ostream &line()
+    {
+        return m_out << std::fixed << std::setprecision(6) << std::setw(12)
+                     << toSeconds(m_now - m_start) << "  ";
+    }
+
+    void write(const Dispatch &action)
+    {
+        ++outcome["dispatched"];
+        line() << "dispatch " << action.handle << '/' << action.attempt << " to " << action.target
+               << (action.isResumed ? " resumed" : "") << '\n';
+    }
+    void write(const AbortAttempt &action)
+    {
+        line() << "abort " << action.handle << '/' << action.attempt << '\n';
+    }
+    void write(const Refuse &action)
+    {
+        ++outcome["refused-" + std::string(verdictName(action.verdict))];
+        line() << "refuse " << action.handle << ' ' << action.status << ' ' << action.type << ' '
+               << verdictName(action.verdict) << '\n';
+    }
+    void write(const AnswerKept &action)
+    {
+        ++outcome["kept"];
+        line() << "answer kept " << action.handle << ' ' << action.status << '\n';
+    }
+    void write(const SendToNode &action)
+    {
+        if (m_isWhole)
+            line() << "send " << action.to << ' '
+                   << peerMessageKindName(peerMessageKind(action.message)) << '\n';
+    }
+    void write(const ProbeNode &action)
+    {
+        if (m_isWhole)
+            line() << "probe " << action.node << '\n';
+    }
+    void write(const PollTarget &action)
+    {
+        if (m_isWhole)
+            line() << "poll " << action.target << '\n';
+    }
+    void write(const WatchPlatform &action)
+    {
+        line() << "watch platform " << (action.isOn ? "on" : "off") << '\n';
+    }
+    void write(const Readiness &action)
+    {
+        line() << (action.isReady ? "ready" : "not ready") << '\n';
+    }
+    void write(const Stopped &) { line() << "stopped\n"; }
+    void write(const Log &action)
+    {
+        line() << "event " << static_cast<unsigned>(action.record.id) << ' '
+               << logEventInfo(action.record.id).name << ": " << action.record.detail << '\n';
+    }
+    void write(const Audit &action)
+    {
+        line() << "audit " << auditKindName(action.entry.kind) << ' ' << action.entry.what
+               << " from '" << action.entry.from << "' to '" << action.entry.to << "'\n";
+    }
+
+    TimePoint m_start;
+    TimePoint m_now {};
+    bool m_isWhole;
+    std::ostream &m_out;
+};
+
+} // namespace
+
+Expected<Outcome> replay(const Trace &trace, const std::string &chartDirectory, bool isWhole,
+                         std::ostream &out)
+{
+    CoreOptions options = trace.options;
+    options.chartDirectory = chartDirectory;
+    auto core = Core::create(options, trace.start, trace.startWall);
+    if (!core)
+        return Reason {core.lastReason()};
+    SessionWriter writer(trace, isWhole, out);
+    const auto feed = [&](const Event &event, TimePoint at, WallTime wall) {
+        Actions actions;
+        (*core)->handle(event, at, wall, actions);
+        writer.write(actions, at);
+    };
+    WallTime wall = trace.startWall;
+    TimePoint last = trace.start;
+    for (const TraceEvent &entry : trace.events) {
+        for (TimePoint due = (*core)->nextTimer(); due < entry.at; due = (*core)->nextTimer()) {
+            last = std::max(last, due);
+            feed(TimerDue {}, last, wall);
+        }
+        last = entry.at;
+        wall = entry.wall;
+        if (std::holds_alternative<AttemptDone>(entry.event))
+            ++writer.outcome["answered"];
+        feed(entry.event, entry.at, entry.wall);
+    }
+    return writer.outcome;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/tools/berylreplay/Trace.cpp
@@ -0,0 +1,367 @@
+#include "Trace.h"
+
+#include "berylridge/Net/Datagram.h"
+
+#include <istream>
+#include <memory>
+#include <optional>
+
+namespace berylridge {
+
+namespace {
+
+/// Messages stand in a trace as sealed datagrams; a trace is no secret, so its key isn't either.
+const std::string traceKey = "the-key-of-recorded-traces-00000";
+
+template <typename... Functions>
+struct Overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+std::string toHex(const std::string &bytes)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string hex;
+    for (const char byte : bytes) {
+        const auto value = static_cast<unsigned char>(byte);
+        hex.push_back(digits[value >> 4]);
+        hex.push_back(digits[value & 15]);
+    }
+    return hex;
+}
+
+std::string fromHex(const std::string &hex)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
+        bytes.push_back(static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+    return bytes;
+}
+
+Json::Value toJson(const VmEntry &vm)
+{
+    Json::Value json;
+    json["node"] = vm.node.str();
+    json["zone"] = vm.zone.str();
+    json["address"] = vm.address;
+    json["port"] = vm.port;
+    json["isLeaving"] = vm.isLeaving;
+    return json;
+}
+
+VmEntry vmOf(const Json::Value &json)
+{
+    return {NodeId(json["node"].asString()), ZoneId(json["zone"].asString()),
+            json["address"].asString(), static_cast<std::uint16_t>(json["port"].asUInt()),
+            json["isLeaving"].asBool()};
+}
+
+Json::Value requestToJson(const RequestArrived &e)
+{
+    Json::Value json;
+    json["type"] = "request";
+    json["handle"] = Json::UInt64(e.handle);
+    json["id"] = e.requestId;
+    json["service"] = e.service.str();
+    json["credential"] = e.credential;
+    json["method"] = e.method;
+    json["path"] = e.path;
+    if (e.idempotencyKey)
+        json["key"] = *e.idempotencyKey;
+    json["bodyHash"] = Json::UInt64(e.bodyHash);
+    json["bodyBytes"] = Json::UInt64(e.bodyBytes);
+    return json;
+}
+
+RequestArrived requestOf(const Json::Value &json)
+{
+    RequestArrived e;
+    e.handle = json["handle"].asUInt64();
+    e.requestId = json["id"].asString();
+    e.service = ServiceId(json["service"].asString());
+    e.credential = json["credential"].asString();
+    e.method = json["method"].asString();
+    e.path = json["path"].asString();
+    if (json.isMember("key"))
+        e.idempotencyKey = json["key"].asString();
+    e.bodyHash = json["bodyHash"].asUInt64();
+    e.bodyBytes = json["bodyBytes"].asUInt64();
+    return e;
+}
+
+Json::Value typed(const char *type)
+{
+    Json::Value json;
+    json["type"] = type;
+    return json;
+}
+
+Json::Value attemptJson(const char *type, RequestHandle handle, AttemptNumber attempt)
+{
+    Json::Value json = typed(type);
+    json["handle"] = Json::UInt64(handle);
+    json["attempt"] = attempt;
+    return json;
+}
+
+Json::Value bodyToJson(const Event &event)
+{
+    return std::visit(
+        Overloaded {
+            [](const RequestArrived &e) { return requestToJson(e); },
+            [](const KeyIssueAsked &e) {
+                Json::Value json = typed("keyIssue");
+                json["handle"] = Json::UInt64(e.handle);
+                json["id"] = e.requestId;
+                json["credential"] = e.credential;
+                return json;
+            },
+            [](const CallerGone &e) {
+                Json::Value json = typed("callerGone");
+                json["handle"] = Json::UInt64(e.handle);
+                return json;
+            },
+            [](const AttemptHead &e) {
+                Json::Value json = attemptJson("head", e.handle, e.attempt);
+                json["status"] = e.status;
+                json["boot"] = e.bootId;
+                return json;
+            },
+            [](const AttemptDone &e) {
+                Json::Value json = attemptJson("done", e.handle, e.attempt);
+                json["status"] = e.status;
+                json["boot"] = e.bootId;
+                json["bodyBytes"] = Json::UInt64(e.bodyBytes);
+                if (e.keptBody)
+                    json["body"] = *e.keptBody;
+                return json;
+            },
+            [](const AttemptFailed &e) {
+                Json::Value json = attemptJson("failed", e.handle, e.attempt);
+                json["failure"] = static_cast<unsigned>(e.failure);
+                json["sentAny"] = e.sentAny;
+                json["answerBegun"] = e.answerBegun;
+                return json;
+            },
+            [](const TargetReport &e) {
+                Json::Value json = typed("report");
+                json["target"] = e.target.str();
+                json["boot"] = e.bootId;
+                json["running"] = e.running;
+                json["completed"] = Json::UInt64(e.completed);
+                json["ageUs"] = Json::Int64(e.age.count());
+                return json;
+            },
+            [](const TargetPollFailed &e) {
+                Json::Value json = typed("pollFailed");
+                json["target"] = e.target.str();
+                json["failure"] = static_cast<unsigned>(e.failure);
+                return json;
+            },
+            [](const NodeMessage &e) {
+                Json::Value json = typed("message");
+                const std::string packed = packPeerMessage(e.message);
+                json["datagram"] = toHex(
+                    DatagramSealer(e.from, e.incarnation, traceKey).seal(std::span(&packed, 1)));
+                return json;
+            },
+            [](const ProbeEnded &e) {
+                Json::Value json = typed("probe");
+                json["node"] = e.node.str();
+                json["incarnation"] = Json::UInt64(e.incarnation);
+                json["isRefused"] = e.isRefused;
+                return json;
+            },
+            [](const DocumentArrived &e) {
+                Json::Value json = typed("document");
+                json["name"] = e.document.name;
+                json["version"] = Json::UInt64(e.document.version);
+                json["text"] = e.document.text;
+                return json;
+            },
+            [](const VmListArrived &e) {
+                Json::Value json = typed("vms");
+                json["revision"] = Json::UInt64(e.list.revision);
+                json["vms"] = Json::Value(Json::arrayValue);
+                for (const VmEntry &vm : e.list.vms)
+                    json["vms"].append(toJson(vm));
+                return json;
+            },
+            [](const PlatformReach &e) {
+                Json::Value json = typed("platform");
+                json["isReachable"] = e.isReachable;
+                return json;
+            },
+            [](const LeaveOrdered &e) {
+                Json::Value json = typed("leave");
+                json["who"] = e.who;
+                return json;
+            },
+            [](const ReturnOrdered &e) {
+                Json::Value json = typed("return");
+                json["who"] = e.who;
+                return json;
+            },
+            [](const TimerDue &) { return typed("timer"); },
+        },
+        event);
+}
+
+std::optional<Event> messageOf(const Json::Value &json)
+{
+    const std::string bytes = fromHex(json["datagram"].asString());
+    auto datagram = openDatagram(traceKey, std::as_bytes(std::span(bytes)));
+    if (!datagram || datagram->messages.size() != 1)
+        return std::nullopt;
+    return NodeMessage {datagram->from, datagram->incarnation, datagram->messages.front()};
+}
+
+std::optional<Event> targetEventOf(const std::string &type, const Json::Value &json)
+{
+    const RequestHandle handle = json["handle"].asUInt64();
+    const AttemptNumber attempt = json["attempt"].asUInt();
+    const std::string boot = json["boot"].asString();
+    const auto failure = static_cast<AttemptFailure>(json["failure"].asUInt());
+    const TargetId target(json["target"].asString());
+    if (type == "head")
+        return AttemptHead {handle, attempt, json["status"].asUInt(), boot};
+    if (type == "done") {
+        AttemptDone done {
+            handle, attempt, json["status"].asUInt(), boot, json["bodyBytes"].asUInt64(), {}, {}};
+        if (json.isMember("body"))
+            done.keptBody = json["body"].asString();
+        return done;
+    }
+    if (type == "failed")
+        return AttemptFailed {handle, attempt, failure, json["sentAny"].asBool(),
+                              json["answerBegun"].asBool()};
+    if (type == "report")
+        return TargetReport {target, boot, json["running"].asUInt(), json["completed"].asUInt64(),
+                             Duration(json["ageUs"].asInt64())};
+    if (type == "pollFailed")
+        return TargetPollFailed {target, failure};
+    return std::nullopt;
+}
+
+std::optional<Event> eventOf(const Json::Value &json)
+{
+    const std::string type = json["type"].asString();
+    if (type == "request")
+        return requestOf(json);
+    if (type == "keyIssue")
+        return KeyIssueAsked {json["handle"].asUInt64(), json["id"].asString(),
+                              json["credential"].asString()};
+    if (type == "callerGone")
+        return CallerGone {json["handle"].asUInt64()};
+    if (type == "message")
+        return messageOf(json);
+    if (type == "probe")
+        return ProbeEnded {NodeId(json["node"].asString()), json["incarnation"].asUInt64(),
+                           json["isRefused"].asBool()};
+    if (type == "document")
+        return DocumentArrived {
+            {json["name"].asString(), json["version"].asUInt64(), json["text"].asString()}};
+    if (type == "vms") {
+        VmListArrived event;
+        event.list.revision = json["revision"].asUInt64();
+        for (const auto &vm : json["vms"])
+            event.list.vms.push_back(vmOf(vm));
+        return event;
+    }
+    if (type == "platform")
+        return PlatformReach {json["isReachable"].asBool()};
+    if (type == "leave")
+        return LeaveOrdered {json["who"].asString()};
+    if (type == "return")
+        return ReturnOrdered {json["who"].asString()};
+    if (type == "timer")
+        return TimerDue {};
+    return targetEventOf(type, json);
+}
+
+void readHead(const Json::Value &json, Trace &trace)
+{
+    trace.options.node = NodeId(json["node"].asString());
+    trace.options.zone = ZoneId(json["zone"].asString());
+    trace.options.endpoint
+        = {json["address"].asString(), static_cast<std::uint16_t>(json["port"].asUInt())};
+    trace.options.incarnation = json["incarnation"].asUInt64();
+    trace.options.seed = json["seed"].asUInt64();
+    trace.start = TimePoint(Duration(json["at"].asInt64()));
+    trace.startWall = WallTime(std::chrono::milliseconds(json["wall"].asInt64()));
+}
+
+/// Takes in one line; false when it is none of a trace.
+bool readLine(const Json::Value &json, bool isFirst, Trace &trace)
+{
+    if (isFirst) {
+        readHead(json, trace);
+        return json.isMember("node");
+    }
+    if (json.isMember("expected")) {
+        for (const auto &name : json["expected"].getMemberNames())
+            trace.expected[name] = json["expected"][name].asUInt64();
+        return true;
+    }
+    auto event = eventOf(json);
+    if (!event)
+        return false;
+    trace.events.push_back({TimePoint(Duration(json["at"].asInt64())),
+                            WallTime(std::chrono::milliseconds(json["wall"].asInt64())),
+                            *std::move(event)});
+    return true;
+}
+
+} // namespace
+
+Json::Value headToJson(const CoreOptions &options, TimePoint now, WallTime wall)
+{
+    Json::Value json;
+    json["at"] = Json::Int64(now.time_since_epoch().count());
+    json["wall"] = Json::Int64(wall.time_since_epoch().count());
+    json["node"] = options.node.str();
+    json["zone"] = options.zone.str();
+    json["address"] = options.endpoint.address;
+    json["port"] = options.endpoint.port;
+    json["incarnation"] = Json::UInt64(options.incarnation);
+    json["seed"] = Json::UInt64(options.seed);
+    return json;
+}
+
+Json::Value eventToJson(const Event &event, TimePoint now, WallTime wall)
+{
+    Json::Value json = bodyToJson(event);
+    json["at"] = Json::Int64(now.time_since_epoch().count());
+    json["wall"] = Json::Int64(wall.time_since_epoch().count());
+    return json;
+}
+
+Expected<Trace> readTrace(const std::string &file, std::istream &in)
+{
+    Trace trace;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    std::string line;
+    for (int number = 1; std::getline(in, line); ++number) {
+        Json::Value json;
+        std::string errors;
+        const std::string place = file + ":" + std::to_string(number) + ": ";
+        try {
+            if (!reader->parse(line.data(), line.data() + line.size(), &json, &errors))
+                return Reason {place + "not a JSON object"};
+            if (!readLine(json, number == 1, trace))
+                return Reason {place + "not a line of a trace"};
+            const TimePoint before
+                = trace.events.size() > 1 ? trace.events.end()[-2].at : trace.start;
+            if (!trace.events.empty() && trace.events.back().at < before)
+                return Reason {place + "time steps back"};
+        } catch (const std::exception &error) {
+            return Reason {place + error.what()};
+        }
+    }
+    return trace;
+}
+
+} // namespace berylridge
