--- a/test/process/FleetFixture.cpp
+++ b/test/process/FleetFixture.cpp
@@ -26,7 +26,7 @@
 Json::Value FleetProcess::endLoad()
 {
     const auto status = m_load->wait(std::chrono::seconds(120));
-    const auto report = m_fleet->loadReport();
+    auto report = m_fleet->loadReport();
     EXPECT_TRUE(status) << "the load did not end";
     EXPECT_NE(status.value_or(0), violationStatus) << toText(report);
     EXPECT_EQ(status.value_or(0), 0) << m_fleet->logs();
@@ -38,10 +38,11 @@
 
 void FleetProcess::expectNoOverload()
 {
-    for (std::size_t i = 0; i < m_fleet->engines().size(); ++i)
+    for (std::size_t i = 0; i < m_fleet->engines().size(); ++i) {
         EXPECT_NE(m_fleet->engineProcess(i).status().value_or(0), overloadStatus)
             << m_fleet->engines()[i].name << " got more than a cold engine bears\n"
             << m_fleet->logs();
+    }
 }
 
 std::uint64_t FleetProcess::total(const Json::Value &report, const std::string &outcome)
