--- a/tools/berylridged/Main.cpp
+++ b/tools/berylridged/Main.cpp
@@ -2,6 +2,7 @@
 // serves until a planned stop has ended.
 #include "berylridge/Admin/AdminApi.h"
 #include "berylridge/Admin/AuditTrail.h"
+#include "berylridge/CommandLine/CommandLine.h"
 #include "berylridge/Config/Settings.h"
 #include "berylridge/Net/LogSink.h"
 #include "berylridge/Net/RouterNode.h"
@@ -12,23 +13,26 @@
 #include <optional>
 #include <sstream>
 #include <string>
-#include <tclap/CmdLine.h>
 
 using namespace berylridge;
 
 namespace {
 
-enum ExitStatus { Fine = 0, Failed = 1, WrongUsage = 2 };
-
-constexpr const char *description
-    = "Routes callers' requests of many workspaces to targets and shares their capacity fairly.\n\n"
-      "SIGTERM and SIGINT begin a planned stop: running requests end first; a second one ends the "
-      "process "
-      "at once. Log lines go to standard error; each begins with the number of its event, which "
-      "`berylctl "
-      "events` explains. Exit status: 0 after a planned stop, 1 when a listener could not be "
-      "opened, 2 for "
-      "wrong arguments or settings.";
+ManPage manPage()
+{
+    return {
+        "berylridged",
+        "router of a berylridge fleet",
+        "Routes callers' requests of many workspaces to targets and shares their capacity fairly.\n"
+        "SIGTERM and SIGINT begin a planned stop: running requests end first; a second one ends\n"
+        "the process at once. Log lines go to standard error; each begins with the number of its\n"
+        "event, which `berylctl events` explains. Exit status 1 means that a listener could not\n"
+        "be opened, 2 wrong arguments or settings.",
+        {{"FILES", "FILE  settings, JSON with comments; docs/OPERATING.md gives an example"},
+         {"EXAMPLES",
+          "berylridged --settings a1.json\n"
+          "berylridged --check --settings a1.json"}}};
+}
 
 std::optional<std::string> readFile(const std::string &path)
 {
@@ -87,7 +91,7 @@
     Expected<std::unique_ptr<Core>> core = Core::create(options, clock.now(), clock.wallNow());
     if (!core) {
         std::cerr << core.lastReason() << '\n';
-        return WrongUsage;
+        return exitWrongUsage;
     }
     Core &decisions = **core;
     LogSink log(logLevelOf(settings.logLevel), log4cplusWriter());
@@ -101,7 +105,7 @@
     hooks.leave = [&](const std::string &who) { node->handleNow(LeaveOrdered {who}); };
     hooks.comeBack = [&](const std::string &who) { node->handleNow(ReturnOrdered {who}); };
     hooks.documents = [&] { return decisions.documents(); };
-    hooks.log = [&](LogRecord record) { log.add(record); };
+    hooks.log = [&](const LogRecord &record) { log.add(record); };
     hooks.wallNow = [&] { return clock.wallNow(); };
     AdminApi admin(std::move(hooks), trail);
 
@@ -116,41 +120,29 @@
               .build();
     if (!built) {
         std::cerr << built.lastReason() << '\n';
-        return Failed;
+        return exitErrorsFound;
     }
     node = *std::move(built);
     log.add({LogEventId::NodeStarted,
              settings.node.str() + " zone " + settings.zone.str() + " callers at "
                  + node->callers().address + ':' + std::to_string(node->callers().port)});
     node->run();
-    return Fine;
+    return exitFine;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::string path;
-    bool isCheckOnly = false;
-    try {
-        TCLAP::CmdLine line(description, ' ', BERYLRIDGE_VERSION);
-        TCLAP::ValueArg<std::string> settingsArg(
-            "s", "settings", "the settings file, JSON with comments", true, "", "FILE", line);
-        TCLAP::SwitchArg checkArg("c", "check", "check the settings, print every error and end",
-                                  line);
-        line.setExceptionHandling(false);
-        line.parse(argc, argv);
-        path = settingsArg.getValue();
-        isCheckOnly = checkArg.getValue();
-    } catch (const TCLAP::ExitException &e) {
-        return e.getExitStatus();
-    } catch (const TCLAP::ArgException &e) {
-        std::cerr << "berylridged: " << e.error() << ' ' << e.argId()
-                  << "\nsee berylridged --help\n";
-        return WrongUsage;
-    }
-    const std::optional<Settings> settings = loadSettings(path);
+    CommandLine line(manPage());
+    TCLAP::ValueArg<std::string> path("s", "settings", "the settings file, JSON with comments",
+                                      true, "", "FILE", line.arguments());
+    TCLAP::SwitchArg isCheckOnly("c", "check", "check the settings, print every error and end",
+                                 line.arguments());
+    if (const auto status = line.parse(argc, argv))
+        return *status;
+    const std::optional<Settings> settings = loadSettings(path.getValue());
     if (!settings)
-        return WrongUsage;
-    return isCheckOnly ? Fine : serve(*settings);
+        return exitWrongUsage;
+    return isCheckOnly.getValue() ? exitFine : serve(*settings);
 }
