--- a/test/berylctl/golden.sh
+++ b/test/berylctl/golden.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the sessions of berylctl under cases/: each is a folder with `session` (shell lines), `expected`
+# Runs the sessions of berylctl, and of berylridged as far as it starts nothing, under cases/: each is a folder with `session` (shell lines), `expected`
 # (what they print, with exit statuses) and input files. With --update, writes what was printed into
 # `expected` instead of comparing; nothing else updates them.
 # usage: golden.sh FOLDER-OF-PROGRAMS [--update] [CASE...]
@@ -15,6 +15,7 @@
 if [ $# -eq 0 ]; then set -- $(ls "$cases"); fi
 
 berylctl() { "$PROGRAMS/berylctl" "$@"; }
+berylridged() { "$PROGRAMS/berylridged" "$@"; }
 
 # Runs a line while two fake routers serve at $A and $B; their ports are printed as A and B.
 with_routers() {
@@ -29,7 +30,7 @@
     wait "$routers_PID" 2>/dev/null
     return "$status"
 }
-export -f berylctl with_routers
+export -f berylctl berylridged with_routers
 
 failed=0
 for name in "$@"; do
