Prove dead witnesses to the proposer, and try mixes of failures by seed

Cause: the membership counts a silent node that a late VM list leaves out as gone, and probes nodes of its own zone only. The first is no proof: the node may live and vote, and a roster made without its consent would run keys twice. The second kept a dead witness in another zone for ever. Rosters now count a closed port or a later run as proof, and nodes pass these proofs on with their signs of life. The key's request is compared by method and path as well as by body. The search keeps votes that a node could still take for its own: what was dropped before hid the very safeguard against them.

--- a/include/berylridge/Fleet/Membership.h
+++ b/include/berylridge/Fleet/Membership.h
@@ -27,6 +27,7 @@
     TimePoint heardAt {}; ///< Last message from it; the start of this node where there was none.
     TimePoint sentAt {};  ///< Last heartbeat to it.
     TimePoint probedAt {};
+    Incarnation refusedRun = 0;    ///< The latest run whose port refused this node's own probe.
     std::uint64_t zoneDigest = 0;  ///< Of its view of its own zone.
     std::uint64_t knownDigest = 0; ///< Of what it holds of this node's zone.
     std::uint64_t documentsDigest = 0;
--- a/include/berylridge/Idempotency/KeyRegistry.h
+++ b/include/berylridge/Idempotency/KeyRegistry.h
@@ -79,8 +79,6 @@
     TimePoint nextTimer() const;
 
     KeyPhase phase(const std::string &key) const;
-    /// How many claims this run has made; each has the next number.
-    std::uint64_t claimCount() const { return m_claims; }
     /// The rosters that this node knows, for operators.
     const RosterChain &rosters() const { return m_keeper.chain(); }
     /// One line with all that decides what this node does next; for operators and searches.
--- a/include/berylridge/Idempotency/Messages.h
+++ b/include/berylridge/Idempotency/Messages.h
@@ -121,7 +121,8 @@
 {
     std::uint64_t latest = 0;
     std::vector<RosterMessage> rosters;
-    MSGPACK_DEFINE(latest, rosters)
+    std::vector<RosterMemberMessage> ended; ///< Members that the sender has a proof against.
+    MSGPACK_DEFINE(latest, rosters, ended)
 };
 
 using KeyMessage = std::variant<KeyClaim, KeyVote, KeyRelease, KeyQuery, KeyState, RosterNews,
--- a/include/berylridge/Idempotency/NodeView.h
+++ b/include/berylridge/Idempotency/NodeView.h
@@ -37,12 +37,16 @@
     bool hear(const NodeRun &run);
     /// Takes the whole view; returns whether anything changed.
     bool setMembers(std::span<const KeyMember> members);
+    /// Another node has the proof that the run has ended.
+    void addEnded(const NodeRun &run);
     /// Ignores a list that isn't newer; returns whether anything changed.
     bool setList(const VmList &list);
 
     /// Proven: a later run of the node was heard, its port refused, or a VM list newer than the one
     /// that named it leaves it out while it is silent.
     bool isGone(const NodeRun &run, std::uint64_t listRevision) const;
+    /// The same without the VM list, which other nodes may hold in another state.
+    bool isProvenGone(const NodeRun &run) const;
     bool isHeard(const NodeRun &run) const;
     /// The run of the node that is heard now; incarnation 0 where none is.
     NodeRun heardRun(const NodeId &node) const;
@@ -66,8 +70,6 @@
 
     Incarnation latestRun(const NodeId &node) const;
     bool isHeardNow(const NodeId &node, Incarnation incarnation) const;
-    bool isProvenGone(const NodeRun &run) const;
-
     Duration m_silenceLimit;
     TimePoint m_now;
     std::map<NodeId, KeyMember> m_members;
--- a/include/berylridge/Idempotency/RosterKeeper.h
+++ b/include/berylridge/Idempotency/RosterKeeper.h
@@ -82,6 +82,7 @@
     bool isComplete() const;
     bool hasSurvivor(const Roster &roster, const std::set<NodeRun> &runs) const;
     bool consent(const Roster &roster, std::span<const RosterId> basis, WallTime wall);
+    std::vector<RosterMemberMessage> endedMembers() const;
     void gossip(TimePoint now, KeyOutput &out);
     std::chrono::milliseconds leadTime() const;
 
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -171,6 +171,7 @@
     // Heard again while the probe was on its way: a new run may just have opened its port.
     if (found->second.state != MemberState::Suspect && found->second.state != MemberState::Unknown)
         return;
+    found->second.refusedRun = incarnation;
     step(found->second, MemberSign::ProbeRefused);
 }
 
--- a/lib/Idempotency/NodeView.cpp
+++ b/lib/Idempotency/NodeView.cpp
@@ -42,6 +42,12 @@
     return isChanged;
 }
 
+void NodeView::addEnded(const NodeRun &run)
+{
+    Incarnation &goneUpTo = m_goneUpTo[run.node];
+    goneUpTo = std::max(goneUpTo, run.incarnation);
+}
+
 bool NodeView::setList(const VmList &list)
 {
     if (list.revision <= m_list.revision)
--- a/lib/Idempotency/RosterKeeper.cpp
+++ b/lib/Idempotency/RosterKeeper.cpp
@@ -337,6 +337,9 @@
             out.sends.push_back(
                 {from.node, RosterDecision {roster.id, m_activated.contains(roster.id)}});
     }
+    // Only the nodes of a zone probe each other, and the proposer may sit in another one.
+    for (const RosterMemberMessage &run : news.ended)
+        m_view.addEnded({NodeId(run.node), run.incarnation});
     const Roster *latest = m_chain.lastActive();
     if (latest && latest->id != news.latest)
         sendNews(from.node, out);
@@ -349,6 +352,7 @@
     RosterNews news;
     const Roster *latest = m_chain.lastActive();
     news.latest = latest ? latest->id : 0;
+    news.ended = endedMembers();
     const auto all = m_chain.all();
     for (auto it = all.rbegin(); it != all.rend() && news.rosters.size() < rostersPerNews; ++it) {
         if (it->isActive)
@@ -357,6 +361,18 @@
     out.sends.push_back({to, std::move(news)});
 }
 
+std::vector<RosterMemberMessage> RosterKeeper::endedMembers() const
+{
+    std::vector<RosterMemberMessage> ended;
+    for (const Roster &roster : m_chain.open()) {
+        for (const NodeRun &member : roster.members) {
+            if (m_view.isProvenGone(member))
+                ended.push_back({member.node.str(), member.incarnation});
+        }
+    }
+    return ended;
+}
+
 void RosterKeeper::gossip(TimePoint now, KeyOutput &out)
 {
     m_gossipAt = now + m_options.gossipPeriod;
@@ -368,10 +384,11 @@
         peers.insert(member.node);
     peers.erase(m_options.self.node);
     for (const NodeId &peer : peers)
-        out.sends.push_back({peer, RosterNews {latest ? latest->id : 0, {}}});
+        out.sends.push_back({peer, RosterNews {latest ? latest->id : 0, {}, endedMembers()}});
     for (const Roster &roster : m_chain.open()) {
         if (!roster.isActive && roster.proposer != m_options.self)
-            out.sends.push_back({roster.proposer.node, RosterNews {0, {rosterMessage(roster)}}});
+            out.sends.push_back(
+                {roster.proposer.node, RosterNews {0, {rosterMessage(roster)}, {}}});
     }
 }
 
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -111,7 +111,8 @@
     note(kept, "asks for its key");
     KeyOutput output;
     const std::string key = kept.key;
-    m_keys.begin(kept.handle, key, event.bodyHash, m_context.now, m_context.wall, output);
+    // The fingerprint holds the method and the path as well: a key names one request, not one body.
+    m_keys.begin(kept.handle, key, kept.fingerprint, m_context.now, m_context.wall, output);
     carryOut(std::move(output));
 }
 
@@ -248,7 +249,10 @@
         entry.node = node;
         entry.incarnation = member.incarnation;
         entry.isHeard = member.state == MemberState::Live || member.state == MemberState::Joining;
-        entry.isGone = member.state == MemberState::Gone;
+        entry.isLeaving = member.state == MemberState::Leaving;
+        // Not by the state: a node that a late VM list leaves out counts as gone there, but it may
+        // live and vote for keys. A closed port is a proof.
+        entry.isGone = member.incarnation != 0 && member.refusedRun == member.incarnation;
         members.push_back(std::move(entry));
     }
     KeyOutput output;
--- /dev/null
+++ b/unittests/Idempotency/KeyPropertyTest.cpp
@@ -0,0 +1,216 @@
+#include "Idempotency/KeyFleet.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace berylridge;
+using namespace berylridge::test;
+
+namespace {
+
+const std::vector<std::string> names {"a1", "a2", "b1", "b2", "c1", "c2"};
+
+std::string zoneOf(const std::string &name)
+{
+    return name.substr(0, 1);
+}
+
+/// A fleet to which anything may happen, and what its callers and targets saw.
+class TroubledFleet
+{
+public:
+    explicit TroubledFleet(std::uint64_t seed)
+        : m_random(seed)
+    {
+        publish();
+        for (const std::string &name : names)
+            m_fleet.start(name, zoneOf(name));
+        m_fleet.run(std::chrono::seconds(8));
+        m_fleet.isLost = [this](const FakeMessage &message) { return isLost(message); };
+    }
+
+    void step()
+    {
+        switch (pick(14)) {
+        case 0:
+            m_cutZone = pick(2) == 0 ? "" : zoneOf(any());
+            break;
+        case 1:
+            m_lossPercent = pick(3) * 20;
+            break;
+        case 2:
+            if (pick(4) == 0)
+                restart(any());
+            break;
+        case 3:
+            m_fleet.nodes.at(NodeId(any()))->isPaused = pick(2) == 0;
+            break;
+        case 4:
+            publish();
+            m_fleet.setList(any());
+            break;
+        case 5:
+            m_fleet.setListEverywhere();
+            break;
+        case 6:
+            m_fleet.tellGone(any());
+            break;
+        case 7:
+            dispatchSome();
+            break;
+        case 8:
+            releaseSome();
+            break;
+        case 9:
+            if (pick(3) == 0)
+                calmDown();
+            break;
+        default:
+            beginSome();
+            break;
+        }
+        m_fleet.run(std::chrono::milliseconds(50 * (1 + pick(30))));
+        look();
+    }
+
+    std::size_t doubled() const { return m_doubled; }
+    std::size_t falseNotRun() const { return m_falseNotRun; }
+    std::size_t dispatches() const { return m_dispatched.size(); }
+
+private:
+    std::size_t pick(std::size_t count) { return m_random() % count; }
+    const std::string &any() { return names[pick(names.size())]; }
+
+    /// Long enough for the nodes to agree on a new roster.
+    void calmDown()
+    {
+        m_cutZone.clear();
+        m_lossPercent = 0;
+        for (const std::string &name : names)
+            m_fleet.nodes.at(NodeId(name))->isPaused = false;
+        m_fleet.run(std::chrono::seconds(8));
+    }
+
+    bool isLost(const FakeMessage &message)
+    {
+        const bool isCut = !m_cutZone.empty()
+            && (zoneOf(message.from.node.str()) == m_cutZone)
+                != (zoneOf(message.to.str()) == m_cutZone);
+        return isCut || pick(100) < m_lossPercent;
+    }
+
+    void publish()
+    {
+        std::vector<std::pair<std::string, std::string>> vms;
+        for (const std::string &name : names)
+            vms.emplace_back(name, zoneOf(name));
+        m_fleet.publish(vms);
+    }
+
+    void restart(const std::string &name)
+    {
+        m_fleet.kill(name);
+        m_fleet.start(name, zoneOf(name));
+    }
+
+    void beginSome()
+    {
+        if (m_keys.empty() || pick(3) == 0)
+            m_keys.push_back(timedKey(m_fleet.wall(), ++m_number));
+        // Callers repeat what they sent last, through any routers.
+        const std::string &key
+            = m_keys[m_keys.size() - 1 - pick(std::min<std::size_t>(3, m_keys.size()))];
+        m_fleet.begin(any(), key);
+        m_fleet.begin(any(), key, 2);
+    }
+
+    void dispatchSome()
+    {
+        for (const std::string &name : names) {
+            KeyRegistry &registry = m_fleet.at(name);
+            for (const std::string &key : m_keys) {
+                if (pick(2) == 0 || !registry.mayDispatch(key, m_fleet.now(), m_fleet.wall()))
+                    continue;
+                registry.dispatched(key);
+                m_doubled += m_dispatched.insert(key).second ? 0 : 1;
+                if (pick(2) == 0)
+                    registry.finished(key, 200, {}, "done");
+            }
+        }
+    }
+
+    void releaseSome()
+    {
+        const std::string &name = any();
+        for (const std::string &key : m_keys) {
+            if (m_fleet.at(name).phase(key) > KeyPhase::Admitted)
+                continue;
+            if (m_fleet.release(name, key) == Verdict::NotRun && m_dispatched.contains(key))
+                ++m_falseNotRun;
+        }
+    }
+
+    void look()
+    {
+        for (const KeyDecision &decision : m_fleet.decisions) {
+            const auto *refused = std::get_if<KeyRefused>(&decision);
+            if (refused && refused->verdict == Verdict::NotRun
+                && m_dispatched.contains(refused->key)) {
+                ++m_falseNotRun;
+            }
+        }
+        m_fleet.decisions.clear();
+    }
+
+    std::mt19937_64 m_random;
+    KeyFleet m_fleet;
+    std::string m_cutZone;
+    std::size_t m_lossPercent = 0;
+    std::vector<std::string> m_keys;
+    unsigned m_number = 0;
+    std::set<std::string> m_dispatched;
+    std::size_t m_doubled = 0;
+    std::size_t m_falseNotRun = 0;
+};
+
+} // namespace
+
+// Cuts, losses, restarts, pauses and lists at random, with callers that repeat their purchases
+// through any router: none is dispatched twice, and none is called "not run" that was.
+TEST(KeyProperty, NoKeyRunsTwiceUnderAnyMixOfFailures)
+{
+    std::size_t dispatches = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        TroubledFleet fleet(seed);
+        for (int i = 0; i < 150; ++i)
+            fleet.step();
+        EXPECT_EQ(fleet.doubled(), 0U) << "seed " << seed;
+        EXPECT_EQ(fleet.falseNotRun(), 0U) << "seed " << seed;
+        dispatches += fleet.dispatches();
+    }
+    EXPECT_GT(dispatches, 1000U);
+}
+
+// Any text of a caller is a key, and any issued key reads back as what was written: rapidcheck
+// generates both, with a seed of its own that it prints when it fails.
+TEST(KeyProperty, AnyTextIsAKey)
+{
+    const bool isKept = rc::check(
+        "issued keys read back", [](std::uint32_t time, std::uint64_t run, std::uint64_t number) {
+            const KeyText made {KeyKind::Issued, WallTime(std::chrono::milliseconds(time)),
+                                NodeId("n-1"), run, number};
+            const KeyText read
+                = parseKey(scopedKey(ServiceId("s"), WorkspaceId("w"), issuedKeyText(made)));
+            RC_ASSERT(read.kind == KeyKind::Issued);
+            RC_ASSERT(read.madeAt == made.madeAt && read.issuerIncarnation == run
+                      && read.sequence == number);
+        });
+    EXPECT_TRUE(isKept);
+    const bool isRead = rc::check("any text is a key", [](const std::string &text) {
+        const KeyKind kind = parseKey(scopedKey(ServiceId("s"), WorkspaceId("w"), text)).kind;
+        RC_ASSERT(kind <= KeyKind::Issued);
+    });
+    EXPECT_TRUE(isRead);
+}
--- a/unittests/Idempotency/KeyRegistryTest.cpp
+++ b/unittests/Idempotency/KeyRegistryTest.cpp
@@ -249,6 +249,20 @@
     EXPECT_EQ(fleet.lastDecision<KeyRefused>()->verdict, Verdict::MayHaveRun);
 }
 
+// A witness dies and its VM stays in the list. Only nodes of its own zone probe it, and the node
+// that proposes rosters sits in another zone: the proof must reach it, or the dead one would stay a
+// witness for ever.
+TEST(KeyRegistry, ProofOfADeadWitnessReachesTheProposer)
+{
+    KeyFleet fleet = nineNodes();
+    fleet.kill("c2");
+    fleet.tellGone("c1");
+    fleet.run(std::chrono::seconds(10));
+    const Roster *roster = fleet.at("a1").rosters().lastActive();
+    ASSERT_NE(roster, nullptr);
+    EXPECT_EQ(roster->members.size(), 8U);
+}
+
 // A router is paused just after its key was admitted, and wakes a lifetime later. Its witnesses
 // have forgotten the admission, so it must not act on it.
 TEST(KeyRegistry, LateWakerDoesNotDispatchAnExpiredAdmission)
--- a/unittests/Idempotency/KeySearch.cpp
+++ b/unittests/Idempotency/KeySearch.cpp
@@ -99,7 +99,7 @@
         const auto to = indexOf(setup, send.to);
         const auto *news = std::get_if<RosterNews>(&send.message);
         // A sign of life that tells nothing new counts as lost.
-        const bool isIdle = news && news->rosters.empty() && !node->isNew;
+        const bool isIdle = news && news->rosters.empty() && news->ended.empty() && !node->isNew;
         if (!to || send.to == node->run.node || isIdle)
             continue;
         SearchMessage message {node->run, *to, std::move(send.message), 0};
@@ -221,24 +221,20 @@
         return it->second;
     }
 
-    /// Votes and states for a claim that is over change nothing any more, for numbers only rise.
+    /// Votes and states for a node that will never claim again change nothing any more.
     bool isStale(const SearchWorld &world, const SearchMessage &message) const
     {
+        const bool isAnswer = std::holds_alternative<KeyVote>(message.message)
+            || std::holds_alternative<KeyState>(message.message);
         const NodePointer &node = world.nodes[message.to];
-        if (!node)
+        if (!isAnswer || !node || node->registry.phase(m_setup.key) == KeyPhase::Claiming)
             return false;
-        const auto isOver = [&](std::uint64_t claim, Incarnation incarnation) {
-            const KeyRegistry &registry = node->registry;
-            if (incarnation != node->run.incarnation)
-                return incarnation < node->run.incarnation;
-            return claim < registry.claimCount()
-                || registry.phase(m_setup.key) != KeyPhase::Claiming;
-        };
-        if (const auto *vote = std::get_if<KeyVote>(&message.message))
-            return isOver(vote->claim, vote->askerIncarnation);
-        if (const auto *state = std::get_if<KeyState>(&message.message))
-            return isOver(state->query, state->askerIncarnation);
-        return false;
+        for (std::size_t entry = 0; entry < m_setup.budget.routers.size(); ++entry) {
+            const bool isUsed = (world.routersUsed >> entry & 1U) != 0;
+            if (!isUsed && m_setup.budget.routers[entry] == message.to)
+                return false;
+        }
+        return true;
     }
 
     void act(const SearchWorld &world, std::size_t index, const std::string &name,
