--- a/include/berylridge/Policy/ServiceQueue.h
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -5,6 +5,7 @@
 #include "berylridge/Fleet/Messages.h"
 #include "berylridge/Support/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -46,17 +47,16 @@
     template <typename IsFit>
     std::optional<Handle> popIf(FlowId flow, TimePoint now, IsFit isFit)
     {
-        const auto found = m_flows.find(flow);
-        if (found == m_flows.end())
+                const auto found = m_waiting.find(flow);
+        if (found == m_waiting.end())
             return std::nullopt;
-        std::deque<Waiting> &queue = found->second.queue;
+        Queue &queue = found->second;
         for (auto waiting = queue.begin(); waiting != queue.end(); ++waiting) {
             if (!isFit(waiting->handle))
                 continue;
             const Handle handle = waiting->handle;
-            queue.erase(waiting);
-            --m_size;
-            found->second.drain.onLeft(now);
+            erase(found, waiting);
+            m_flows[flow].drain.onLeft(now);
             return handle;
         }
         return std::nullopt;
@@ -67,11 +67,9 @@
     template <typename IsSuch>
     bool anyFlow(IsSuch isSuch) const
     {
-        for (const auto &[flow, state] : m_flows) {
-            if (!state.queue.empty() && isSuch(flow, state.queue.size()))
-                return true;
-        }
-        return false;
+                return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &entry) {
+            return isSuch(entry.first, entry.second.size());
+        });
     }
 
     std::size_t size() const { return m_size; }
@@ -89,16 +87,21 @@
     std::optional<TimePoint> oldest() const;
 
 private:
+        using Queue = std::deque<Waiting>;
+    /// What is kept of a flow while nothing of it waits.
     struct Flow
     {
-        std::deque<Waiting> queue;
         DrainMeter drain;
         double cost = 0; ///< Smoothed slot seconds of a request; 0 before the first.
     };
 
-    Flow &touch(FlowId flow, TimePoint now);
+    Queue &touch(FlowId flow, TimePoint now);
+    void erase(std::map<FlowId, Queue>::iterator entry, Queue::iterator waiting);
+
 
     std::map<FlowId, Flow> m_flows;
+    std::map<FlowId, Queue> m_waiting; ///< Of flows that wait; none is empty.
+
     std::size_t m_size = 0;
 };
 
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -90,7 +90,9 @@
     current.sequence = message.sequence;
     current.sentAt = message.sentAt;
     current.heardAt = now;
-    reconcile(from, current, message, now);
+    noteGrantsReceived(from, current, message);
+    if (message.listsHeld)
+        reconcile(from, current, message, now);
     current.wants.clear();
     for (const FlowDemand &demand : message.demand) {
         current.wants.emplace(demand.flow, demand);
@@ -98,12 +100,32 @@
     }
 }
 
+/// Grants that the holder has received, or has passed over, are no longer on their way to it: what it
+/// wants, it wants beside them.
+void PoolOwner::noteGrantsReceived(const NodeId &from, Holder &holder, const PoolDemand &message)
+{
+    if (message.owner != m_options.incarnation || message.lastGrant <= holder.lastSeen)
+        return;
+    holder.lastSeen = message.lastGrant;
+    for (auto &[id, lease] : m_leases) {
+        if (lease.node == from && lease.number <= holder.lastSeen)
+            arrived(lease);
+    }
+}
+
+void PoolOwner::arrived(Lease &lease)
+{
+    if (!lease.isOnItsWay)
+        return;
+    lease.isOnItsWay = false;
+    --m_onTheirWay[{lease.node, lease.flow}];
+}
+
 /// Compares what the holder says that it holds with what was granted.
 void PoolOwner::reconcile(const NodeId &from, Holder &holder, const PoolDemand &message,
                           TimePoint now)
 {
-    if (message.owner == m_options.incarnation)
-        holder.lastSeen = std::max(holder.lastSeen, message.lastGrant);
+    holder.listedAt = now;
 
     for (const HeldLease &held : message.held) {
         const auto found = m_leases.find(held.lease);
@@ -122,10 +144,8 @@
         if (!lease || lease->node != from)
             continue;
         lease->seenAt = now;
-        if (!lease->isSeen) {
-            lease->isSeen = true;
-            --m_unseen[{from, lease->flow}];
-        }
+        lease->isSeen = true;
+        arrived(*lease);
     }
     const auto isHeld = [&](LeaseId id) {
         return std::any_of(message.held.begin(), message.held.end(),
@@ -286,7 +306,7 @@
         lease = next;
     }
     std::erase_if(m_unfit, [&](const auto &entry) { return entry.second <= now; });
-    std::erase_if(m_unseen, [](const auto &entry) { return entry.second == 0; });
+    std::erase_if(m_onTheirWay, [](const auto &entry) { return entry.second == 0; });
     m_shares.expire(now);
 }
 
@@ -299,7 +319,7 @@
     const bool isKnown = holder != m_holders.end();
     // The holder was heard after the term and does not have it: the grant was lost on its way. One
     // of which nothing was heard may have begun a request and been cut off before it could tell.
-    if (!lease.isSeen && isKnown && holder->second.heardAt > lease.startsBy)
+    if (!lease.isSeen && isKnown && holder->second.listedAt > lease.startsBy)
         return true;
     const bool isHeard = isKnown && now - holder->second.heardAt <= wantsLast;
     if (isHeard)
@@ -362,7 +382,8 @@
         lease.seenAt = now;
         lease.estimate = estimateOf(holder.wants.at(choice->flow));
         ++m_targets.at(*target).occupied;
-        ++m_unseen[{choice->node, choice->flow}];
+        lease.isOnItsWay = true;
+        ++m_onTheirWay[{choice->node, choice->flow}];
         m_shares.chosen(choice->virtualTime);
         m_shares.touch(choice->flow, now);
         m_shares.begin(choice->flow, lease.estimate, now);
@@ -431,8 +452,7 @@
         assert(target->second.occupied > 0 && "a lease ends at a target that has none");
         --target->second.occupied;
     }
-    if (!value.isSeen)
-        --m_unseen[{value.node, value.flow}];
+    arrived(lease->second);
     m_shares.end(value.flow, value.estimate, value.grantedAt, used);
     m_memory.onFreed(value.node);
     m_leases.erase(lease);
@@ -514,8 +534,8 @@
 /// Requests that wait and for which no grant is on its way.
 std::uint32_t PoolOwner::ungranted(const NodeId &node, const FlowDemand &want) const
 {
-    const auto unseen = m_unseen.find({node, want.flow});
-    const std::uint32_t onItsWay = unseen == m_unseen.end() ? 0 : unseen->second;
+    const auto unseen = m_onTheirWay.find({node, want.flow});
+    const std::uint32_t onItsWay = unseen == m_onTheirWay.end() ? 0 : unseen->second;
     return want.waiting > onItsWay ? want.waiting - onItsWay : 0;
 }
 
--- a/lib/Policy/ServiceQueue.cpp
+++ b/lib/Policy/ServiceQueue.cpp
@@ -41,57 +41,64 @@
 
 void ServiceQueue::push(FlowId flow, Handle handle, TimePoint now)
 {
-    touch(flow, now).queue.push_back({handle, now});
+    touch(flow, now).push_back({handle, now});
     ++m_size;
 }
 
 void ServiceQueue::pushFront(FlowId flow, Handle handle, TimePoint since, TimePoint now)
 {
-    touch(flow, now).queue.push_front({handle, since});
+    touch(flow, now).push_front({handle, since});
     ++m_size;
 }
 
-/// A flow that is about to get a waiting request. Time in which nothing waited says nothing about
-/// how fast it drains: counted in, the second request after an idle minute was refused as if it had
-/// to wait for half a minute.
-ServiceQueue::Flow &ServiceQueue::touch(FlowId flow, TimePoint now)
+/// The queue of a flow that is about to get a waiting request. Time in which nothing waited says
+/// nothing about how fast it drains: counted in, the second request after an idle minute was refused
+/// as if it had to wait for half a minute.
+ServiceQueue::Queue &ServiceQueue::touch(FlowId flow, TimePoint now)
 {
-    Flow &state = m_flows[flow];
-    if (state.queue.empty())
-        state.drain.onBusy(now);
-    return state;
+    const auto [entry, isNew] = m_waiting.try_emplace(flow);
+    if (isNew)
+        m_flows[flow].drain.onBusy(now);
+    return entry->second;
+}
+
+void ServiceQueue::erase(std::map<FlowId, Queue>::iterator entry, Queue::iterator waiting)
+{
+    entry->second.erase(waiting);
+    --m_size;
+    if (entry->second.empty())
+        m_waiting.erase(entry);
 }
 
 bool ServiceQueue::remove(FlowId flow, Handle handle)
 {
-    const auto found = m_flows.find(flow);
-    if (found == m_flows.end())
+    const auto found = m_waiting.find(flow);
+    if (found == m_waiting.end())
         return false;
-    std::deque<Waiting> &queue = found->second.queue;
+    Queue &queue = found->second;
     const auto waiting = std::find_if(queue.begin(), queue.end(),
                                       [&](const Waiting &value) { return value.handle == handle; });
     if (waiting == queue.end())
         return false;
-    queue.erase(waiting);
-    --m_size;
+    erase(found, waiting);
     return true;
 }
 
 std::size_t ServiceQueue::waiting(FlowId flow) const
 {
-    const auto found = m_flows.find(flow);
-    return found == m_flows.end() ? 0 : found->second.queue.size();
+    const auto found = m_waiting.find(flow);
+    return found == m_waiting.end() ? 0 : found->second.size();
 }
 
 std::optional<Duration> ServiceQueue::expectedWait(FlowId flow, TimePoint now) const
 {
-    const auto found = m_flows.find(flow);
-    if (found == m_flows.end() || found->second.queue.empty())
+    const std::size_t ahead = waiting(flow);
+    if (ahead == 0)
         return Duration(0);
-    const double rate = found->second.drain.rate(now);
+    const double rate = m_flows.at(flow).drain.rate(now);
     if (rate == 0)
         return std::nullopt;
-    return fromSeconds(static_cast<double>(found->second.queue.size()) / rate);
+    return fromSeconds(static_cast<double>(ahead) / rate);
 }
 
 void ServiceQueue::noteCost(FlowId flow, Duration used)
@@ -110,13 +117,11 @@
 std::vector<FlowDemand> ServiceQueue::demand(TimePoint now, std::size_t limit) const
 {
     std::vector<FlowDemand> demand;
-    for (const auto &[flow, state] : m_flows) {
-        if (state.queue.empty())
-            continue;
+    for (const auto &[flow, queue] : m_waiting) {
         FlowDemand entry;
         entry.flow = flow;
-        entry.waiting = static_cast<std::uint32_t>(state.queue.size());
-        entry.oldestMs = toMs(now - state.queue.front().since);
+        entry.waiting = static_cast<std::uint32_t>(queue.size());
+        entry.oldestMs = toMs(now - queue.front().since);
         entry.costMs = toMs(expectedCost(flow));
         demand.push_back(entry);
     }
@@ -133,9 +138,9 @@
 std::optional<TimePoint> ServiceQueue::oldest() const
 {
     std::optional<TimePoint> oldest;
-    for (const auto &[flow, state] : m_flows) {
-        if (!state.queue.empty() && (!oldest || state.queue.front().since < *oldest))
-            oldest = state.queue.front().since;
+    for (const auto &[flow, queue] : m_waiting) {
+        if (!oldest || queue.front().since < *oldest)
+            oldest = queue.front().since;
     }
     return oldest;
 }
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -154,7 +154,7 @@
     if (!isVain)
         return;
     if (const ServiceQueue *queue = m_user.queue(entry.pool.service))
-        tellDemand(entry, *queue);
+        tellUrgently(entry, *queue);
 }
 
 void PoolManager::onReturn(const NodeId &from, const PoolReturn &message)
@@ -256,7 +256,7 @@
             if (queue->anyFlow([&](FlowId flow, std::size_t waiting) {
                     return entry->holder.isOwnerBehind(flow, waiting);
                 })) {
-                tellDemand(*entry, *queue);
+                tellUrgently(*entry, *queue);
             }
         }
     }
@@ -504,6 +504,17 @@
     m_context.send(entry.owner, FleetMessage(std::move(message)));
 }
 
+/// Demand that can't wait for the period. What is held is left out: it is most of the message, and the
+/// period tells it.
+void PoolManager::tellUrgently(Entry &entry, const ServiceQueue &queue)
+{
+    if (entry.owner.isEmpty())
+        return;
+    PoolDemand message
+        = entry.holder.urgentMessage(queue.demand(m_context.now, demandLimit), m_context.now);
+    m_context.send(entry.owner, FleetMessage(std::move(message)));
+}
+
 void PoolManager::tellPeriodically(Entry &entry)
 {
     const ServiceQueue *queue = m_user.queue(entry.pool.service);
