Cut what control costs with the size of the fleet

Most were PoolService to the owners of all 135 pools of a service (784 KB/s both ways), PoolDemand with all that is held in each urgent word (386), and roster proposals that the played peers did not consent to (434, a fault of the benchmark).

--- a/benchmarks/LoneNode.cpp
+++ b/benchmarks/LoneNode.cpp
@@ -2,6 +2,7 @@
 
 #include "berylridge/Chart/MemberLife.h"
 #include "berylridge/Config/DocumentStore.h"
+#include "berylridge/Idempotency/Roster.h"
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
@@ -102,8 +103,7 @@
             target.target = TargetId(document.service.str() + '-' + zoneName(zone) + "-t"
                                      + std::to_string(index));
             target.zone = ZoneId(zoneName(zone));
-            target.address = "127.0." + std::to_string(zone) + "."
-                + std::to_string(service + 1);
+            target.address = "127.0." + std::to_string(zone) + "." + std::to_string(service + 1);
             target.port = static_cast<std::uint16_t>(9000 + index);
             document.targets.push_back(std::move(target));
         }
@@ -208,9 +208,15 @@
     const auto found = m_peers.find(send.to);
     if (found == m_peers.end())
         return;
-    const auto *message = std::get_if<FleetMessage>(&send.message);
-    if (!message)
+    if (const auto *key = std::get_if<KeyMessage>(&send.message)) {
+        if (const auto *proposal = std::get_if<RosterProposal>(key)) {
+            KeyMessage consent = RosterConsent {makeRoster(proposal->roster).id, true, {}};
+            m_due.push({m_clock.now() + std::chrono::milliseconds(1),
+                        NodeMessage {send.to, peerRun, std::move(consent)}});
+        }
         return;
+    }
+    const auto *message = std::get_if<FleetMessage>(&send.message);
     if (const auto *heartbeat = std::get_if<Heartbeat>(message))
         m_zoneDigest = heartbeat->zoneDigest;
     else if (const auto *demand = std::get_if<PoolDemand>(message))
--- a/include/berylridge/Fleet/Membership.h
+++ b/include/berylridge/Fleet/Membership.h
@@ -109,6 +109,8 @@
 
 private:
     Member &member(const NodeId &node);
+    unsigned zoneFactor() const;
+
     void step(Member &member, MemberSign sign);
     void note(LogEventId id, const Member &member);
     void endRun(const Member &member);
@@ -125,6 +127,7 @@
     std::vector<EndedRun> m_ended;
     std::vector<LogRecord> m_log;
     std::uint64_t m_changes = 1;
+    unsigned m_zoneFactor = 1; ///< By which a large zone's heartbeats are slower.
 };
 
 } // namespace berylridge
--- a/include/berylridge/Fleet/Messages.h
+++ b/include/berylridge/Fleet/Messages.h
@@ -141,7 +141,7 @@
     std::uint64_t owner = 0;     ///< The incarnation of the owner that lastGrant speaks of.
     std::uint64_t lastGrant = 0; ///< The highest grant number that was received from it.
     std::vector<FlowDemand> demand;
-        std::vector<HeldLease> held;
+    std::vector<HeldLease> held;
     bool listsHeld = true; ///< False where only demand is told: held is empty and says nothing.
     MSGPACK_DEFINE(pool, sequence, sentAt, owner, lastGrant, demand, held, listsHeld)
 };
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -93,7 +93,7 @@
         TimePoint startsBy; ///< No request begins on it later, by the holder's clock even earlier.
         TimePoint seenAt;   ///< When the holder last told that it holds it.
         Duration estimate {0};
-        bool isSeen = false; ///< The holder told that it holds it.
+        bool isSeen = false;     ///< The holder told that it holds it.
         bool isOnItsWay = false; ///< The holder may not have received it yet.
     };
     struct Holder
@@ -102,7 +102,7 @@
         std::uint64_t sequence = 0;
         std::int64_t sentAt = 0;
         TimePoint heardAt;
-        TimePoint listedAt; ///< When it last told all that it holds.
+        TimePoint listedAt;           ///< When it last told all that it holds.
         std::uint64_t lastNumber = 0; ///< Of the grants sent to it.
         std::uint64_t lastSeen = 0;   ///< The highest grant number that it has received.
         std::map<FlowId, FlowDemand> wants;
--- a/include/berylridge/Policy/ServiceQueue.h
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -47,7 +47,7 @@
     template <typename IsFit>
     std::optional<Handle> popIf(FlowId flow, TimePoint now, IsFit isFit)
     {
-                const auto found = m_waiting.find(flow);
+        const auto found = m_waiting.find(flow);
         if (found == m_waiting.end())
             return std::nullopt;
         Queue &queue = found->second;
@@ -67,7 +67,7 @@
     template <typename IsSuch>
     bool anyFlow(IsSuch isSuch) const
     {
-                return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &entry) {
+        return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &entry) {
             return isSuch(entry.first, entry.second.size());
         });
     }
@@ -87,7 +87,7 @@
     std::optional<TimePoint> oldest() const;
 
 private:
-        using Queue = std::deque<Waiting>;
+    using Queue = std::deque<Waiting>;
     /// What is kept of a flow while nothing of it waits.
     struct Flow
     {
@@ -98,7 +98,6 @@
     Queue &touch(FlowId flow, TimePoint now);
     void erase(std::map<FlowId, Queue>::iterator entry, Queue::iterator waiting);
 
-
     std::map<FlowId, Flow> m_flows;
     std::map<FlowId, Queue> m_waiting; ///< Of flows that wait; none is empty.
 
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -18,6 +18,8 @@
 constexpr Duration zoneSilence = std::chrono::milliseconds(2500);
 /// A node of another zone that does not answer for this long is replaced as counterpart.
 constexpr Duration counterpartSilence = std::chrono::milliseconds(1500);
+/// Nodes of a zone that greet each other at the full pace.
+constexpr unsigned nodesAtFullPace = 8;
 constexpr Duration probePeriod = std::chrono::milliseconds(500);
 
 bool isEligibleState(MemberState state)
@@ -187,11 +189,14 @@
 
 std::vector<Member> Membership::tick(TimePoint now)
 {
+    m_zoneFactor = zoneFactor();
+
     std::vector<Member> probes;
     for (auto &[node, entry] : m_members) {
         // A node of another zone is judged by its own zone, as long as that zone is heard of.
         const bool isOwnZone = entry.zone == m_options.zone;
-        if (isOwnZone && (!entry.wasHeard || now - entry.heardAt <= m_options.suspectAfter))
+        if (isOwnZone
+            && (!entry.wasHeard || now - entry.heardAt <= m_zoneFactor * m_options.suspectAfter))
             continue;
         if (!isOwnZone && (entry.incarnation == 0 || isZoneViewFresh(entry.zone, now)))
             continue;
@@ -216,7 +221,8 @@
             continue;
         }
         const bool isPresent = entry.wasHeard && entry.state != MemberState::Gone;
-        const Duration period = isPresent ? m_options.heartbeatPeriod : greetingPeriod;
+        const Duration period
+            = isPresent ? m_zoneFactor * m_options.heartbeatPeriod : greetingPeriod;
         if (now - entry.sentAt < period)
             continue;
         entry.sentAt = now;
@@ -381,6 +387,13 @@
     return entry->second;
 }
 
+/// All nodes of a zone greet each other, so what one node spends grows with the zone. Beyond some
+/// nodes it greets more slowly instead, and silence is noticed later by the same factor.
+unsigned Membership::zoneFactor() const
+{
+    return std::max(1U, (listedInZone() + nodesAtFullPace - 1) / nodesAtFullPace);
+}
+
 void Membership::step(Member &member, MemberSign sign)
 {
     const MemberState before = member.state;
--- a/lib/Policy/LeaseHolder.cpp
+++ b/lib/Policy/LeaseHolder.cpp
@@ -122,7 +122,10 @@
     message.sentAt = now.time_since_epoch().count();
     message.owner = m_ownerIncarnation;
     message.lastGrant = m_lastGrant;
-    message.listsHeld = false;
+    // Where nothing is held the message is whole as it is.
+    message.listsHeld = m_leases.empty();
+    if (message.listsHeld)
+        toldAt = now;
     m_told.clear();
     for (const FlowDemand &entry : demand)
         m_told[entry.flow] = entry.waiting;
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -100,8 +100,8 @@
     }
 }
 
-/// Grants that the holder has received, or has passed over, are no longer on their way to it: what it
-/// wants, it wants beside them.
+/// Grants that the holder has received, or has passed over, are no longer on their way to it: what
+/// it wants, it wants beside them.
 void PoolOwner::noteGrantsReceived(const NodeId &from, Holder &holder, const PoolDemand &message)
 {
     if (message.owner != m_options.incarnation || message.lastGrant <= holder.lastSeen)
--- a/lib/Policy/ServiceQueue.cpp
+++ b/lib/Policy/ServiceQueue.cpp
@@ -52,8 +52,8 @@
 }
 
 /// The queue of a flow that is about to get a waiting request. Time in which nothing waited says
-/// nothing about how fast it drains: counted in, the second request after an idle minute was refused
-/// as if it had to wait for half a minute.
+/// nothing about how fast it drains: counted in, the second request after an idle minute was
+/// refused as if it had to wait for half a minute.
 ServiceQueue::Queue &ServiceQueue::touch(FlowId flow, TimePoint now)
 {
     const auto [entry, isNew] = m_waiting.try_emplace(flow);
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -15,6 +15,8 @@
 /// After a spill other zones are asked at once for this long: the own zone is full.
 constexpr Duration spillLasts = std::chrono::seconds(2);
 constexpr Duration exchangePeriod = std::chrono::milliseconds(500);
+/// Owners told per period: all of today's, where a service has a pool in each of three zones.
+constexpr std::size_t exchangePartners = 2;
 /// Pools that one node asks for a service's slots. Which ones differs from node to node, so that
 /// each pool is asked by as many; with today's few pools it is all of them.
 constexpr std::size_t nearPoolLimit = 4;
@@ -474,22 +476,23 @@
         m_context.send(entry.owner, FleetMessage(std::move(message)));
 }
 
-/// The pools that are to know of the service's waiting requests: some of this zone's, and some of
-/// other zones' when those have no open target or did not serve them for a while.
+/// The pools that are to know of the service's waiting requests: one of this zone's at first; more
+/// of them, and some of other zones', when that did not serve them for a while or none is open.
 std::vector<PoolManager::Entry *> PoolManager::poolsToAsk(const ServiceId &service)
 {
+    const auto spill = m_spillUntil.find(service);
+    const bool isSpilling = spill != m_spillUntil.end() && m_context.now < spill->second;
     std::vector<Entry *> near;
     std::vector<Entry *> far;
     for (const PoolId id : m_byService[service]) {
         Entry &entry = m_pools.at(id);
         const bool isNear = entry.pool.zone == m_context.options.zone;
         std::vector<Entry *> &chosen = isNear ? near : far;
-        const std::size_t limit = isNear ? nearPoolLimit : farPoolLimit;
+        const std::size_t nearLimit = isSpilling ? nearPoolLimit : 1;
+        const std::size_t limit = isNear ? nearLimit : farPoolLimit;
         if (chosen.size() < limit && !entry.owner.isEmpty() && hasOpenTarget(entry.pool))
             chosen.push_back(&entry);
     }
-    const auto spill = m_spillUntil.find(service);
-    const bool isSpilling = spill != m_spillUntil.end() && m_context.now < spill->second;
     if (near.empty() || isSpilling)
         near.insert(near.end(), far.begin(), far.end());
     return near;
@@ -504,8 +507,8 @@
     m_context.send(entry.owner, FleetMessage(std::move(message)));
 }
 
-/// Demand that can't wait for the period. What is held is left out: it is most of the message, and the
-/// period tells it.
+/// Demand that can't wait for the period. What is held is left out: it is most of the message, and
+/// the period tells it.
 void PoolManager::tellUrgently(Entry &entry, const ServiceQueue &queue)
 {
     if (entry.owner.isEmpty())
@@ -531,17 +534,28 @@
         m_context.send(message.to, FleetMessage(std::move(message.grant)));
 }
 
+/// Owners to tell next what the pool gave. All are told in turn, a bounded number at a time, so
+/// that the messages don't grow with the pools; since the counts are cumulative, waiting one's turn
+/// loses nothing but freshness.
+std::set<NodeId> PoolManager::nextPartners(Entry &entry)
+{
+    const std::vector<PoolId> &pools = m_byService[entry.pool.service];
+    std::set<NodeId> owners;
+    for (std::size_t tried = 0; tried < pools.size() && owners.size() < exchangePartners; ++tried) {
+        const PoolId other = pools[entry.nextPartner++ % pools.size()];
+        const NodeId &owner = m_pools.at(other).owner;
+        if (other != entry.pool.id && !owner.isEmpty())
+            owners.insert(owner);
+    }
+    return owners;
+}
+
 void PoolManager::exchangeService()
 {
     for (auto &[id, entry] : m_pools) {
         if (!entry.own)
             continue;
-        std::set<NodeId> owners;
-        for (const PoolId other : m_byService[entry.pool.service]) {
-            const NodeId &owner = m_pools.at(other).owner;
-            if (other != id && !owner.isEmpty())
-                owners.insert(owner);
-        }
+        const std::set<NodeId> owners = nextPartners(entry);
         if (owners.empty())
             continue;
         const PoolService report = entry.own->serviceReport(m_context.now);
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -88,7 +88,8 @@
         NodeId owner;
         std::optional<PoolOwner> own; ///< Where this node is the owner.
         LeaseHolder holder;
-        bool isOwnChanged = false; ///< Slots may be free or wanted since the last grant.
+        std::size_t nextPartner = 0; ///< Turn in the exchange of service.
+        bool isOwnChanged = false;   ///< Slots may be free or wanted since the last grant.
     };
 
     void beginOwning(Entry &entry);
@@ -109,6 +110,7 @@
     void tellUrgently(Entry &entry, const ServiceQueue &queue);
     void tellPeriodically(Entry &entry);
     void grantOwn(Entry &entry);
+    std::set<NodeId> nextPartners(Entry &entry);
     void exchangeService();
 
     CoreContext &m_context;
