--- a/benchmarks/LoneNode.cpp
+++ b/benchmarks/LoneNode.cpp
@@ -102,7 +102,7 @@
             target.target = TargetId(document.service.str() + '-' + zoneName(zone) + "-t"
                                      + std::to_string(index));
             target.zone = ZoneId(zoneName(zone));
-            target.address = "127.0.0.1";
+            target.address = "127.0." + std::to_string(zone) + "." + std::to_string(service + 1);
             target.port = static_cast<std::uint16_t>(9000 + index);
             document.targets.push_back(std::move(target));
         }
@@ -120,7 +120,7 @@
 {
     const ServiceDocument &document = m_documents[service];
     std::string text = "{\"service\":\"" + document.service.str()
-        + "\",\"kind\":\"modelEngine\",\"slots\":8,\"coldSlots\":2,\"warmAfter\":8,"
+        + "\",\"kind\":\"model-engine\",\"slots\":8,\"coldSlots\":2,\"warmAfter\":8,"
           "\"queueTimeoutMs\":"
         + std::to_string(10000 + revision) + ",\"targets\":[";
     const char *separator = "";
--- /dev/null
+++ b/lib/Net/Mailbox.h
@@ -0,0 +1,80 @@
+// Hands values from any thread to the one that runs an io_context, many at a time.
+#pragma once
+
+#include "Asio.h"
+
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <iterator>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace berylridge {
+
+/// Waking the other thread costs a system call: a batch that piles up meanwhile shares one.
+template <typename T>
+class Mailbox
+{
+public:
+    using Take = std::function<void(std::vector<T> &)>;
+
+    Mailbox(asio::io_context &context, Take take)
+        : m_context(context)
+        , m_take(std::move(take))
+    {
+    }
+
+    /// From any thread.
+    void put(T item)
+    {
+        bool isScheduled = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_items.push_back(std::move(item));
+            isScheduled = std::exchange(m_isScheduled, true);
+        }
+        if (!isScheduled)
+            schedule();
+    }
+
+    /// From any thread: moves all of them.
+    void putAll(std::vector<T> &items)
+    {
+        bool isScheduled = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_items.insert(m_items.end(), std::make_move_iterator(items.begin()),
+                           std::make_move_iterator(items.end()));
+            isScheduled = std::exchange(m_isScheduled, true);
+        }
+        if (!isScheduled)
+            schedule();
+    }
+
+private:
+    void schedule()
+    {
+        asio::post(m_context, [this] { drain(); });
+    }
+
+    void drain()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_taken.swap(m_items);
+            m_isScheduled = false;
+        }
+        m_take(m_taken);
+        m_taken.clear();
+    }
+
+    asio::io_context &m_context;
+    Take m_take;
+    std::mutex m_mutex;
+    std::vector<T> m_items;
+    bool m_isScheduled = false;
+    std::vector<T> m_taken;
+};
+
+} // namespace berylridge
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -336,6 +336,7 @@
         recordCrash(due, target);
         crashCheckDone(due);
     }
+    repeatCrashNews();
     m_crashes.expire(m_context.now);
     KeyOutput output;
     m_keys.tick(m_context.now, m_context.wall, output);
@@ -349,6 +350,8 @@
         next = std::min(next, m_deadlines.begin()->first);
     for (const auto &[target, check] : m_checks)
         next = std::min(next, check.until);
+    for (const CrashEcho &echo : m_crashEchoes)
+        next = std::min(next, echo.left > 0 ? echo.at : next);
     return next;
 }
 
--- a/test/process/TestFleet.cpp
+++ b/test/process/TestFleet.cpp
@@ -1,6 +1,7 @@
 #include "TestFleet.h"
 
 #include "JsonText.h"
+#include "Uuid.h"
 
 #include "berylridge/Support/Hash.h"
 
@@ -167,13 +168,24 @@
         startRouter(i);
     return eventually([this] {
         for (std::size_t i = 0; i < m_routers.size(); ++i) {
-            if (!isReady(i))
+            if (!isReady(i) || !admitsPurchases(i))
                 return false;
         }
         return true;
     });
 }
 
+/// Nodes that have just started can't vouch for keys made before their start, whoever made them, so
+/// a new fleet refuses purchases for a moment.
+bool TestFleet::admitsPurchases(std::size_t router) const
+{
+    static RandomEngine random(1);
+    auto spec = callerSpec(router, 0, "POST", "/v1/services/catalogue/purchases");
+    spec.headers.emplace_back("Idempotency-Key", uuidV7(SystemClock().wallNow(), random));
+    spec.body = "{}";
+    return fetch(std::move(spec)).status == 200;
+}
+
 void TestFleet::startStandIns()
 {
     write(file("vms.json"), vmList());
@@ -210,6 +222,7 @@
 void TestFleet::startEngine(std::size_t index)
 {
     const auto &engine = m_engines[index];
+    m_endedByOverload += isOverloaded(index) ? 1 : 0;
     m_engineProcesses[index].reset();
     m_engineProcesses[index] = std::make_unique<ChildProcess>(
         "standin-engine",
@@ -222,6 +235,20 @@
     eventually([&] { return isListening(engine.endpoint); });
 }
 
+bool TestFleet::isOverloaded(std::size_t engine) const
+{
+    constexpr int overloadStatus = 70; // standin-engine's exit status
+    return m_engineProcesses[engine] && m_engineProcesses[engine]->status() == overloadStatus;
+}
+
+std::uint32_t TestFleet::countOverloads() const
+{
+    std::uint32_t overloads = m_endedByOverload;
+    for (std::size_t i = 0; i < m_engines.size(); ++i)
+        overloads += isOverloaded(i) ? 1 : 0;
+    return overloads;
+}
+
 void TestFleet::startRouter(std::size_t index)
 {
     const auto &router = m_routers[index];
