--- a/include/berylridge/Fleet/Membership.h
+++ b/include/berylridge/Fleet/Membership.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -124,6 +125,8 @@
     std::map<ZoneId, TimePoint>
         m_zoneHeardAt; ///< Other zones: last heartbeat from any of their nodes.
     VmList m_vmList;
+    std::set<std::string, std::less<>> m_leavingVms;
+
     std::vector<EndedRun> m_ended;
     std::vector<LogRecord> m_log;
     std::uint64_t m_changes = 1;
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -52,6 +52,11 @@
     if (list.revision <= m_vmList.revision)
         return false;
     m_vmList = list;
+    m_leavingVms.clear();
+    for (const VmEntry &vm : list.vms) {
+        if (vm.isLeaving)
+            m_leavingVms.insert(vm.node.str());
+    }
     std::set<NodeId> listed;
     for (const VmEntry &vm : list.vms) {
         listed.insert(vm.node);
@@ -276,8 +281,7 @@
 
 bool Membership::isVmLeaving(std::string_view name) const
 {
-    return std::any_of(m_vmList.vms.begin(), m_vmList.vms.end(),
-                       [&](const VmEntry &vm) { return vm.isLeaving && vm.node.str() == name; });
+    return m_leavingVms.find(name) != m_leavingVms.end();
 }
 
 bool Membership::isZoneVacant(const ZoneId &zone) const
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -53,6 +53,7 @@
     std::map<PoolId, Entry> kept;
     m_byService.clear();
     m_targetPool.clear();
+    m_openTargets.clear();
     for (const auto &document : m_context.documents.services()) {
         std::vector<PoolId> &ids = m_byService[document->service];
         for (Pool &pool : poolsOf(*document)) {
@@ -63,6 +64,10 @@
             Entry entry = found == m_pools.end() ? Entry(pool) : std::move(found->second);
             entry.pool = std::move(pool);
             entry.document = document;
+            entry.openTargets = static_cast<std::size_t>(std::count_if(
+                entry.pool.targets.begin(), entry.pool.targets.end(),
+                [&](const TargetSpec &target) { return isOpen(entry.pool, target); }));
+            m_openTargets[document->service] += entry.openTargets;
             if (entry.own)
                 configureOwn(entry);
             ids.push_back(id);
@@ -317,16 +322,8 @@
 
 std::size_t PoolManager::openTargets(const ServiceId &service) const
 {
-    const auto pools = m_byService.find(service);
-    if (pools == m_byService.end())
-        return 0;
-    std::size_t count = 0;
-    for (const PoolId id : pools->second) {
-        const Pool &pool = m_pools.at(id).pool;
-        for (const TargetSpec &target : pool.targets)
-            count += isOpen(pool, target) ? 1 : 0;
-    }
-    return count;
+    const auto found = m_openTargets.find(service);
+    return found == m_openTargets.end() ? 0 : found->second;
 }
 
 void PoolManager::fillStatus(NodeStatus &status) const
@@ -426,12 +423,6 @@
         && !m_context.membership.isVmLeaving(target.target.str());
 }
 
-bool PoolManager::hasOpenTarget(const Pool &pool) const
-{
-    return std::any_of(pool.targets.begin(), pool.targets.end(),
-                       [&](const TargetSpec &target) { return isOpen(pool, target); });
-}
-
 const TargetSpec *PoolManager::findTarget(const Entry &entry, TargetHash target) const
 {
     const auto found
@@ -490,7 +481,7 @@
         std::vector<Entry *> &chosen = isNear ? near : far;
         const std::size_t nearLimit = isSpilling ? nearPoolLimit : 1;
         const std::size_t limit = isNear ? nearLimit : farPoolLimit;
-        if (chosen.size() < limit && !entry.owner.isEmpty() && hasOpenTarget(entry.pool))
+        if (chosen.size() < limit && !entry.owner.isEmpty() && entry.openTargets > 0)
             chosen.push_back(&entry);
     }
     if (near.empty() || isSpilling)
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -88,6 +88,7 @@
         NodeId owner;
         std::optional<PoolOwner> own; ///< Where this node is the owner.
         LeaseHolder holder;
+        std::size_t openTargets = 0; ///< That take new work, by the documents and the VM list.
         std::size_t nextPartner = 0; ///< Turn in the exchange of service.
         bool isOwnChanged = false;   ///< Slots may be free or wanted since the last grant.
     };
@@ -100,7 +101,7 @@
     NodeId ownerOf(const Pool &pool) const;
     OwnerPart partOf(const Pool &pool) const;
     bool isOpen(const Pool &pool, const TargetSpec &target) const;
-    bool hasOpenTarget(const Pool &pool) const;
+
     const TargetSpec *findTarget(const Entry &entry, TargetHash target) const;
     bool tryRun(Entry &entry, LeaseId lease);
     bool isUnfit(const Entry &entry, LeaseId lease) const;
@@ -120,6 +121,7 @@
     std::map<TargetId, std::pair<PoolId, ServiceId>> m_targetPool;
     std::map<ServiceId, TimePoint>
         m_spillUntil; ///< Until then other zones' pools are asked at once.
+    std::map<ServiceId, std::size_t> m_openTargets;
     std::set<ServiceId> m_changedServices;
     TimePoint m_exchangeAt {};
     /// Handovers that came before this node knew that it is the owner, and when they came.
--- a/unittests/Idempotency/KeyPropertyTest.cpp
+++ b/unittests/Idempotency/KeyPropertyTest.cpp
@@ -104,6 +104,7 @@
     void publish()
     {
         std::vector<std::pair<std::string, std::string>> vms;
+        vms.reserve(names.size());
         for (const std::string &name : names)
             vms.emplace_back(name, zoneOf(name));
         m_fleet.publish(vms);
