Count work that only the target's report shows on top of the owner's own leases

Ruled out: the plain sum, which counts each own request twice. Conclusion: what runs beyond the leases granted 100 ms before the report is added, for as long as an earlier owner's work can last. Failed first (two grants): PoolOwnerTest.WorkThatOnlyTheReportShowsComesOnTopOfOwnLeases.

--- a/benchmarks/LoneNode.cpp
+++ b/benchmarks/LoneNode.cpp
@@ -102,8 +102,7 @@
             target.target = TargetId(document.service.str() + '-' + zoneName(zone) + "-t"
                                      + std::to_string(index));
             target.zone = ZoneId(zoneName(zone));
-            target.address = "127.0." + std::to_string(zone) + "."
-                + std::to_string(service + 1);
+            target.address = "127.0." + std::to_string(zone) + "." + std::to_string(service + 1);
             target.port = static_cast<std::uint16_t>(9000 + index);
             document.targets.push_back(std::move(target));
         }
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -118,6 +118,7 @@
     void free(std::map<LeaseId, Lease>::iterator lease, Duration used);
     bool hasRunOut(const Lease &lease, TimePoint now) const;
     std::uint32_t freeSlots(const Target &target, TimePoint now) const;
+    std::uint32_t unknownWork(const Target &target, TimePoint now) const;
     /// Whose requests: a flow's at one node.
     using Want = std::pair<NodeId, FlowId>;
     std::optional<TargetHash> pickTarget(const Want &want, TimePoint now) const;
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -17,6 +17,8 @@
 /// avoids a target that failed it. Without it the slot goes to and fro between owner and holder
 /// without end, and nothing else is done.
 constexpr Duration unfitLasts = std::chrono::milliseconds(200);
+/// Within it a granted lease's request has reached its target, so that a report holds it.
+constexpr Duration grantToStart = std::chrono::milliseconds(100);
 /// Slot time that a flow's short requests may use on one lease before the slot goes back. Without
 /// it a slot stands idle for a round trip after each request: 3 ms of 20 ms for a lookup across
 /// zones.
@@ -443,15 +445,28 @@
     if (isWaiting(now) && target.gauge.isCold())
         return 0;
     const std::uint32_t limit = target.gauge.limit(m_part, now);
-    std::uint32_t occupied = target.occupied;
-    // Work that an earlier or another owner put there is not in our leases, but the target reports
-    // it. Only while it is cold: later some overlap does no harm, and a report that lags would idle
-    // slots.
-    if (target.gauge.isCold() && target.gauge.reportedAt() > m_began)
-        occupied = std::max(occupied, target.gauge.reportedRunning());
+    const std::uint32_t occupied = target.occupied + unknownWork(target, now);
     return limit > occupied ? limit - occupied : 0;
 }
 
+/// Work that an earlier or another owner put there is not in our leases, but the target reports it:
+/// what runs beyond the leases that the report can hold. Only while it is cold: later some overlap
+/// does no harm, and a report that lags would idle slots.
+std::uint32_t PoolOwner::unknownWork(const Target &target, TimePoint now) const
+{
+    const TargetGauge &gauge = target.gauge;
+    const bool canBeThere = now - m_began <= m_attemptTimeout + m_options.leaseTerm;
+    if (!gauge.isCold() || gauge.reportedAt() <= m_began || !canBeThere)
+        return 0;
+    const auto known = std::count_if(m_leases.begin(), m_leases.end(), [&](const auto &entry) {
+        const auto found = m_targets.find(entry.second.target);
+        const bool isHere = found != m_targets.end() && &found->second == &target;
+        return isHere && entry.second.grantedAt + grantToStart <= gauge.reportedAt();
+    });
+    const auto running = static_cast<std::ptrdiff_t>(gauge.reportedRunning());
+    return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(running - known, 0));
+}
+
 bool PoolOwner::hasFreeSlot(TimePoint now) const
 {
     return std::any_of(m_targets.begin(), m_targets.end(),
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -322,3 +322,16 @@
     m_owner.tick(m_clock.now());
     EXPECT_EQ(grants().size(), 1U) << "holder B's lost grant is free, holder A's slot is not";
 }
+
+// A cold target bears two. A node that is cut off still runs a long request there, which the new
+// owner of the pool knows from the target's report alone. Its own grants come on top of that one:
+// taken for the same, they were two, and the target fell over under the third.
+TEST_F(PoolOwnerTest, WorkThatOnlyTheReportShowsComesOnTopOfOwnLeases)
+{
+    m_document.coldSlots = 2;
+    m_owner.configure(m_document, m_pool, m_clock.now());
+    waitOutTakeover();
+    m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
+    demand(nodeB, m_holderB, {{8, 3, 0, 100}});
+    EXPECT_EQ(grants().size(), 1U);
+}
