--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -34,6 +34,12 @@
     static TargetLife chart() { return *loadTargetLife(BERYLRIDGE_SOURCE_DIR "/charts"); }
 
     void waitOutTakeover() { m_clock.advance(2200ms); }
+    void waitWithTwoColdSlots()
+    {
+        m_document.coldSlots = 2;
+        m_owner.configure(m_document, m_pool, m_clock.now());
+        waitOutTakeover();
+    }
     void warmUp()
     {
         m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 100, 0ms, m_clock.now());
@@ -283,9 +289,7 @@
 // give the slot away and the target would fall over under one request too many.
 TEST_F(PoolOwnerTest, AGrantWithoutWordMayBeInUse)
 {
-    m_document.coldSlots = 2;
-    m_owner.configure(m_document, m_pool, m_clock.now());
-    waitOutTakeover();
+    waitWithTwoColdSlots();
     m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
     demand(nodeA, m_holderA, {{7, 1, 0, 100}});
     ASSERT_EQ(grants().size(), 1U);
@@ -305,9 +309,7 @@
 // for it, a third request would bring the target down.
 TEST_F(PoolOwnerTest, OneOfTwoRunningAtAColdTargetDoesNotFreeTheSilentHolder)
 {
-    m_document.coldSlots = 2;
-    m_owner.configure(m_document, m_pool, m_clock.now());
-    waitOutTakeover();
+    waitWithTwoColdSlots();
     m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
     demand(nodeA, m_holderA, {{7, 1, 0, 100}});
     ASSERT_EQ(grants().size(), 1U);
@@ -328,9 +330,7 @@
 // taken for the same, they were two, and the target fell over under the third.
 TEST_F(PoolOwnerTest, WorkThatOnlyTheReportShowsComesOnTopOfOwnLeases)
 {
-    m_document.coldSlots = 2;
-    m_owner.configure(m_document, m_pool, m_clock.now());
-    waitOutTakeover();
+    waitWithTwoColdSlots();
     m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
     demand(nodeB, m_holderB, {{8, 3, 0, 100}});
     EXPECT_EQ(grants().size(), 1U);
