--- a/include/berylridge/Policy/LeaseHolder.h
+++ b/include/berylridge/Policy/LeaseHolder.h
@@ -55,6 +55,9 @@
 
     /// The whole state for the owner; remembers what was told.
     PoolDemand demandMessage(std::vector<FlowDemand> demand, TimePoint now);
+    /// The demand alone, for an owner that must hear of it before the next period.
+    PoolDemand urgentMessage(std::vector<FlowDemand> demand, TimePoint now);
+
     /// Number for the next PoolReturn.
     std::uint64_t nextSequence() { return ++m_sequence; }
     /// Whether the owner's picture is so far off that it should hear now instead of at the next
--- a/include/berylridge/Policy/PoolOwner.h
+++ b/include/berylridge/Policy/PoolOwner.h
@@ -94,6 +94,7 @@
         TimePoint seenAt;   ///< When the holder last told that it holds it.
         Duration estimate {0};
         bool isSeen = false; ///< The holder told that it holds it.
+        bool isOnItsWay = false; ///< The holder may not have received it yet.
     };
     struct Holder
     {
@@ -101,6 +102,7 @@
         std::uint64_t sequence = 0;
         std::int64_t sentAt = 0;
         TimePoint heardAt;
+        TimePoint listedAt; ///< When it last told all that it holds.
         std::uint64_t lastNumber = 0; ///< Of the grants sent to it.
         std::uint64_t lastSeen = 0;   ///< The highest grant number that it has received.
         std::map<FlowId, FlowDemand> wants;
@@ -111,6 +113,8 @@
         std::uint32_t occupied = 0;
     };
 
+    void noteGrantsReceived(const NodeId &from, Holder &holder, const PoolDemand &message);
+    void arrived(Lease &lease);
     Lease *adopt(LeaseId id, Lease lease, TimePoint now);
     bool isWaiting(TimePoint now) const;
 
@@ -145,8 +149,8 @@
     std::map<TargetHash, Target> m_targets;
     std::map<LeaseId, Lease> m_leases;
     std::map<NodeId, Holder> m_holders;
-    /// Leases not yet seen by their holder, by holder and flow.
-    std::map<Want, std::uint32_t> m_unseen;
+    /// Leases that their holder may not have received yet, by holder and flow.
+    std::map<Want, std::uint32_t> m_onTheirWay;
     /// Until when a target is not offered to a flow at a node, which has said that nothing fits.
     std::map<std::pair<Want, TargetHash>, TimePoint> m_unfit;
     FlowShares m_shares;
--- a/lib/Policy/LeaseHolder.cpp
+++ b/lib/Policy/LeaseHolder.cpp
@@ -105,6 +105,16 @@
 }
 
 PoolDemand LeaseHolder::demandMessage(std::vector<FlowDemand> demand, TimePoint now)
+{
+    PoolDemand message = urgentMessage(std::move(demand), now);
+    message.listsHeld = true;
+    for (const auto &[lease, held] : m_leases)
+        message.held.push_back({lease, held.target, held.flow, toMs(now - held.grantedAt)});
+    toldAt = now;
+    return message;
+}
+
+PoolDemand LeaseHolder::urgentMessage(std::vector<FlowDemand> demand, TimePoint now)
 {
     PoolDemand message;
     message.pool = m_pool;
@@ -112,13 +122,11 @@
     message.sentAt = now.time_since_epoch().count();
     message.owner = m_ownerIncarnation;
     message.lastGrant = m_lastGrant;
+    message.listsHeld = false;
     m_told.clear();
     for (const FlowDemand &entry : demand)
         m_told[entry.flow] = entry.waiting;
     message.demand = std::move(demand);
-    for (const auto &[lease, held] : m_leases)
-        message.held.push_back({lease, held.target, held.flow, toMs(now - held.grantedAt)});
-    toldAt = now;
     return message;
 }
 
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -106,6 +106,7 @@
     void giveBack(Entry &entry, LeaseId lease, const std::string &bootId, bool isUnfit = false);
     std::vector<Entry *> poolsToAsk(const ServiceId &service);
     void tellDemand(Entry &entry, const ServiceQueue &queue);
+    void tellUrgently(Entry &entry, const ServiceQueue &queue);
     void tellPeriodically(Entry &entry);
     void grantOwn(Entry &entry);
     void exchangeService();
