--- a/include/berylridge/Fleet/Membership.h
+++ b/include/berylridge/Fleet/Membership.h
@@ -91,7 +91,8 @@
     /// All nodes that are not known to be gone, this one included.
     std::uint32_t listedAnywhere() const;
 
-    void setSelfEligible(bool isEligible);
+    /// Joining, Live or Leaving: what this node tells others of itself.
+    void setSelfState(MemberState state);
     /// Nodes of a zone that may own pools, this one included where it is among them.
     std::vector<NodeId> eligible(const ZoneId &zone, TimePoint now) const;
     /// Nodes of this zone that are not known to be gone, this one included.
@@ -109,6 +110,7 @@
     const MemberLife &chart() const { return *m_chart; }
 
 private:
+    std::vector<NodeId> inState(const ZoneId &zone, MemberState state, TimePoint now) const;
     Member &member(const NodeId &node);
     unsigned zoneFactor() const;
 
@@ -120,7 +122,7 @@
 
     const MemberLife *m_chart;
     MembershipOptions m_options;
-    bool m_isSelfEligible = false;
+    MemberState m_selfState = MemberState::Joining;
     std::map<NodeId, Member> m_members; ///< Without this node.
     std::map<ZoneId, TimePoint>
         m_zoneHeardAt; ///< Other zones: last heartbeat from any of their nodes.
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -22,9 +22,10 @@
 constexpr unsigned nodesAtFullPace = 8;
 constexpr Duration probePeriod = std::chrono::milliseconds(500);
 
-bool isEligibleState(MemberState state)
+/// Whether a node in this state holds a view of its zone that counts beside others'.
+bool holdsView(MemberState state)
 {
-    return state == MemberState::Live;
+    return state == MemberState::Live || state == MemberState::Leaving;
 }
 
 } // namespace
@@ -259,9 +260,8 @@
 {
     ZoneView view;
     view.zone = m_options.zone.str();
-    const MemberState self = m_isSelfEligible ? MemberState::Live : MemberState::Joining;
     view.members.push_back({m_options.self.str(), m_options.incarnation,
-                            static_cast<std::uint8_t>(self), m_options.endpoint.address,
+                            static_cast<std::uint8_t>(m_selfState), m_options.endpoint.address,
                             m_options.endpoint.port});
     for (const auto &[node, entry] : m_members) {
         if (entry.zone != m_options.zone || entry.incarnation == 0)
@@ -314,23 +314,32 @@
     return count;
 }
 
-void Membership::setSelfEligible(bool isEligible)
+void Membership::setSelfState(MemberState state)
 {
-    if (m_isSelfEligible == isEligible)
+    if (m_selfState == state)
         return;
-    m_isSelfEligible = isEligible;
+    m_selfState = state;
     ++m_changes;
 }
 
 std::vector<NodeId> Membership::eligible(const ZoneId &zone, TimePoint now) const
+{
+    const std::vector<NodeId> live = inState(zone, MemberState::Live, now);
+    // When the last nodes of a zone stop by plan there is no successor: they go on owning its pools
+    // until they end, or what still waits on them would find no slot.
+    return live.empty() ? inState(zone, MemberState::Leaving, now) : live;
+}
+
+std::vector<NodeId> Membership::inState(const ZoneId &zone, MemberState state, TimePoint now) const
 {
     std::vector<NodeId> nodes;
-    if (zone == m_options.zone && m_isSelfEligible)
+    const bool isOwnZone = zone == m_options.zone;
+    if (isOwnZone && m_selfState == state)
         nodes.push_back(m_options.self);
-    if (zone != m_options.zone && !isZoneViewFresh(zone, now))
+    if (!isOwnZone && !isZoneViewFresh(zone, now))
         return nodes;
     for (const auto &[node, entry] : m_members) {
-        if (entry.zone == zone && isEligibleState(entry.state))
+        if (entry.zone == zone && entry.state == state)
             nodes.push_back(node);
     }
     return nodes;
@@ -352,8 +361,8 @@
     const std::uint64_t own = zoneDigest(m_options.zone, now);
     std::uint32_t count = 1;
     for (const auto &[node, entry] : m_members) {
-        const bool agrees = entry.zone == m_options.zone && isEligibleState(entry.state)
-            && entry.zoneDigest == own;
+        const bool agrees
+            = entry.zone == m_options.zone && holdsView(entry.state) && entry.zoneDigest == own;
         count += agrees ? 1 : 0;
     }
     return count;
--- a/lib/Router/FleetSync.cpp
+++ b/lib/Router/FleetSync.cpp
@@ -193,6 +193,7 @@
 void FleetSync::onWoke()
 {
     m_context.membership.onWoke(m_context.now);
+    m_wokeAt = m_context.now;
 }
 
 void FleetSync::tick(bool takesKeys)
@@ -214,7 +215,10 @@
     if (m_state != NodeState::Leaving)
         return;
     const TimePoint now = m_context.now;
-    const bool isQuiet = now - lastArrival >= quietTime && now - m_leavingSince >= balancerDelay;
+    // Requests that came during a pause are still unread in the sockets when the process wakes:
+    // were the quiet counted from before the pause, it would end with them and cut them off.
+    const TimePoint quietSince = std::max(lastArrival, m_wokeAt);
+    const bool isQuiet = now - quietSince >= quietTime && now - m_leavingSince >= balancerDelay;
     if (requests == 0 && isQuiet) {
         step(NodeSign::Emptied);
         m_context.log(LogEventId::NodeStopped, "");
@@ -254,7 +258,15 @@
 {
     if (!m_context.charts.node.step(m_state, sign))
         return;
-    m_context.membership.setSelfEligible(m_state == NodeState::Ready);
+    m_context.membership.setSelfState(memberState());
+}
+
+/// What other nodes are told of this one.
+MemberState FleetSync::memberState() const
+{
+    if (m_state == NodeState::Ready)
+        return MemberState::Live;
+    return m_state == NodeState::Joining ? MemberState::Joining : MemberState::Leaving;
 }
 
 /// A node that starts with no memory takes callers only after a ready node has told it which
@@ -309,12 +321,7 @@
     Heartbeat heartbeat;
     heartbeat.sequence = ++m_sequence;
     heartbeat.zone = m_context.options.zone.str();
-    MemberState state = MemberState::Joining;
-    if (m_state == NodeState::Ready)
-        state = MemberState::Live;
-    else if (m_state == NodeState::Leaving)
-        state = MemberState::Leaving;
-    heartbeat.nodeState = static_cast<std::uint8_t>(state);
+    heartbeat.nodeState = static_cast<std::uint8_t>(memberState());
     heartbeat.documentsDigest = m_context.documents.digest();
     heartbeat.vmListRevision = membership.vmList().revision;
     heartbeat.address = m_context.options.endpoint.address;
--- a/lib/Router/FleetSync.h
+++ b/lib/Router/FleetSync.h
@@ -54,6 +54,7 @@
 
 private:
     void step(NodeSign sign);
+    MemberState memberState() const;
     void checkReady();
 
     void chooseReaders();
@@ -66,6 +67,8 @@
     Changes m_changes;
     TimePoint m_startedAt;
     TimePoint m_leavingSince {};
+    TimePoint m_wokeAt {}; ///< End of the last pause of this process.
+
     std::uint64_t m_sequence = 0;
     std::uint64_t m_seenMemberChanges = 0;
     std::uint64_t m_pushedDigest = 0;
--- a/unittests/Fleet/MembershipTest.cpp
+++ b/unittests/Fleet/MembershipTest.cpp
@@ -20,7 +20,7 @@
 protected:
     MembershipTest()
     {
-        m_members.setSelfEligible(true);
+        m_members.setSelfState(MemberState::Live);
         m_members.onVmList(vms(1, {"a1", "a2", "a3", "b1"}), m_clock.now());
     }
 
--- /dev/null
+++ b/unittests/Router/CoreTest.cpp
@@ -0,0 +1,192 @@
+#include "berylridge/Router/Core.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string documentText()
+{
+    return R"({"service": "shop", "kind": "plain", "slots": 2, "coldSlots": 1, "warmAfter": 2,
+        "targets": [{"target": "shop-1", "zone": "a", "address": "127.0.0.1", "port": 9000}],
+        "workspaces": [{"workspace": "studio", "weight": 1, "credentialDigest": ")"
+        + credentialDigest("key") + "\"}]}";
+}
+
+/// One core that is alone in its fleet.
+class CoreTest : public testing::Test
+{
+protected:
+    CoreTest()
+    {
+        CoreOptions options;
+        options.node = NodeId("a1");
+        options.zone = ZoneId("a");
+        options.endpoint = {"127.0.0.1", 7400};
+        options.incarnation = 1;
+        options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+        m_core = *Core::create(options, m_clock.now(), m_clock.wallNow());
+    }
+
+    template <typename T>
+    std::vector<T> give(const Event &event)
+    {
+        Actions actions;
+        m_core->handle(event, m_clock.now(), m_clock.wallNow(), actions);
+        std::vector<T> found;
+        for (const Action &action : actions) {
+            if (const T *wanted = std::get_if<T>(&action))
+                found.push_back(*wanted);
+        }
+        return found;
+    }
+    /// Lets time pass as an event loop sees it.
+    template <typename T>
+    std::vector<T> pass(Duration time)
+    {
+        std::vector<T> found;
+        for (const TimePoint end = m_clock.now() + time; m_clock.now() < end;) {
+            m_clock.advance(10ms);
+            const std::vector<T> step = give<T>(TimerDue {});
+            found.insert(found.end(), step.begin(), step.end());
+        }
+        return found;
+    }
+    void serve()
+    {
+        give<Log>(DocumentArrived {{"service/shop", 7, documentText()}});
+        pass<Log>(12s);
+        TargetReport report;
+        report.target = TargetId("shop-1");
+        report.bootId = "boot";
+        report.completed = 10;
+        give<Log>(report);
+    }
+    RequestArrived lookup(RequestHandle handle, const std::string &credential = "key") const
+    {
+        RequestArrived request;
+        request.handle = handle;
+        request.requestId = "request-" + std::to_string(handle);
+        request.service = ServiceId("shop");
+        request.credential = credential;
+        request.method = "GET";
+        request.path = "/items";
+        return request;
+    }
+
+    PausedClock m_clock;
+    std::unique_ptr<Core> m_core;
+};
+
+} // namespace
+
+TEST_F(CoreTest, ARequestReachesTheTargetAndIsExplained)
+{
+    serve();
+    const auto sent = give<Dispatch>(lookup(1));
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().target, TargetId("shop-1"));
+    EXPECT_TRUE(sent.front().isIdempotent);
+    AttemptDone done;
+    done.handle = 1;
+    done.attempt = 1;
+    done.status = 200;
+    give<Log>(done);
+    const auto lines = m_core->explain("request-1");
+    EXPECT_TRUE(std::any_of(lines.begin(), lines.end(), [](const std::string &line) {
+        return line.find("sent to shop-1") != std::string::npos;
+    }));
+}
+
+// A planned stop is under way, nothing runs, and the process is paused. Callers' requests arrive in
+// its sockets meanwhile. On waking the quiet seems long enough; had the process ended at once, the
+// requests would have been cut off unread.
+TEST_F(CoreTest, APlannedStopCountsItsQuietAnewAfterAPause)
+{
+    serve();
+    give<Log>(LeaveOrdered {"operator"});
+    pass<Log>(500ms);
+    m_clock.advance(10s);
+    EXPECT_TRUE(give<Stopped>(TimerDue {}).empty());
+    give<Log>(lookup(1));
+    EXPECT_EQ(pass<Dispatch>(4s).size(), 1U) << "served after the wait of a new owner";
+    AttemptDone done;
+    done.handle = 1;
+    done.attempt = 1;
+    done.status = 200;
+    give<Log>(done);
+    EXPECT_EQ(pass<Stopped>(15s).size(), 1U);
+}
+
+// The platform is stale and offers an older document than the one in force. Taking it would undo
+// what operators published; every node must keep the newer one.
+TEST_F(CoreTest, AnOlderDocumentChangesNothing)
+{
+    serve();
+    std::string older = documentText();
+    older.replace(older.find("studio"), 6, "others");
+    give<Log>(DocumentArrived {{"service/shop", 6, older}});
+    EXPECT_EQ(m_core->status().documents.front().version, 7U);
+    EXPECT_EQ(m_core->status().workspaces.front().workspace, WorkspaceId("studio"));
+}
+
+TEST_F(CoreTest, ABadDocumentLeavesTheLastGoodOneInForce)
+{
+    serve();
+    const auto audits = give<Audit>(DocumentArrived {{"service/shop", 8, "{\"slots\": \"many\"}"}});
+    ASSERT_EQ(audits.size(), 1U);
+    EXPECT_EQ(audits.front().entry.kind, AuditKind::DocumentRefused);
+    EXPECT_EQ(m_core->status().documents.front().version, 7U);
+}
+
+// A purchase is sent again with its key, but with a workspace key that is not known here any more.
+// The first sending may have run elsewhere: "not run" would invite a doubled purchase.
+TEST_F(CoreTest, AnEarlyRefusalOfAKeyedRequestDoesNotSayNotRun)
+{
+    serve();
+    RequestArrived request = lookup(1, "withdrawn");
+    EXPECT_EQ(give<Refuse>(request).front().verdict, Verdict::NotRun);
+    request.handle = 2;
+    request.method = "POST";
+    request.idempotencyKey = "0197-purchase";
+    EXPECT_EQ(give<Refuse>(request).front().verdict, Verdict::MayHaveRun);
+}
+
+// A purchase without a key broke off after its first byte had left. It must not be tried again, and
+// the answer must say that it may have run.
+TEST_F(CoreTest, ANonIdempotentRequestIsNotTriedAgainAfterItsFirstByte)
+{
+    serve();
+    RequestArrived request = lookup(1);
+    request.method = "POST";
+    ASSERT_EQ(give<Dispatch>(request).size(), 1U);
+    AttemptFailed failed;
+    failed.handle = 1;
+    failed.attempt = 1;
+    failed.failure = AttemptFailure::Reset;
+    const auto refusals = give<Refuse>(failed);
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.front().verdict, Verdict::MayHaveRun);
+    EXPECT_TRUE(pass<Dispatch>(5s).empty());
+}
+
+// A request waits longer than it may. It is answered then, not later, and told when to come back.
+TEST_F(CoreTest, GivingUpIsAnsweredAtOnce)
+{
+    serve();
+    give<Log>(lookup(1));
+    give<Log>(lookup(2));
+    RequestArrived impatient = lookup(3);
+    impatient.patience = 300ms;
+    give<Log>(impatient);
+    EXPECT_TRUE(pass<Refuse>(290ms).empty());
+    const auto refusals = pass<Refuse>(30ms);
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.front().verdict, Verdict::NotRun);
+    EXPECT_TRUE(refusals.front().retryAfter.has_value());
+}
