Tell what is held every 1.6 s instead of with each demand

They heal lost grants and returns and need not be as fresh as demand. A holder now counts as silent after 4 s instead of 1.5 s, and PoolOwnerTest.AGrantWithoutWordMayBeInUse waits that longer time; what it demands is unchanged.

--- a/include/berylridge/Policy/LeaseHolder.h
+++ b/include/berylridge/Policy/LeaseHolder.h
@@ -66,8 +66,9 @@
     /// Whether the owner was told of demand or of leases that are there no more.
     bool hasToldDemand() const { return !m_told.empty(); }
 
-    /// When the whole state was last told.
+    /// When demand was last told, and when the whole state.
     TimePoint toldAt {};
+    TimePoint listedAt {};
 
 private:
     PoolId m_pool;
--- a/lib/Policy/LeaseHolder.cpp
+++ b/lib/Policy/LeaseHolder.cpp
@@ -110,7 +110,7 @@
     message.listsHeld = true;
     for (const auto &[lease, held] : m_leases)
         message.held.push_back({lease, held.target, held.flow, toMs(now - held.grantedAt)});
-    toldAt = now;
+    listedAt = now;
     return message;
 }
 
@@ -125,7 +125,8 @@
     // Where nothing is held the message is whole as it is.
     message.listsHeld = m_leases.empty();
     if (message.listsHeld)
-        toldAt = now;
+        listedAt = now;
+    toldAt = now;
     m_told.clear();
     for (const FlowDemand &entry : demand)
         m_told[entry.flow] = entry.waiting;
--- a/lib/Policy/PoolOwner.cpp
+++ b/lib/Policy/PoolOwner.cpp
@@ -11,6 +11,8 @@
 
 /// A holder repeats its demand each demand period; without a word for this long its wants are void.
 constexpr Duration wantsLast = std::chrono::milliseconds(1500);
+/// A holder tells what it holds each list period (1.6 s); one that missed two is silent.
+constexpr Duration holderSilence = std::chrono::milliseconds(4000);
 /// Beyond the term, for a holder's clock that runs slower than the owner's.
 constexpr Duration clockMargin = std::chrono::milliseconds(100);
 /// How long a target is not offered again to a flow of which nothing may run there: a request
@@ -323,7 +325,7 @@
     // of which nothing was heard may have begun a request and been cut off before it could tell.
     if (!lease.isSeen && isKnown && holder->second.listedAt > lease.startsBy)
         return true;
-    const bool isHeard = isKnown && now - holder->second.heardAt <= wantsLast;
+    const bool isHeard = isKnown && now - holder->second.heardAt <= holderSilence;
     if (isHeard)
         return false;
     // The holder is silent: paused, cut off from here, or lost with its VM. Its request may still
@@ -333,7 +335,7 @@
     if (target == m_targets.end())
         return true;
     const TargetGauge &gauge = target->second.gauge;
-    const bool isReportNewer = gauge.reportedAt() > lease.seenAt + wantsLast;
+    const bool isReportNewer = gauge.reportedAt() > lease.seenAt + holderSilence;
     // Another holder may be between two requests at the moment of the report: fewer running than
     // leases proves nothing about this one. A warm target bears the one too many, a cold one falls
     // over.
--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// Whole demand goes out this often while there is any. Three may be lost before wants are void.
-constexpr Duration demandPeriod = std::chrono::milliseconds(400);
+/// Demand goes out this often while there is any. Two may be lost before wants are void.
+constexpr Duration demandPeriod = std::chrono::milliseconds(500);
+/// All that is held goes out this often: it is most of the bytes, and only heals what was lost.
+constexpr Duration listPeriod = std::chrono::milliseconds(1600);
 /// A request that its own zone has not served by then is offered to other zones' pools too.
 constexpr Duration spillAfter = std::chrono::milliseconds(20);
 /// After a spill other zones are asked at once for this long: the own zone is full.
@@ -110,7 +112,7 @@
             takeEarlyHandover(entry);
         }
         // The new owner must learn at once what is held, so that it counts it.
-        entry.holder.toldAt = TimePoint {};
+        entry.holder.listedAt = TimePoint {};
         tellPeriodically(entry);
     }
 }
@@ -295,8 +297,7 @@
         }
     }
     for (auto &[id, entry] : m_pools) {
-        if (m_context.now - entry.holder.toldAt >= demandPeriod)
-            tellPeriodically(entry);
+        tellPeriodically(entry);
     }
     if (m_context.now >= m_exchangeAt) {
         m_exchangeAt = m_context.now + exchangePeriod;
@@ -512,10 +513,13 @@
 void PoolManager::tellPeriodically(Entry &entry)
 {
     const ServiceQueue *queue = m_user.queue(entry.pool.service);
-    const bool hasNews = entry.holder.size() > 0 || entry.holder.hasToldDemand();
-    if (!queue || !hasNews)
+    const bool hasDemand = entry.holder.hasToldDemand();
+    if (!queue || (entry.holder.size() == 0 && !hasDemand))
         return;
-    tellDemand(entry, *queue);
+    if (m_context.now - entry.holder.listedAt >= listPeriod)
+        tellDemand(entry, *queue);
+    else if (hasDemand && m_context.now - entry.holder.toldAt >= demandPeriod)
+        tellUrgently(entry, *queue);
 }
 
 void PoolManager::grantOwn(Entry &entry)
--- a/unittests/Policy/PoolOwnerTest.cpp
+++ b/unittests/Policy/PoolOwnerTest.cpp
@@ -293,7 +293,7 @@
     m_owner.onReport(targetHash(TargetId("engine")), "boot1", 0, 0, 0ms, m_clock.now());
     demand(nodeA, m_holderA, {{7, 1, 0, 100}});
     ASSERT_EQ(grants().size(), 1U);
-    m_clock.advance(4s);
+    m_clock.advance(4500ms); // Past the term and the time after which a holder is silent.
     m_owner.onReport(targetHash(TargetId("engine")), "boot1", 1, 0, 0ms, m_clock.now());
     m_owner.tick(m_clock.now());
     demand(nodeB, m_holderB, {{8, 3, 0, 100}});
