--- a/include/berylridge/Policy/ServiceQueue.h
+++ b/include/berylridge/Policy/ServiceQueue.h
@@ -96,7 +96,7 @@
     };
 
     Queue &touch(FlowId flow, TimePoint now);
-    void erase(std::map<FlowId, Queue>::iterator entry, Queue::iterator waiting);
+    void erase(std::map<FlowId, Queue>::iterator entry, const Queue::const_iterator &waiting);
 
     std::map<FlowId, Flow> m_flows;
     std::map<FlowId, Queue> m_waiting; ///< Of flows that wait; none is empty.
--- a/lib/Policy/ServiceQueue.cpp
+++ b/lib/Policy/ServiceQueue.cpp
@@ -62,7 +62,8 @@
     return entry->second;
 }
 
-void ServiceQueue::erase(std::map<FlowId, Queue>::iterator entry, Queue::iterator waiting)
+void ServiceQueue::erase(std::map<FlowId, Queue>::iterator entry,
+                         const Queue::const_iterator &waiting)
 {
     entry->second.erase(waiting);
     --m_size;
