--- a/lib/Net/CallerRequest.cpp
+++ b/lib/Net/CallerRequest.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::string_view pathPrefix = "/v1/services/";
+constexpr std::string_view keysPath = "/v1/idempotency-keys";
 constexpr std::size_t requestIdLimit = 128;
 constexpr std::size_t keyLimit = 255;
 /// Hints and waits beyond these say nothing of use and are left out.
@@ -104,7 +105,9 @@
                                                         std::string_view freshId)
 {
     RequestArrived arrived;
-    if (!readTarget(view(request.target()), arrived))
+    const bool asksForKey
+        = request.method() == http::verb::post && view(request.target()) == keysPath;
+    if (!asksForKey && !readTarget(view(request.target()), arrived))
         return Problem {404, "unknown-path", "the path is not /v1/services/{service}/{path}",
                         Verdict::NotRun, std::nullopt};
     const std::string_view id = view(request[beastView(fields::requestId)]);
--- a/lib/Net/CallerRequest.h
+++ b/lib/Net/CallerRequest.h
@@ -24,8 +24,9 @@
 inline constexpr std::string_view verdict = "Berylridge-Verdict";
 } // namespace fields
 
-/// The event for a request that was read whole, without its handle; or why it is refused.
-/// The id is used where the caller gave none.
+/// The event for a request that was read whole, without its handle; or why it is refused. The
+/// service is empty where the caller asks for an idempotency key instead (POST
+/// /v1/idempotency-keys). The id is used where the caller gave none.
 std::variant<RequestArrived, Problem> readCallerRequest(const StringRequest &request,
                                                         std::string_view freshId);
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -228,7 +228,10 @@
     m_exchange
         = std::make_shared<Exchange>(m_thread, shared_from_this(), arrived, std::move(request));
     m_thread.begin(handle, m_exchange);
-    m_thread.report(std::move(arrived));
+    if (arrived.service.isEmpty())
+        m_thread.report(KeyIssueAsked {handle, arrived.requestId, arrived.credential});
+    else
+        m_thread.report(std::move(arrived));
     watch();
 }
 
--- a/unittests/Net/CallerFaceTest.cpp
+++ b/unittests/Net/CallerFaceTest.cpp
@@ -88,6 +88,19 @@
                       "408"}),
     [](const auto &each) { return each.param.name; });
 
+TEST(CallerFaceTest, handsOutKeysThatThisNodeIssues)
+{
+    FakeCore core([](const Event &event, Actions &actions) {
+        if (const auto *asked = std::get_if<KeyIssueAsked>(&event))
+            actions.emplace_back(AnswerKept {asked->handle, 201, {}, "{\"key\":\"k1\"}\n"});
+    });
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("POST", "/v1/idempotency-keys"));
+    EXPECT_TRUE(caller.readUntil("}").starts_with("HTTP/1.1 201 "));
+    EXPECT_EQ(core.seen<KeyIssueAsked>().at(0).credential, "key");
+}
+
 TEST(CallerFaceTest, refusalTellsAllThereIsToKnow)
 {
     FakeCore core(refuseAll());
