--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -82,6 +82,8 @@
 {
     TargetId target;
     Endpoint endpoint;
+    std::uint64_t poll
+        = 0; ///< Given back with the answer, to tell it from that of an earlier poll.
 };
 
 /// Begin or cease to watch the platform's documents and VM list.
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -101,12 +101,14 @@
     std::uint32_t running = 0;
     std::uint64_t completed = 0; ///< Since its boot.
     Duration age {0};            ///< How old the target says the numbers are.
+    std::uint64_t poll = 0;      ///< Of the PollTarget that it answers.
 };
 
 struct TargetPollFailed
 {
     TargetId target;
     AttemptFailure failure = AttemptFailure::ConnectRefused;
+    std::uint64_t poll = 0;
 };
 
 /// A message from another node, already authenticated.
--- a/include/berylridge/Support/Time.h
+++ b/include/berylridge/Support/Time.h
@@ -91,4 +91,16 @@
     return Duration(std::llround(seconds * 1e6));
 }
 
+/// Durations stand as whole milliseconds in messages; below zero counts as zero.
+inline std::uint32_t toMilliseconds(Duration duration)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return ms > 0 ? static_cast<std::uint32_t>(ms) : 0;
+}
+
+constexpr Duration fromMilliseconds(std::uint32_t ms)
+{
+    return std::chrono::milliseconds(ms);
+}
+
 } // namespace berylridge
--- a/lib/Net/TargetPoller.cpp
+++ b/lib/Net/TargetPoller.cpp
@@ -25,8 +25,12 @@
         return std::nullopt;
     const Json::Value &age = value["ageMs"];
     const std::int64_t ageMs = age.isUInt() ? std::int64_t {age.asUInt()} : 0;
-    return TargetReport {target, value["bootId"].asString(), value["running"].asUInt(),
-                         value["completed"].asUInt64(), std::chrono::milliseconds(ageMs)};
+    return TargetReport {target,
+                         value["bootId"].asString(),
+                         value["running"].asUInt(),
+                         value["completed"].asUInt64(),
+                         std::chrono::milliseconds(ageMs),
+                         0};
 }
 
 TargetPoller::TargetPoller(asio::io_context &context, Metrics &metrics,
@@ -51,17 +55,20 @@
     if (!client.http)
         client.http = std::make_shared<HttpClient>(m_context, order.endpoint);
     client.lastUse = std::chrono::steady_clock::now();
-    client.http->get("/load", pollTimeout, [this, target = order.target](const HttpReply &reply) {
-        if (reply.failure) {
-            m_take(TargetPollFailed {target, *reply.failure});
-            return;
-        }
-        auto report = readLoadAnswer(target, reply.body);
-        if (report && reply.status == okStatus)
-            m_take(std::move(*report));
-        else
-            m_take(TargetPollFailed {target, AttemptFailure::BadAnswer});
-    });
+    client.http->get("/load", pollTimeout,
+                     [this, target = order.target, poll = order.poll](const HttpReply &reply) {
+                         if (reply.failure) {
+                             m_take(TargetPollFailed {target, *reply.failure, poll});
+                             return;
+                         }
+                         auto report = readLoadAnswer(target, reply.body);
+                         if (!report || reply.status != okStatus) {
+                             m_take(TargetPollFailed {target, AttemptFailure::BadAnswer, poll});
+                             return;
+                         }
+                         report->poll = poll;
+                         m_take(std::move(*report));
+                     });
 }
 
 void TargetPoller::closeUnused()
--- a/lib/Policy/LeaseHolder.cpp
+++ b/lib/Policy/LeaseHolder.cpp
@@ -4,16 +4,6 @@
 
 namespace berylridge {
 
-namespace {
-
-std::uint32_t toMs(Duration duration)
-{
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-} // namespace
-
 std::vector<LeaseId> LeaseHolder::onGrant(const NodeId &owner, Incarnation ownerIncarnation,
                                           const PoolGrant &grant, TimePoint now)
 {
@@ -70,7 +60,7 @@
     assert(found != m_leases.end() && "only held leases can be returned");
     ReturnedLease returned;
     returned.lease = lease;
-    returned.usedMs = toMs(found->second.used);
+    returned.usedMs = toMilliseconds(found->second.used);
     returned.completed = found->second.completed;
     m_leases.erase(found);
     return returned;
@@ -109,7 +99,8 @@
     PoolDemand message = urgentMessage(std::move(demand), now);
     message.listsHeld = true;
     for (const auto &[lease, held] : m_leases)
-        message.held.push_back({lease, held.target, held.flow, toMs(now - held.grantedAt)});
+        message.held.push_back(
+            {lease, held.target, held.flow, toMilliseconds(now - held.grantedAt)});
     listedAt = now;
     return message;
 }
--- a/lib/Policy/ServiceQueue.cpp
+++ b/lib/Policy/ServiceQueue.cpp
@@ -16,12 +16,6 @@
     return old == 0 ? sample : old + smoothing * (sample - old);
 }
 
-std::uint32_t toMs(Duration duration)
-{
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::max<decltype(ms)>(ms, 0));
-}
-
 } // namespace
 
 void DrainMeter::onLeft(TimePoint now)
@@ -122,8 +116,8 @@
         FlowDemand entry;
         entry.flow = flow;
         entry.waiting = static_cast<std::uint32_t>(queue.size());
-        entry.oldestMs = toMs(now - queue.front().since);
-        entry.costMs = toMs(expectedCost(flow));
+        entry.oldestMs = toMilliseconds(now - queue.front().since);
+        entry.costMs = toMilliseconds(expectedCost(flow));
         demand.push_back(entry);
     }
     const auto isOlder
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -216,39 +216,47 @@
     check.handle = isRetried ? request.handle : 0;
     check.attempt = request.attempts;
     check.until = m_context.now + crashCheckTime;
+    check.poll = ++m_polls;
     m_checks.emplace(request.target, check);
-    m_context.act(PollTarget {request.target, request.endpoint});
+    m_context.act(PollTarget {request.target, request.endpoint, check.poll});
 }
 
 void RequestManager::onReport(const TargetReport &report)
 {
     m_boots[report.target] = report.bootId;
-    resolveCrashChecks(report.target, true, report.bootId);
+    resolveCrashChecks(report.target, report.poll, report.bootId);
 }
 
 void RequestManager::onPollFailed(const TargetPollFailed &failure)
 {
     // Silence proves nothing yet: the check's own time limit decides.
     if (failure.failure == AttemptFailure::ConnectRefused)
-        resolveCrashChecks(failure.target, false, {});
+        resolveCrashChecks(failure.target, failure.poll, {});
 }
 
-void RequestManager::resolveCrashChecks(const TargetId &target, bool isHeard,
+/// Word of the target: the boot that answers, or none when its port is closed.
+void RequestManager::resolveCrashChecks(const TargetId &target, std::uint64_t poll,
                                         const std::string &bootId)
 {
     const auto [first, last] = m_checks.equal_range(target);
-    std::vector<CrashCheck> crashed;
     for (auto check = first; check != last;) {
-        const bool isSameBoot = isHeard && bootId == check->second.bootId;
-        if (isSameBoot) {
-            // The boot lives: the connection alone broke.
-            const CrashCheck alive = check->second;
-            check = m_checks.erase(check);
-            crashCheckDone(alive);
+        const CrashCheck &pending = check->second;
+        const bool isSameBoot = !bootId.empty() && bootId == pending.bootId;
+        if (!isSameBoot) {
+            recordCrash(pending, target);
+            ++check;
             continue;
         }
-        recordCrash(check->second, target);
-        ++check;
+        // An answer to an earlier poll may be older than the crash: taken for a sign of life, the
+        // request that caused the crash went to a third target at once.
+        if (poll < pending.poll) {
+            ++check;
+            continue;
+        }
+        // The boot lives: the connection alone broke.
+        const CrashCheck alive = pending;
+        check = m_checks.erase(check);
+        crashCheckDone(alive);
     }
 }
 
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -80,7 +80,8 @@
         std::string bootId;
         RequestHandle handle = 0; ///< The request to go on with; 0 when it was refused.
         AttemptNumber attempt = 0;
-        TimePoint until; ///< Without a word of the target by then, it counts as crashed.
+        std::uint64_t poll = 0; ///< That asks the target.
+        TimePoint until;        ///< Without a word of the target by then, it counts as crashed.
     };
     struct Refusal
     {
@@ -104,7 +105,7 @@
     bool mayRetry(const Request &request, const AttemptFailed &event);
     void retry(Request &request);
     void checkCrash(Request &request, bool isRetried);
-    void resolveCrashChecks(const TargetId &target, bool isHeard, const std::string &bootId);
+    void resolveCrashChecks(const TargetId &target, std::uint64_t poll, const std::string &bootId);
     void repeatCrashNews();
     void refuseCrashing(std::uint64_t fingerprint);
     void recordCrash(const CrashCheck &check, const TargetId &target);
@@ -131,6 +132,7 @@
     std::unordered_map<RequestHandle, Request> m_requests;
     std::set<std::pair<TimePoint, RequestHandle>> m_deadlines; ///< Of requests that wait.
     std::multimap<TargetId, CrashCheck> m_checks;
+    std::uint64_t m_polls = 0;               ///< Made for crash checks; each has the next number.
     std::map<TargetId, std::string> m_boots; ///< Last boot that this node saw of a target.
     std::map<FlowId, Usage> m_usage;
     std::deque<std::pair<std::string, std::vector<TraceStep>>> m_ended; ///< For explain().
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -383,19 +383,19 @@
         return;
     if (!m_world.links.isOpen(m_place, place)) {
         later(connectTimeout, [this, action] {
-            handle(TargetPollFailed {action.target, AttemptFailure::ConnectTimeout});
+            handle(TargetPollFailed {action.target, AttemptFailure::ConnectTimeout, action.poll});
         });
         return;
     }
     later(2 * m_world.links.delay(m_place, place), [this, action, place] {
         const FakeTarget &target = *m_world.targets.at(place);
         if (!target.isUp()) {
-            handle(TargetPollFailed {action.target, AttemptFailure::ConnectRefused});
+            handle(TargetPollFailed {action.target, AttemptFailure::ConnectRefused, action.poll});
             return;
         }
         const auto &load = target.load();
         handle(TargetReport {action.target, load.bootId, load.running, load.completed,
-                             m_world.queue.now() - load.at});
+                             m_world.queue.now() - load.at, action.poll});
     });
 }
 
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -153,12 +153,14 @@
                 json["running"] = e.running;
                 json["completed"] = Json::UInt64(e.completed);
                 json["ageUs"] = Json::Int64(e.age.count());
+                json["poll"] = Json::UInt64(e.poll);
                 return json;
             },
             [](const TargetPollFailed &e) {
                 Json::Value json = typed("pollFailed");
                 json["target"] = e.target.str();
                 json["failure"] = static_cast<unsigned>(e.failure);
+                json["poll"] = Json::UInt64(e.poll);
                 return json;
             },
             [](const NodeMessage &e) {
@@ -239,10 +241,14 @@
         return AttemptFailed {handle, attempt, failure, json["sentAny"].asBool(),
                               json["answerBegun"].asBool()};
     if (type == "report")
-        return TargetReport {target, boot, json["running"].asUInt(), json["completed"].asUInt64(),
-                             Duration(json["ageUs"].asInt64())};
+        return TargetReport {target,
+                             boot,
+                             json["running"].asUInt(),
+                             json["completed"].asUInt64(),
+                             Duration(json["ageUs"].asInt64()),
+                             json["poll"].asUInt64()};
     if (type == "pollFailed")
-        return TargetPollFailed {target, failure};
+        return TargetPollFailed {target, failure, json["poll"].asUInt64()};
     return std::nullopt;
 }
 
--- a/unittests/Router/CoreTest.cpp
+++ b/unittests/Router/CoreTest.cpp
@@ -190,3 +190,26 @@
     EXPECT_EQ(refusals.front().verdict, Verdict::NotRun);
     EXPECT_TRUE(refusals.front().retryAfter.has_value());
 }
+
+// A request breaks its target's connection: it may have crashed it. An answer to an earlier load
+// poll, made before the crash, comes just afterwards. Taken for a sign of life it would send the
+// request on to the next target at once, and a third one would fall (seen in
+// FleetProcess.QueryOfDeathStopsAtTwoEngines).
+TEST_F(CoreTest, AnAnswerToAnEarlierPollIsNoSignOfLife)
+{
+    serve();
+    ASSERT_EQ(give<Dispatch>(lookup(1)).size(), 1U);
+    AttemptFailed failed;
+    failed.handle = 1;
+    failed.attempt = 1;
+    failed.failure = AttemptFailure::Reset;
+    const auto polls = give<PollTarget>(failed);
+    ASSERT_EQ(polls.size(), 1U);
+    TargetReport report;
+    report.target = TargetId("shop-1");
+    report.bootId = "boot";
+    report.completed = 10;
+    EXPECT_TRUE(give<Dispatch>(report).empty());
+    report.poll = polls.front().poll;
+    EXPECT_EQ(give<Dispatch>(report).size(), 1U);
+}
