--- /dev/null
+++ b/lib/Router/RequestCrashes.cpp
@@ -0,0 +1,164 @@
+// Requests that crash targets: whether a broken attempt was a crash, who must hear of it, and which
+// requests are held back for it (docs/design/targets.md).
+#include "RequestManager.h"
+
+#include "berylridge/Support/Hash.h"
+
+namespace berylridge {
+
+namespace {
+
+/// Time for a broken target's port to answer a poll, and for word of a crash to reach every node,
+/// before the request that may have caused it goes to a second target.
+constexpr Duration crashCheckTime = std::chrono::milliseconds(400);
+/// With a tenth of the datagrams lost, all four are lost once in ten thousand times.
+constexpr int crashNewsCopies = 4;
+constexpr Duration crashNewsPeriod = std::chrono::milliseconds(200);
+
+std::uint64_t bootHash(const TargetId &target, const std::string &bootId)
+{
+    return hash64(bootId, hash64(target.str()));
+}
+
+} // namespace
+
+/// Asks the target whether its boot has ended. Until it is known the request is not tried again: if
+/// it crashes whatever runs it, each target that it reached meanwhile would be lost.
+void RequestManager::checkCrash(Request &request, bool isRetried)
+{
+    CrashCheck check;
+    check.fingerprint = request.fingerprint;
+    check.bootId = request.bootId;
+    check.handle = isRetried ? request.handle : 0;
+    check.attempt = request.attempts;
+    check.until = m_context.now + crashCheckTime;
+    check.poll = ++m_polls;
+    m_checks.emplace(request.target, check);
+    m_context.act(PollTarget {request.target, request.endpoint, check.poll});
+}
+
+void RequestManager::onReport(const TargetReport &report)
+{
+    m_boots[report.target] = report.bootId;
+    resolveCrashChecks(report.target, report.poll, report.bootId);
+}
+
+void RequestManager::onPollFailed(const TargetPollFailed &failure)
+{
+    // Silence proves nothing yet: the check's own time limit decides.
+    if (failure.failure == AttemptFailure::ConnectRefused)
+        resolveCrashChecks(failure.target, failure.poll, {});
+}
+
+/// Word of the target: the boot that answers, or none when its port is closed.
+void RequestManager::resolveCrashChecks(const TargetId &target, std::uint64_t poll,
+                                        const std::string &bootId)
+{
+    const auto [first, last] = m_checks.equal_range(target);
+    for (auto check = first; check != last;) {
+        const CrashCheck &pending = check->second;
+        const bool isSameBoot = !bootId.empty() && bootId == pending.bootId;
+        if (!isSameBoot) {
+            recordCrash(pending, target);
+            ++check;
+            continue;
+        }
+        // An answer to an earlier poll may be older than the crash: taken for a sign of life, the
+        // request that caused the crash went to a third target at once.
+        if (poll < pending.poll) {
+            ++check;
+            continue;
+        }
+        // The boot lives: the connection alone broke.
+        const CrashCheck alive = pending;
+        check = m_checks.erase(check);
+        crashCheckDone(alive);
+    }
+}
+
+void RequestManager::recordCrash(const CrashCheck &check, const TargetId &target)
+{
+    const std::uint64_t boot = bootHash(target, check.bootId);
+    if (!m_crashes.add(check.fingerprint, boot, m_context.now))
+        return;
+    m_context.log(LogEventId::TargetCold, target.str() + " crashed while it ran a request");
+    m_crashEchoes.push_back({{check.fingerprint, boot}, m_context.now, crashNewsCopies});
+    repeatCrashNews();
+    refuseCrashing(check.fingerprint);
+}
+
+/// Sends word of crashes to all nodes, each several times: a datagram may be lost, and the node
+/// that misses it lets the request crash two more targets.
+void RequestManager::repeatCrashNews()
+{
+    for (CrashEcho &echo : m_crashEchoes) {
+        if (echo.left == 0 || echo.at > m_context.now)
+            continue;
+        --echo.left;
+        echo.at = m_context.now + crashNewsPeriod;
+        for (const auto &[node, member] : m_context.membership.members()) {
+            if (member.state != MemberState::Gone)
+                m_context.send(node, FleetMessage(echo.news));
+        }
+    }
+    while (!m_crashEchoes.empty() && m_crashEchoes.front().left == 0)
+        m_crashEchoes.pop_front();
+}
+
+/// The time for word of a crash is over: the request goes on, or is given up.
+void RequestManager::crashCheckDone(const CrashCheck &check)
+{
+    const auto found = m_requests.find(check.handle);
+    if (found == m_requests.end() || found->second.attempts != check.attempt
+        || found->second.state != RequestState::Queued) {
+        return;
+    }
+    Request &request = found->second;
+    if (m_crashes.crashes(request.fingerprint) < CrashRecord::crashLimit) {
+        retry(request);
+        return;
+    }
+    m_context.log(LogEventId::CrashingRequest, request.id);
+    refuse(request,
+           {502, "crashing-request", "this request crashed the targets that ran it",
+            m_crashes.blockedFor(request.fingerprint, m_context.now)});
+}
+
+void RequestManager::onCrashNews(const CrashNews &news)
+{
+    m_crashes.add(news.fingerprint, news.boot, m_context.now);
+    refuseCrashing(news.fingerprint);
+}
+
+/// Requests that wait with a blocked fingerprint would be the next to crash a target.
+void RequestManager::refuseCrashing(std::uint64_t fingerprint)
+{
+    if (!m_crashes.blockedFor(fingerprint, m_context.now))
+        return;
+    std::vector<RequestHandle> waiting;
+    for (const auto &[handle, request] : m_requests) {
+        if (request.fingerprint == fingerprint && request.state == RequestState::Queued)
+            waiting.push_back(handle);
+    }
+    for (const RequestHandle handle : waiting) {
+        refuse(m_requests.at(handle),
+               {503, "crashing-request", "this request crashed the targets that ran it",
+                m_crashes.blockedFor(fingerprint, m_context.now)});
+    }
+}
+
+/// A node that starts anew knows nothing: without word of it, a request that crashed two targets
+/// would crash two more through that node.
+void RequestManager::tellCrashes()
+{
+    for (const auto &[node, member] : m_context.membership.members()) {
+        if (!member.wasHeard || member.incarnation == m_crashesToldTo[node])
+            continue;
+        m_crashesToldTo[node] = member.incarnation;
+        m_crashes.forEach([&, to = node](std::uint64_t fingerprint, std::uint64_t boot) {
+            m_context.send(to, FleetMessage(CrashNews {fingerprint, boot}));
+        });
+    }
+}
+
+} // namespace berylridge
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -261,20 +261,6 @@
     tellCrashes();
 }
 
-/// A node that starts anew knows nothing: without word of it, a request that crashed two targets
-/// would crash two more through that node.
-void RequestManager::tellCrashes()
-{
-    for (const auto &[node, member] : m_context.membership.members()) {
-        if (!member.wasHeard || member.incarnation == m_crashesToldTo[node])
-            continue;
-        m_crashesToldTo[node] = member.incarnation;
-        m_crashes.forEach([&, to = node](std::uint64_t fingerprint, std::uint64_t boot) {
-            m_context.send(to, FleetMessage(CrashNews {fingerprint, boot}));
-        });
-    }
-}
-
 void RequestManager::onVmList(const VmList &list)
 {
     KeyOutput output;
