--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -240,13 +240,14 @@
     if (type == "failed")
         return AttemptFailed {handle, attempt, failure, json["sentAny"].asBool(),
                               json["answerBegun"].asBool()};
-    if (type == "report")
+    if (type == "report") {
         return TargetReport {target,
                              boot,
                              json["running"].asUInt(),
                              json["completed"].asUInt64(),
                              Duration(json["ageUs"].asInt64()),
                              json["poll"].asUInt64()};
+    }
     if (type == "pollFailed")
         return TargetPollFailed {target, failure, json["poll"].asUInt64()};
     return std::nullopt;
