--- a/lib/Router/PoolManager.cpp
+++ b/lib/Router/PoolManager.cpp
@@ -300,14 +300,6 @@
     });
 }
 
-std::optional<PoolId> PoolManager::poolOf(const ServiceId &service, const TargetId &target) const
-{
-    const auto found = m_targetPool.find(target);
-    if (found == m_targetPool.end() || found->second.second != service)
-        return std::nullopt;
-    return found->second.first;
-}
-
 std::size_t PoolManager::openTargets(const ServiceId &service) const
 {
     const auto found = m_openTargets.find(service);
--- a/lib/Router/PoolManager.h
+++ b/lib/Router/PoolManager.h
@@ -69,7 +69,6 @@
     /// Whether anything waits or is held, so that ticks must be frequent.
     bool isBusy() const;
 
-    std::optional<PoolId> poolOf(const ServiceId &service, const TargetId &target) const;
     std::size_t openTargets(const ServiceId &service) const;
     void fillStatus(NodeStatus &status) const;
     double virtualTime(const ServiceId &service, FlowId flow) const;
