--- a/lib/Router/RequestCrashes.cpp
+++ b/lib/Router/RequestCrashes.cpp
@@ -119,9 +119,7 @@
         return;
     }
     m_context.log(LogEventId::CrashingRequest, request.id);
-    refuse(request,
-           {502, "crashing-request", "this request crashed the targets that ran it",
-            m_crashes.blockedFor(request.fingerprint, m_context.now)});
+    refuse(request, crashingRefusal(502, request.fingerprint));
 }
 
 void RequestManager::onCrashNews(const CrashNews &news)
@@ -140,11 +138,15 @@
         if (request.fingerprint == fingerprint && request.state == RequestState::Queued)
             waiting.push_back(handle);
     }
-    for (const RequestHandle handle : waiting) {
-        refuse(m_requests.at(handle),
-               {503, "crashing-request", "this request crashed the targets that ran it",
-                m_crashes.blockedFor(fingerprint, m_context.now)});
-    }
+    for (const RequestHandle handle : waiting)
+        refuse(m_requests.at(handle), crashingRefusal(503, fingerprint));
+}
+
+RequestManager::Refusal RequestManager::crashingRefusal(unsigned status,
+                                                        std::uint64_t fingerprint) const
+{
+    return {status, "crashing-request", "this request crashed the targets that ran it",
+            m_crashes.blockedFor(fingerprint, m_context.now)};
 }
 
 /// A node that starts anew knows nothing: without word of it, a request that crashed two targets
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -134,10 +134,9 @@
 
 void RequestManager::admit(Request &request, Service &service)
 {
-    if (const auto blocked = m_crashes.blockedFor(request.fingerprint, m_context.now)) {
+    if (m_crashes.blockedFor(request.fingerprint, m_context.now)) {
         m_context.log(LogEventId::CrashingRequest, request.id);
-        refuse(request,
-               {503, "crashing-request", "this request crashed the targets that ran it", blocked});
+        refuse(request, crashingRefusal(503, request.fingerprint));
         return;
     }
     const auto share = std::find_if(
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -108,6 +108,7 @@
     void resolveCrashChecks(const TargetId &target, std::uint64_t poll, const std::string &bootId);
     void repeatCrashNews();
     void refuseCrashing(std::uint64_t fingerprint);
+    Refusal crashingRefusal(unsigned status, std::uint64_t fingerprint) const;
     void recordCrash(const CrashCheck &check, const TargetId &target);
     void crashCheckDone(const CrashCheck &check);
     void noteBoot(Request &request, const std::string &bootId);
