--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -26,6 +26,7 @@
     std::string operatorsKeyDigest; ///< credentialDigest() of the operators' key.
     std::vector<Endpoint> platform; ///< Of the configuration service; tried in turn.
     std::vector<VmEntry> seeds;     ///< Nodes to greet before a VM list is there.
+    std::vector<Endpoint> seedEndpoints; ///< The same for the balancer, where no names are known.
     std::string chartDirectory;     ///< Where the state charts are.
     std::string sharing = "fleet";  ///< "fleet", or a baseline: "per-node", "round-robin", "fifo".
     std::uint32_t trafficThreads = 2;
@@ -37,6 +38,9 @@
     Duration suspectAfter = std::chrono::milliseconds(1200);
     Duration leaseTerm = std::chrono::milliseconds(2000);
     Duration stopLimit = std::chrono::seconds(120); ///< For running requests at a planned stop.
+    double retryRatio = 0.1; ///< Balancer: further attempts for each first one, in the window.
+    double retrySlack = 10;  ///< Balancer: on top of that, over the whole fleet.
+    Duration retryWindow = std::chrono::seconds(10);
     std::string logLevel = "info";                  ///< "info", "warning" or "error".
 };
 
--- /dev/null
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -0,0 +1,100 @@
+// What nodes that run the balancer say to each other: loads, who is there, and what the platform
+// published. Encoded by MessagePack as arrays; a newer release appends fields.
+#pragma once
+
+#include "berylridge/Catalog/Catalog.h"
+#include "berylridge/Catalog/TargetRecord.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace berylridge {
+
+/// The sender's own part of one target's load.
+struct TargetLoadEntry
+{
+    std::uint32_t target = 0;  ///< shortHash() of its id.
+    std::uint32_t running = 0; ///< Requests of the sender there.
+    std::uint32_t tokens = 0;  ///< Prompt tokens that the target has still to read for them.
+    MSGPACK_DEFINE(target, running, tokens)
+};
+
+/// A prompt's shared part that the sender has just placed.
+struct PlacementEntry
+{
+    std::uint32_t part = 0;   ///< Of the chain of parts up to this one.
+    std::uint32_t target = 0; ///< shortHash() of the target's id.
+    MSGPACK_DEFINE(part, target)
+};
+
+/// How fast a workspace's callers ask at the sender.
+struct WorkspaceDemandEntry
+{
+    std::uint32_t workspace = 0;       ///< shortHash() of its name.
+    std::uint32_t tokensPerSecond = 0; ///< Smoothed over a few seconds.
+    MSGPACK_DEFINE(workspace, tokensPerSecond)
+};
+
+/// A request that was running when its target's connections broke.
+struct BrokenRunEntry
+{
+    std::uint64_t fingerprint = 0;
+    std::uint64_t boot = 0; ///< Of the target that broke.
+    MSGPACK_DEFINE(fingerprint, boot)
+};
+
+struct PeerEntry
+{
+    std::string node;
+    std::string zone;
+    std::string address;
+    std::uint16_t port = 0;
+    MSGPACK_DEFINE(node, zone, address, port)
+};
+
+/// Sent each period to each peer: a sign of life, the sender's loads and what it has in force.
+struct LoadDigest
+{
+    std::string zone;
+    std::string address; ///< Where the sender is reached.
+    std::uint16_t port = 0;
+    bool isLeaving = false;
+    std::uint64_t catalogVersion = 0;
+    std::uint64_t directoryRevision = 0;
+    std::vector<TargetLoadEntry> loads;
+    std::vector<PlacementEntry> placements;
+    std::vector<WorkspaceDemandEntry> demands;
+    std::vector<BrokenRunEntry> brokenRuns;
+    std::vector<PeerEntry> peers; ///< Now and then: whom the sender has heard lately.
+    MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
+                   placements, demands, brokenRuns, peers)
+};
+
+/// Asks a peer whose digest shows newer state for what is newer than this.
+struct StateRequest
+{
+    std::uint64_t catalogVersion = 0;
+    std::uint64_t directoryRevision = 0;
+    MSGPACK_DEFINE(catalogVersion, directoryRevision)
+};
+
+/// A newer catalog. Travels by call where it is too large for a datagram.
+struct CatalogNews
+{
+    Catalog catalog;
+    MSGPACK_DEFINE(catalog)
+};
+
+/// Entries of the directory that are newer than the receiver's.
+struct DirectoryRelay
+{
+    DirectoryNews news;
+    MSGPACK_DEFINE(news)
+};
+
+using BalancerMessage = std::variant<LoadDigest, StateRequest, CatalogNews, DirectoryRelay>;
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -0,0 +1,80 @@
+// Who belongs to the fleet where no VM list is published: nodes that were heard, found through a few
+// seed addresses and through each other's lists.
+#pragma once
+
+#include "berylridge/Fleet/BalancerMessages.h"
+#include "berylridge/Support/Endpoint.h"
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Random.h"
+#include "berylridge/Support/Time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylridge {
+
+struct PeerTableOptions
+{
+    NodeId self;
+    ZoneId zone;
+    Endpoint endpoint;           ///< Where other nodes reach this one.
+    std::vector<Endpoint> seeds; ///< May be stale or down; this node's own may be among them.
+};
+
+/// Not safe for use by two threads at once.
+class PeerTable
+{
+public:
+    /// A node counts as live while it was heard within this: five digests, of which each may be lost.
+    static constexpr Duration liveLimit = std::chrono::milliseconds(1000);
+    /// A silent node counts for shares of fleet-wide limits so long: behind a partition it may still
+    /// be using its part.
+    static constexpr Duration countedLimit = std::chrono::seconds(10);
+    /// After this a silent node is forgotten; its address may be another's.
+    static constexpr Duration forgetLimit = std::chrono::seconds(60);
+    /// Peers that get a digest in one period. Cost per node stays the same as the fleet grows; the
+    /// age of what nodes know of each other grows instead.
+    static constexpr std::size_t fanOut = 12;
+
+    struct Peer
+    {
+        std::string zone;
+        Endpoint endpoint;
+        Incarnation incarnation = 0;
+        std::optional<TimePoint> heardAt; ///< Nothing for one that is only known by name.
+        TimePoint listedAt;               ///< When another node last named it.
+        bool isLeaving = false;
+    };
+
+    PeerTable(PeerTableOptions options, std::uint64_t seed);
+
+    /// False for a message of an earlier run of the node, which must be ignored.
+    bool onHeard(const NodeId &node, Incarnation incarnation, const LoadDigest &digest,
+                 TimePoint now);
+    void forgetSilent(TimePoint now);
+    /// This process was paused: the others were not silent, it did not listen.
+    void onWoke(Duration gap);
+
+    /// Whom to send a digest in this period.
+    std::vector<std::pair<NodeId, Endpoint>> nextReceivers(TimePoint now);
+    /// Nodes that were heard lately, for the lists that nodes send each other.
+    std::vector<PeerEntry> liveEntries(TimePoint now) const;
+
+    bool isLive(const Peer &peer, TimePoint now) const;
+    const Peer *find(const NodeId &node) const;
+    /// This node and all that were heard within countedLimit; at least two, so that a node that has
+    /// heard nobody yet doesn't take a limit's whole for itself.
+    std::size_t counted(TimePoint now) const;
+    std::size_t live(TimePoint now) const;
+    /// Whether all nodes of another zone that were heard before have fallen silent.
+    bool isZoneSilent(const std::string &zone, TimePoint now) const;
+
+private:
+    PeerTableOptions m_options;
+    RandomEngine m_random;
+    std::map<NodeId, Peer> m_peers;
+};
+
+} // namespace berylridge
--- a/include/berylridge/Net/Datagram.h
+++ b/include/berylridge/Net/Datagram.h
@@ -1,6 +1,7 @@
 // The datagrams between nodes: several messages packed by MessagePack into one sealed datagram.
 #pragma once
 
+#include "berylridge/Fleet/BalancerMessages.h"
 #include "berylridge/Fleet/Messages.h"
 #include "berylridge/Idempotency/Messages.h"
 #include "berylridge/Support/Expected.h"
@@ -16,14 +17,15 @@
 
 namespace berylridge {
 
-using PeerMessage = std::variant<FleetMessage, KeyMessage>;
+using PeerMessage = std::variant<FleetMessage, KeyMessage, BalancerMessage>;
 
 /// Bytes of a datagram, its authenticator included: below the smallest usual path MTU.
 inline constexpr std::size_t datagramLimit = 1200;
 
-/// Kinds of messages, counted from 0 over both vocabularies.
+/// Kinds of messages, counted from 0 over all vocabularies.
 inline constexpr std::size_t peerMessageKinds
-    = std::variant_size_v<FleetMessage> + std::variant_size_v<KeyMessage>;
+    = std::variant_size_v<FleetMessage> + std::variant_size_v<KeyMessage>
+    + std::variant_size_v<BalancerMessage>;
 
 /// Which kind a message is, below peerMessageKinds.
 std::size_t peerMessageKind(const PeerMessage &message);
--- a/lib/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -1,7 +1,7 @@
 // Calls to one HTTP server, one after another on a kept connection: load polls, platform, nodes.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/Time.h"
--- a/include/berylridge/Net/RouterNode.h
+++ b/include/berylridge/Net/RouterNode.h
@@ -4,6 +4,7 @@
 #include "berylridge/Config/Settings.h"
 #include "berylridge/Net/LogSink.h"
 #include "berylridge/Net/Metrics.h"
+#include "berylridge/Net/WireProtocol.h"
 #include "berylridge/Router/Actions.h"
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/Expected.h"
@@ -65,6 +66,9 @@
     /// From any thread: one event for the core, such as an operator's LeaveOrdered.
     void post(Event event);
 
+    /// The control thread's, for parts that bring events of their own.
+    asio::io_context &context();
+
     /// On the control thread only (from an RpcHandler): carried out before it returns.
     void handleNow(const Event &event);
 
@@ -91,6 +95,8 @@
     RouterNodeBuilder &core(CoreHandle core);
     RouterNodeBuilder &rpc(RpcHandler handler);
     RouterNodeBuilder &audit(AuditHandler handler);
+    /// How requests and answers look; the product's own protocol unless given.
+    RouterNodeBuilder &protocol(WireProtocolHandle protocol);
     /// Whether SIGTERM and SIGINT order a planned stop, and a second one ends the process.
     RouterNodeBuilder &handlesSignals(bool isHandling);
 
@@ -104,6 +110,7 @@
     CoreHandle m_core;
     RpcHandler m_rpc;
     AuditHandler m_audit;
+    WireProtocolHandle m_protocol = ownProtocol();
     bool m_handlesSignals = false;
 };
 
--- /dev/null
+++ b/include/berylridge/Net/WireProtocol.h
@@ -0,0 +1,135 @@
+// How requests and answers look in HTTP: the names of fields and what they mean. The shell forwards
+// by it; the product's own protocol is one, an adapter for a foreign platform brings another.
+#pragma once
+
+#include "berylridge/Net/Asio.h"
+#include "berylridge/Net/Problem.h"
+#include "berylridge/Router/Actions.h"
+#include "berylridge/Router/Events.h"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace berylridge {
+
+using AnswerHead = http::response_header<>;
+using RequestHead = http::request<http::empty_body>;
+using CallerAnswerHead = http::response<http::empty_body>;
+
+/// What the shell knows of an attempt when it writes the request's head for the target.
+struct AttemptNames
+{
+    std::string_view requestId;
+    std::string_view attemptId;   ///< Unique to this attempt.
+    std::string_view lastEventId; ///< Of the last event that the caller has; empty for none.
+};
+
+/// What a target's answer head says.
+struct AnswerFacts
+{
+    bool isOwn = true;    ///< False for a late answer to an earlier request on the connection.
+    bool isUsable = true; ///< False where the answer can't be what the target meant to say.
+    /// NotRun, OtherTarget or TargetError where the answer is a failure: the core decides what
+    /// becomes of the request, and the caller sees nothing of it yet.
+    std::optional<AttemptFailure> failure;
+    bool isPassable = true; ///< Whether a TargetError may reach the caller as it is.
+    std::string bootId;     ///< Of the target; empty where it doesn't tell.
+    std::optional<Duration> coldFor {}; ///< How long the target says that it stays cold.
+};
+
+/// Choices of a protocol that the shell itself acts on.
+struct WireRules
+{
+    bool streamsEndWithMark = true;    ///< A stream is whole only after `data: [DONE]`.
+    bool takesUnframedAnswers = false; ///< An answer without a length ends with its connection.
+    bool ignoresTrailingBytes = false; ///< Bytes after a whole answer only end the connection.
+    /// A small answer is passed on when it is whole, so that one cut short can be tried again.
+    bool buffersSmallAnswers = false;
+};
+
+/// What the shell needs of a protocol. Used by all traffic threads at once: it must not change.
+template <typename T>
+concept WireProtocol = requires(const T &protocol, const StringRequest &request,
+                                std::string_view text, const Dispatch &order,
+                                const AttemptNames &names, RequestHead &requestHead,
+                                const AnswerHead &answerHead, CallerAnswerHead &callerHead,
+                                const Problem &problem)
+{
+    {
+        protocol.readRequest(request, text)
+        } -> std::same_as<std::variant<RequestArrived, Problem>>;
+    {
+        protocol.passesRequestField(text)
+        } -> std::same_as<bool>;
+    protocol.completeRequestHead(request, order, names, requestHead);
+    {
+        protocol.readAnswer(answerHead, names)
+        } -> std::same_as<AnswerFacts>;
+    {
+        protocol.passesAnswerField(text)
+        } -> std::same_as<bool>;
+    protocol.completeAnswerHead(text, callerHead);
+    {
+        protocol.problemAnswer(problem, text)
+        } -> std::same_as<StringResponse>;
+    {
+        protocol.rules()
+        } -> std::same_as<WireRules>;
+};
+
+/// A protocol as the shell holds it; the protocol itself must outlive it.
+struct WireProtocolHandle
+{
+    /// The event for a request that was read whole, without its handle; or why it is refused.
+    std::function<std::variant<RequestArrived, Problem>(const StringRequest &,
+                                                        std::string_view freshId)>
+        readRequest;
+    /// Whether a field of the caller's request goes to the target as it is.
+    std::function<bool(std::string_view)> passesRequestField;
+    /// Adds the fields that the router sets itself.
+    std::function<void(const StringRequest &, const Dispatch &, const AttemptNames &,
+                       RequestHead &)>
+        completeRequestHead;
+    std::function<AnswerFacts(const AnswerHead &, const AttemptNames &)> readAnswer;
+    /// Whether a field of the target's answer goes to the caller as it is.
+    std::function<bool(std::string_view)> passesAnswerField;
+    std::function<void(std::string_view requestId, CallerAnswerHead &)> completeAnswerHead;
+    /// The whole answer that the router gives itself; its Content-Length is set.
+    std::function<StringResponse(const Problem &, std::string_view requestId)> problemAnswer;
+    WireRules rules;
+
+    template <WireProtocol T>
+    static WireProtocolHandle of(const T &protocol)
+    {
+        return {
+            [&protocol](const StringRequest &request, std::string_view freshId) {
+                return protocol.readRequest(request, freshId);
+            },
+            [&protocol](std::string_view name) { return protocol.passesRequestField(name); },
+            [&protocol](const StringRequest &request, const Dispatch &order,
+                        const AttemptNames &names, RequestHead &head) {
+                protocol.completeRequestHead(request, order, names, head);
+            },
+            [&protocol](const AnswerHead &head, const AttemptNames &names) {
+                return protocol.readAnswer(head, names);
+            },
+            [&protocol](std::string_view name) { return protocol.passesAnswerField(name); },
+            [&protocol](std::string_view requestId, CallerAnswerHead &head) {
+                protocol.completeAnswerHead(requestId, head);
+            },
+            [&protocol](const Problem &problem, std::string_view requestId) {
+                return protocol.problemAnswer(problem, requestId);
+            },
+            protocol.rules()};
+    }
+};
+
+/// The product's own protocol (docs/design/protocols.md).
+const WireProtocolHandle &ownProtocol();
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/PromptDirectory.h
@@ -0,0 +1,67 @@
+// Which targets keep which shared parts of prompts, as far as the fleet's own sendings tell.
+//
+// Load it answers: many requests over a few hundred long shared parts, which all targets together
+// keep several times over and one zone's targets hardly. Sent anywhere, each part is read again and
+// again, and the reading alone overloads the fleet.
+#pragma once
+
+#include "berylridge/Router/Prompt.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace berylridge {
+
+/// shortHash() of a target's id.
+using TargetKey = std::uint32_t;
+/// Names a chain of parts: a kept part is of use only where all parts before it are kept too.
+using ChainKey = std::uint32_t;
+
+/// A prompt with the name of each of its chains.
+struct PromptChain
+{
+    struct Link
+    {
+        ChainKey key = 0;
+        std::uint32_t tokens = 0; ///< Of this part alone.
+    };
+    std::vector<Link> links;
+    std::uint32_t inputTokens = 0;
+    std::uint32_t outputTokens = 0;
+};
+
+PromptChain chainOf(const Prompt &prompt);
+
+/// Not safe for use by two threads at once.
+class PromptDirectory
+{
+public:
+    /// A part that nobody sent for so long is taken as given up by its target's memory. Targets keep
+    /// parts as long as there is room; the figure only bounds this node's own memory.
+    static constexpr Duration keptFor = std::chrono::seconds(60);
+
+    /// A request with this chain was sent to the target by some node of the fleet.
+    void onPlaced(ChainKey key, TargetKey target, TimePoint now);
+    /// The target has lost its memory or is gone.
+    void forgetTarget(TargetKey target);
+    void expire(TimePoint now);
+
+    /// Tokens at the prompt's begin that the target keeps.
+    std::uint32_t keptTokens(const PromptChain &chain, TargetKey target) const;
+    /// Whether any target is known to keep the chain's first shared part.
+    bool isKnown(const PromptChain &chain) const;
+
+private:
+    struct Holder
+    {
+        TargetKey target = 0;
+        TimePoint usedAt;
+    };
+
+    std::unordered_map<ChainKey, std::vector<Holder>> m_holders;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/TargetLoads.h
@@ -0,0 +1,62 @@
+// What each target has to do for the whole fleet: this node's own requests, counted exactly, and the
+// other nodes', as their last digests told.
+#pragma once
+
+#include "berylridge/Policy/PromptDirectory.h"
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace berylridge {
+
+struct TargetLoad
+{
+    std::uint32_t running = 0;
+    std::uint64_t tokens = 0; ///< Prompt tokens still to be read.
+};
+
+/// Not safe for use by two threads at once.
+class TargetLoads
+{
+public:
+    /// A node's word is dropped after this: its requests have ended since, or it has.
+    static constexpr Duration remoteLimit = std::chrono::milliseconds(1500);
+
+    void begin(TargetKey target, std::uint32_t tokens);
+    /// The request's first event came: its prompt has been read.
+    void promptRead(TargetKey target, std::uint32_t tokens);
+    void end(TargetKey target);
+
+    struct RemoteEntry
+    {
+        TargetKey target = 0;
+        TargetLoad load;
+    };
+    void onDigest(const NodeId &node, std::vector<RemoteEntry> entries, TimePoint now);
+    void expire(TimePoint now);
+
+    TargetLoad own(TargetKey target) const;
+    /// Over all nodes.
+    TargetLoad total(TargetKey target) const;
+    const std::unordered_map<TargetKey, TargetLoad> &allOwn() const { return m_own; }
+
+private:
+    struct Remote
+    {
+        std::vector<RemoteEntry> entries;
+        TimePoint heardAt;
+    };
+
+    void subtract(const Remote &remote);
+
+    std::unordered_map<TargetKey, TargetLoad> m_own;
+    std::unordered_map<TargetKey, TargetLoad> m_remoteSums;
+    std::map<NodeId, Remote> m_remotes;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -0,0 +1,72 @@
+// Who is turned away first when the fleet can't serve all: workspaces that ask for more than their
+// max-min share of what the fleet bears.
+//
+// Load it answers: a few large workspaces ask for several times their usual, and the small ones find
+// every target full. Each node knows its own callers' demand exactly and the others' from digests.
+#pragma once
+
+#include "berylridge/Support/Id.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace berylridge {
+
+/// shortHash() of a workspace's name.
+using WorkspaceKey = std::uint32_t;
+
+/// The rate that no workspace with unmet demand falls below when `capacity` is shared max-min
+/// fairly; infinite where all demands fit.
+double maxMinLevel(std::vector<double> demands, double capacity);
+
+/// Not safe for use by two threads at once.
+class WorkspaceShares
+{
+public:
+    /// A caller of the workspace asks for work of so many tokens.
+    void onAsked(WorkspaceKey workspace, double tokens, TimePoint now);
+
+    struct RemoteDemand
+    {
+        WorkspaceKey workspace = 0;
+        double tokensPerSecond = 0;
+    };
+    void onDigest(const NodeId &node, std::vector<RemoteDemand> demands, TimePoint now);
+
+    /// Works the shares out anew; called each period.
+    void update(double capacity, TimePoint now);
+
+    /// Whether the workspace stays within its share with this request; takes it from the share.
+    bool tryTake(WorkspaceKey workspace, double tokens, TimePoint now);
+
+    /// This node's own demands in tokens a second, for its digests.
+    std::vector<RemoteDemand> ownDemands(TimePoint now) const;
+    double level() const { return m_level; }
+
+private:
+    struct Own
+    {
+        double rate = 0; ///< Tokens a second, smoothed.
+        TimePoint countedAt {};
+        double allowedRate = 0; ///< This node's part of the workspace's share.
+        double credit = 0;      ///< Tokens that may be taken now.
+        TimePoint creditedAt {};
+        bool isLimited = false;
+    };
+    struct Remote
+    {
+        std::vector<RemoteDemand> demands;
+        TimePoint heardAt;
+    };
+
+    static double rateNow(const Own &own, TimePoint now);
+
+    std::unordered_map<WorkspaceKey, Own> m_own;
+    std::map<NodeId, Remote> m_remotes;
+    double m_level = 0;
+};
+
+} // namespace berylridge
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -24,13 +24,17 @@
     Endpoint endpoint;
     TimePoint notAfter {}; ///< When no byte has left by then, end the attempt as not sent.
     Duration attemptTimeout {0};
-    Duration idleTimeout {0};
+    Duration connectTimeout = std::chrono::seconds(2);
+    Duration firstByteTimeout {0}; ///< Until the answer's head; idleTimeout where it is zero.
+    Duration idleTimeout {0};      ///< Between pieces of the answer.
     bool isResumed = false;   ///< Continue the stream after what the caller already has.
     bool keepsAnswer = false; ///< Hand the answer back in AttemptDone, for repeats of its key.
     WorkspaceId workspace;    ///< Whose request it is; the target is told.
     /// Whether the request may be repeated. Only then may it go on a kept connection, which the
     /// target can close just as the request is sent.
     bool isIdempotent = false;
+    /// What is left of the caller's time; the target is told. Zero where the caller named none.
+    Duration timeLeft {0};
 };
 
 /// Stop an attempt; nothing more of it reaches the caller.
@@ -61,12 +65,20 @@
     std::string body;
 };
 
+/// Answer the caller with the failure that the target itself gave and that the shell holds
+/// (AttemptFailed::holdsAnswer).
+struct PassAnswer
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+};
+
 /// By datagram where it fits into one, else by call.
 struct SendToNode
 {
     NodeId to;
     Endpoint endpoint;
-    std::variant<FleetMessage, KeyMessage> message;
+    std::variant<FleetMessage, KeyMessage, BalancerMessage> message;
 };
 
 /// Try to connect to a silent node. Answered by ProbeEnded.
@@ -113,7 +125,7 @@
     AuditEntry entry;
 };
 
-using Action = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept, SendToNode, ProbeNode,
+using Action = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept, PassAnswer, SendToNode, ProbeNode,
                             PollTarget, WatchPlatform, Readiness, Stopped, Log, Audit>;
 
 /// Actions in the order in which they are to be carried out.
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -1,14 +1,19 @@
 // What the decision core is told: each event carries values only, no socket and no thread.
 #pragma once
 
+#include "berylridge/Catalog/Catalog.h"
+#include "berylridge/Catalog/TargetRecord.h"
 #include "berylridge/Config/Documents.h"
 #include "berylridge/Config/Vms.h"
 #include "berylridge/Fleet/Messages.h"
+#include "berylridge/Fleet/BalancerMessages.h"
 #include "berylridge/Idempotency/Messages.h"
+#include "berylridge/Router/Prompt.h"
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -35,6 +40,11 @@
     std::uint64_t bodyBytes = 0;
     std::optional<double> costHint;   ///< Seconds of a slot, as the caller guesses.
     std::optional<Duration> patience; ///< How long the caller is willing to wait in the queue.
+
+    // For callers whose service follows from a route of the catalog; the service is empty then.
+    std::string host;                 ///< Of the Host field, without a port.
+    std::optional<Duration> deadline; ///< How long the caller waits for the whole answer.
+    std::optional<Prompt> prompt;
 };
 
 /// A caller asks for an idempotency key (POST /v1/idempotency-keys): this process alone admits it,
@@ -60,6 +70,9 @@
     Timeout,   ///< No byte for the idle timeout, or the attempt's time ran out.
     BadAnswer, ///< Not HTTP, not the request's own id, or longer than announced.
     CutShort,  ///< Fewer bytes than announced, or a stream without its end.
+    NotRun,    ///< The target says that it has not run the request and won't.
+    OtherTarget, ///< Another target answers at this address; the request has not run.
+    TargetError, ///< The target ran the request and answered with a failure of its own.
 };
 
 /// The target's answer head came, with the request's own id.
@@ -91,6 +104,8 @@
     AttemptFailure failure = AttemptFailure::Reset;
     bool sentAny = true;      ///< Whether a byte of the request may have left for the target.
     bool answerBegun = false; ///< Whether the caller has already been sent part of the answer.
+    bool holdsAnswer = false; ///< The target's own failure is kept and can be passed on (PassAnswer).
+    std::optional<Duration> coldFor {}; ///< How long the target says that it stays cold.
 };
 
 /// A target's own load report, asked for by PollTarget.
@@ -116,7 +131,7 @@
 {
     NodeId from;
     Incarnation incarnation = 0;
-    std::variant<FleetMessage, KeyMessage> message;
+    std::variant<FleetMessage, KeyMessage, BalancerMessage> message;
 };
 
 /// A probe of a silent node ended: its port refused (that incarnation is gone) or it stayed silent.
@@ -144,6 +159,18 @@
     bool isReachable = false;
 };
 
+/// Routes, services and workspaces from the platform. A relayed catalog comes as a NodeMessage.
+struct CatalogArrived
+{
+    std::shared_ptr<const Catalog> catalog;
+};
+
+/// Targets and zones as the platform lists them. Relayed ones come as a NodeMessage.
+struct DirectoryArrived
+{
+    DirectoryNews news;
+};
+
 /// A planned stop: SIGTERM or an operator's call.
 struct LeaveOrdered
 {
@@ -163,7 +190,7 @@
 
 using Event = std::variant<RequestArrived, KeyIssueAsked, CallerGone, AttemptHead, AttemptDone,
                            AttemptFailed, TargetReport, TargetPollFailed, NodeMessage, ProbeEnded,
-                           DocumentArrived, VmListArrived, PlatformReach, LeaveOrdered,
-                           ReturnOrdered, TimerDue>;
+                           DocumentArrived, VmListArrived, PlatformReach, CatalogArrived,
+                           DirectoryArrived, LeaveOrdered, ReturnOrdered, TimerDue>;
 
 } // namespace berylridge
--- a/include/berylridge/Support/Hash.h
+++ b/include/berylridge/Support/Hash.h
@@ -12,6 +12,9 @@
 /// A fast 64-bit hash (XXH3). Equal on every node and release; not for secrets.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+/// The lower half of hash64(), for names in messages where a rare collision costs little.
+std::uint32_t shortHash(std::string_view text);
+
 /// Rendezvous weight of a node for a subject: the highest weight over the nodes wins.
 std::uint64_t rendezvousWeight(std::string_view subject, std::string_view node);
 
--- /dev/null
+++ b/lib/Balancer/BalancerContext.h
@@ -0,0 +1,47 @@
+// What the parts of the balancer share: options, charts, the present moment, the catalog in force,
+// and where actions go.
+#pragma once
+
+#include "berylridge/Balancer/BalancerCore.h"
+#include "berylridge/Catalog/RouteTable.h"
+#include "berylridge/Catalog/TargetDirectory.h"
+#include "berylridge/Chart/NodeLife.h"
+#include "berylridge/Chart/RequestLife.h"
+#include "berylridge/Fleet/PeerTable.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace berylridge {
+
+struct BalancerCharts
+{
+    NodeLife node;
+    RequestLife request;
+};
+
+class BalancerContext
+{
+public:
+    BalancerContext(BalancerOptions balancerOptions, BalancerCharts loadedCharts, TimePoint start)
+        : options(std::move(balancerOptions))
+        , charts(std::move(loadedCharts))
+        , now(start)
+        , peers({options.node, options.zone, options.endpoint, options.seeds}, options.seed)
+    {
+    }
+
+    void act(Action action) { actions->push_back(std::move(action)); }
+    void log(LogEventId id, std::string detail) { act(Log {LogRecord {id, std::move(detail)}}); }
+
+    const BalancerOptions options;
+    const BalancerCharts charts;
+    TimePoint now;
+    Actions *actions = nullptr;
+    std::shared_ptr<const RouteTable> table; ///< Null until a catalog is known.
+    TargetDirectory directory;
+    PeerTable peers;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/BalancerCore.cpp
@@ -0,0 +1,258 @@
+#include "berylridge/Balancer/BalancerCore.h"
+
+#include "BalancerContext.h"
+#include "FleetTalk.h"
+#include "RequestFlow.h"
+#include "TargetBoard.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylridge {
+
+namespace {
+
+/// Digests are due far more often than this. A longer gap means that the process was paused, and
+/// that what it knows of others is as old as the gap.
+constexpr Duration pauseLimit = std::chrono::milliseconds(800);
+/// A request that is on its way when the last one has ended.
+constexpr Duration quietBeforeStop = std::chrono::milliseconds(500);
+
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+class BalancerCore::Impl
+{
+public:
+    Impl(BalancerOptions options, BalancerCharts charts, TimePoint now)
+        : m_context(std::move(options), std::move(charts), now)
+        , m_board(m_context)
+        , m_requests(m_context, m_board)
+        , m_talk(m_context, m_board, m_requests)
+        , m_state(m_context.charts.node.initial())
+        , m_handledAt(now)
+        , m_nextDigest(now)
+    {
+    }
+
+    void handle(const Event &event, TimePoint now, Actions &actions);
+    TimePoint nextTimer() const { return m_nextDigest; }
+
+private:
+    void noticePause();
+    void dispatch(const Event &event);
+    void onNodeMessage(const NodeMessage &message);
+    void onCatalog(std::shared_ptr<const Catalog> catalog, const std::string &source);
+    void onDirectory(const DirectoryNews &news, const std::string &source);
+    void onPlatformReach(bool isReachable);
+    void onLeave(const std::string &who);
+    void runTimers();
+    void checkReady();
+    void checkStop();
+    void stop(NodeSign sign);
+
+    BalancerContext m_context;
+    TargetBoard m_board;
+    RequestFlow m_requests;
+    FleetTalk m_talk;
+    NodeState m_state;
+    TimePoint m_handledAt;
+    TimePoint m_nextDigest;
+    TimePoint m_leaveAt {};
+    bool m_isPlatformReachable = true;
+};
+
+void BalancerCore::Impl::handle(const Event &event, TimePoint now, Actions &actions)
+{
+    assert(now >= m_context.now && "time must not step back");
+    m_context.now = now;
+    m_context.actions = &actions;
+    noticePause();
+    m_handledAt = now;
+    dispatch(event);
+    runTimers();
+    m_context.actions = nullptr;
+}
+
+void BalancerCore::Impl::noticePause()
+{
+    const Duration gap = m_context.now - m_handledAt;
+    if (gap <= pauseLimit)
+        return;
+    m_context.log(LogEventId::WokeLate, std::to_string(gap.count() / 1000) + " ms");
+    m_context.peers.onWoke(gap);
+}
+
+void BalancerCore::Impl::dispatch(const Event &event)
+{
+    std::visit(Overloaded {
+                   [&](const RequestArrived &e) { m_requests.onArrived(e); },
+                   [&](const CallerGone &e) { m_requests.onCallerGone(e); },
+                   [&](const AttemptHead &e) { m_requests.onHead(e); },
+                   [&](const AttemptDone &e) { m_requests.onDone(e); },
+                   [&](const AttemptFailed &e) { m_requests.onFailed(e); },
+                   [&](const NodeMessage &e) { onNodeMessage(e); },
+                   [&](const CatalogArrived &e) { onCatalog(e.catalog, "platform"); },
+                   [&](const DirectoryArrived &e) { onDirectory(e.news, "platform"); },
+                   [&](const PlatformReach &e) { onPlatformReach(e.isReachable); },
+                   [&](const LeaveOrdered &e) { onLeave(e.who); },
+                   // Events of the core that shares by leases (lib/Router).
+                   [](const KeyIssueAsked &) {},
+                   [](const TargetReport &) {},
+                   [](const TargetPollFailed &) {},
+                   [](const ProbeEnded &) {},
+                   [](const DocumentArrived &) {},
+                   [](const VmListArrived &) {},
+                   [](const ReturnOrdered &) {},
+                   [](const TimerDue &) {},
+               },
+               event);
+}
+
+void BalancerCore::Impl::onNodeMessage(const NodeMessage &message)
+{
+    const auto *balancer = std::get_if<BalancerMessage>(&message.message);
+    if (!balancer)
+        return;
+    std::visit(Overloaded {
+                   [&](const LoadDigest &m) {
+                       m_talk.onDigest(message.from, message.incarnation, m);
+                   },
+                   [&](const StateRequest &m) { m_talk.onStateRequest(message.from, m); },
+                   [&](const CatalogNews &m) {
+                       onCatalog(std::make_shared<const Catalog>(m.catalog), message.from.str());
+                   },
+                   [&](const DirectoryRelay &m) { onDirectory(m.news, message.from.str()); },
+               },
+               *balancer);
+}
+
+void BalancerCore::Impl::onCatalog(std::shared_ptr<const Catalog> catalog,
+                                   const std::string &source)
+{
+    // Whoever brings it: an older version must never come back into force in this run.
+    if (m_context.table && catalog->version <= m_context.table->catalog().version)
+        return;
+    m_context.log(LogEventId::DocumentAccepted,
+                  "catalog version " + std::to_string(catalog->version) + " from " + source);
+    m_context.table = std::make_shared<const RouteTable>(std::move(catalog));
+    checkReady();
+}
+
+void BalancerCore::Impl::onDirectory(const DirectoryNews &news, const std::string &source)
+{
+    if (m_context.directory.apply(news, m_context.now))
+        m_board.onDirectory();
+    for (const DirectoryChange &change : m_context.directory.takeChanges())
+        m_context.log(LogEventId::TargetState,
+                      change.subject + ' ' + change.what + " by " + source);
+    checkReady();
+}
+
+void BalancerCore::Impl::onPlatformReach(bool isReachable)
+{
+    if (m_isPlatformReachable == isReachable)
+        return;
+    m_isPlatformReachable = isReachable;
+    m_context.log(isReachable ? LogEventId::PlatformBack : LogEventId::PlatformSilent, "");
+    if (isReachable)
+        m_context.directory.onPlatformBack(m_context.now);
+}
+
+void BalancerCore::Impl::onLeave(const std::string &who)
+{
+    if (!m_context.charts.node.step(m_state, NodeSign::LeaveOrdered))
+        return;
+    m_leaveAt = m_context.now;
+    m_context.log(LogEventId::NodeLeaving, who);
+    m_context.act(Readiness {false});
+}
+
+void BalancerCore::Impl::checkReady()
+{
+    if (!m_context.table || m_context.directory.revision() == 0)
+        return;
+    if (!m_context.charts.node.step(m_state, NodeSign::DocumentsKnown))
+        return;
+    m_context.log(LogEventId::NodeReady, m_context.options.node.str());
+    m_context.act(Readiness {true});
+}
+
+void BalancerCore::Impl::runTimers()
+{
+    if (m_context.now < m_nextDigest)
+        return;
+    m_nextDigest = m_context.now + m_context.options.digestPeriod;
+    m_context.peers.forgetSilent(m_context.now);
+    m_board.expire();
+    m_requests.tick();
+    m_talk.sendDigests(m_state == NodeState::Leaving);
+    checkStop();
+}
+
+void BalancerCore::Impl::checkStop()
+{
+    if (m_state != NodeState::Leaving)
+        return;
+    const Duration since = m_context.now - m_leaveAt;
+    const bool isQuiet = m_requests.size() == 0
+        && m_context.now - m_requests.lastArrival() > quietBeforeStop;
+    if (since >= m_context.options.leaveTime && isQuiet) {
+        stop(NodeSign::Emptied);
+        return;
+    }
+    if (since < m_context.options.stopLimit)
+        return;
+    if (m_requests.size() > 0)
+        m_context.log(LogEventId::StopLimitReached,
+                      std::to_string(m_requests.size()) + " requests");
+    m_requests.endAll();
+    stop(NodeSign::LimitReached);
+}
+
+void BalancerCore::Impl::stop(NodeSign sign)
+{
+    m_context.charts.node.step(m_state, sign);
+    m_context.log(LogEventId::NodeStopped, m_context.options.node.str());
+    m_context.act(Stopped {});
+}
+
+Expected<std::unique_ptr<BalancerCore>> BalancerCore::create(BalancerOptions options,
+                                                             TimePoint now, WallTime)
+{
+    Expected<NodeLife> node = loadNodeLife(options.chartDirectory);
+    if (!node)
+        return Reason {node.lastReason()};
+    Expected<RequestLife> request = loadRequestLife(options.chartDirectory);
+    if (!request)
+        return Reason {request.lastReason()};
+    auto impl = std::make_unique<Impl>(std::move(options),
+                                       BalancerCharts {*std::move(node), *std::move(request)}, now);
+    return std::unique_ptr<BalancerCore>(new BalancerCore(std::move(impl)));
+}
+
+BalancerCore::BalancerCore(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+BalancerCore::~BalancerCore() = default;
+
+void BalancerCore::handle(const Event &event, TimePoint now, WallTime, Actions &actions)
+{
+    m_impl->handle(event, now, actions);
+}
+
+TimePoint BalancerCore::nextTimer() const
+{
+    return m_impl->nextTimer();
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/FleetTalk.h
@@ -0,0 +1,42 @@
+// What this node tells the others and takes from them: loads, demands, broken runs, and whatever of
+// the platform's state one of them lacks.
+#pragma once
+
+#include "BalancerContext.h"
+#include "RequestFlow.h"
+#include "TargetBoard.h"
+
+#include <map>
+#include <string>
+
+namespace berylridge {
+
+class FleetTalk
+{
+public:
+    FleetTalk(BalancerContext &context, TargetBoard &board, RequestFlow &requests)
+        : m_context(context)
+        , m_board(board)
+        , m_requests(requests)
+    {
+    }
+
+    /// Sends this period's digests.
+    void sendDigests(bool isLeaving);
+
+    void onDigest(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
+    void onStateRequest(const NodeId &from, const StateRequest &request);
+
+private:
+    LoadDigest ownDigest(bool isLeaving);
+    void takeLoads(const NodeId &from, const LoadDigest &digest);
+    void askForNewer(const NodeId &from, const LoadDigest &digest);
+
+    BalancerContext &m_context;
+    TargetBoard &m_board;
+    RequestFlow &m_requests;
+    std::uint64_t m_digests = 0;          ///< Sent so far.
+    std::map<NodeId, TimePoint> m_askedAt; ///< When state was last asked for.
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/RequestFlow.cpp
@@ -0,0 +1,467 @@
+#include "RequestFlow.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylridge {
+
+namespace {
+
+/// For a caller whose route names none and who names none itself.
+constexpr Duration assumedDeadline = std::chrono::seconds(30);
+/// Where no catalog is known yet; a node learns it within a second of its start.
+constexpr Duration startingRetryAfter = std::chrono::milliseconds(300);
+/// Where no target can be reached: most faults pass in a few seconds, and a target is tried again
+/// within two.
+constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration fullRetryAfter = std::chrono::milliseconds(400);
+/// Callers who are turned away together must not come back together.
+constexpr double retrySpread = 0.5;
+/// Part of the latency target that may pass in a target's queue.
+constexpr double waitPart = 0.85;
+/// The same for workspaces beyond their share: the difference is room that others find free.
+constexpr double waitPartBeyondShare = 0.35;
+/// Some of the latency target is left for waiting even where reading takes all of it.
+constexpr double leastWaitPart = 0.25;
+constexpr double tokensPerGenerated = 2; ///< What a generated token weighs against one read.
+
+std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
+{
+    return hash64(event.path, hash64(workspace.str(), event.bodyHash));
+}
+
+/// By weight, the same for each sending of the request.
+const std::string *serviceOf(const RouteSpec &route, const std::string &requestId)
+{
+    double total = 0;
+    for (const WeightedService &each : route.services)
+        total += each.weight;
+    constexpr double steps = 1 << 20;
+    double left = total * static_cast<double>(hash64(requestId) % (1 << 20)) / steps;
+    for (const WeightedService &each : route.services) {
+        if (left < each.weight)
+            return &each.service;
+        left -= each.weight;
+    }
+    return route.services.empty() ? nullptr : &route.services.back().service;
+}
+
+double demandOf(const BalancedRequest &request)
+{
+    if (!request.chain)
+        return 0;
+    return request.chain->inputTokens + tokensPerGenerated * request.chain->outputTokens;
+}
+
+bool saysNotRun(const AttemptFailed &event)
+{
+    return !event.sentAny || event.failure == AttemptFailure::NotRun
+        || event.failure == AttemptFailure::OtherTarget;
+}
+
+const char *failureName(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::ConnectRefused:
+        return "connection refused";
+    case AttemptFailure::ConnectTimeout:
+        return "connect timeout";
+    case AttemptFailure::Reset:
+        return "reset";
+    case AttemptFailure::Timeout:
+        return "timeout";
+    case AttemptFailure::BadAnswer:
+        return "bad answer";
+    case AttemptFailure::CutShort:
+        return "cut short";
+    case AttemptFailure::NotRun:
+        return "not run";
+    case AttemptFailure::OtherTarget:
+        return "other target";
+    case AttemptFailure::TargetError:
+        return "target error";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(BalancerContext &context, TargetBoard &board)
+    : m_context(context)
+    , m_board(board)
+    , m_random(context.options.seed)
+{
+}
+
+void RequestFlow::onArrived(const RequestArrived &event)
+{
+    m_lastArrival = m_context.now;
+    BalancedRequest request;
+    request.handle = event.handle;
+    request.id = event.requestId;
+    request.arrivedAt = m_context.now;
+    if (const auto refusal = admit(request, event)) {
+        refuseEarly(event, *refusal);
+        return;
+    }
+    BalancedRequest &kept = m_requests.emplace(event.handle, std::move(request)).first->second;
+    step(kept, RequestSign::Enqueued);
+    m_retries[kept.service->name].onFirstAttempt(m_context.now);
+    if (const auto refusal = findPlace(kept, true))
+        refuse(kept, *refusal);
+}
+
+std::optional<RequestFlow::Refusal> RequestFlow::admit(BalancedRequest &request,
+                                                       const RequestArrived &event)
+{
+    request.table = m_context.table;
+    if (!request.table)
+        return Refusal {503, "starting", "the router has no catalog yet", startingRetryAfter};
+    request.route = request.table->route(event.host, event.path);
+    if (!request.route)
+        return Refusal {404, "unknown-route", "no route matches host and path", {}};
+    if (request.table->needsCredentials()) {
+        const WorkspaceSpec *workspace = request.table->workspaceOf(event.credential);
+        if (!workspace && !request.route->isPublic)
+            return Refusal {401, "unknown-credential", "no workspace has this credential", {}};
+        if (workspace)
+            request.workspace = WorkspaceId(workspace->name);
+    }
+    request.fingerprint = fingerprintOf(event, request.workspace);
+    if (m_crashes.blockedFor(request.fingerprint, m_context.now))
+        return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
+    const std::string *service = serviceOf(*request.route, event.requestId);
+    request.service = service ? request.table->service(*service) : nullptr;
+    if (!request.service)
+        return Refusal {503, "no-service", "the route's service is not known", noTargetRetryAfter};
+    Duration limit = event.deadline.value_or(assumedDeadline);
+    if (request.route->timeoutMs > 0)
+        limit = std::min(limit, fromMilliseconds(request.route->timeoutMs));
+    request.deadline = m_context.now + limit;
+    if (event.prompt && request.service->isEngine)
+        request.chain = chainOf(*event.prompt);
+    return std::nullopt;
+}
+
+std::optional<RequestFlow::Refusal> RequestFlow::findPlace(BalancedRequest &request, bool isFirst)
+{
+    const PromptChain *chain = request.chain ? &*request.chain : nullptr;
+    const auto choice = m_board.choose(*request.service, chain, request.avoided);
+    if (!choice)
+        return Refusal {503, "no-target", "no target can take the request now",
+                        spread(noTargetRetryAfter)};
+    if (isFirst) {
+        if (const auto refusal = roomFor(request, *choice))
+            return refusal;
+    }
+    if (!m_board.take(*choice, *request.service, chain))
+        return Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
+    start(request, *choice);
+    return std::nullopt;
+}
+
+std::optional<RequestFlow::Refusal> RequestFlow::roomFor(const BalancedRequest &request,
+                                                         const BoardChoice &choice)
+{
+    const WorkspaceKey workspace = shortHash(request.workspace.str());
+    bool isWithinShare = true;
+    if (request.chain) {
+        m_shares.onAsked(workspace, demandOf(request), m_context.now);
+        isWithinShare = m_shares.tryTake(workspace, demandOf(request), m_context.now);
+    }
+    const double target = request.route->latencyTargetMs;
+    if (target <= 0)
+        return std::nullopt;
+    const double part = isWithinShare ? waitPart : waitPartBeyondShare;
+    const double allowed = std::max(part * target - choice.readMs, leastWaitPart * part * target);
+    if (choice.waitMs <= allowed)
+        return std::nullopt;
+    // The queue is shorter by the excess after that time, if callers stay away until then.
+    const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
+    return Refusal {503, isWithinShare ? "full" : "beyond-share",
+                    "the targets have more to do than would be done in time",
+                    spread(std::max(excess, fullRetryAfter))};
+}
+
+void RequestFlow::start(BalancedRequest &request, const BoardChoice &choice)
+{
+    ++request.attempts;
+    request.choice = choice;
+    request.isRunning = true;
+    request.isRead = false;
+    request.dispatchedAt = m_context.now;
+    // From here on a byte may leave at any moment; only the shell's word that none did, or the
+    // target's own, takes it back.
+    request.verdictBefore = request.verdict;
+    request.verdict = Verdict::MayHaveRun;
+    step(request, RequestSign::Dispatched);
+
+    const Duration left = request.deadline - m_context.now;
+    Dispatch dispatch;
+    dispatch.handle = request.handle;
+    dispatch.attempt = request.attempts;
+    dispatch.target = choice.target;
+    dispatch.endpoint = choice.endpoint;
+    dispatch.notAfter = request.deadline;
+    dispatch.attemptTimeout = left;
+    dispatch.timeLeft = left;
+    dispatch.connectTimeout = std::chrono::milliseconds(400);
+    dispatch.firstByteTimeout = std::min(left, firstByteLimit(request));
+    dispatch.idleTimeout = mayRepeat(request)
+        ? std::min<Duration>(left, std::chrono::milliseconds(1000))
+        : left;
+    dispatch.isResumed = request.isBegun;
+    dispatch.workspace = request.workspace;
+    dispatch.isIdempotent = request.route->isRepeatable();
+    m_context.act(std::move(dispatch));
+}
+
+/// A silent target is left for another one after this, where the request may be repeated.
+Duration RequestFlow::firstByteLimit(const BalancedRequest &request) const
+{
+    const Duration left = request.deadline - m_context.now;
+    if (!mayRepeat(request))
+        return left;
+    constexpr Duration least = std::chrono::milliseconds(600);
+    constexpr Duration most = std::chrono::milliseconds(1600);
+    const auto expected
+        = fromSeconds((request.choice.waitMs + request.choice.readMs) / 1000 * 3);
+    const Duration byTarget = fromMilliseconds(request.route->latencyTargetMs) * 3;
+    return std::clamp(std::max(expected, byTarget), least, most);
+}
+
+/// Whether one more attempt would be allowed if the one that begins now ends without a word.
+bool RequestFlow::mayRepeat(const BalancedRequest &request) const
+{
+    return request.route->isRepeatable() && request.sent + 1 < request.route->attempts;
+}
+
+void RequestFlow::onHead(const AttemptHead &event)
+{
+    BalancedRequest *request = find(event.handle, event.attempt);
+    if (!request)
+        return;
+    step(*request, RequestSign::HeadCame);
+    if (std::exchange(request->isRead, true))
+        return;
+    m_board.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
+}
+
+void RequestFlow::onDone(const AttemptDone &event)
+{
+    BalancedRequest *request = find(event.handle, event.attempt);
+    if (!request)
+        return;
+    request->verdict = Verdict::Ran;
+    m_crashes.clear(request->fingerprint);
+    m_board.health(request->choice.key).onAnswered(m_context.now);
+    if (!request->chain)
+        m_board.onServed(request->service->name, m_context.now - request->dispatchedAt);
+    endAttempt(*request);
+    step(*request, RequestSign::AnswerEnded);
+    finish(event.handle);
+}
+
+void RequestFlow::onFailed(const AttemptFailed &event)
+{
+    BalancedRequest *request = find(event.handle, event.attempt);
+    if (!request)
+        return;
+    learn(*request, event);
+    endAttempt(*request);
+    if (saysNotRun(event))
+        request->verdict = request->verdictBefore;
+    if (event.sentAny && event.failure != AttemptFailure::OtherTarget)
+        ++request->sent;
+    request->isBegun = request->isBegun || event.answerBegun;
+    request->avoided.push_back(request->choice.key);
+    m_context.log(LogEventId::AttemptFailed,
+                  request->id + " at " + request->choice.target.str() + ' '
+                      + failureName(event.failure));
+    if (mayRetry(*request, event)) {
+        step(*request, RequestSign::Retried);
+        if (!findPlace(*request, false))
+            return;
+    }
+    giveUp(*request, event);
+}
+
+void RequestFlow::learn(BalancedRequest &request, const AttemptFailed &event)
+{
+    TargetHealth &health = m_board.health(request.choice.key);
+    const TimePoint now = m_context.now;
+    if (event.coldFor)
+        m_board.onColdWord(request.choice.key, *event.coldFor);
+    switch (event.failure) {
+    case AttemptFailure::ConnectRefused:
+    case AttemptFailure::ConnectTimeout:
+        health.onConnectFailed(now);
+        return;
+    case AttemptFailure::OtherTarget:
+        // The listed target is gone from this address; nothing of it answers here any more.
+        health.onConnectFailed(now);
+        return;
+    case AttemptFailure::Timeout:
+        if (now < request.deadline)
+            health.onBroken(now);
+        return;
+    case AttemptFailure::Reset:
+    case AttemptFailure::CutShort:
+        if (event.sentAny) {
+            health.onBroken(now);
+            recordBrokenRun(request);
+        }
+        return;
+    case AttemptFailure::BadAnswer:
+    case AttemptFailure::TargetError:
+        health.onFailedAnswer(now);
+        return;
+    case AttemptFailure::NotRun:
+        health.onFailedAnswer(now);
+        return;
+    }
+}
+
+bool RequestFlow::mayRetry(BalancedRequest &request, const AttemptFailed &event)
+{
+    constexpr Duration leastLeft = std::chrono::milliseconds(50);
+    constexpr AttemptNumber mostAttempts = 6;
+    if (request.deadline - m_context.now < leastLeft || request.attempts >= mostAttempts)
+        return false;
+    if (!saysNotRun(event) && !request.route->isRepeatable())
+        return false;
+    if (request.sent >= request.route->attempts)
+        return false;
+    if (m_crashes.blockedFor(request.fingerprint, m_context.now))
+        return false;
+    if (!event.sentAny)
+        return true; // Nothing reached a target, so nothing is repeated.
+    return m_retries[request.service->name].tryTake(
+        m_context.options.retries, m_context.peers.counted(m_context.now), m_context.now);
+}
+
+void RequestFlow::giveUp(BalancedRequest &request, const AttemptFailed &event)
+{
+    if (event.holdsAnswer && !request.isRunning) {
+        m_context.act(PassAnswer {event.handle, event.attempt});
+        step(request, RequestSign::GivenUp);
+        finish(request.handle);
+        return;
+    }
+    if (request.verdict == Verdict::NotRun) {
+        refuse(request, {503, "target-refused", "no target took the request",
+                         spread(fullRetryAfter)});
+        return;
+    }
+    const bool isLate = m_context.now + std::chrono::milliseconds(5) >= request.deadline;
+    refuse(request, {isLate ? 504U : 502U, isLate ? "deadline" : "target-failed",
+                     std::string("the target failed: ") + failureName(event.failure), {}});
+}
+
+void RequestFlow::recordBrokenRun(const BalancedRequest &request)
+{
+    if (m_crashes.add(request.fingerprint, request.choice.boot, m_context.now))
+        m_brokenRuns.push_back({request.fingerprint, request.choice.boot});
+}
+
+void RequestFlow::onRemoteBrokenRun(const BrokenRunEntry &entry)
+{
+    m_crashes.add(entry.fingerprint, entry.boot, m_context.now);
+}
+
+void RequestFlow::onCallerGone(const CallerGone &event)
+{
+    const auto found = m_requests.find(event.handle);
+    if (found == m_requests.end())
+        return;
+    BalancedRequest &request = found->second;
+    if (request.isRunning) {
+        m_context.act(AbortAttempt {request.handle, request.attempts});
+        endAttempt(request);
+    }
+    step(request, RequestSign::CallerGone);
+    finish(event.handle);
+}
+
+void RequestFlow::tick()
+{
+    m_crashes.expire(m_context.now);
+    if (m_context.table)
+        m_capacity = m_context.table->catalog().tokensPerSecond;
+    m_shares.update(m_capacity > 0 ? m_capacity : 1e12, m_context.now);
+}
+
+void RequestFlow::endAll()
+{
+    std::vector<RequestHandle> handles;
+    for (const auto &[handle, request] : m_requests)
+        handles.push_back(handle);
+    for (const RequestHandle handle : handles) {
+        BalancedRequest &request = m_requests.at(handle);
+        if (request.isRunning) {
+            m_context.act(AbortAttempt {handle, request.attempts});
+            endAttempt(request);
+        }
+        refuse(request, {502, "stopping", "the router stops and can't wait for the answer", {}});
+    }
+}
+
+std::vector<BrokenRunEntry> RequestFlow::takeBrokenRuns()
+{
+    return std::exchange(m_brokenRuns, {});
+}
+
+BalancedRequest *RequestFlow::find(RequestHandle handle, AttemptNumber attempt)
+{
+    const auto found = m_requests.find(handle);
+    if (found == m_requests.end() || found->second.attempts != attempt
+        || !found->second.isRunning)
+        return nullptr;
+    return &found->second;
+}
+
+void RequestFlow::step(BalancedRequest &request, RequestSign sign)
+{
+    m_context.charts.request.step(request.state, sign);
+}
+
+void RequestFlow::endAttempt(BalancedRequest &request)
+{
+    assert(request.isRunning && "an attempt ends once");
+    request.isRunning = false;
+    m_board.onEnd(request.choice, request.isRead);
+}
+
+void RequestFlow::refuse(BalancedRequest &request, const Refusal &refusal)
+{
+    m_context.log(LogEventId::RequestRefused,
+                  request.id + ' ' + std::to_string(refusal.status) + ' ' + refusal.type + ' '
+                      + std::string(verdictName(request.verdict)));
+    m_context.act(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
+                          refusal.type, refusal.retryAfter});
+    step(request, RequestSign::GivenUp);
+    finish(request.handle);
+}
+
+void RequestFlow::refuseEarly(const RequestArrived &event, const Refusal &refusal)
+{
+    m_context.log(LogEventId::RequestRefused, event.requestId + ' '
+                                                  + std::to_string(refusal.status) + ' '
+                                                  + refusal.type + " not-run");
+    m_context.act(Refuse {event.handle, refusal.status, Verdict::NotRun, refusal.title,
+                          refusal.type, refusal.retryAfter});
+}
+
+void RequestFlow::finish(RequestHandle handle)
+{
+    m_requests.erase(handle);
+}
+
+Duration RequestFlow::spread(Duration base)
+{
+    return base + fromSeconds(toSeconds(base) * retrySpread * uniform(m_random));
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/TargetBoard.cpp
@@ -0,0 +1,216 @@
+#include "TargetBoard.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace berylridge {
+
+namespace {
+
+/// Before the first sample. Engines in use today read 100 to 160 tokens a ms, and less while they
+/// generate.
+constexpr double assumedTokensPerMs = 90;
+constexpr double slowestTokensPerMs = 20;
+constexpr double fastestTokensPerMs = 400;
+/// Weight of one sample; a target's speed changes over seconds.
+constexpr double sampleWeight = 0.08;
+/// A shorter prompt's time says more of the network than of the target.
+constexpr std::uint64_t leastSampleTokens = 3000;
+/// Time to a first event that is not reading.
+constexpr double baseMs = 20;
+constexpr double assumedServiceMs = 30;
+constexpr double serviceSampleWeight = 0.1;
+/// After a target's connections broke, until the platform's word of a new start would be here: two
+/// of its reports and the news' way.
+constexpr Duration restartNewsLimit = std::chrono::milliseconds(2500);
+
+std::uint64_t bootOf(const TargetRecord &record)
+{
+    return hash64(record.id, static_cast<std::uint64_t>(record.startedAtMs));
+}
+
+std::uint64_t affinityOf(ChainKey part, TargetKey target)
+{
+    char bytes[sizeof(part)];
+    std::memcpy(bytes, &part, sizeof(part));
+    return hash64({bytes, sizeof(bytes)}, target);
+}
+
+} // namespace
+
+bool TargetBoard::isCold(const TargetDirectory::Entry &entry, const Target &target,
+                         const ServiceSpec &service) const
+{
+    if (service.coldPerSecond <= 0)
+        return false;
+    const TimePoint now = m_context.now;
+    if (m_context.directory.isCold(entry, now) || target.coldUntil > now)
+        return true;
+    // A target that broke off may have started anew and be cold without anybody having said so: sent
+    // its usual load it would fall over again. The platform's next word on it ends the doubt.
+    const TimePoint broken = target.health.brokenAt();
+    const bool isDoubtful = broken > TimePoint {} && entry.heardAt < broken;
+    return isDoubtful && now - broken < restartNewsLimit + fromMilliseconds(service.coldMs);
+}
+
+PlacementCandidate TargetBoard::candidate(const TargetDirectory::Entry &entry,
+                                          const Target &target, TargetKey key,
+                                          const ServiceSpec &service,
+                                          const PromptChain *chain) const
+{
+    const TimePoint now = m_context.now;
+    PlacementCandidate candidate;
+    candidate.load = m_loads.total(key);
+    const std::uint32_t slots = entry.record.slots > 0 ? entry.record.slots : service.engineSlots;
+    candidate.slots = std::max(1U, slots);
+    candidate.tokensPerMs = target.tokensPerMs > 0 ? target.tokensPerMs : assumedTokensPerMs;
+    candidate.failureShare = target.health.failureShare(now);
+    candidate.isOtherZone = entry.record.zone != m_context.options.zone.str();
+    candidate.isZoneSilent = m_context.peers.isZoneSilent(entry.record.zone, now);
+    if (chain && !chain->links.empty()) {
+        candidate.keptTokens = m_prompts.keptTokens(*chain, key);
+        candidate.affinity = affinityOf(chain->links.front().key, key);
+    }
+    return candidate;
+}
+
+std::optional<BoardChoice> TargetBoard::choose(const ServiceSpec &service,
+                                               const PromptChain *chain,
+                                               const std::vector<TargetKey> &avoided)
+{
+    const TimePoint now = m_context.now;
+    std::vector<PlacementCandidate> candidates;
+    std::vector<std::pair<const TargetDirectory::Entry *, TargetKey>> entries;
+    for (const auto &[id, entry] : m_context.directory.entries()) {
+        if (entry.record.service != service.name || !m_context.directory.isUsable(entry, now))
+            continue;
+        const TargetKey key = shortHash(id);
+        if (std::find(avoided.begin(), avoided.end(), key) != avoided.end())
+            continue;
+        Target &target = m_targets[key];
+        if (target.boot == 0)
+            target.boot = bootOf(entry.record);
+        if (!target.health.isReachable(now))
+            continue;
+        if (isCold(entry, target, service)
+            && !target.cold.hasPlace(service.coldPerSecond, m_context.peers.counted(now), now))
+            continue;
+        candidates.push_back(candidate(entry, target, key, service, chain));
+        entries.emplace_back(&entry, key);
+    }
+    PlacementNeed need;
+    if (chain) {
+        need.inputTokens = std::max(1U, chain->inputTokens);
+        need.isPartKnown = m_prompts.isKnown(*chain);
+    }
+    const auto learnt = m_serviceMs.find(service.name);
+    need.serviceMs = learnt == m_serviceMs.end() ? assumedServiceMs : learnt->second;
+    const auto placed = choosePlacement(candidates, need);
+    if (!placed)
+        return std::nullopt;
+    const auto &[entry, key] = entries[placed->index];
+    BoardChoice choice;
+    choice.key = key;
+    choice.target = TargetId(entry->record.id);
+    choice.endpoint = {entry->record.address, entry->record.port};
+    choice.boot = bootOf(entry->record);
+    choice.waitMs = placed->waitMs;
+    choice.readMs = placed->readMs;
+    choice.tokens = placed->tokens;
+    choice.aheadTokens = candidates[placed->index].load.tokens;
+    return choice;
+}
+
+bool TargetBoard::take(const BoardChoice &choice, const ServiceSpec &service,
+                       const PromptChain *chain)
+{
+    const TimePoint now = m_context.now;
+    Target &target = m_targets[choice.key];
+    const TargetDirectory::Entry *entry = m_context.directory.find(choice.target.str());
+    if (entry && isCold(*entry, target, service)
+        && !target.cold.tryTake(service.coldPerSecond, m_context.peers.counted(now), now))
+        return false;
+    if (target.health.isOnTrial())
+        target.health.onTrial(now);
+    m_loads.begin(choice.key, choice.tokens);
+    if (!chain)
+        return true;
+    // The last part is the request's own: nobody else can use it.
+    const std::size_t shared = chain->links.size() > 1 ? chain->links.size() - 1 : 1;
+    for (std::size_t i = 0; i < std::min(shared, chain->links.size()); ++i) {
+        m_prompts.onPlaced(chain->links[i].key, choice.key, now);
+        m_placed.push_back({chain->links[i].key, choice.key});
+    }
+    return true;
+}
+
+void TargetBoard::onFirstEvent(const BoardChoice &choice, Duration since)
+{
+    m_loads.promptRead(choice.key, choice.tokens);
+    const std::uint64_t tokens = choice.aheadTokens + choice.tokens;
+    if (tokens < leastSampleTokens)
+        return;
+    const double ms = std::max(1.0, toSeconds(since) * 1000 - baseMs);
+    const double sample = std::clamp(static_cast<double>(tokens) / ms, slowestTokensPerMs,
+                                     fastestTokensPerMs);
+    double &speed = m_targets[choice.key].tokensPerMs;
+    speed = speed > 0 ? speed + (sample - speed) * sampleWeight
+                      : assumedTokensPerMs + (sample - assumedTokensPerMs) * sampleWeight;
+}
+
+void TargetBoard::onEnd(const BoardChoice &choice, bool wasRead)
+{
+    if (!wasRead)
+        m_loads.promptRead(choice.key, choice.tokens);
+    m_loads.end(choice.key);
+}
+
+void TargetBoard::onColdWord(TargetKey key, Duration coldFor)
+{
+    m_targets[key].coldUntil = m_context.now + coldFor;
+}
+
+void TargetBoard::onServed(const std::string &service, Duration took)
+{
+    const auto [found, isNew] = m_serviceMs.try_emplace(service, assumedServiceMs);
+    found->second += (toSeconds(took) * 1000 - found->second) * serviceSampleWeight;
+}
+
+void TargetBoard::onRemotePlacement(ChainKey part, TargetKey target)
+{
+    m_prompts.onPlaced(part, target, m_context.now);
+}
+
+void TargetBoard::onDirectory()
+{
+    for (const auto &[id, entry] : m_context.directory.entries()) {
+        const TargetKey key = shortHash(id);
+        const auto found = m_targets.find(key);
+        if (found == m_targets.end())
+            continue;
+        const std::uint64_t boot = bootOf(entry.record);
+        const bool isOther = found->second.boot != 0 && found->second.boot != boot;
+        found->second.boot = boot;
+        if (isOther || entry.record.isRemoved)
+            m_prompts.forgetTarget(key);
+    }
+}
+
+void TargetBoard::expire()
+{
+    m_prompts.expire(m_context.now);
+    m_loads.expire(m_context.now);
+}
+
+std::vector<PlacementEntry> TargetBoard::takePlacements(std::size_t most)
+{
+    const std::size_t count = std::min(most, m_placed.size());
+    const auto end = m_placed.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<PlacementEntry> taken(m_placed.begin(), end);
+    m_placed.erase(m_placed.begin(), end);
+    return taken;
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/TargetBoard.h
@@ -0,0 +1,88 @@
+// Everything that this node knows of the targets, put together for the choice of one.
+#pragma once
+
+#include "BalancerContext.h"
+
+#include "berylridge/Policy/FleetShare.h"
+#include "berylridge/Policy/Placement.h"
+#include "berylridge/Policy/PromptDirectory.h"
+#include "berylridge/Policy/TargetHealth.h"
+#include "berylridge/Policy/TargetLoads.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace berylridge {
+
+/// A target that was chosen for an attempt.
+struct BoardChoice
+{
+    TargetKey key = 0;
+    TargetId target;
+    Endpoint endpoint;
+    std::uint64_t boot = 0;   ///< Tells this run of the target from others.
+    double waitMs = 0;        ///< Expected before the target turns to the request.
+    double readMs = 0;        ///< Expected for reading the prompt.
+    std::uint32_t tokens = 0; ///< Of the prompt, still to be read there.
+    std::uint64_t aheadTokens = 0; ///< Of requests before it.
+};
+
+class TargetBoard
+{
+public:
+    explicit TargetBoard(BalancerContext &context)
+        : m_context(context)
+    {
+    }
+
+    /// The best target of the service that may get the request now. Takes nothing.
+    std::optional<BoardChoice> choose(const ServiceSpec &service, const PromptChain *chain,
+                                      const std::vector<TargetKey> &avoided);
+    /// The request goes there: counts it, and a cold target's part of its rate. False where that
+    /// part is used up.
+    bool take(const BoardChoice &choice, const ServiceSpec &service, const PromptChain *chain);
+
+    void onFirstEvent(const BoardChoice &choice, Duration since);
+    void onEnd(const BoardChoice &choice, bool wasRead);
+    TargetHealth &health(TargetKey key) { return m_targets[key].health; }
+    void onColdWord(TargetKey key, Duration coldFor);
+    /// A request without a prompt was answered whole.
+    void onServed(const std::string &service, Duration took);
+
+    void onRemotePlacement(ChainKey part, TargetKey target);
+    /// The directory has changed: targets that started anew keep nothing.
+    void onDirectory();
+    void expire();
+
+    TargetLoads &loads() { return m_loads; }
+    const PromptDirectory &prompts() const { return m_prompts; }
+    /// Shared parts that this node placed since the last call, for the next digest.
+    std::vector<PlacementEntry> takePlacements(std::size_t most);
+
+private:
+    struct Target
+    {
+        TargetHealth health;
+        ColdShare cold;
+        TimePoint coldUntil {}; ///< By its own answers.
+        double tokensPerMs = 0; ///< Learnt; 0 before the first sample.
+        std::uint64_t boot = 0;
+    };
+
+    bool isCold(const TargetDirectory::Entry &entry, const Target &target,
+                const ServiceSpec &service) const;
+    PlacementCandidate candidate(const TargetDirectory::Entry &entry, const Target &target,
+                                 TargetKey key, const ServiceSpec &service,
+                                 const PromptChain *chain) const;
+
+    BalancerContext &m_context;
+    std::unordered_map<TargetKey, Target> m_targets;
+    TargetLoads m_loads;
+    PromptDirectory m_prompts;
+    std::unordered_map<std::string, double> m_serviceMs; ///< Smoothed, by service.
+    std::vector<PlacementEntry> m_placed;
+};
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Catalog/RouteTable.cpp
@@ -0,0 +1,66 @@
+#include "berylridge/Catalog/RouteTable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace berylridge {
+
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+template <typename Value>
+const Value *valueOf(const std::unordered_map<std::string, const Value *> &map,
+                     const std::string &key)
+{
+    const auto found = map.find(key);
+    return found == map.end() ? nullptr : found->second;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const Catalog> catalog)
+    : m_catalog(std::move(catalog))
+{
+    for (const RouteSpec &route : m_catalog->routes)
+        m_routes.emplace(lowerCase(route.host) + route.pathPrefix, &route);
+    for (const ServiceSpec &service : m_catalog->services)
+        m_services.emplace(service.name, &service);
+    for (const WorkspaceSpec &workspace : m_catalog->workspaces) {
+        for (const std::string &credential : workspace.credentials)
+            m_workspaces.emplace(credential, &workspace);
+    }
+}
+
+const RouteSpec *RouteTable::route(std::string_view host, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    std::string key = lowerCase(host);
+    const std::size_t hostSize = key.size();
+    key.append(path);
+    for (std::size_t end = key.rfind('/'); end != std::string::npos && end >= hostSize;
+         end = end == 0 ? std::string::npos : key.rfind('/', end - 1)) {
+        key.resize(end + 1);
+        if (const RouteSpec *route = valueOf(m_routes, key))
+            return route;
+    }
+    return nullptr;
+}
+
+const WorkspaceSpec *RouteTable::workspaceOf(const std::string &credential) const
+{
+    return valueOf(m_workspaces, credential);
+}
+
+const ServiceSpec *RouteTable::service(const std::string &name) const
+{
+    return valueOf(m_services, name);
+}
+
+} // namespace berylridge
--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -176,10 +176,22 @@
 
 void FieldReader::endpoint(std::string_view name, Endpoint &out, Presence presence)
 {
-    const auto *value = find(name, presence, R"({"address": "10.0.1.7", "port": 7400})");
-    if (!value)
+    const auto *value = find(name, presence, R"("10.0.1.7:7400")");
+    if (value)
+        endpointAt(*value, pathOf(name), out);
+}
+
+void FieldReader::endpointAt(const Json::Value &value, const std::string &path, Endpoint &out)
+{
+    if (value.isString()) {
+        auto endpoint = parseEndpoint(value.asString());
+        if (endpoint)
+            out = *std::move(endpoint);
+        else
+            m_source.report(value, path, endpoint.lastReason());
         return;
-    FieldReader fields(m_source, *value, pathOf(name));
+    }
+    FieldReader fields(m_source, value, path);
     fields.text("address", out.address, addressRule, Presence::Required);
     fields.integer("port", out.port, 1, 65535, Presence::Required);
     fields.finish();
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -62,7 +62,10 @@
                                     Presence presence = Presence::Optional);
     /// Whole milliseconds; the name ends in Ms.
     void duration(std::string_view name, Duration &out, Duration low, Duration high);
+    /// Written "10.0.1.7:7400", or as an object with address and port.
     void endpoint(std::string_view name, Endpoint &out, Presence presence = Presence::Required);
+    /// The same for a value that is not a field of this object.
+    void endpointAt(const Json::Value &value, const std::string &path, Endpoint &out);
 
     template <typename Kind>
     void id(std::string_view name, Name<Kind> &out, Presence presence = Presence::Required)
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -29,10 +29,7 @@
         "platform",
         [&](const Json::Value &element, const std::string &path) {
             Endpoint endpoint;
-            FieldReader entry(fields.source(), element, path);
-            entry.text("address", endpoint.address, addressRule, Presence::Required);
-            entry.integer("port", endpoint.port, 1, 65535, Presence::Required);
-            entry.finish();
+            fields.endpointAt(element, path, endpoint);
             platform.push_back(std::move(endpoint));
         },
         Presence::Required);
@@ -68,6 +65,9 @@
     fields.text("operatorsKeyDigest", settings.operatorsKeyDigest, digestRule, Presence::Required);
     readPlatform(fields, settings.platform);
     readSeeds(fields, settings.seeds);
+    fields.list("seedEndpoints", [&](const Json::Value &element, const std::string &path) {
+        fields.endpointAt(element, path, settings.seedEndpoints.emplace_back());
+    });
     fields.text("chartDirectory", settings.chartDirectory, notEmptyRule, Presence::Required);
 }
 
@@ -92,6 +92,9 @@
     fields.duration("heartbeatPeriodMs", settings.heartbeatPeriod, milliseconds(10), minutes(1));
     fields.duration("suspectAfterMs", settings.suspectAfter, milliseconds(20), minutes(10));
     fields.duration("leaseTermMs", settings.leaseTerm, milliseconds(50), minutes(10));
+    fields.number("retryRatio", settings.retryRatio, 0, 10);
+    fields.number("retrySlack", settings.retrySlack, 0, 1e6);
+    fields.duration("retryWindowMs", settings.retryWindow, milliseconds(100), hours(1));
     fields.duration("stopLimitMs", settings.stopLimit, milliseconds(0), hours(24));
     if (settings.suspectAfter < 2 * settings.heartbeatPeriod)
         fields.report("suspectAfterMs", "must be at least twice heartbeatPeriodMs");
--- /dev/null
+++ b/lib/Fleet/PeerTable.cpp
@@ -0,0 +1,141 @@
+#include "berylridge/Fleet/PeerTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+/// All nodes of a zone silent for so long: three digests from each would have to be lost.
+constexpr Duration zoneSilentLimit = std::chrono::milliseconds(700);
+constexpr std::size_t countedLeast = 2;
+
+} // namespace
+
+PeerTable::PeerTable(PeerTableOptions options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+{
+}
+
+bool PeerTable::onHeard(const NodeId &node, Incarnation incarnation, const LoadDigest &digest,
+                        TimePoint now)
+{
+    if (node == m_options.self)
+        return false;
+    Peer &peer = m_peers[node];
+    if (incarnation < peer.incarnation)
+        return false;
+    peer.incarnation = incarnation;
+    peer.zone = digest.zone;
+    peer.endpoint = {digest.address, digest.port};
+    peer.heardAt = now;
+    peer.isLeaving = digest.isLeaving;
+    for (const PeerEntry &entry : digest.peers) {
+        const NodeId named(entry.node);
+        if (named == m_options.self)
+            continue;
+        Peer &other = m_peers[named];
+        other.listedAt = now;
+        if (other.heardAt)
+            continue;
+        other.zone = entry.zone;
+        other.endpoint = {entry.address, entry.port};
+    }
+    return true;
+}
+
+void PeerTable::forgetSilent(TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        const TimePoint last = std::max(peer.heardAt.value_or(peer.listedAt), peer.listedAt);
+        return now - last > forgetLimit;
+    });
+}
+
+void PeerTable::onWoke(Duration gap)
+{
+    for (auto &[node, peer] : m_peers) {
+        if (peer.heardAt)
+            *peer.heardAt += gap;
+        peer.listedAt += gap;
+    }
+}
+
+std::vector<std::pair<NodeId, Endpoint>> PeerTable::nextReceivers(TimePoint now)
+{
+    std::vector<std::pair<NodeId, Endpoint>> receivers;
+    for (const auto &[node, peer] : m_peers)
+        receivers.emplace_back(node, peer.endpoint);
+    if (receivers.size() > fanOut) {
+        std::shuffle(receivers.begin(), receivers.end(), m_random);
+        receivers.resize(fanOut);
+    }
+    // A node that hears few others asks the seeds: it may be new, or its part of the fleet may be.
+    for (const Endpoint &seed : m_options.seeds) {
+        const bool isKnown = seed == m_options.endpoint
+            || std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+                               return entry.second.endpoint == seed && isLive(entry.second, now);
+                           });
+        if (!isKnown)
+            receivers.emplace_back(NodeId(), seed);
+    }
+    return receivers;
+}
+
+std::vector<PeerEntry> PeerTable::liveEntries(TimePoint now) const
+{
+    std::vector<PeerEntry> entries;
+    for (const auto &[node, peer] : m_peers) {
+        if (isLive(peer, now))
+            entries.push_back({node.str(), peer.zone, peer.endpoint.address, peer.endpoint.port});
+    }
+    return entries;
+}
+
+bool PeerTable::isLive(const Peer &peer, TimePoint now) const
+{
+    return peer.heardAt && now - *peer.heardAt < liveLimit;
+}
+
+const PeerTable::Peer *PeerTable::find(const NodeId &node) const
+{
+    const auto found = m_peers.find(node);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+std::size_t PeerTable::counted(TimePoint now) const
+{
+    const auto isCounted = [&](const auto &entry) {
+        return entry.second.heardAt && now - *entry.second.heardAt < countedLimit;
+    };
+    const auto heard = std::count_if(m_peers.begin(), m_peers.end(), isCounted);
+    return std::max(countedLeast, static_cast<std::size_t>(heard) + 1);
+}
+
+std::size_t PeerTable::live(TimePoint now) const
+{
+    const auto heard = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return isLive(entry.second, now);
+    });
+    return static_cast<std::size_t>(heard) + 1;
+}
+
+bool PeerTable::isZoneSilent(const std::string &zone, TimePoint now) const
+{
+    if (zone == m_options.zone.str())
+        return false;
+    bool isAnyHeard = false;
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.zone != zone || !peer.heardAt || peer.isLeaving)
+            continue;
+        if (now - *peer.heardAt < zoneSilentLimit)
+            return false;
+        isAnyHeard = isAnyHeard || now - *peer.heardAt < countedLimit;
+    }
+    return isAnyHeard;
+}
+
+} // namespace berylridge
--- a/lib/Net/AdminFace.h
+++ b/lib/Net/AdminFace.h
@@ -1,7 +1,7 @@
 // The operators' listener: health checks, metrics and JSON-RPC.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "HttpListener.h"
 
 #include "berylridge/Net/RouterNode.h"
--- a/lib/Net/Base64.cpp
+++ b/lib/Net/Base64.cpp
@@ -1,4 +1,4 @@
-#include "Base64.h"
+#include "berylridge/Net/Base64.h"
 
 #include <sodium.h>
 
--- a/lib/Net/CallerListener.h
+++ b/lib/Net/CallerListener.h
@@ -1,7 +1,7 @@
 // Accepts callers' connections and deals them out to the traffic threads in turn.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
--- a/lib/Net/CallerRequest.h
+++ b/lib/Net/CallerRequest.h
@@ -1,8 +1,8 @@
 // Reads what the core must know out of a caller's HTTP request.
 #pragma once
 
-#include "Asio.h"
-#include "Problem.h"
+#include "berylridge/Net/Asio.h"
+#include "berylridge/Net/Problem.h"
 
 #include "berylridge/Router/Events.h"
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -218,7 +218,7 @@
     const std::string freshId = m_thread.options().idPrefix + std::to_string(handle);
     StringRequest request = m_parser->release();
     m_parser.reset();
-    auto read = readCallerRequest(request, freshId);
+    auto read = m_thread.protocol().readRequest(request, freshId);
     if (const auto *problem = std::get_if<Problem>(&read)) {
         answerProblem(*problem, request.keep_alive());
         return;
@@ -228,7 +228,7 @@
     m_exchange
         = std::make_shared<Exchange>(m_thread, shared_from_this(), arrived, std::move(request));
     m_thread.begin(handle, m_exchange);
-    if (arrived.service.isEmpty())
+    if (arrived.service.isEmpty() && arrived.host.empty())
         m_thread.report(KeyIssueAsked {handle, arrived.requestId, arrived.credential});
     else
         m_thread.report(std::move(arrived));
@@ -241,7 +241,8 @@
     m_deadline->clear();
     ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
     m_thread.metrics().addRefusal(problem.type);
-    auto response = problemResponse(problem, m_thread.options().idPrefix + "0");
+    auto response
+        = m_thread.protocol().problemAnswer(problem, m_thread.options().idPrefix + "0");
     response.keep_alive(isKept);
     write(wireText(response), [self = shared_from_this(), isKept] { self->endExchange(isKept); });
 }
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -1,9 +1,9 @@
 // One connection of a caller: reads its requests one after another and writes their answers.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "Deadline.h"
-#include "Problem.h"
+#include "berylridge/Net/Problem.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/lib/Net/ConnectionPool.h
+++ b/lib/Net/ConnectionPool.h
@@ -1,7 +1,7 @@
 // Keep-alive connections of one traffic thread to targets, clean ones only.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include <chrono>
 #include <map>
--- a/lib/Net/ControlLoop.h
+++ b/lib/Net/ControlLoop.h
@@ -1,7 +1,7 @@
 // Feeds the decision core, one event at a time on the control thread, and hands out its actions.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "Mailbox.h"
 
 #include "berylridge/Net/Metrics.h"
--- a/lib/Net/Datagram.cpp
+++ b/lib/Net/Datagram.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr std::uint32_t datagramFormat = 1;
-/// Fleet messages are numbered from 0 and key messages from here, so that each list can grow.
+/// Fleet messages are numbered from 0 and the other lists from here, so that each list can grow.
 constexpr std::uint32_t firstKeyType = 100;
+constexpr std::uint32_t firstBalancerType = 200;
 /// Largest heads of the arrays and numbers around the packed messages, the node's name apart.
 constexpr std::size_t envelopeBytes = 32;
 /// Bounds what a datagram's own length fields can make the reader allocate.
@@ -23,6 +24,7 @@
 
 constexpr std::size_t fleetKinds = std::variant_size_v<FleetMessage>;
 constexpr std::size_t keyKinds = std::variant_size_v<KeyMessage>;
+constexpr std::size_t balancerKinds = std::variant_size_v<BalancerMessage>;
 
 /// A type's name without its namespace, as the compiler gives it: a list of names by hand would
 /// have to follow each change of the vocabularies.
@@ -44,6 +46,8 @@
 
 constexpr auto fleetNames = typeNames<FleetMessage>(std::make_index_sequence<fleetKinds>());
 constexpr auto keyNames = typeNames<KeyMessage>(std::make_index_sequence<keyKinds>());
+constexpr auto balancerNames
+    = typeNames<BalancerMessage>(std::make_index_sequence<balancerKinds>());
 static_assert(fleetNames[0] == "Heartbeat");
 
 std::span<const std::byte> bytesOf(const std::string &text)
@@ -68,6 +72,8 @@
 
 constexpr auto fleetReaders = readers<FleetMessage>(std::make_index_sequence<fleetKinds>());
 constexpr auto keyReaders = readers<KeyMessage>(std::make_index_sequence<keyKinds>());
+constexpr auto balancerReaders
+    = readers<BalancerMessage>(std::make_index_sequence<balancerKinds>());
 
 ReadFunction readerOf(std::uint32_t type)
 {
@@ -75,6 +81,8 @@
         return fleetReaders[type];
     if (type >= firstKeyType && type - firstKeyType < keyKinds)
         return keyReaders[type - firstKeyType];
+    if (type >= firstBalancerType && type - firstBalancerType < balancerKinds)
+        return balancerReaders[type - firstBalancerType];
     return nullptr;
 }
 
@@ -126,28 +134,43 @@
 {
     if (const auto *fleet = std::get_if<FleetMessage>(&message))
         return fleet->index();
-    return fleetKinds + std::get<KeyMessage>(message).index();
+    if (const auto *key = std::get_if<KeyMessage>(&message))
+        return fleetKinds + key->index();
+    return fleetKinds + keyKinds + std::get<BalancerMessage>(message).index();
 }
 
 std::string_view peerMessageKindName(std::size_t kind)
 {
     assert(kind < peerMessageKinds && "no such kind of message");
-    return kind < fleetKinds ? fleetNames[kind] : keyNames[kind - fleetKinds];
+    if (kind < fleetKinds)
+        return fleetNames[kind];
+    kind -= fleetKinds;
+    return kind < keyKinds ? keyNames[kind] : balancerNames[kind - keyKinds];
 }
 
+namespace {
+
+template <typename Vocabulary>
+void packAs(msgpack::packer<msgpack::sbuffer> &packer, std::uint32_t firstType,
+            const Vocabulary &message)
+{
+    packer.pack(firstType + static_cast<std::uint32_t>(message.index()));
+    std::visit([&](const auto &body) { packer.pack(body); }, message);
+}
+
+} // namespace
+
 std::string packPeerMessage(const PeerMessage &message)
 {
     msgpack::sbuffer buffer;
     msgpack::packer packer(buffer);
     packer.pack_array(2);
-    if (const auto *fleet = std::get_if<FleetMessage>(&message)) {
-        packer.pack(static_cast<std::uint32_t>(fleet->index()));
-        std::visit([&](const auto &body) { packer.pack(body); }, *fleet);
-    } else {
-        const auto &key = std::get<KeyMessage>(message);
-        packer.pack(firstKeyType + static_cast<std::uint32_t>(key.index()));
-        std::visit([&](const auto &body) { packer.pack(body); }, key);
-    }
+    if (const auto *fleet = std::get_if<FleetMessage>(&message))
+        packAs(packer, 0, *fleet);
+    else if (const auto *key = std::get_if<KeyMessage>(&message))
+        packAs(packer, firstKeyType, *key);
+    else
+        packAs(packer, firstBalancerType, std::get<BalancerMessage>(message));
     return {buffer.data(), buffer.size()};
 }
 
--- a/lib/Net/Deadline.h
+++ b/lib/Net/Deadline.h
@@ -1,7 +1,7 @@
 // A deadline that is moved often and seldom reached.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
--- a/lib/Net/DeliverServer.cpp
+++ b/lib/Net/DeliverServer.cpp
@@ -1,6 +1,6 @@
 #include "DeliverServer.h"
 
-#include "Base64.h"
+#include "berylridge/Net/Base64.h"
 
 #include <jsonrpccpp/server.h>
 #include <utility>
--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -112,7 +112,7 @@
         m_lastId = *id;
         m_lastNumber = number;
     }
-    m_isDone = data == endOfStream;
+    m_isDone = m_endsWithMark && data == endOfStream;
     out.append(event);
     return true;
 }
--- a/lib/Net/EventStream.h
+++ b/lib/Net/EventStream.h
@@ -18,6 +18,12 @@
     /// Longest event that is held back until it is whole.
     static constexpr std::size_t eventLimit = 1 << 20;
 
+    /// Whether only `data: [DONE]` makes a stream whole; else the end of the answer does.
+    explicit EventStream(bool endsWithMark = true)
+        : m_endsWithMark(endsWithMark)
+    {
+    }
+
     /// Takes in bytes of the current attempt; appends to out what may be passed on. False where the
     /// stream is unusable: an event beyond the limit or something after the end.
     bool feed(std::string_view bytes, std::string &out);
@@ -31,12 +37,13 @@
     /// The id of the last event that was passed on; empty where none had one.
     const std::string &lastId() const { return m_lastId; }
 
-    /// Whether `data: [DONE]` was passed on.
-    bool isDone() const { return m_isDone; }
+    /// Whether the stream is whole if its answer ends here.
+    bool isDone() const { return m_endsWithMark ? m_isDone : m_pending.empty(); }
 
 private:
     bool takeEvent(std::string_view event, std::string &out);
 
+    const bool m_endsWithMark;
     std::string m_pending;
     std::string m_lastId;
     std::optional<std::uint64_t> m_lastNumber;
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -5,8 +5,6 @@
 #include "TrafficThread.h"
 #include "WireText.h"
 
-#include <algorithm>
-#include <array>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <utility>
 
@@ -16,27 +14,6 @@
 
 constexpr std::string_view eventStreamType = "text/event-stream";
 
-/// Fields of a caller's request that the router itself answers for or sets anew.
-bool isOwnRequestField(std::string_view name)
-{
-    static constexpr auto names = std::to_array<std::string_view>(
-        {"Authorization", "Host", "Content-Length", "Expect", "Prefer", fields::costHint,
-         fields::requestId, fields::attemptId, fields::workspace, fields::lastEventId});
-    return std::any_of(names.begin(), names.end(), [name](std::string_view own) {
-        return beast::iequals(beastView(own), beastView(name));
-    });
-}
-
-/// Fields of a target's answer that are between the router and the target.
-bool isOwnAnswerField(std::string_view name)
-{
-    static constexpr auto names = std::to_array<std::string_view>(
-        {fields::requestId, fields::attemptId, fields::bootId, fields::verdict});
-    return std::any_of(names.begin(), names.end(), [name](std::string_view own) {
-        return beast::iequals(beastView(own), beastView(name));
-    });
-}
-
 bool isEventStream(const AnswerHead &head, bool hasBody)
 {
     const std::string_view type = view(head[http::field::content_type]);
@@ -46,6 +23,15 @@
         && head.count(http::field::content_encoding) == 0;
 }
 
+/// Whether an answer may be held until it is whole; one without a length ends with its connection.
+bool isSmall(const AnswerHead &head)
+{
+    const auto length = head.find(http::field::content_length);
+    if (length == head.end())
+        return true;
+    return length->value().size() < std::to_string(Exchange::keptLimit).size();
+}
+
 template <typename Buffers>
 void appendBuffers(const Buffers &buffers, std::string &out)
 {
@@ -62,6 +48,7 @@
     , m_handle(arrived.handle)
     , m_requestId(arrived.requestId)
     , m_path(arrived.path)
+    , m_callersLastId(std::string(view(request[beastView(fields::lastEventId)])))
     , m_request(std::move(request))
     , m_arrival(std::chrono::steady_clock::now())
 {
@@ -72,6 +59,7 @@
     if (m_attempt)
         m_attempt->abort();
     m_attempt.reset();
+    m_held.reset();
     m_order = order;
     if (m_isBegun && !m_stream) {
         // Only an event stream can go on elsewhere; anything else would be glued from two answers.
@@ -82,36 +70,38 @@
         m_stream->beginAttempt();
     m_attempt
         = std::make_shared<TargetAttempt>(m_thread.context(), m_thread.pool(), m_thread.metrics(),
-                                          shared_from_this(), order, targetRequest(order));
+                                          m_thread.protocol().rules, shared_from_this(), order,
+                                          targetRequest(order));
     const auto attempt = m_attempt; // start() may fail at once and let go of it.
     attempt->start();
 }
 
+std::string Exchange::attemptId() const
+{
+    return m_thread.options().idPrefix + std::to_string(m_handle) + "."
+        + std::to_string(m_order.attempt);
+}
+
 TargetRequest Exchange::targetRequest(const Dispatch &order) const
 {
-    http::request<http::empty_body> head;
+    const WireProtocolHandle &protocol = m_thread.protocol();
+    RequestHead head;
     head.version(11);
     head.method_string(m_request.method_string());
     head.target(beastView(m_path));
-    head.set(http::field::host, order.endpoint.address + ":" + std::to_string(order.endpoint.port));
     const std::string_view connection = view(m_request[http::field::connection]);
     for (const auto &field : m_request) {
         const std::string_view name = view(field.name_string());
-        if (!isHopByHop(name, connection) && !isOwnRequestField(name))
+        const bool isLength = field.name() == http::field::content_length;
+        if (!isLength && !isHopByHop(name, connection) && protocol.passesRequestField(name))
             head.insert(field.name_string(), field.value());
     }
     TargetRequest request;
-    request.attemptId = m_thread.options().idPrefix + std::to_string(m_handle) + "."
-        + std::to_string(order.attempt);
     request.isHead = m_request.method() == http::verb::head;
     request.body = m_request.body();
-    head.set(beastView(fields::requestId), m_requestId);
-    head.set(beastView(fields::attemptId), request.attemptId);
-    head.set(beastView(fields::workspace), order.workspace.str());
-    const std::string_view callersId = view(m_request[beastView(fields::lastEventId)]);
-    const std::string_view lastId = m_isBegun ? std::string_view(m_stream->lastId()) : callersId;
-    if (!lastId.empty())
-        head.set(beastView(fields::lastEventId), beastView(lastId));
+    const std::string id = attemptId();
+    const std::string &lastId = m_isBegun ? m_stream->lastId() : m_callersLastId;
+    protocol.completeRequestHead(m_request, order, {m_requestId, id, lastId}, head);
     const bool hasLength = m_request.has_content_length() || !m_request.body().empty();
     if (hasLength)
         head.set(http::field::content_length, std::to_string(m_request.body().size()));
@@ -119,17 +109,35 @@
     return request;
 }
 
+AnswerFacts Exchange::inspect(const AnswerHead &head) const
+{
+    const std::string id = attemptId();
+    return m_thread.protocol().readAnswer(head, {m_requestId, id, {}});
+}
+
 std::optional<AttemptFailure> Exchange::acceptHead(const AnswerHead &head, bool hasBody)
 {
+    AnswerFacts facts = inspect(head);
+    m_bootId = std::move(facts.bootId);
+    m_coldFor = facts.coldFor;
     const bool isStream = isEventStream(head, hasBody);
+    if (facts.failure) {
+        m_held.emplace().failure = facts.failure;
+        m_held->isPassable = facts.isPassable;
+        if (!m_isBegun)
+            buildHead(head, hasBody);
+        return std::nullopt;
+    }
     if (m_isBegun && !isStream)
         return AttemptFailure::BadAnswer;
-    m_bootId = std::string(view(head[beastView(fields::bootId)]));
     if (!m_isBegun) {
         m_stream.reset();
         m_bodyBytes = 0;
         if (isStream)
-            m_stream.emplace().setLastId(view(m_request[beastView(fields::lastEventId)]));
+            m_stream.emplace(m_thread.protocol().rules.streamsEndWithMark)
+                .setLastId(m_callersLastId);
+        else if (m_thread.protocol().rules.buffersSmallAnswers && isSmall(head))
+            m_held.emplace();
         if (m_order.keepsAnswer)
             m_kept.emplace();
         buildHead(head, hasBody);
@@ -149,12 +157,12 @@
         const std::string_view name = view(field.name_string());
         const bool isLength = field.name() == http::field::content_length;
         // A stream that is resumed elsewhere has another length than the first replica announced.
-        if (isHopByHop(name, connection) || isOwnAnswerField(name) || (isLength && m_stream))
+        if (isHopByHop(name, connection) || !m_thread.protocol().passesAnswerField(name)
+            || (isLength && m_stream))
             continue;
         m_head.insert(field.name_string(), field.value());
     }
-    m_head.set(beastView(fields::requestId), m_requestId);
-    m_head.set(beastView(fields::verdict), beastView(verdictName(Verdict::Ran)));
+    m_thread.protocol().completeAnswerHead(m_requestId, m_head);
     const bool isChunked = hasBody && m_head.count(http::field::content_length) == 0;
     if (isChunked)
         m_head.set(http::field::transfer_encoding, "chunked");
@@ -162,8 +170,59 @@
         m_head.set(http::field::connection, "close");
 }
 
+void Exchange::hold(std::string_view bytes, bool isEnd)
+{
+    const auto attempt = m_attempt;
+    m_held->body.append(bytes);
+    m_held->isWhole = isEnd;
+    if (m_held->body.size() > keptLimit && !m_held->failure) {
+        const std::string held = std::move(m_held->body);
+        m_held.reset();
+        passOn(held, isEnd);
+        return;
+    }
+    if (!isEnd) {
+        attempt->resume();
+        return;
+    }
+    if (!m_held->failure) {
+        const std::string held = std::move(m_held->body);
+        m_held.reset();
+        passOn(held, true);
+        return;
+    }
+    m_attempt.reset();
+    attempt->resume(); // Gives the connection back.
+    reportHeldFailure();
+}
+
+void Exchange::reportHeldFailure()
+{
+    // A failure that is too large to be kept, or was itself cut short, can't be passed on.
+    const bool holdsAnswer = m_held->isWhole && m_held->isPassable && !m_isBegun
+        && m_held->body.size() <= keptLimit;
+    m_thread.report(AttemptFailed {m_handle, m_order.attempt, *m_held->failure, true, m_isBegun,
+                                   holdsAnswer, m_coldFor});
+    if (!m_session)
+        m_thread.end(m_handle);
+}
+
+void Exchange::passAnswer(const PassAnswer &order)
+{
+    if (!m_held || m_order.attempt != order.attempt)
+        return;
+    const std::string body = std::move(m_held->body);
+    m_held.reset();
+    m_stream.reset();
+    finish(takeIn(body, true));
+}
+
 std::optional<AttemptFailure> Exchange::acceptBody(std::string_view bytes, bool isEnd)
 {
+    if (m_held) {
+        hold(bytes, isEnd);
+        return std::nullopt;
+    }
     if (!m_stream) {
         passOn(bytes, isEnd);
         return std::nullopt;
@@ -262,7 +321,8 @@
     if (m_kept) {
         for (const auto &field : m_head) {
             const std::string_view name = view(field.name_string());
-            const bool isOwn = isOwnAnswerField(name) || isHopByHop(name, {});
+            const bool isOwn
+                = !m_thread.protocol().passesAnswerField(name) || isHopByHop(name, {});
             if (!isOwn && field.name() != http::field::content_length)
                 done.keptHeaders.push_back({std::string(name), std::string(view(field.value()))});
         }
@@ -276,6 +336,11 @@
 {
     m_attempt.reset();
     m_awaitsWrite = false;
+    if (m_held && m_held->failure) {
+        reportHeldFailure(); // The head said enough, though its body never came.
+        return;
+    }
+    m_held.reset();
     m_thread.report(AttemptFailed {m_handle, m_order.attempt, failure, sentAny, m_isBegun});
     if (!m_session)
         m_thread.end(m_handle);
@@ -300,7 +365,7 @@
         session->cut();
         return;
     }
-    answer(problemResponse(problemOf(order), m_requestId), order.verdict);
+    answer(m_thread.protocol().problemAnswer(problemOf(order), m_requestId), order.verdict);
 }
 
 void Exchange::answerKept(const AnswerKept &order)
@@ -310,8 +375,10 @@
     response.result(order.status);
     for (const KeyHeader &header : order.headers)
         response.insert(header.name, header.value);
-    response.set(beastView(fields::requestId), m_requestId);
-    response.set(beastView(fields::verdict), beastView(verdictName(Verdict::Ran)));
+    CallerAnswerHead own;
+    m_thread.protocol().completeAnswerHead(m_requestId, own);
+    for (const auto &field : own)
+        response.set(field.name_string(), field.value());
     response.body() = order.body;
     response.prepare_payload();
     answer(std::move(response), Verdict::Ran);
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -1,7 +1,7 @@
 // One caller's request from its arrival to the end of its answer, over all attempts at targets.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "EventStream.h"
 #include "TargetAttempt.h"
 
@@ -34,14 +34,29 @@
     void abort(AttemptNumber attempt);
     void refuse(const Refuse &order);
     void answerKept(const AnswerKept &order);
+    void passAnswer(const PassAnswer &order);
     void callerGone();
 
+    AnswerFacts inspect(const AnswerHead &head) const override;
     std::optional<AttemptFailure> acceptHead(const AnswerHead &head, bool hasBody) override;
     std::optional<AttemptFailure> acceptBody(std::string_view bytes, bool isEnd) override;
     void attemptFailed(AttemptFailure failure, bool sentAny) override;
 
 private:
+    /// A target's answer that is held back: a failure until the core has decided, and a small one
+    /// until it is whole.
+    struct HeldAnswer
+    {
+        std::optional<AttemptFailure> failure;
+        std::string body;
+        bool isWhole = false;
+        bool isPassable = false; ///< A failure that may reach the caller as it is.
+    };
+
     TargetRequest targetRequest(const Dispatch &order) const;
+    std::string attemptId() const;
+    void hold(std::string_view bytes, bool isEnd);
+    void reportHeldFailure();
     void buildHead(const AnswerHead &head, bool hasBody);
     void appendBody(std::string_view bytes, bool isEnd, std::string &out);
     std::string takeIn(std::string_view bytes, bool isEnd);
@@ -59,6 +74,7 @@
     const RequestHandle m_handle;
     const std::string m_requestId;
     const std::string m_path;
+    const std::string m_callersLastId; ///< Of the last event that the caller had before.
     const StringRequest m_request;
     const std::chrono::steady_clock::time_point m_arrival;
     std::shared_ptr<TargetAttempt> m_attempt;
@@ -67,6 +83,8 @@
     std::string m_bootId;
     std::optional<EventStream> m_stream;
     std::optional<std::string> m_kept;
+    std::optional<HeldAnswer> m_held;
+    std::optional<Duration> m_coldFor; ///< As the last answer said.
     std::uint64_t m_bodyBytes = 0;
     bool m_isBegun = false; ///< Part of an answer was handed to the caller's connection.
     bool m_awaitsWrite = false;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "HttpClient.h"
+#include "berylridge/Net/HttpClient.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
--- a/lib/Net/HttpListener.h
+++ b/lib/Net/HttpListener.h
@@ -1,7 +1,7 @@
 // A small HTTP server for operators and other nodes, on the control thread.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include "berylridge/Support/Expected.h"
 #include "berylridge/Support/Time.h"
--- a/lib/Net/Mailbox.h
+++ b/lib/Net/Mailbox.h
@@ -1,7 +1,7 @@
 // Hands values from any thread to the one that runs an io_context, many at a time.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include <boost/asio/post.hpp>
 #include <functional>
--- a/lib/Net/PeerLink.cpp
+++ b/lib/Net/PeerLink.cpp
@@ -1,6 +1,6 @@
 #include "PeerLink.h"
 
-#include "Base64.h"
+#include "berylridge/Net/Base64.h"
 #include "JsonRpcClient.h"
 
 #include <utility>
--- a/lib/Net/PeerLink.h
+++ b/lib/Net/PeerLink.h
@@ -1,9 +1,9 @@
 // Messages to and from other nodes: datagrams, calls for what is too large for one, and probes.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "DeliverServer.h"
-#include "HttpClient.h"
+#include "berylridge/Net/HttpClient.h"
 #include "HttpListener.h"
 
 #include "berylridge/Net/Datagram.h"
--- a/lib/Net/PlatformWatch.h
+++ b/lib/Net/PlatformWatch.h
@@ -1,8 +1,8 @@
 // Watches the platform's documents and VM list by long polls, one connection each.
 #pragma once
 
-#include "Asio.h"
-#include "HttpClient.h"
+#include "berylridge/Net/Asio.h"
+#include "berylridge/Net/HttpClient.h"
 
 #include "berylridge/Net/Metrics.h"
 #include "berylridge/Router/Events.h"
--- a/lib/Net/Problem.cpp
+++ b/lib/Net/Problem.cpp
@@ -1,4 +1,4 @@
-#include "Problem.h"
+#include "berylridge/Net/Problem.h"
 
 #include <algorithm>
 #include <json/json.h>
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -59,7 +59,7 @@
 {
 public:
     Impl(const Settings &settings, Incarnation incarnation, LogSink &log, CoreHandle core,
-         RpcHandler rpc, AuditHandler audit);
+         RpcHandler rpc, AuditHandler audit, WireProtocolHandle protocol);
     ~Impl();
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
@@ -69,6 +69,7 @@
     void handleSignals();
     void run();
     void stop() { m_context.stop(); }
+    asio::io_context &context() { return m_context; }
 
     void post(Event event) { m_loop.post(std::move(event)); }
     void handleNow(const Event &event);
@@ -77,6 +78,7 @@
     void operator()(AbortAttempt &action);
     void operator()(Refuse &action);
     void operator()(AnswerKept &action);
+    void operator()(PassAnswer &action);
     void operator()(const SendToNode &action) { m_peers.send(action); }
     void operator()(const ProbeNode &action) { m_peers.probe(action); }
     void operator()(const PollTarget &action) { m_poller.poll(action); }
@@ -118,7 +120,8 @@
 };
 
 RouterNode::Impl::Impl(const Settings &settings, Incarnation incarnation, LogSink &log,
-                       CoreHandle core, RpcHandler rpc, AuditHandler audit)
+                       CoreHandle core, RpcHandler rpc, AuditHandler audit,
+                       WireProtocolHandle protocol)
     : m_log(log)
     , m_audit(std::move(audit))
     , m_loop(
@@ -132,6 +135,7 @@
     , m_admin(m_context, adminSources(settings, std::move(rpc)))
     , m_signals(m_context)
 {
+    m_options.protocol = std::move(protocol);
     m_options.report = [this](std::vector<Event> &events) { m_loop.postAll(events); };
     for (unsigned i = 0; i < settings.trafficThreads; ++i)
         m_threads.push_back(std::make_unique<TrafficThread>(i, m_options, m_metrics));
@@ -236,6 +240,11 @@
     thread.order(std::move(action));
 }
 
+void RouterNode::Impl::operator()(PassAnswer &action)
+{
+    threadOf(action.handle).order(action);
+}
+
 void RouterNode::Impl::operator()(const Readiness &action)
 {
     m_isReady = action.isReady;
@@ -297,6 +306,11 @@
     m_impl->handleNow(event);
 }
 
+asio::io_context &RouterNode::context()
+{
+    return m_impl->context();
+}
+
 Endpoint RouterNode::callers() const
 {
     return m_impl->listener().endpoint();
@@ -343,6 +357,12 @@
     return *this;
 }
 
+RouterNodeBuilder &RouterNodeBuilder::protocol(WireProtocolHandle protocol)
+{
+    m_protocol = std::move(protocol);
+    return *this;
+}
+
 RouterNodeBuilder &RouterNodeBuilder::handlesSignals(bool isHandling)
 {
     m_handlesSignals = isHandling;
@@ -354,7 +374,7 @@
     assert(m_core.handle && m_core.nextTimer && "a node needs a core");
     assert(m_settings.trafficThreads > 0 && "a node needs a traffic thread");
     auto impl = std::make_unique<RouterNode::Impl>(m_settings, m_incarnation, m_log, m_core, m_rpc,
-                                                   m_audit);
+                                                   m_audit, m_protocol);
     std::string reason = impl->open(m_settings);
     if (!reason.empty())
         return Reason {std::move(reason)};
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -1,18 +1,21 @@
 #include "TargetAttempt.h"
 
-#include "CallerRequest.h"
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
 
 namespace berylridge {
 
 namespace {
 
-constexpr Duration connectTimeout = std::chrono::seconds(2);
+/// For bytes that the target's machine has not acknowledged. Behind a network partition a kept
+/// connection takes a request and stays silent; the system then gives up only after minutes.
+constexpr int unacknowledgedLimitMs = 1500;
 constexpr std::size_t pieceBytes = 16 << 10;
 constexpr std::size_t readBytes = 8 << 10;
 constexpr std::size_t headLimit = 64 << 10;
@@ -44,10 +47,11 @@
 } // namespace
 
 TargetAttempt::TargetAttempt(asio::io_context &context, ConnectionPool &pool, Metrics &metrics,
-                             std::shared_ptr<AttemptOwner> owner, const Dispatch &order,
-                             TargetRequest request)
+                             WireRules rules, std::shared_ptr<AttemptOwner> owner,
+                             const Dispatch &order, TargetRequest request)
     : m_pool(pool)
     , m_metrics(metrics)
+    , m_rules(rules)
     , m_owner(std::move(owner))
     , m_order(order)
     , m_request(std::move(request))
@@ -70,6 +74,7 @@
     if (m_order.isIdempotent) {
         if (auto kept = m_pool.take(m_order.endpoint)) {
             ++m_metrics.connectionsReused;
+            m_isReused = true;
             m_socket = std::move(*kept);
             sendRequest();
             return;
@@ -86,7 +91,7 @@
         return;
     }
     m_isConnecting = true;
-    m_deadline->move(std::min(lastStart(m_order), Clock::now() + connectTimeout));
+    m_deadline->move(std::min({lastStart(m_order), m_attemptEnd, Clock::now() + m_order.connectTimeout}));
     m_socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
         if (self->m_isOver)
             return;
@@ -98,6 +103,9 @@
         }
         error_code ignored;
         self->m_socket.set_option(tcp::no_delay(true), ignored);
+        const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> limit(
+            unacknowledgedLimitMs);
+        self->m_socket.set_option(limit, ignored);
         self->sendRequest();
     });
 }
@@ -113,18 +121,14 @@
     // Set before the first byte is handed over: a write that fails may have sent some of it, and
     // "not run" must never be said of such a request.
     m_sentAny = true;
-    expectWithin(m_order.idleTimeout);
     const std::array<asio::const_buffer, 2> bytes {
         asio::buffer(m_request.head), asio::buffer(m_request.body.data(), m_request.body.size())};
+    // A failed write is not the end: the target may have answered before it broke off, and what it
+    // said is read below. A target may also answer before it has read a long body.
     asio::async_write(m_socket, bytes, [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->m_isOver)
-            return;
-        if (error) {
-            self->fail(AttemptFailure::Reset);
-            return;
-        }
-        self->readHead();
+        self->m_isSent = !error;
     });
+    readHead();
 }
 
 void TargetAttempt::readHead()
@@ -135,7 +139,8 @@
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_request.isHead);
     m_buffer.reserve(readBytes);
-    expectWithin(m_order.idleTimeout);
+    const bool hasFirst = m_order.firstByteTimeout > Duration(0);
+    expectWithin(hasFirst ? m_order.firstByteTimeout : m_order.idleTimeout);
     http::async_read_header(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](error_code error, std::size_t) { self->onHead(error); });
@@ -154,23 +159,17 @@
         readHead();
         return;
     }
-    const auto attemptId = head.find(beastView(fields::attemptId));
-    const bool isOther = attemptId != head.end() && view(attemptId->value()) != m_request.attemptId;
-    // Another coding than chunks would stay in the body, with nothing to tell of it.
-    const auto coding = head.find(http::field::transfer_encoding);
-    const bool isCoded = coding != head.end() && !beast::iequals(coding->value(), "chunked");
-    if (isOther || isCoded || head.result_int() == 101) {
-        fail(AttemptFailure::BadAnswer);
+    const AnswerFacts facts = m_owner->inspect(head);
+    if (!facts.isOwn && m_isReused) {
+        skipAnswer();
         return;
     }
-    // Without a length the end of the connection would be the end of the answer, and one cut short
-    // could be taken for whole.
-    if (m_parser->need_eof() && !m_parser->is_done()) {
+    if (!facts.isOwn || !facts.isUsable || !isReadable(head)) {
         fail(AttemptFailure::BadAnswer);
         return;
     }
     m_isEnd = m_parser->is_done();
-    if (m_isEnd && m_buffer.size() > 0) {
+    if (m_isEnd && m_buffer.size() > 0 && !m_rules.ignoresTrailingBytes) {
         fail(AttemptFailure::BadAnswer);
         return;
     }
@@ -188,6 +187,32 @@
         fail(*failure);
 }
 
+bool TargetAttempt::isReadable(const AnswerHead &head) const
+{
+    // Another coding than chunks would stay in the body, with nothing to tell of it.
+    const auto coding = head.find(http::field::transfer_encoding);
+    if (coding != head.end() && !beast::iequals(coding->value(), "chunked"))
+        return false;
+    if (head.result_int() == 101)
+        return false;
+    // Without a length the end of the connection is the end of the answer, and one cut short could
+    // be taken for whole, unless the protocol's targets reset a connection that breaks.
+    return m_rules.takesUnframedAnswers || !m_parser->need_eof() || m_parser->is_done();
+}
+
+void TargetAttempt::skipAnswer()
+{
+    // A late answer to an earlier request on this connection: it belongs to nobody any more, and the
+    // request's own answer stands behind it. Passed on, it would give a caller another one's answer.
+    m_isStray = true;
+    if (m_parser->need_eof()) {
+        fail(AttemptFailure::BadAnswer);
+        return;
+    }
+    m_piece.resize(pieceBytes);
+    readBody();
+}
+
 void TargetAttempt::readBody()
 {
     expectWithin(m_order.idleTimeout);
@@ -228,8 +253,11 @@
     if (m_isOver)
         return;
     m_buffer.commit(size);
-    if (error == asio::error::eof)
-        m_parser->put_eof(error); // Says what is missing; no answer without a length comes here.
+    if (error == asio::error::eof) {
+        // Says what is missing; the end of an answer without a length is no error.
+        error = {};
+        m_parser->put_eof(error);
+    }
     if (error) {
         fail(failureOf(error));
         return;
@@ -239,8 +267,17 @@
 
 void TargetAttempt::onPiece(std::size_t size)
 {
+    if (m_isStray) {
+        if (!m_isEnd) {
+            readBody();
+            return;
+        }
+        m_isStray = false;
+        readHead();
+        return;
+    }
     // Bytes beyond the announced end: the connection is out of step, and so may be this answer.
-    if (m_isEnd && m_buffer.size() > 0) {
+    if (m_isEnd && m_buffer.size() > 0 && !m_rules.ignoresTrailingBytes) {
         fail(AttemptFailure::BadAnswer);
         return;
     }
@@ -266,7 +303,9 @@
 {
     m_isOver = true;
     m_deadline->stop();
-    if (m_parser->keep_alive())
+    // A connection with bytes left over, or on which the target still has to read the rest of the
+    // request, is out of step with the next one.
+    if (m_parser->keep_alive() && m_isSent && m_buffer.size() == 0)
         m_pool.put(m_order.endpoint, std::move(m_socket));
     close();
 }
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -1,11 +1,12 @@
 // One attempt at a target: connects, sends the request, reads the answer piece by piece.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "ConnectionPool.h"
 #include "Deadline.h"
 
 #include "berylridge/Net/Metrics.h"
+#include "berylridge/Net/WireProtocol.h"
 #include "berylridge/Router/Actions.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -19,15 +20,16 @@
 
 namespace berylridge {
 
-using AnswerHead = http::response_header<>;
-
 /// What an attempt tells the request that it serves, on the same thread.
 class AttemptOwner
 {
 public:
     virtual ~AttemptOwner() = default;
 
-    /// The head came, with the request's own id. A failure ends the attempt.
+    /// What a head says; asked before acceptHead().
+    virtual AnswerFacts inspect(const AnswerHead &head) const = 0;
+
+    /// The request's own head came. A failure ends the attempt.
     virtual std::optional<AttemptFailure> acceptHead(const AnswerHead &head, bool hasBody) = 0;
 
     /// The next piece of the body; nothing more is read until TargetAttempt::resume(), which is the
@@ -43,7 +45,6 @@
 {
     std::string head;
     std::string_view body; ///< Of the caller's request, which outlives the attempt.
-    std::string attemptId;
     bool isHead = false; ///< The HEAD method: its answer has no body.
 };
 
@@ -51,7 +52,7 @@
 {
 public:
     TargetAttempt(asio::io_context &context, ConnectionPool &pool, Metrics &metrics,
-                  std::shared_ptr<AttemptOwner> owner, const Dispatch &order,
+                  WireRules rules, std::shared_ptr<AttemptOwner> owner, const Dispatch &order,
                   TargetRequest request);
 
     void start();
@@ -69,7 +70,9 @@
     void sendRequest();
     void readHead();
     void onHead(error_code error);
+    bool isReadable(const AnswerHead &head) const;
     void readBody();
+    void skipAnswer();
     std::size_t parseBody(error_code &error);
     void onRead(error_code error, std::size_t size);
     void onPiece(std::size_t size);
@@ -81,6 +84,7 @@
 
     ConnectionPool &m_pool;
     Metrics &m_metrics;
+    const WireRules m_rules;
     std::shared_ptr<AttemptOwner> m_owner;
     Dispatch m_order;
     TargetRequest m_request;
@@ -92,6 +96,9 @@
     std::vector<char> m_piece;
     bool m_isConnecting = false;
     bool m_sentAny = false;
+    bool m_isSent = false; ///< The operating system has taken the whole request.
+    bool m_isReused = false; ///< On a connection that served a request before.
+    bool m_isStray = false; ///< The answer being read belongs to an earlier request.
     bool m_isEnd = false;
     bool m_isOver = false;
 };
--- a/lib/Net/TargetPoller.h
+++ b/lib/Net/TargetPoller.h
@@ -1,8 +1,8 @@
 // Asks targets for their load reports.
 #pragma once
 
-#include "Asio.h"
-#include "HttpClient.h"
+#include "berylridge/Net/Asio.h"
+#include "berylridge/Net/HttpClient.h"
 
 #include "berylridge/Net/Metrics.h"
 #include "berylridge/Router/Actions.h"
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -28,6 +28,7 @@
     void operator()(AbortAttempt &order) const { exchange.abort(order.attempt); }
     void operator()(Refuse &order) const { exchange.refuse(order); }
     void operator()(AnswerKept &order) const { exchange.answerKept(order); }
+    void operator()(PassAnswer &order) const { exchange.passAnswer(order); }
 };
 
 } // namespace
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -1,11 +1,12 @@
 // One thread that owns callers' connections, their requests and the connections to targets.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 #include "ConnectionPool.h"
 #include "Mailbox.h"
 
 #include "berylridge/Net/Metrics.h"
+#include "berylridge/Net/WireProtocol.h"
 #include "berylridge/Router/Actions.h"
 
 #include <atomic>
@@ -26,7 +27,7 @@
 class Exchange;
 
 /// What the control thread tells a traffic thread.
-using TrafficOrder = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept>;
+using TrafficOrder = std::variant<Dispatch, AbortAttempt, Refuse, AnswerKept, PassAnswer>;
 
 /// What all traffic threads of a process share; outlives them.
 struct TrafficOptions
@@ -37,6 +38,7 @@
     std::uint32_t connectionLimit = 4096;
     Duration readTimeout = std::chrono::seconds(10);
     unsigned threads = 1;
+    WireProtocolHandle protocol = ownProtocol();
     std::function<void(std::vector<Event> &)> report; ///< To the control thread; takes them all.
 };
 
@@ -63,6 +65,7 @@
     // For sessions and requests, on this thread:
     asio::io_context &context() { return m_context; }
     const TrafficOptions &options() const { return m_options; }
+    const WireProtocolHandle &protocol() const { return m_options.protocol; }
     Metrics &metrics() { return m_metrics; }
     ConnectionPool &pool() { return m_pool; }
     bool isLeaving() const { return m_isLeaving; }
--- a/lib/Net/WireText.h
+++ b/lib/Net/WireText.h
@@ -1,7 +1,7 @@
 // HTTP heads and whole messages as the bytes that go over the wire.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include <boost/asio/buffers_iterator.hpp>
 #include <boost/beast/http/serializer.hpp>
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -119,6 +119,9 @@
                    [&](const PlatformReach &e) { m_fleet.onPlatformReach(e.isReachable); },
                    [&](const LeaveOrdered &e) { m_fleet.onLeave(e.who); },
                    [&](const ReturnOrdered &e) { m_fleet.onReturn(e.who); },
+                   // What the balancer alone takes in (lib/Balancer).
+                   [](const CatalogArrived &) {},
+                   [](const DirectoryArrived &) {},
                    [](const TimerDue &) {},
                },
                event);
@@ -131,7 +134,9 @@
         m_requests.onKeyMessage(from, incarnation, *key);
         return;
     }
-    onFleetMessage(from, incarnation, std::get<FleetMessage>(message));
+    // Nodes that run the balancer speak of loads; this core shares by leases and needs none of it.
+    if (const auto *fleet = std::get_if<FleetMessage>(&message))
+        onFleetMessage(from, incarnation, *fleet);
 }
 
 void Core::Impl::onFleetMessage(const NodeId &from, Incarnation incarnation,
--- a/lib/Router/CoreContext.h
+++ b/lib/Router/CoreContext.h
@@ -18,7 +18,7 @@
 
 namespace berylridge {
 
-using AnyMessage = std::variant<FleetMessage, KeyMessage>;
+using AnyMessage = std::variant<FleetMessage, KeyMessage, BalancerMessage>;
 
 /// All state charts, loaded once.
 struct Charts
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -97,7 +97,8 @@
     if (!request)
         return;
     static constexpr const char *names[]
-        = {"refused connection", "connect timeout", "reset", "timeout", "bad answer", "cut short"};
+        = {"refused connection", "connect timeout", "reset",        "timeout",     "bad answer",
+           "cut short",          "not run",         "other target", "target error"};
     const char *name = names[static_cast<std::size_t>(event.failure)];
     note(*request, "attempt failed:", name);
     m_context.log(LogEventId::AttemptFailed,
@@ -118,6 +119,10 @@
     case AttemptFailure::Timeout:
         m_pools->tellNews(request->lease.pool, hash, TargetSign::Timeout, request->bootId);
         break;
+    // Failures that only protocols of the balancer tell apart.
+    case AttemptFailure::NotRun:
+    case AttemptFailure::OtherTarget:
+    case AttemptFailure::TargetError:
     case AttemptFailure::BadAnswer:
         m_context.log(LogEventId::AnswerRejected, request->id + " from " + request->target.str());
         break;
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -21,6 +21,11 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::uint32_t shortHash(std::string_view text)
+{
+    return static_cast<std::uint32_t>(hash64(text));
+}
+
 std::uint64_t rendezvousWeight(std::string_view subject, std::string_view node)
 {
     return hash64(subject, hash64(node));
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -244,6 +244,7 @@
             [this](const AbortAttempt &order) { abort(order); },
             [this](const Refuse &refusal) { refuse(refusal); },
             [this](const AnswerKept &kept) { answerKept(kept); },
+            [](const PassAnswer &) { assert(false && "only the balancer passes failures on"); },
             [this](const SendToNode &message) { enqueue(message); },
             [this](const ProbeNode &silent) { probe(silent); },
             [this](const PollTarget &target) { poll(target); },
--- a/tools/berylreplay/Session.cpp
+++ b/tools/berylreplay/Session.cpp
@@ -57,6 +57,11 @@
         ++outcome["kept"];
         line() << "answer kept " << action.handle << ' ' << action.status << '\n';
     }
+    void write(const PassAnswer &action)
+    {
+        ++outcome["passed"];
+        line() << "pass answer " << action.handle << '/' << action.attempt << '\n';
+    }
     void write(const SendToNode &action)
     {
         if (m_isWhole)
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -197,6 +197,9 @@
                 json["isReachable"] = e.isReachable;
                 return json;
             },
+            // Traces are of the core that shares by leases; it passes these over.
+            [](const CatalogArrived &) { return typed("catalog"); },
+            [](const DirectoryArrived &) { return typed("directory"); },
             [](const LeaveOrdered &e) {
                 Json::Value json = typed("leave");
                 json["who"] = e.who;
--- a/tools/berylridged/Main.cpp
+++ b/tools/berylridged/Main.cpp
@@ -3,15 +3,13 @@
 #include "berylridge/Admin/AdminApi.h"
 #include "berylridge/Admin/AuditTrail.h"
 #include "berylridge/CommandLine/CommandLine.h"
-#include "berylridge/Config/Settings.h"
+#include "berylridge/Config/SettingsFile.h"
 #include "berylridge/Net/LogSink.h"
 #include "berylridge/Net/RouterNode.h"
 #include "berylridge/Router/Core.h"
 
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 #include <string>
 
 using namespace berylridge;
@@ -34,29 +32,6 @@
           "berylridged --check --settings a1.json"}}};
 }
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-std::optional<Settings> loadSettings(const std::string &path)
-{
-    const std::optional<std::string> text = readFile(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
-    }
-    ReadResult<Settings> result = readSettings(path, *text);
-    for (const Diagnostic &diagnostic : result.diagnostics)
-        std::cerr << diagnostic.str() << '\n';
-    return result.value;
-}
-
 SharingPolicy policyOf(const std::string &name)
 {
     if (name == "per-node")
@@ -141,7 +116,7 @@
                                  line.arguments());
     if (const auto status = line.parse(argc, argv))
         return *status;
-    const std::optional<Settings> settings = loadSettings(path.getValue());
+    const std::optional<Settings> settings = loadSettings(path.getValue(), std::cerr);
     if (!settings)
         return exitWrongUsage;
     return isCheckOnly.getValue() ? exitFine : serve(*settings);
--- a/unittests/Net/NodeFixture.h
+++ b/unittests/Net/NodeFixture.h
@@ -2,7 +2,7 @@
 // script, and a caller that sends and reads bytes as they are.
 #pragma once
 
-#include "Asio.h"
+#include "berylridge/Net/Asio.h"
 
 #include "berylridge/Net/RouterNode.h"
 
--- a/utils/common.sh
+++ b/utils/common.sh
@@ -19,9 +19,7 @@
 }
 
 configure() {
-    local launcher=()
-    command -v ccache >/dev/null && launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
-    cmake -S "$root" -B "$build" -G Ninja "${launcher[@]}" "$@" >/dev/null
+    cmake -S "$root" -B "$build" -G Ninja "$@" >/dev/null
 }
 
 build_all() {
