--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -69,8 +69,9 @@
     std::vector<WorkspaceDemandEntry> demands;
     std::vector<BrokenRunEntry> brokenRuns;
     std::vector<PeerEntry> peers; ///< Now and then: whom the sender has heard lately.
+    std::uint32_t servedPerSecond = 0; ///< Tokens of requests that the sender had admitted.
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
-                   placements, demands, brokenRuns, peers)
+                   placements, demands, brokenRuns, peers, servedPerSecond)
 };
 
 /// Asks a peer whose digest shows newer state for what is newer than this.
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -54,6 +54,7 @@
     bool onHeard(const NodeId &node, Incarnation incarnation, const LoadDigest &digest,
                  TimePoint now);
     void forgetSilent(TimePoint now);
+    void setSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
     /// This process was paused: the others were not silent, it did not listen.
     void onWoke(Duration gap);
 
--- a/include/berylridge/Net/RouterNode.h
+++ b/include/berylridge/Net/RouterNode.h
@@ -97,6 +97,8 @@
     RouterNodeBuilder &audit(AuditHandler handler);
     /// How requests and answers look; the product's own protocol unless given.
     RouterNodeBuilder &protocol(WireProtocolHandle protocol);
+    /// What SIGHUP calls, on the control thread; without it SIGHUP is ignored.
+    RouterNodeBuilder &reload(std::function<void()> reload);
     /// Whether SIGTERM and SIGINT order a planned stop, and a second one ends the process.
     RouterNodeBuilder &handlesSignals(bool isHandling);
 
@@ -111,6 +113,7 @@
     RpcHandler m_rpc;
     AuditHandler m_audit;
     WireProtocolHandle m_protocol = ownProtocol();
+    std::function<void()> m_reload;
     bool m_handlesSignals = false;
 };
 
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -3,6 +3,8 @@
 //
 // Load it answers: a few large workspaces ask for several times their usual, and the small ones find
 // every target full. Each node knows its own callers' demand exactly and the others' from digests.
+// What the fleet bears is what it serves while it turns requests away: a figure that operators give
+// doesn't know how much of the prompts the targets keep, and is off by a factor of two either way.
 #pragma once
 
 #include "berylridge/Support/Id.h"
@@ -29,28 +31,44 @@
     /// A caller of the workspace asks for work of so many tokens.
     void onAsked(WorkspaceKey workspace, double tokens, TimePoint now);
 
+    /// The request was admitted.
+    void onAdmitted(double tokens, TimePoint now) { m_served.add(tokens, now); }
+
     struct RemoteDemand
     {
         WorkspaceKey workspace = 0;
         double tokensPerSecond = 0;
     };
-    void onDigest(const NodeId &node, std::vector<RemoteDemand> demands, TimePoint now);
+    void onDigest(const NodeId &node, std::vector<RemoteDemand> demands, double servedPerSecond,
+                  TimePoint now);
 
-    /// Works the shares out anew; called each period.
-    void update(double capacity, TimePoint now);
+    /// Works the shares out anew; called each period. The fleet bears at least leastCapacity tokens
+    /// a second.
+    void update(double leastCapacity, TimePoint now);
 
     /// Whether the workspace stays within its share with this request; takes it from the share.
     bool tryTake(WorkspaceKey workspace, double tokens, TimePoint now);
 
     /// This node's own demands in tokens a second, for its digests.
     std::vector<RemoteDemand> ownDemands(TimePoint now) const;
+    double servedPerSecond(TimePoint now) const { return m_served.at(now); }
     double level() const { return m_level; }
 
 private:
+    /// Tokens a second, smoothed.
+    class Rate
+    {
+    public:
+        void add(double tokens, TimePoint now);
+        double at(TimePoint now) const;
+
+    private:
+        double m_rate = 0;
+        TimePoint m_countedAt {};
+    };
     struct Own
     {
-        double rate = 0; ///< Tokens a second, smoothed.
-        TimePoint countedAt {};
+        Rate demand;
         double allowedRate = 0; ///< This node's part of the workspace's share.
         double credit = 0;      ///< Tokens that may be taken now.
         TimePoint creditedAt {};
@@ -59,13 +77,13 @@
     struct Remote
     {
         std::vector<RemoteDemand> demands;
+        double servedPerSecond = 0;
         TimePoint heardAt;
     };
 
-    static double rateNow(const Own &own, TimePoint now);
-
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
+    Rate m_served;
     double m_level = 0;
 };
 
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -9,6 +9,7 @@
 #include "berylridge/Fleet/BalancerMessages.h"
 #include "berylridge/Idempotency/Messages.h"
 #include "berylridge/Router/Prompt.h"
+#include "berylridge/Support/Endpoint.h"
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
 
@@ -171,6 +172,12 @@
     DirectoryNews news;
 };
 
+/// The settings name other nodes to greet.
+struct SeedsChanged
+{
+    std::vector<Endpoint> seeds;
+};
+
 /// A planned stop: SIGTERM or an operator's call.
 struct LeaveOrdered
 {
@@ -191,6 +198,6 @@
 using Event = std::variant<RequestArrived, KeyIssueAsked, CallerGone, AttemptHead, AttemptDone,
                            AttemptFailed, TargetReport, TargetPollFailed, NodeMessage, ProbeEnded,
                            DocumentArrived, VmListArrived, PlatformReach, CatalogArrived,
-                           DirectoryArrived, LeaveOrdered, ReturnOrdered, TimerDue>;
+                           DirectoryArrived, SeedsChanged, LeaveOrdered, ReturnOrdered, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -103,6 +103,7 @@
                    [&](const DirectoryArrived &e) { onDirectory(e.news, "platform"); },
                    [&](const PlatformReach &e) { onPlatformReach(e.isReachable); },
                    [&](const LeaveOrdered &e) { onLeave(e.who); },
+                   [&](const SeedsChanged &e) { m_context.peers.setSeeds(e.seeds); },
                    // Events of the core that shares by leases (lib/Router).
                    [](const KeyIssueAsked &) {},
                    [](const TargetReport &) {},
@@ -202,6 +203,8 @@
     if (m_state != NodeState::Leaving)
         return;
     const Duration since = m_context.now - m_leaveAt;
+    if (since >= m_context.options.closeAfter)
+        m_requests.close();
     const bool isQuiet = m_requests.size() == 0
         && m_context.now - m_requests.lastArrival() > quietBeforeStop;
     if (since >= m_context.options.leaveTime && isQuiet) {
--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -48,6 +48,8 @@
     digest.placements = m_board.takePlacements(placementLimit);
     for (const auto &demand : m_requests.shares().ownDemands(m_context.now))
         digest.demands.push_back({demand.workspace, clampTo32(demand.tokensPerSecond)});
+    digest.servedPerSecond
+        = clampTo32(m_requests.shares().servedPerSecond(m_context.now));
     digest.brokenRuns = m_requests.takeBrokenRuns();
     if (m_digests++ % peersEvery == 0)
         digest.peers = m_context.peers.liveEntries(m_context.now);
@@ -76,7 +78,7 @@
     std::vector<WorkspaceShares::RemoteDemand> demands;
     for (const WorkspaceDemandEntry &entry : digest.demands)
         demands.push_back({entry.workspace, static_cast<double>(entry.tokensPerSecond)});
-    m_requests.shares().onDigest(from, std::move(demands), m_context.now);
+    m_requests.shares().onDigest(from, std::move(demands), digest.servedPerSecond, m_context.now);
     for (const BrokenRunEntry &entry : digest.brokenRuns)
         m_requests.onRemoteBrokenRun(entry);
 }
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -13,6 +13,8 @@
 constexpr Duration assumedDeadline = std::chrono::seconds(30);
 /// Where no catalog is known yet; a node learns it within a second of its start.
 constexpr Duration startingRetryAfter = std::chrono::milliseconds(300);
+/// The next connection of the caller reaches another node.
+constexpr Duration leavingRetryAfter = std::chrono::milliseconds(20);
 /// Where no target can be reached: most faults pass in a few seconds, and a target is tried again
 /// within two.
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
@@ -116,6 +118,8 @@
 std::optional<RequestFlow::Refusal> RequestFlow::admit(BalancedRequest &request,
                                                        const RequestArrived &event)
 {
+    if (m_isClosed)
+        return Refusal {503, "leaving", "the router stops", leavingRetryAfter};
     request.table = m_context.table;
     if (!request.table)
         return Refusal {503, "starting", "the router has no catalog yet", startingRetryAfter};
@@ -158,6 +162,8 @@
     }
     if (!m_board.take(*choice, *request.service, chain))
         return Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
+    if (isFirst)
+        m_shares.onAdmitted(demandOf(request), m_context.now);
     start(request, *choice);
     return std::nullopt;
 }
@@ -388,9 +394,8 @@
 void RequestFlow::tick()
 {
     m_crashes.expire(m_context.now);
-    if (m_context.table)
-        m_capacity = m_context.table->catalog().tokensPerSecond;
-    m_shares.update(m_capacity > 0 ? m_capacity : 1e12, m_context.now);
+    const double least = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
+    m_shares.update(least, m_context.now);
 }
 
 void RequestFlow::endAll()
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -63,6 +63,8 @@
 
     /// Periodic work: shares and what is remembered for a while.
     void tick();
+    /// From now on new requests are refused: a planned stop could not wait for their answers.
+    void close() { m_isClosed = true; }
     /// Ends all requests at the limit of a planned stop.
     void endAll();
 
@@ -106,8 +108,8 @@
     std::unordered_map<RequestHandle, BalancedRequest> m_requests;
     std::vector<BrokenRunEntry> m_brokenRuns; ///< For the next digest.
     RandomEngine m_random;
-    double m_capacity = 0; ///< Tokens a second that the fleet is taken to bear.
     TimePoint m_lastArrival {};
+    bool m_isClosed = false;
 };
 
 } // namespace berylridge
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -66,7 +66,7 @@
 
     /// Empty where all listeners are open, else why one is not.
     std::string open(const Settings &settings);
-    void handleSignals();
+    void handleSignals(std::function<void()> reload);
     void run();
     void stop() { m_context.stop(); }
     asio::io_context &context() { return m_context; }
@@ -113,6 +113,7 @@
     TargetPoller m_poller;
     AdminFace m_admin;
     asio::signal_set m_signals;
+    std::function<void()> m_reload;
     int m_signalsSeen = 0;
     std::atomic<std::size_t> m_threadsLeft {0};
     bool m_isReady = false;
@@ -173,12 +174,14 @@
     return reason;
 }
 
-void RouterNode::Impl::handleSignals()
+void RouterNode::Impl::handleSignals(std::function<void()> reload)
 {
+    m_reload = std::move(reload);
     // A log reader that has gone must not end the process at the next line.
     std::signal(SIGPIPE, SIG_IGN);
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
     awaitSignal();
 }
 
@@ -187,6 +190,12 @@
     m_signals.async_wait([this](error_code error, int number) {
         if (error)
             return;
+        if (number == SIGHUP) {
+            if (m_reload)
+                m_reload();
+            awaitSignal();
+            return;
+        }
         if (++m_signalsSeen > 1) {
             stop();
             return;
@@ -363,6 +372,12 @@
     return *this;
 }
 
+RouterNodeBuilder &RouterNodeBuilder::reload(std::function<void()> reload)
+{
+    m_reload = std::move(reload);
+    return *this;
+}
+
 RouterNodeBuilder &RouterNodeBuilder::handlesSignals(bool isHandling)
 {
     m_handlesSignals = isHandling;
@@ -379,7 +394,7 @@
     if (!reason.empty())
         return Reason {std::move(reason)};
     if (m_handlesSignals)
-        impl->handleSignals();
+        impl->handleSignals(m_reload);
     return std::unique_ptr<RouterNode>(new RouterNode(std::move(impl)));
 }
 
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -16,6 +16,8 @@
 constexpr double creditSeconds = 1.0;
 /// A node's demands count so long after its last digest.
 constexpr Duration remoteLimit = std::chrono::milliseconds(1500);
+/// Shares add up to a little more than was served, so that they find out when the fleet bears more.
+constexpr double growth = 1.05;
 /// Below this a workspace is idle.
 constexpr double idleRate = 1.0;
 
@@ -34,44 +36,52 @@
     return std::numeric_limits<double>::infinity();
 }
 
-double WorkspaceShares::rateNow(const Own &own, TimePoint now)
+double WorkspaceShares::Rate::at(TimePoint now) const
 {
-    return own.rate * std::exp(-toSeconds(now - own.countedAt) / smoothingSeconds);
+    return m_rate * std::exp(-toSeconds(now - m_countedAt) / smoothingSeconds);
+}
+
+void WorkspaceShares::Rate::add(double tokens, TimePoint now)
+{
+    m_rate = at(now) + tokens / smoothingSeconds;
+    m_countedAt = now;
 }
 
 void WorkspaceShares::onAsked(WorkspaceKey workspace, double tokens, TimePoint now)
 {
-    Own &own = m_own[workspace];
-    own.rate = rateNow(own, now) + tokens / smoothingSeconds;
-    own.countedAt = now;
+    m_own[workspace].demand.add(tokens, now);
 }
 
-void WorkspaceShares::onDigest(const NodeId &node, std::vector<RemoteDemand> demands, TimePoint now)
+void WorkspaceShares::onDigest(const NodeId &node, std::vector<RemoteDemand> demands,
+                               double servedPerSecond, TimePoint now)
 {
-    m_remotes[node] = {std::move(demands), now};
+    m_remotes[node] = {std::move(demands), servedPerSecond, now};
 }
 
-void WorkspaceShares::update(double capacity, TimePoint now)
+void WorkspaceShares::update(double leastCapacity, TimePoint now)
 {
     std::erase_if(m_remotes,
                   [&](const auto &entry) { return now - entry.second.heardAt > remoteLimit; });
     std::unordered_map<WorkspaceKey, double> fleet;
+    double served = m_served.at(now);
     for (const auto &[workspace, own] : m_own)
-        fleet[workspace] += rateNow(own, now);
+        fleet[workspace] += own.demand.at(now);
     for (const auto &[node, remote] : m_remotes) {
+        served += remote.servedPerSecond;
         for (const RemoteDemand &demand : remote.demands)
             fleet[demand.workspace] += demand.tokensPerSecond;
     }
     std::vector<double> demands;
     for (const auto &[workspace, rate] : fleet)
         demands.push_back(rate);
-    m_level = maxMinLevel(std::move(demands), capacity);
+    m_level = maxMinLevel(std::move(demands), std::max(leastCapacity, served * growth));
     for (auto &[workspace, own] : m_own) {
         const double all = fleet[workspace];
         own.isLimited = all > m_level;
-        own.allowedRate = own.isLimited ? m_level * rateNow(own, now) / all : all;
+        own.allowedRate = own.isLimited ? m_level * own.demand.at(now) / all : all;
     }
-    std::erase_if(m_own, [&](const auto &entry) { return rateNow(entry.second, now) < idleRate; });
+    std::erase_if(m_own,
+                  [&](const auto &entry) { return entry.second.demand.at(now) < idleRate; });
 }
 
 bool WorkspaceShares::tryTake(WorkspaceKey workspace, double tokens, TimePoint now)
@@ -94,7 +104,7 @@
 {
     std::vector<RemoteDemand> demands;
     for (const auto &[workspace, own] : m_own)
-        demands.push_back({workspace, rateNow(own, now)});
+        demands.push_back({workspace, own.demand.at(now)});
     return demands;
 }
 
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -122,6 +122,7 @@
                    // What the balancer alone takes in (lib/Balancer).
                    [](const CatalogArrived &) {},
                    [](const DirectoryArrived &) {},
+                   [](const SeedsChanged &) {},
                    [](const TimerDue &) {},
                },
                event);
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -200,6 +200,7 @@
             // Traces are of the core that shares by leases; it passes these over.
             [](const CatalogArrived &) { return typed("catalog"); },
             [](const DirectoryArrived &) { return typed("directory"); },
+            [](const SeedsChanged &) { return typed("seeds"); },
             [](const LeaveOrdered &e) {
                 Json::Value json = typed("leave");
                 json["who"] = e.who;
