Count the age of kept prompt parts in tokens, and make each further copy dearer

Nodes took a part as kept for 60 s, but an engine's memory turns over in 8 to 17 s under load; and a part went to yet another engine as soon as waiting there looked shorter by two readings. Ruled out: too little memory for one or two copies of each part (2.4 M of 9.2 M tokens).

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -22,6 +22,14 @@
     MSGPACK_DEFINE(target, running, tokens)
 };
 
+/// How many tokens entered a target's memory by the sender's requests since the sender's start.
+struct TargetReadEntry
+{
+    std::uint32_t target = 0;  ///< shortHash() of its id.
+    std::uint32_t entered = 0; ///< Wraps around.
+    MSGPACK_DEFINE(target, entered)
+};
+
 /// A prompt's shared part that the sender has just placed.
 struct PlacementEntry
 {
@@ -70,8 +78,9 @@
     std::vector<BrokenRunEntry> brokenRuns;
     std::vector<PeerEntry> peers; ///< Now and then: whom the sender has heard lately.
     std::uint32_t servedPerSecond = 0; ///< Tokens of requests that the sender had admitted.
+    std::vector<TargetReadEntry> reads; ///< Where there is news.
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
-                   placements, demands, brokenRuns, peers, servedPerSecond)
+                   placements, demands, brokenRuns, peers, servedPerSecond, reads)
 };
 
 /// Asks a peer whose digest shows newer state for what is newer than this.
--- a/include/berylridge/Policy/Placement.h
+++ b/include/berylridge/Policy/Placement.h
@@ -30,7 +30,7 @@
 struct PlacementNeed
 {
     std::uint32_t inputTokens = 0; ///< 0 for requests without a prompt.
-    bool isPartKnown = false;      ///< Some target keeps the prompt's first part.
+    std::size_t holders = 0;       ///< Targets that keep the prompt's first part.
     double serviceMs = 30;         ///< Typical time of a request without a prompt.
 };
 
--- a/include/berylridge/Policy/PromptDirectory.h
+++ b/include/berylridge/Policy/PromptDirectory.h
@@ -3,6 +3,10 @@
 // Load it answers: many requests over a few hundred long shared parts, which all targets together
 // keep several times over and one zone's targets hardly. Sent anywhere, each part is read again and
 // again, and the reading alone overloads the fleet.
+//
+// A target gives up what was used least recently when its memory is full. So age is counted in the
+// tokens that have entered its memory since, not in time: under load a part is gone in seconds, on a
+// calm day it stays.
 #pragma once
 
 #include "berylridge/Router/Prompt.h"
@@ -39,29 +43,44 @@
 class PromptDirectory
 {
 public:
-    /// A part that nobody sent for so long is taken as given up by its target's memory. Targets keep
-    /// parts as long as there is room; the figure only bounds this node's own memory.
+    /// Bounds this node's own memory; targets seldom keep an unused part for so long.
     static constexpr Duration keptFor = std::chrono::seconds(60);
 
     /// A request with this chain was sent to the target by some node of the fleet.
     void onPlaced(ChainKey key, TargetKey target, TimePoint now);
+    /// So many tokens have entered the target's memory, by any node's requests.
+    void onRead(TargetKey target, std::uint64_t tokens) { m_memories[target].entered += tokens; }
+    /// Tokens that the target's memory holds; 0 where nobody says.
+    void setCapacity(TargetKey target, std::uint64_t tokens)
+    {
+        m_memories[target].capacity = tokens;
+    }
     /// The target has lost its memory or is gone.
     void forgetTarget(TargetKey target);
     void expire(TimePoint now);
 
     /// Tokens at the prompt's begin that the target keeps.
     std::uint32_t keptTokens(const PromptChain &chain, TargetKey target) const;
-    /// Whether any target is known to keep the chain's first shared part.
-    bool isKnown(const PromptChain &chain) const;
+    /// Targets that keep the chain's first shared part.
+    std::size_t holders(const PromptChain &chain) const;
 
 private:
     struct Holder
     {
         TargetKey target = 0;
         TimePoint usedAt;
+        std::uint64_t enteredAtUse = 0; ///< Of its target's memory.
     };
+    struct Memory
+    {
+        std::uint64_t entered = 0; ///< Tokens so far.
+        std::uint64_t capacity = 0;
+    };
+
+    bool isKept(const Holder &holder) const;
 
     std::unordered_map<ChainKey, std::vector<Holder>> m_holders;
+    std::unordered_map<TargetKey, Memory> m_memories;
 };
 
 } // namespace berylridge
--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -48,6 +48,7 @@
     digest.placements = m_board.takePlacements(placementLimit);
     for (const auto &demand : m_requests.shares().ownDemands(m_context.now))
         digest.demands.push_back({demand.workspace, clampTo32(demand.tokensPerSecond)});
+    digest.reads = m_board.takeReads();
     digest.servedPerSecond
         = clampTo32(m_requests.shares().servedPerSecond(m_context.now));
     digest.brokenRuns = m_requests.takeBrokenRuns();
@@ -63,16 +64,19 @@
         return;
     if (!wasKnown)
         m_context.log(LogEventId::MemberJoined, from.str() + " zone " + digest.zone);
-    takeLoads(from, digest);
+    takeLoads(from, incarnation, digest);
     askForNewer(from, digest);
 }
 
-void FleetTalk::takeLoads(const NodeId &from, const LoadDigest &digest)
+void FleetTalk::takeLoads(const NodeId &from, Incarnation incarnation, const LoadDigest &digest)
 {
     std::vector<TargetLoads::RemoteEntry> loads;
     for (const TargetLoadEntry &entry : digest.loads)
         loads.push_back({entry.target, {entry.running, entry.tokens}});
     m_board.loads().onDigest(from, std::move(loads), m_context.now);
+    // Reads go first: what was placed with them is newer.
+    for (const TargetReadEntry &entry : digest.reads)
+        m_board.onRemoteRead(from, incarnation, entry);
     for (const PlacementEntry &entry : digest.placements)
         m_board.onRemotePlacement(entry.part, entry.target);
     std::vector<WorkspaceShares::RemoteDemand> demands;
--- a/lib/Balancer/FleetTalk.h
+++ b/lib/Balancer/FleetTalk.h
@@ -29,7 +29,7 @@
 
 private:
     LoadDigest ownDigest(bool isLeaving);
-    void takeLoads(const NodeId &from, const LoadDigest &digest);
+    void takeLoads(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void askForNewer(const NodeId &from, const LoadDigest &digest);
 
     BalancerContext &m_context;
--- a/lib/Balancer/TargetBoard.cpp
+++ b/lib/Balancer/TargetBoard.cpp
@@ -22,6 +22,8 @@
 constexpr double baseMs = 20;
 constexpr double assumedServiceMs = 30;
 constexpr double serviceSampleWeight = 0.1;
+/// Tokens that a target read for this node before others are told: a percent of an engine's memory.
+constexpr std::uint32_t readNewsTokens = 8192;
 /// After a target's connections broke, until the platform's word of a new start would be here: two
 /// of its reports and the news' way.
 constexpr Duration restartNewsLimit = std::chrono::milliseconds(2500);
@@ -103,7 +105,7 @@
     PlacementNeed need;
     if (chain) {
         need.inputTokens = std::max(1U, chain->inputTokens);
-        need.isPartKnown = m_prompts.isKnown(*chain);
+        need.holders = m_prompts.holders(*chain);
     }
     const auto learnt = m_serviceMs.find(service.name);
     need.serviceMs = learnt == m_serviceMs.end() ? assumedServiceMs : learnt->second;
@@ -137,6 +139,10 @@
     m_loads.begin(choice.key, choice.tokens);
     if (!chain)
         return true;
+    const std::uint32_t entered = choice.tokens + chain->outputTokens;
+    m_prompts.setCapacity(choice.key, service.engineTokens);
+    m_prompts.onRead(choice.key, entered);
+    target.entered += entered;
     // The last part is the request's own: nobody else can use it.
     const std::size_t shared = chain->links.size() > 1 ? chain->links.size() - 1 : 1;
     for (std::size_t i = 0; i < std::min(shared, chain->links.size()); ++i) {
@@ -178,6 +184,29 @@
     found->second += (toSeconds(took) * 1000 - found->second) * serviceSampleWeight;
 }
 
+std::vector<TargetReadEntry> TargetBoard::takeReads()
+{
+    std::vector<TargetReadEntry> reads;
+    for (auto &[key, target] : m_targets) {
+        if (target.entered - target.enteredTold < readNewsTokens)
+            continue;
+        target.enteredTold = target.entered;
+        reads.push_back({key, target.entered});
+    }
+    return reads;
+}
+
+void TargetBoard::onRemoteRead(const NodeId &node, Incarnation incarnation,
+                               const TargetReadEntry &entry)
+{
+    RemoteRead &known = m_remoteReads[{node, entry.target}];
+    const bool isSame = known.incarnation == incarnation;
+    // Numbers wrap around; the difference does not.
+    const std::uint32_t since = isSame ? entry.entered - known.entered : entry.entered;
+    known = {incarnation, entry.entered};
+    m_prompts.onRead(entry.target, since);
+}
+
 void TargetBoard::onRemotePlacement(ChainKey part, TargetKey target)
 {
     m_prompts.onPlaced(part, target, m_context.now);
--- a/lib/Balancer/TargetBoard.h
+++ b/lib/Balancer/TargetBoard.h
@@ -9,9 +9,11 @@
 #include "berylridge/Policy/TargetHealth.h"
 #include "berylridge/Policy/TargetLoads.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace berylridge {
@@ -52,6 +54,7 @@
     void onServed(const std::string &service, Duration took);
 
     void onRemotePlacement(ChainKey part, TargetKey target);
+    void onRemoteRead(const NodeId &node, Incarnation incarnation, const TargetReadEntry &entry);
     /// The directory has changed: targets that started anew keep nothing.
     void onDirectory();
     void expire();
@@ -60,6 +63,8 @@
     const PromptDirectory &prompts() const { return m_prompts; }
     /// Shared parts that this node placed since the last call, for the next digest.
     std::vector<PlacementEntry> takePlacements(std::size_t most);
+    /// How much targets have read for this node, where it is news for the other nodes.
+    std::vector<TargetReadEntry> takeReads();
 
 private:
     struct Target
@@ -69,6 +74,13 @@
         TimePoint coldUntil {}; ///< By its own answers.
         double tokensPerMs = 0; ///< Learnt; 0 before the first sample.
         std::uint64_t boot = 0;
+        std::uint32_t entered = 0; ///< Tokens that this node sent it to read and generate.
+        std::uint32_t enteredTold = 0; ///< Of these, what others were told of.
+    };
+    struct RemoteRead
+    {
+        Incarnation incarnation = 0;
+        std::uint32_t entered = 0;
     };
 
     bool isCold(const TargetDirectory::Entry &entry, const Target &target,
@@ -83,6 +95,7 @@
     PromptDirectory m_prompts;
     std::unordered_map<std::string, double> m_serviceMs; ///< Smoothed, by service.
     std::vector<PlacementEntry> m_placed;
+    std::map<std::pair<NodeId, TargetKey>, RemoteRead> m_remoteReads;
 };
 
 } // namespace berylridge
--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 /// Reading a part again takes its target's time from others and pushes parts out of its memory, so
-/// it counts more than the same time of waiting.
+/// it counts more than the same time of waiting, and the more the more targets keep the part already:
+/// one copy must be, two let load be balanced, and each further one takes memory from other parts.
 constexpr double readAgainWeight = 2.0;
+constexpr double readAgainPerHolder = 1.5;
 /// A round trip more to a target of another zone; breaks ties between targets that keep nothing.
 constexpr double otherZoneMs = 2.0;
 /// A part that no target keeps yet goes to the target that all nodes rank first, unless that one has
@@ -40,8 +42,10 @@
         cost.choice.waitMs
             = static_cast<double>(candidate.load.tokens) / candidate.tokensPerMs;
         cost.choice.readMs = cost.choice.tokens / candidate.tokensPerMs;
-        cost.total = cost.choice.waitMs + cost.choice.readMs * readAgainWeight + used * crowdMs;
-        if (!need.isPartKnown && !isFavourite)
+        const double weight
+            = readAgainWeight + readAgainPerHolder * static_cast<double>(need.holders);
+        cost.total = cost.choice.waitMs + cost.choice.readMs * weight + used * crowdMs;
+        if (need.holders == 0 && !isFavourite)
             cost.total += affinityMs;
     } else {
         const double over = std::max(0.0, candidate.load.running + 1 - slots);
--- a/lib/Policy/PromptDirectory.cpp
+++ b/lib/Policy/PromptDirectory.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Part of a target's memory that unused parts outlive: the rest is in use by running requests, and
+/// other parts that are used again count as new here.
+constexpr double keptPart = 0.7;
+
 ChainKey extend(ChainKey before, std::uint64_t part)
 {
     std::array<char, sizeof(before) + sizeof(part)> bytes {};
@@ -38,10 +42,11 @@
     auto &holders = m_holders[key];
     const auto found = std::find_if(holders.begin(), holders.end(),
                                     [&](const Holder &each) { return each.target == target; });
+    const std::uint64_t entered = m_memories[target].entered;
     if (found != holders.end())
-        found->usedAt = now;
+        *found = {target, now, entered};
     else
-        holders.push_back({target, now});
+        holders.push_back({target, now, entered});
 }
 
 void PromptDirectory::forgetTarget(TargetKey target)
@@ -66,7 +71,7 @@
             break;
         const auto &holders = found->second;
         const bool isHeld = std::any_of(holders.begin(), holders.end(), [&](const Holder &each) {
-            return each.target == target;
+            return each.target == target && isKept(each);
         });
         if (!isHeld)
             break;
@@ -75,9 +80,26 @@
     return std::min(kept, chain.inputTokens);
 }
 
-bool PromptDirectory::isKnown(const PromptChain &chain) const
+bool PromptDirectory::isKept(const Holder &holder) const
+{
+    const auto found = m_memories.find(holder.target);
+    if (found == m_memories.end() || found->second.capacity == 0)
+        return true;
+    const Memory &memory = found->second;
+    const auto since = static_cast<double>(memory.entered - holder.enteredAtUse);
+    return since < keptPart * static_cast<double>(memory.capacity);
+}
+
+std::size_t PromptDirectory::holders(const PromptChain &chain) const
 {
-    return !chain.links.empty() && m_holders.contains(chain.links.front().key);
+    if (chain.links.empty())
+        return 0;
+    const auto found = m_holders.find(chain.links.front().key);
+    if (found == m_holders.end())
+        return 0;
+    const auto kept = std::count_if(found->second.begin(), found->second.end(),
+                                    [this](const Holder &each) { return isKept(each); });
+    return static_cast<std::size_t>(kept);
 }
 
 } // namespace berylridge
