--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -18,7 +18,7 @@
 /// Where no target can be reached: most faults pass in a few seconds, and a target is tried again
 /// within two.
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration fullRetryAfter = std::chrono::milliseconds(400);
+constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
 /// Callers who are turned away together must not come back together.
 constexpr double retrySpread = 0.5;
 /// Part of the latency target that may pass in a target's queue.
--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -11,8 +11,8 @@
 /// Reading a part again takes its target's time from others and pushes parts out of its memory, so
 /// it counts more than the same time of waiting, and the more the more targets keep the part already:
 /// one copy must be, two let load be balanced, and each further one takes memory from other parts.
-constexpr double readAgainWeight = 2.0;
-constexpr double readAgainPerHolder = 1.5;
+constexpr double readAgainWeight = 3.0;
+constexpr double readAgainPerHolder = 3.0;
 /// A round trip more to a target of another zone; breaks ties between targets that keep nothing.
 constexpr double otherZoneMs = 2.0;
 /// A part that no target keeps yet goes to the target that all nodes rank first, unless that one has
