--- /dev/null
+++ b/unittests/Catalog/RouteTableTest.cpp
@@ -0,0 +1,52 @@
+#include "berylridge/Catalog/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+
+namespace {
+
+RouteSpec routeAt(const char *host, const char *prefix)
+{
+    RouteSpec route;
+    route.name = std::string(host) + prefix;
+    route.host = host;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+RouteTable tableOf(Catalog catalog)
+{
+    return RouteTable(std::make_shared<const Catalog>(std::move(catalog)));
+}
+
+} // namespace
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins)
+{
+    Catalog catalog;
+    catalog.routes
+        = {routeAt("a.example", "/x/"), routeAt("a.example", "/x/y/"), routeAt("b.example", "/")};
+    const RouteTable table = tableOf(std::move(catalog));
+    EXPECT_EQ(table.route("a.example", "/x/1")->pathPrefix, "/x/");
+    EXPECT_EQ(table.route("A.Example", "/x/y/1?q=/z/")->pathPrefix, "/x/y/");
+    EXPECT_EQ(table.route("b.example", "/anything")->pathPrefix, "/");
+    EXPECT_EQ(table.route("a.example", "/xx/1"), nullptr);
+    EXPECT_EQ(table.route("a.example", "/x"), nullptr);
+    EXPECT_EQ(table.route("c.example", "/x/1"), nullptr);
+    EXPECT_EQ(table.route("a.example", ""), nullptr);
+}
+
+// A workspace's key is taken away while its callers are connected: the next table doesn't know it.
+TEST(RouteTable, EachCredentialNamesItsWorkspace)
+{
+    Catalog catalog;
+    EXPECT_FALSE(tableOf(catalog).needsCredentials());
+    catalog.workspaces = {{"potters", {"k1", "k2"}}, {"bells", {"k3"}}};
+    const RouteTable table = tableOf(std::move(catalog));
+    EXPECT_TRUE(table.needsCredentials());
+    EXPECT_EQ(table.workspaceOf("k2")->name, "potters");
+    EXPECT_EQ(table.workspaceOf("k3")->name, "bells");
+    EXPECT_EQ(table.workspaceOf("k4"), nullptr);
+    EXPECT_EQ(table.workspaceOf(""), nullptr);
+}
--- /dev/null
+++ b/unittests/Policy/PlacementTest.cpp
@@ -0,0 +1,203 @@
+#include "berylridge/Policy/Placement.h"
+#include "berylridge/Policy/PromptDirectory.h"
+#include "berylridge/Policy/TargetLoads.h"
+#include "berylridge/Support/Random.h"
+
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TargetKey first = 1;
+constexpr TargetKey second = 2;
+
+Prompt promptOf(std::uint64_t shared, std::uint64_t own)
+{
+    return {"m", {{shared, 13000}, {own, 4000}}, 17000, 100};
+}
+
+PlacementCandidate candidateWith(std::uint64_t tokens, std::uint32_t kept)
+{
+    PlacementCandidate candidate;
+    candidate.load.tokens = tokens;
+    candidate.slots = 128;
+    candidate.keptTokens = kept;
+    return candidate;
+}
+
+} // namespace
+
+// A request whose shared part lies at a busy target waits there: reading the part again elsewhere
+// takes longer, and takes that target's time from others.
+TEST(Placement, AKeptPartIsWorthSomeWaiting)
+{
+    const std::vector<PlacementCandidate> candidates {candidateWith(20000, 13000),
+                                                      candidateWith(0, 0)};
+    const auto choice = choosePlacement(candidates, {17000, 1, 30});
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->index, 0U);
+    EXPECT_EQ(choice->tokens, 4000U);
+}
+
+// One book gets a fifth of the traffic. Its target's queue grows until reading the book once more
+// elsewhere is cheaper, and the load spreads.
+TEST(Placement, AHotPartSpreadsWhenItsTargetIsFull)
+{
+    const std::vector<PlacementCandidate> candidates {candidateWith(100000, 13000),
+                                                      candidateWith(0, 0)};
+    const auto choice = choosePlacement(candidates, {17000, 1, 30});
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->index, 1U);
+}
+
+// With each copy the next one has to pay more: copies of hot parts would else push all others out.
+TEST(Placement, FurtherCopiesAreDearer)
+{
+    const std::vector<PlacementCandidate> candidates {candidateWith(60000, 13000),
+                                                      candidateWith(0, 0)};
+    EXPECT_EQ(choosePlacement(candidates, {17000, 0, 30})->index, 1U);
+    EXPECT_EQ(choosePlacement(candidates, {17000, 3, 30})->index, 0U);
+}
+
+// Two nodes place the same new part at once. Both must choose the same target, or two read it.
+TEST(Placement, ANewPartGoesWhereAllNodesRankItFirst)
+{
+    std::vector<PlacementCandidate> candidates {candidateWith(1000, 0), candidateWith(0, 0)};
+    candidates[0].affinity = 9;
+    candidates[1].affinity = 5;
+    EXPECT_EQ(choosePlacement(candidates, {17000, 0, 30})->index, 0U);
+}
+
+// A target answers its health check and fails half of its requests.
+TEST(Placement, AFailingTargetIsAvoided)
+{
+    std::vector<PlacementCandidate> candidates {candidateWith(0, 0), candidateWith(0, 0)};
+    candidates[0].failureShare = 0.5;
+    candidates[1].load.running = 3;
+    EXPECT_EQ(choosePlacement(candidates, {})->index, 1U);
+}
+
+// All nodes of a zone fell silent at once: its targets are behind a partition, and each request
+// sent there would wait for a time limit. They are used only where nothing else is left.
+TEST(Placement, ASilentZoneIsTheLastResort)
+{
+    std::vector<PlacementCandidate> candidates {candidateWith(0, 13000), candidateWith(50000, 0)};
+    candidates[0].isZoneSilent = true;
+    EXPECT_EQ(choosePlacement(candidates, {17000, 1, 30})->index, 1U);
+    candidates.pop_back();
+    EXPECT_EQ(choosePlacement(candidates, {17000, 1, 30})->index, 0U);
+}
+
+TEST(Placement, NoCandidateNoChoice)
+{
+    EXPECT_FALSE(choosePlacement({}, {}));
+}
+
+// Replays a busy minute: 180 books over nine targets, with a choice by the directory against one by
+// the fewest waiting tokens. The tokens that are read again show what placement by prompt saves.
+TEST(Placement, SharedPartsAreSeldomReadAgain)
+{
+    const auto readWith = [](bool byPrompt) {
+        PausedClock clock;
+        RandomEngine random(7);
+        PromptDirectory prompts;
+        TargetLoads loads;
+        std::uint64_t read = 0;
+        std::vector<std::pair<TargetKey, std::uint32_t>> running;
+        for (int i = 0; i < 3000; ++i) {
+            const PromptChain chain = chainOf(promptOf(random() % 180, 1000000 + random()));
+            std::vector<PlacementCandidate> candidates;
+            for (TargetKey key = 0; key < 9; ++key) {
+                prompts.setCapacity(key, 1000000);
+                PlacementCandidate candidate = candidateWith(loads.total(key).tokens, 0);
+                if (byPrompt)
+                    candidate.keptTokens = prompts.keptTokens(chain, key);
+                candidates.push_back(candidate);
+            }
+            const std::size_t holders = byPrompt ? prompts.holders(chain) : 1;
+            const auto choice = choosePlacement(candidates, {chain.inputTokens, holders, 30});
+            const auto key = static_cast<TargetKey>(choice->index);
+            const std::uint32_t tokens = chain.inputTokens - prompts.keptTokens(chain, key);
+            read += tokens;
+            prompts.onRead(key, tokens);
+            prompts.onPlaced(chain.links.front().key, key, clock.now());
+            loads.begin(key, tokens);
+            running.emplace_back(key, tokens);
+            if (running.size() > 40) {
+                loads.promptRead(running.front().first, running.front().second);
+                loads.end(running.front().first);
+                running.erase(running.begin());
+            }
+            clock.advance(5ms);
+        }
+        return read;
+    };
+    EXPECT_LT(readWith(true) * 3, readWith(false) * 2);
+}
+
+// A part that lies behind another one is of use only where the first is kept too.
+TEST(PromptDirectory, AChainIsKeptFromItsBegin)
+{
+    PausedClock clock;
+    PromptDirectory prompts;
+    const PromptChain chain = chainOf({"m", {{1, 100}, {2, 200}, {3, 50}}, 350, 10});
+    prompts.onPlaced(chain.links[1].key, first, clock.now());
+    EXPECT_EQ(prompts.keptTokens(chain, first), 0U);
+    prompts.onPlaced(chain.links[0].key, first, clock.now());
+    EXPECT_EQ(prompts.keptTokens(chain, first), 300U);
+    EXPECT_EQ(prompts.keptTokens(chain, second), 0U);
+    const PromptChain otherModel = chainOf({"n", {{1, 100}}, 100, 10});
+    EXPECT_EQ(prompts.keptTokens(otherModel, first), 0U);
+}
+
+// Under load an engine's memory turns over in seconds. A node that took parts as kept for a minute
+// sent requests to targets that read them anew: a third of all reading.
+TEST(PromptDirectory, APartIsGoneWhenOtherTokensFilledTheMemory)
+{
+    PausedClock clock;
+    PromptDirectory prompts;
+    const PromptChain chain = chainOf(promptOf(1, 2));
+    prompts.setCapacity(first, 100000);
+    prompts.onPlaced(chain.links[0].key, first, clock.now());
+    prompts.onRead(first, 60000);
+    EXPECT_EQ(prompts.keptTokens(chain, first), 13000U);
+    prompts.onRead(first, 20000);
+    EXPECT_EQ(prompts.keptTokens(chain, first), 0U);
+    EXPECT_EQ(prompts.holders(chain), 0U);
+}
+
+TEST(PromptDirectory, ARestartedTargetKeepsNothing)
+{
+    PausedClock clock;
+    PromptDirectory prompts;
+    const PromptChain chain = chainOf(promptOf(1, 2));
+    prompts.onPlaced(chain.links[0].key, first, clock.now());
+    prompts.onPlaced(chain.links[0].key, second, clock.now());
+    prompts.forgetTarget(first);
+    EXPECT_EQ(prompts.keptTokens(chain, first), 0U);
+    EXPECT_EQ(prompts.holders(chain), 1U);
+    clock.advance(PromptDirectory::keptFor + 1s);
+    prompts.expire(clock.now());
+    EXPECT_EQ(prompts.holders(chain), 0U);
+}
+
+// A node dies with requests at a target. Its last word on them must not hold the target's room for
+// ever.
+TEST(TargetLoads, ASilentNodesLoadIsDropped)
+{
+    PausedClock clock;
+    TargetLoads loads;
+    loads.begin(first, 500);
+    loads.onDigest(NodeId("b"), {{first, {3, 9000}}}, clock.now());
+    EXPECT_EQ(loads.total(first).tokens, 9500U);
+    loads.onDigest(NodeId("b"), {{first, {1, 2000}}}, clock.now());
+    EXPECT_EQ(loads.total(first).running, 2U);
+    clock.advance(TargetLoads::remoteLimit + 1ms);
+    loads.expire(clock.now());
+    EXPECT_EQ(loads.total(first).tokens, 500U);
+    loads.promptRead(first, 500);
+    loads.end(first);
+    EXPECT_EQ(loads.total(first).running, 0U);
+}
