--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -104,13 +104,14 @@
     const PeerTable::Peer *peer = m_context.peers.find(from);
     if (!peer)
         return;
+    const auto send = [&](BalancerMessage message) {
+        m_context.act(SendToNode {from, peer->endpoint, std::move(message)});
+    };
     if (m_context.table && m_context.table->catalog().version > request.catalogVersion)
-        m_context.act(SendToNode {from, peer->endpoint,
-                                  BalancerMessage(CatalogNews {m_context.table->catalog()})});
-    if (m_context.directory.revision() > request.directoryRevision)
-        m_context.act(SendToNode {from, peer->endpoint,
-                                  BalancerMessage(DirectoryRelay {m_context.directory.newsSince(
-                                      request.directoryRevision, m_context.now)})});
+        send(CatalogNews {m_context.table->catalog()});
+    const TargetDirectory &directory = m_context.directory;
+    if (directory.revision() > request.directoryRevision)
+        send(DirectoryRelay {directory.newsSince(request.directoryRevision, m_context.now)});
 }
 
 } // namespace berylridge
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -157,7 +157,7 @@
         return Refusal {503, "no-target", "no target can take the request now",
                         spread(noTargetRetryAfter)};
     if (isFirst) {
-        if (const auto refusal = roomFor(request, *choice))
+        if (auto refusal = roomFor(request, *choice))
             return refusal;
     }
     if (!m_board.take(*choice, *request.service, chain))
@@ -301,10 +301,7 @@
     switch (event.failure) {
     case AttemptFailure::ConnectRefused:
     case AttemptFailure::ConnectTimeout:
-        health.onConnectFailed(now);
-        return;
-    case AttemptFailure::OtherTarget:
-        // The listed target is gone from this address; nothing of it answers here any more.
+    case AttemptFailure::OtherTarget: // The listed target is gone from this address.
         health.onConnectFailed(now);
         return;
     case AttemptFailure::Timeout:
@@ -320,8 +317,6 @@
         return;
     case AttemptFailure::BadAnswer:
     case AttemptFailure::TargetError:
-        health.onFailedAnswer(now);
-        return;
     case AttemptFailure::NotRun:
         health.onFailedAnswer(now);
         return;
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -82,9 +82,9 @@
         isChanged = true;
     }
     for (auto &[name, zone] : m_zones) {
-        const bool isListed
-            = std::any_of(news.zones.begin(), news.zones.end(),
-                          [&](const ZoneRecord &each) { return each.zone == name; });
+        const auto isThis
+            = [&zone = zone](const ZoneRecord &each) { return each.zone == zone.zone; };
+        const bool isListed = std::any_of(news.zones.begin(), news.zones.end(), isThis);
         if (isListed || !zone.isOut || zone.revision > news.revision)
             continue;
         isChanged |= takeZone({name, news.revision, false});
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -132,10 +132,10 @@
     if (!m_isBegun) {
         m_stream.reset();
         m_bodyBytes = 0;
+        const WireRules &rules = m_thread.protocol().rules;
         if (isStream)
-            m_stream.emplace(m_thread.protocol().rules.streamsEndWithMark)
-                .setLastId(m_callersLastId);
-        else if (m_thread.protocol().rules.buffersSmallAnswers && isSmall(head))
+            m_stream.emplace(rules.streamsEndWithMark).setLastId(m_callersLastId);
+        if (!isStream && rules.buffersSmallAnswers && isSmall(head))
             m_held.emplace();
         if (m_order.keepsAnswer)
             m_kept.emplace();
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -19,6 +19,16 @@
 class CallerSession;
 class TrafficThread;
 
+/// A target's answer that is held back: a failure until the core has decided, and a small one until
+/// it is whole.
+struct HeldAnswer
+{
+    std::optional<AttemptFailure> failure;
+    std::string body;
+    bool isWhole = false;
+    bool isPassable = false; ///< A failure that may reach the caller as it is.
+};
+
 /// Lives on its traffic thread. Where the caller leaves while an attempt runs, the attempt goes on
 /// until the core aborts it: the answer may have to be kept for repeats of its key.
 class Exchange : public AttemptOwner, public std::enable_shared_from_this<Exchange>
@@ -43,16 +53,6 @@
     void attemptFailed(AttemptFailure failure, bool sentAny) override;
 
 private:
-    /// A target's answer that is held back: a failure until the core has decided, and a small one
-    /// until it is whole.
-    struct HeldAnswer
-    {
-        std::optional<AttemptFailure> failure;
-        std::string body;
-        bool isWhole = false;
-        bool isPassable = false; ///< A failure that may reach the caller as it is.
-    };
-
     TargetRequest targetRequest(const Dispatch &order) const;
     std::string attemptId() const;
     void hold(std::string_view bytes, bool isEnd);
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -83,7 +83,7 @@
         handle(CatalogArrived {std::make_shared<const Catalog>(catalog)});
     }
 
-    void giveTargets(std::vector<std::string> ids)
+    void giveTargets(const std::vector<std::string> &ids)
     {
         DirectoryNews news;
         news.revision = ++revision;
