--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -72,6 +72,7 @@
             fleet[demand.workspace] += demand.tokensPerSecond;
     }
     std::vector<double> demands;
+    demands.reserve(fleet.size());
     for (const auto &[workspace, rate] : fleet)
         demands.push_back(rate);
     m_level = maxMinLevel(std::move(demands), std::max(leastCapacity, served * growth));
@@ -102,6 +103,7 @@
 std::vector<WorkspaceShares::RemoteDemand> WorkspaceShares::ownDemands(TimePoint now) const
 {
     std::vector<RemoteDemand> demands;
+    demands.reserve(m_own.size());
     for (const auto &[workspace, own] : m_own)
         demands.push_back({workspace, own.demand.at(now)});
     return demands;
--- a/utils/lint_inputs.py
+++ b/utils/lint_inputs.py
@@ -18,7 +18,7 @@
     seen.add(path)
     with open(path, encoding="utf-8") as source:
         text = source.read()
-    print(path)
+    print(os.path.relpath(path, root))
     print(text)
     for name in INCLUDE.findall(text):
         for folder in (os.path.join(root, "include"), os.path.dirname(path),
