--- a/include/berylridge/Catalog/RouteTable.h
+++ b/include/berylridge/Catalog/RouteTable.h
@@ -17,7 +17,6 @@
     explicit RouteTable(std::shared_ptr<const Catalog> catalog);
 
     const Catalog &catalog() const { return *m_catalog; }
-    std::shared_ptr<const Catalog> share() const { return m_catalog; }
 
     /// The route of that host with the longest prefix of the path; null where none matches. A query
     /// after the path and the host's case don't matter.
--- /dev/null
+++ b/include/berylridge/Support/Overloaded.h
@@ -0,0 +1,14 @@
+// Puts several lambdas together into one visitor for std::visit.
+#pragma once
+
+namespace berylridge {
+
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -5,6 +5,8 @@
 #include "RequestFlow.h"
 #include "TargetBoard.h"
 
+#include "berylridge/Support/Overloaded.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -18,14 +20,6 @@
 /// A request that is on its way when the last one has ended.
 constexpr Duration quietBeforeStop = std::chrono::milliseconds(500);
 
-template <typename... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 class BalancerCore::Impl
--- a/lib/Balancer/TargetBoard.h
+++ b/lib/Balancer/TargetBoard.h
@@ -60,7 +60,6 @@
     void expire();
 
     TargetLoads &loads() { return m_loads; }
-    const PromptDirectory &prompts() const { return m_prompts; }
     /// Shared parts that this node placed since the last call, for the next digest.
     std::vector<PlacementEntry> takePlacements(std::size_t most);
     /// How much targets have read for this node, where it is news for the other nodes.
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -5,6 +5,8 @@
 #include "PoolManager.h"
 #include "RequestManager.h"
 
+#include "berylridge/Support/Overloaded.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -18,14 +20,6 @@
 /// what it knows of others is as old as the gap.
 constexpr Duration pauseLimit = std::chrono::milliseconds(1000);
 
-template <typename... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 class Core::Impl
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -3,6 +3,7 @@
 #include "FakeNodeParts.h"
 
 #include "berylridge/Net/Datagram.h"
+#include "berylridge/Support/Overloaded.h"
 
 #include <algorithm>
 #include <cassert>
@@ -17,14 +18,6 @@
 constexpr int mostTimersNow = 100;
 constexpr std::size_t mostWaiting = 4000;
 
-template <typename... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 } // namespace
 
 FakeNode::FakeNode(World &world, PlaceId place, CoreOptions options)
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -1,6 +1,7 @@
 #include "Trace.h"
 
 #include "berylridge/Net/Datagram.h"
+#include "berylridge/Support/Overloaded.h"
 
 #include <istream>
 #include <memory>
@@ -13,14 +14,6 @@
 /// Messages stand in a trace as sealed datagrams; a trace is no secret, so its key isn't either.
 const std::string traceKey = "the-key-of-recorded-traces-00000";
 
-template <typename... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 std::string toHex(const std::string &bytes)
 {
     static constexpr char digits[] = "0123456789abcdef";
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -259,7 +259,7 @@
 }
 
 // One request ends each target that runs it, and its caller sends it again. After two targets it is
-// refused, on other nodes too, which hear of the broken runs.
+// refused here.
 TEST_F(BalancerCoreTest, ARequestThatCrashesTargetsIsRefusedAfterTwo)
 {
     giveCatalog();
@@ -267,7 +267,6 @@
     body = 77;
     ask("/buy/1");
     handle(failure(*find<Dispatch>(), AttemptFailure::Reset));
-    LoadDigest digest;
     ask("/buy/1");
     ASSERT_TRUE(find<Dispatch>());
     const Dispatch second = *find<Dispatch>();
