Share what the fleet is seen to serve while requests are turned away, whatever operators name

Cause: shares were worked out of the larger of the served rate and the operators' tokens_per_s. Targets that have to read their parts anew bear a third of the named figure, so nobody was beyond its share while half of all requests were turned away. Ruled out: no change of the limits for waiting (0.85 and 0.35 of the latency target stay). Test: WorkspaceShares.SharesFollowWhatIsServedWhereOperatorsNameMore, which cannot pass before: nobody was limited.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -79,8 +79,9 @@
     std::vector<PeerEntry> peers;       ///< Now and then: whom the sender has heard lately.
     std::uint32_t servedPerSecond = 0;  ///< Tokens of requests that the sender had admitted.
     std::vector<TargetReadEntry> reads; ///< Where there is news.
+    std::uint32_t turnedAwayPerSecond = 0; ///< Tokens of requests that found no room.
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
-                   placements, demands, brokenRuns, peers, servedPerSecond, reads)
+                   placements, demands, brokenRuns, peers, servedPerSecond, reads, turnedAwayPerSecond)
 };
 
 /// Asks a peer whose digest shows newer state for what is newer than this.
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -5,7 +5,7 @@
 // find every target full. Each node knows its own callers' demand exactly and the others' from
 // digests. What the fleet bears is what it serves while it turns requests away: a figure that
 // operators give doesn't know how much of the prompts the targets keep, and is off by a factor of
-// two either way.
+// two either way. It counts only while next to nothing is turned away.
 #pragma once
 
 #include "berylridge/Support/Id.h"
@@ -35,17 +35,26 @@
     /// The request was admitted.
     void onAdmitted(double tokens, TimePoint now) { m_served.add(tokens, now); }
 
+    /// The request was refused since no target had room for it.
+    void onTurnedAway(double tokens, TimePoint now) { m_turnedAway.add(tokens, now); }
+
     struct RemoteDemand
     {
         WorkspaceKey workspace = 0;
         double tokensPerSecond = 0;
     };
-    void onDigest(const NodeId &node, std::vector<RemoteDemand> demands, double servedPerSecond,
-                  TimePoint now);
+    /// What another node told of its own callers.
+    struct RemoteNews
+    {
+        std::vector<RemoteDemand> demands;
+        double servedPerSecond = 0;     ///< Tokens of requests that it admitted.
+        double turnedAwayPerSecond = 0; ///< Tokens of requests that found no room.
+    };
+    void onDigest(const NodeId &node, RemoteNews news, TimePoint now);
 
-    /// Works the shares out anew; called each period. The fleet bears at least leastCapacity tokens
-    /// a second.
-    void update(double leastCapacity, TimePoint now);
+    /// Works the shares out anew; called each period. Operators say that the fleet bears
+    /// namedCapacity tokens a second.
+    void update(double namedCapacity, TimePoint now);
 
     /// Whether the workspace stays within its share with this request; takes it from the share.
     bool tryTake(WorkspaceKey workspace, double tokens, TimePoint now);
@@ -53,6 +62,7 @@
     /// This node's own demands in tokens a second, for its digests.
     std::vector<RemoteDemand> ownDemands(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
+    double turnedAwayPerSecond(TimePoint now) const { return m_turnedAway.at(now); }
     double level() const { return m_level; }
 
 private:
@@ -77,14 +87,16 @@
     };
     struct Remote
     {
-        std::vector<RemoteDemand> demands;
-        double servedPerSecond = 0;
+        RemoteNews news;
         TimePoint heardAt;
     };
 
+    double capacity(double namedCapacity, TimePoint now) const;
+
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
     Rate m_served;
+    Rate m_turnedAway;
     double m_level = 0;
 };
 
--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -49,6 +49,7 @@
         digest.demands.push_back({demand.workspace, clampTo32(demand.tokensPerSecond)});
     digest.reads = m_board.takeReads();
     digest.servedPerSecond = clampTo32(m_requests.shares().servedPerSecond(m_context.now));
+    digest.turnedAwayPerSecond = clampTo32(m_requests.shares().turnedAwayPerSecond(m_context.now));
     digest.brokenRuns = m_requests.takeBrokenRuns();
     if (m_digests++ % peersEvery == 0)
         digest.peers = m_context.peers.liveEntries(m_context.now);
@@ -77,10 +78,12 @@
         m_board.onRemoteRead(from, incarnation, entry);
     for (const PlacementEntry &entry : digest.placements)
         m_board.onRemotePlacement(entry.part, entry.target);
-    std::vector<WorkspaceShares::RemoteDemand> demands;
+    WorkspaceShares::RemoteNews news;
     for (const WorkspaceDemandEntry &entry : digest.demands)
-        demands.push_back({entry.workspace, static_cast<double>(entry.tokensPerSecond)});
-    m_requests.shares().onDigest(from, std::move(demands), digest.servedPerSecond, m_context.now);
+        news.demands.push_back({entry.workspace, static_cast<double>(entry.tokensPerSecond)});
+    news.servedPerSecond = digest.servedPerSecond;
+    news.turnedAwayPerSecond = digest.turnedAwayPerSecond;
+    m_requests.shares().onDigest(from, std::move(news), m_context.now);
     for (const BrokenRunEntry &entry : digest.brokenRuns)
         m_requests.onRemoteBrokenRun(entry);
 }
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -184,6 +184,7 @@
     const double allowed = std::max(part * target - choice.readMs, leastWaitPart * part * target);
     if (choice.waitMs <= allowed)
         return std::nullopt;
+    m_shares.onTurnedAway(demandOf(request), m_context.now);
     // The queue is shorter by the excess after that time, if callers stay away until then.
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
     return Refusal {503, isWithinShare ? "full" : "beyond-share",
@@ -390,8 +391,8 @@
 void RequestFlow::tick()
 {
     m_crashes.expire(m_context.now);
-    const double least = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
-    m_shares.update(least, m_context.now);
+    const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
+    m_shares.update(named, m_context.now);
 }
 
 void RequestFlow::endAll()
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -18,6 +18,8 @@
 constexpr Duration remoteLimit = std::chrono::milliseconds(1500);
 /// Shares add up to a little more than was served, so that they find out when the fleet bears more.
 constexpr double growth = 1.05;
+/// Beyond this part of what is served, what is turned away shows that the fleet is full.
+constexpr double fullPart = 0.05;
 /// Below this a workspace is idle.
 constexpr double idleRate = 1.0;
 
@@ -52,30 +54,43 @@
     m_own[workspace].demand.add(tokens, now);
 }
 
-void WorkspaceShares::onDigest(const NodeId &node, std::vector<RemoteDemand> demands,
-                               double servedPerSecond, TimePoint now)
+void WorkspaceShares::onDigest(const NodeId &node, RemoteNews news, TimePoint now)
 {
-    m_remotes[node] = {std::move(demands), servedPerSecond, now};
+    m_remotes[node] = {std::move(news), now};
 }
 
-void WorkspaceShares::update(double leastCapacity, TimePoint now)
+double WorkspaceShares::capacity(double namedCapacity, TimePoint now) const
+{
+    double served = m_served.at(now);
+    double turnedAway = m_turnedAway.at(now);
+    for (const auto &[node, remote] : m_remotes) {
+        served += remote.news.servedPerSecond;
+        turnedAway += remote.news.turnedAwayPerSecond;
+    }
+    // Targets that have to read most parts anew bear a third of what operators name. Shares of the
+    // named figure hold nobody back then: a flood takes what room there is, and its neighbours get
+    // a third of what it gets.
+    if (turnedAway > fullPart * served)
+        return served * growth;
+    return std::max(namedCapacity, served * growth);
+}
+
+void WorkspaceShares::update(double namedCapacity, TimePoint now)
 {
     std::erase_if(m_remotes,
                   [&](const auto &entry) { return now - entry.second.heardAt > remoteLimit; });
     std::unordered_map<WorkspaceKey, double> fleet;
-    double served = m_served.at(now);
     for (const auto &[workspace, own] : m_own)
         fleet[workspace] += own.demand.at(now);
     for (const auto &[node, remote] : m_remotes) {
-        served += remote.servedPerSecond;
-        for (const RemoteDemand &demand : remote.demands)
+        for (const RemoteDemand &demand : remote.news.demands)
             fleet[demand.workspace] += demand.tokensPerSecond;
     }
     std::vector<double> demands;
     demands.reserve(fleet.size());
     for (const auto &[workspace, rate] : fleet)
         demands.push_back(rate);
-    m_level = maxMinLevel(std::move(demands), std::max(leastCapacity, served * growth));
+    m_level = maxMinLevel(std::move(demands), capacity(namedCapacity, now));
     for (auto &[workspace, own] : m_own) {
         const double all = fleet[workspace];
         own.isLimited = all > m_level;
--- a/unittests/Policy/FleetShareTest.cpp
+++ b/unittests/Policy/FleetShareTest.cpp
@@ -105,17 +105,50 @@
     constexpr WorkspaceKey soft = 2;
     PausedClock clock;
     WorkspaceShares shares;
-    shares.onDigest(NodeId("b"), {{soft, 200000}}, 150000, clock.now());
+    shares.onDigest(NodeId("b"), {{{soft, 200000}}, 150000, 0}, clock.now());
     for (int ms = 0; ms < 3000; ++ms) {
         shares.onAsked(hard, 400, clock.now());
         shares.onAdmitted(150, clock.now());
         clock.advance(1ms);
     }
-    shares.onDigest(NodeId("b"), {{soft, 200000}}, 150000, clock.now());
+    shares.onDigest(NodeId("b"), {{{soft, 200000}}, 150000, 0}, clock.now());
     shares.update(100000, clock.now());
     EXPECT_NEAR(shares.level(), 150000, 20000);
 }
 
+// Targets that have lost their memory read every shared part anew and bear a third of the capacity
+// that operators name. A flood and a small workspace together ask for less than the named figure, so
+// by that figure nobody is beyond its share, though most of both is turned away. The caller of the
+// small one sees refusals while the flood gets three times as much.
+TEST(WorkspaceShares, SharesFollowWhatIsServedWhereOperatorsNameMore)
+{
+    constexpr WorkspaceKey flood = 1;
+    constexpr WorkspaceKey small = 2;
+    constexpr double namedCapacity = 700000; // tokens a second
+    PausedClock clock;
+    WorkspaceShares shares;
+    int smallRefused = 0;
+    int floodRefused = 0;
+    for (int ms = 0; ms < 6000; ++ms) {
+        if (ms % 100 == 0)
+            shares.update(namedCapacity, clock.now());
+        shares.onAsked(flood, 450, clock.now()); // 450,000 a second
+        const bool isFloodWithin = shares.tryTake(flood, 450, clock.now());
+        floodRefused += isFloodWithin ? 0 : 1;
+        if (ms % 2 == 0)
+            shares.onAdmitted(450, clock.now()); // Half of the flood finds room.
+        else
+            shares.onTurnedAway(450, clock.now());
+        if (ms % 100 == 50) {
+            shares.onAsked(small, 8000, clock.now()); // 80,000 a second
+            smallRefused += shares.tryTake(small, 8000, clock.now()) ? 0 : 1;
+        }
+        clock.advance(1ms);
+    }
+    EXPECT_EQ(smallRefused, 0);
+    EXPECT_GT(floodRefused, 1500);
+}
+
 // A target's port is closed: it is left alone for a moment, then one request tries it, and only its
 // answer brings the others back.
 TEST(TargetHealth, OneRequestTriesATargetThatWasDown)
