Log each request's end as one line of JSON with the inputs of its decisions; hold what was got beyond a share against it

Logs: records carry the request's id and named fields and are written by the log thread as JSON lines on standard output, within a budget of lines and bytes a second; a request's steps (target, expected waits, share, age of what decided) are written where it was refused, failed, late, or is one of a hundred.

Change: all that is admitted counts against the share, and the accepted wait halves with each half second ahead.

--- a/include/berylridge/Net/LogSink.h
+++ b/include/berylridge/Net/LogSink.h
@@ -12,8 +12,10 @@
 
 namespace berylridge {
 
-/// A bounded queue before a writer thread. A reader of the log that is slow, or has stopped, blocks
-/// the writer alone; lines beyond the bound are dropped, counted, and said once there is room.
+/// A bounded queue before a writer thread, which turns records into lines of JSON. A reader of the log
+/// that is slow, or has stopped, blocks the writer alone. Records beyond the bound of the queue, and
+/// lines beyond the budget of lines and bytes a second, are dropped, counted by event, and told of in
+/// one line a second at most.
 class LogSink
 {
 public:
@@ -29,16 +31,12 @@
     LogSink &operator=(const LogSink &) = delete;
 
     /// From any thread.
-    void add(const LogRecord &record);
+    void add(LogRecord record);
 
+    /// Records that were never written.
     std::uint64_t dropped() const;
 
 private:
-    struct Line
-    {
-        LogLevel level;
-        std::string text;
-    };
     struct Shared;
 
     const LogLevel m_lowest;
@@ -46,7 +44,7 @@
     std::thread m_writer;
 };
 
-/// A write function over log4cplus, to standard error.
+/// A write function over log4cplus, to standard output.
 LogSink::Write log4cplusWriter();
 
 /// "debug" is not known: "info", "warning" or "error", as the settings have it.
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -32,8 +32,8 @@
     /// A caller of the workspace asks for work of so many tokens.
     void onAsked(WorkspaceKey workspace, double tokens, TimePoint now);
 
-    /// The request was admitted.
-    void onAdmitted(double tokens, TimePoint now) { m_served.add(tokens, now); }
+    /// A request of the workspace was admitted, within its share or beyond.
+    void onAdmitted(WorkspaceKey workspace, double tokens, TimePoint now);
 
     /// The request was refused since no target had room for it.
     void onTurnedAway(double tokens, TimePoint now) { m_turnedAway.add(tokens, now); }
@@ -56,14 +56,29 @@
     /// namedCapacity tokens a second.
     void update(double namedCapacity, TimePoint now);
 
-    /// Whether the workspace stays within its share with this request; takes it from the share.
-    bool tryTake(WorkspaceKey workspace, double tokens, TimePoint now);
+    /// How far the workspace is beyond its share at this node: what it got too much, in seconds of
+    /// the share. 0 within it, and where all demands fit.
+    double secondsAhead(WorkspaceKey workspace, TimePoint now);
+
+    /// A workspace's place among the others, for those who ask why it was turned away. In tokens a
+    /// second.
+    struct Standing
+    {
+        double demand = 0;  ///< At this node.
+        double allowed = 0; ///< This node's part of the workspace's share.
+        double credit = 0;  ///< Tokens.
+        bool isLimited = false;
+    };
+    Standing standing(WorkspaceKey workspace, TimePoint now) const;
 
     /// This node's own demands in tokens a second, for its digests.
     std::vector<RemoteDemand> ownDemands(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
     double turnedAwayPerSecond(TimePoint now) const { return m_turnedAway.at(now); }
+    /// What no workspace with unmet demand falls below; infinite where all demands fit.
     double level() const { return m_level; }
+    /// Whether shares are of what the fleet serves, since it turns requests away.
+    bool isFull() const { return m_isFull; }
 
 private:
     /// Tokens a second, smoothed.
@@ -81,7 +96,7 @@
     {
         Rate demand;
         double allowedRate = 0; ///< This node's part of the workspace's share.
-        double credit = 0;      ///< Tokens that may be taken now.
+        double credit = 0;      ///< Tokens that it may still get; below zero beyond its share.
         TimePoint creditedAt {};
         bool isLimited = false;
     };
@@ -91,13 +106,14 @@
         TimePoint heardAt;
     };
 
-    double capacity(double namedCapacity, TimePoint now) const;
+    double capacity(double namedCapacity, TimePoint now);
 
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
     Rate m_served;
     Rate m_turnedAway;
     double m_level = 0;
+    bool m_isFull = false;
 };
 
 } // namespace berylridge
--- a/include/berylridge/Support/LogEvent.h
+++ b/include/berylridge/Support/LogEvent.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <json/value.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,7 +33,9 @@
 struct LogRecord
 {
     LogEventId id;
-    std::string detail;
+    std::string detail;       ///< For people, in words.
+    std::string request = {}; ///< Id of the request that it touches; empty for other events.
+    Json::Value fields = {};  ///< The inputs that decided and the outcome, by name; may be null.
 };
 
 /// The whole catalogue, by rising number.
--- a/lib/Balancer/BalancerContext.h
+++ b/lib/Balancer/BalancerContext.h
@@ -33,7 +33,10 @@
     }
 
     void act(Action action) { actions->push_back(std::move(action)); }
-    void log(LogEventId id, std::string detail) { act(Log {LogRecord {id, std::move(detail)}}); }
+    void log(LogEventId id, std::string detail, Json::Value fields = {})
+    {
+        act(Log {LogRecord {id, std::move(detail), {}, std::move(fields)}});
+    }
 
     const BalancerOptions options;
     const BalancerCharts charts;
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include "RequestFlow.h"
 
+#include "berylridge/Policy/Admission.h"
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
@@ -21,12 +22,8 @@
 constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
 /// Callers who are turned away together must not come back together.
 constexpr double retrySpread = 0.5;
-/// Part of the latency target that may pass in a target's queue.
-constexpr double waitPart = 0.85;
-/// The same for workspaces beyond their share: the difference is room that others find free.
-constexpr double waitPartBeyondShare = 0.35;
-/// Some of the latency target is left for waiting even where reading takes all of it.
-constexpr double leastWaitPart = 0.25;
+/// One request in so many has its steps logged though nothing went wrong.
+constexpr std::uint64_t sampleEvery = 100;
 constexpr double tokensPerGenerated = 2; ///< What a generated token weighs against one read.
 
 std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
@@ -153,41 +150,49 @@
 {
     const PromptChain *chain = request.chain ? &*request.chain : nullptr;
     const auto choice = m_board.choose(*request.service, chain, request.avoided);
-    if (!choice)
+    const Duration at = m_context.now - request.arrivedAt;
+    if (!choice) {
+        request.story.add(at, NoTargetStep {});
         return Refusal {503, "no-target", "no target can take the request now",
                         spread(noTargetRetryAfter)};
-    if (isFirst) {
-        if (auto refusal = roomFor(request, *choice))
-            return refusal;
     }
-    if (!m_board.take(*choice, *request.service, chain))
-        return Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
+    PlacedStep step;
+    step.choice = *choice;
+    std::optional<Refusal> refusal = isFirst ? roomFor(request, *choice, step) : std::nullopt;
+    if (!refusal && !m_board.take(*choice, *request.service, chain))
+        refusal = Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
+    step.isTaken = !refusal;
+    request.story.add(at, std::move(step));
+    if (refusal)
+        return refusal;
     if (isFirst)
-        m_shares.onAdmitted(demandOf(request), m_context.now);
+        m_shares.onAdmitted(request.workspaceKey(), demandOf(request), m_context.now);
     start(request, *choice);
     return std::nullopt;
 }
 
-std::optional<RequestFlow::Refusal> RequestFlow::roomFor(const BalancedRequest &request,
-                                                         const BoardChoice &choice)
+std::optional<RequestFlow::Refusal>
+RequestFlow::roomFor(BalancedRequest &request, const BoardChoice &choice, PlacedStep &step)
 {
-    const WorkspaceKey workspace = shortHash(request.workspace.str());
-    bool isWithinShare = true;
+    double ahead = 0;
     if (request.chain) {
+        const WorkspaceKey workspace = request.workspaceKey();
         m_shares.onAsked(workspace, demandOf(request), m_context.now);
-        isWithinShare = m_shares.tryTake(workspace, demandOf(request), m_context.now);
+        ahead = m_shares.secondsAhead(workspace, m_context.now);
+        step.standing = m_shares.standing(workspace, m_context.now);
     }
+    step.isWithinShare = ahead <= 0;
     const double target = request.route->latencyTargetMs;
     if (target <= 0)
         return std::nullopt;
-    const double part = isWithinShare ? waitPart : waitPartBeyondShare;
-    const double allowed = std::max(part * target - choice.readMs, leastWaitPart * part * target);
+    const double allowed = allowedWaitMs({target, choice.readMs, ahead});
+    step.allowedMs = allowed;
     if (choice.waitMs <= allowed)
         return std::nullopt;
     m_shares.onTurnedAway(demandOf(request), m_context.now);
     // The queue is shorter by the excess after that time, if callers stay away until then.
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
-    return Refusal {503, isWithinShare ? "full" : "beyond-share",
+    return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
                     "the targets have more to do than would be done in time",
                     spread(std::max(excess, fullRetryAfter))};
 }
@@ -251,6 +256,10 @@
     step(*request, RequestSign::HeadCame);
     if (std::exchange(request->isRead, true))
         return;
+    const Duration at = m_context.now - request->arrivedAt;
+    request->story.add(at, AnswerBegunStep {event.status});
+    if (!request->firstAfter)
+        request->firstAfter = at;
     m_board.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
 }
 
@@ -266,6 +275,11 @@
         m_board.onServed(request->service->name, m_context.now - request->dispatchedAt);
     endAttempt(*request);
     step(*request, RequestSign::AnswerEnded);
+    const bool isSample = m_served++ % sampleEvery == 0;
+    Json::Value fields;
+    fields["status"] = event.status;
+    logEnd(*request, LogEventId::RequestEnded, "answered", std::move(fields),
+           isSample || isLate(*request) || request->attempts > 1);
     finish(event.handle);
 }
 
@@ -282,9 +296,9 @@
         ++request->sent;
     request->isBegun = request->isBegun || event.answerBegun;
     request->avoided.push_back(request->choice.key);
-    m_context.log(LogEventId::AttemptFailed,
-                  request->id + " at " + request->choice.target.str() + ' '
-                      + failureName(event.failure));
+    request->story.add(
+        m_context.now - request->arrivedAt,
+        FailedStep {request->choice.target, failureName(event.failure), event.sentAny});
     if (mayRetry(*request, event)) {
         step(*request, RequestSign::Retried);
         if (!findPlace(*request, false))
@@ -385,6 +399,7 @@
         endAttempt(request);
     }
     step(request, RequestSign::CallerGone);
+    logEnd(request, LogEventId::RequestEnded, "caller gone", {}, true);
     finish(event.handle);
 }
 
@@ -393,6 +408,14 @@
     m_crashes.expire(m_context.now);
     const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
     m_shares.update(named, m_context.now);
+    if (m_shares.isFull() == m_wasFull)
+        return;
+    m_wasFull = m_shares.isFull();
+    Json::Value fields;
+    fields["named"] = named;
+    fields["level"] = std::min(m_shares.level(), named);
+    m_context.log(m_wasFull ? LogEventId::FleetFull : LogEventId::FleetHasRoom, "",
+                  std::move(fields));
 }
 
 void RequestFlow::endAll()
@@ -437,9 +460,7 @@
 
 void RequestFlow::refuse(BalancedRequest &request, const Refusal &refusal)
 {
-    m_context.log(LogEventId::RequestRefused,
-                  request.id + ' ' + std::to_string(refusal.status) + ' ' + refusal.type + ' '
-                      + std::string(verdictName(request.verdict)));
+    logEnd(request, LogEventId::RequestRefused, "refused", refusalFields(refusal), true);
     m_context.act(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
                           refusal.type, refusal.retryAfter});
     step(request, RequestSign::GivenUp);
@@ -448,13 +469,59 @@
 
 void RequestFlow::refuseEarly(const RequestArrived &event, const Refusal &refusal)
 {
-    m_context.log(LogEventId::RequestRefused,
-                  event.requestId + ' ' + std::to_string(refusal.status) + ' ' + refusal.type
-                      + " not-run");
+    Json::Value fields = refusalFields(refusal);
+    fields["verdict"] = std::string(verdictName(Verdict::NotRun));
+    fields["catalog"]
+        = Json::UInt64(m_context.table ? m_context.table->catalog().version : 0);
+    m_context.act(
+        Log {{LogEventId::RequestRefused, refusal.title, event.requestId, std::move(fields)}});
     m_context.act(Refuse {event.handle, refusal.status, Verdict::NotRun, refusal.title,
                           refusal.type, refusal.retryAfter});
 }
 
+Json::Value RequestFlow::refusalFields(const Refusal &refusal)
+{
+    Json::Value fields;
+    fields["status"] = refusal.status;
+    fields["type"] = refusal.type;
+    if (refusal.retryAfter)
+        fields["retryAfterMs"] = toMilliseconds(*refusal.retryAfter);
+    return fields;
+}
+
+bool RequestFlow::isLate(const BalancedRequest &request) const
+{
+    const double target = request.route->latencyTargetMs;
+    const Duration since = request.firstAfter.value_or(m_context.now - request.arrivedAt);
+    return target > 0 && toSeconds(since) * 1000 > target;
+}
+
+void RequestFlow::logEnd(const BalancedRequest &request, LogEventId id, const char *outcome,
+                         Json::Value fields, bool withSteps)
+{
+    fields["outcome"] = outcome;
+    fields["verdict"] = std::string(verdictName(request.verdict));
+    fields["route"] = request.route->name;
+    fields["service"] = request.service->name;
+    if (!request.workspace.str().empty())
+        fields["workspace"] = request.workspace.str();
+    if (request.attempts > 0)
+        fields["target"] = request.choice.target.str();
+    fields["attempts"] = request.attempts;
+    fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
+    if (request.firstAfter)
+        fields["firstMs"] = toMilliseconds(*request.firstAfter);
+    if (isLate(request))
+        fields["late"] = true;
+    fields["catalog"] = Json::UInt64(request.table->catalog().version);
+    if (withSteps) {
+        fields["directory"] = Json::UInt64(m_context.directory.revision());
+        fields["nodes"] = Json::UInt64(m_context.peers.live(m_context.now));
+        fields["steps"] = request.story.details();
+    }
+    m_context.act(Log {{id, {}, request.id, std::move(fields)}});
+}
+
 void RequestFlow::finish(RequestHandle handle)
 {
     m_requests.erase(handle);
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "BalancerContext.h"
+#include "RequestStory.h"
 #include "TargetBoard.h"
 
 #include "berylridge/Policy/CrashRecord.h"
 #include "berylridge/Policy/WorkspaceShares.h"
+#include "berylridge/Support/Hash.h"
 #include "berylridge/Support/Random.h"
 #include "berylridge/Support/Verdict.h"
 
@@ -46,6 +48,11 @@
     TimePoint dispatchedAt;
     Verdict verdictBefore = Verdict::NotRun;
     bool isRead = false; ///< The target's answer has begun.
+
+    WorkspaceKey workspaceKey() const { return shortHash(workspace.str()); }
+
+    RequestStory story;
+    std::optional<Duration> firstAfter; ///< From arrival to the answer's begin.
 };
 
 class RequestFlow
@@ -84,7 +91,8 @@
 
     std::optional<Refusal> admit(BalancedRequest &request, const RequestArrived &event);
     std::optional<Refusal> findPlace(BalancedRequest &request, bool isFirst);
-    std::optional<Refusal> roomFor(const BalancedRequest &request, const BoardChoice &choice);
+    std::optional<Refusal> roomFor(BalancedRequest &request, const BoardChoice &choice,
+                                   PlacedStep &step);
     void start(BalancedRequest &request, const BoardChoice &choice);
     Duration firstByteLimit(const BalancedRequest &request) const;
     bool mayRepeat(const BalancedRequest &request) const;
@@ -97,6 +105,11 @@
     void endAttempt(BalancedRequest &request);
     void refuse(BalancedRequest &request, const Refusal &refusal);
     void refuseEarly(const RequestArrived &event, const Refusal &refusal);
+    /// One line on a request that ended; with its steps where something went wrong.
+    void logEnd(const BalancedRequest &request, LogEventId id, const char *outcome,
+                Json::Value fields, bool withSteps);
+    bool isLate(const BalancedRequest &request) const;
+    static Json::Value refusalFields(const Refusal &refusal);
     void finish(RequestHandle handle);
     Duration spread(Duration base);
 
@@ -109,6 +122,8 @@
     std::vector<BrokenRunEntry> m_brokenRuns; ///< For the next digest.
     RandomEngine m_random;
     TimePoint m_lastArrival {};
+    std::uint64_t m_served = 0; ///< Requests so far.
+    bool m_wasFull = false;
     bool m_isClosed = false;
 };
 
--- /dev/null
+++ b/lib/Balancer/RequestStory.cpp
@@ -0,0 +1,78 @@
+#include "RequestStory.h"
+
+#include <cmath>
+#include <utility>
+
+namespace berylridge {
+
+namespace {
+
+/// Whole numbers are enough for milliseconds and tokens, and half as long.
+Json::Value rounded(double value)
+{
+    return Json::Int64(std::llround(value));
+}
+
+void describe(const PlacedStep &step, Json::Value &out)
+{
+    const BoardChoice &choice = step.choice;
+    out["step"] = step.isTaken ? "placed" : "turned away";
+    out["target"] = choice.target.str();
+    out["candidates"] = Json::UInt64(choice.candidates);
+    out["waitMs"] = rounded(choice.waitMs);
+    out["readMs"] = rounded(choice.readMs);
+    out["readTokens"] = choice.tokens;
+    out["aheadTokens"] = Json::UInt64(choice.aheadTokens);
+    out["running"] = choice.running;
+    out["targetHeardMs"] = toMilliseconds(choice.heardAge);
+    if (step.allowedMs <= 0)
+        return;
+    out["allowedMs"] = rounded(step.allowedMs);
+    out["withinShare"] = step.isWithinShare;
+    if (!step.standing.isLimited)
+        return;
+    out["shareDemand"] = rounded(step.standing.demand);
+    out["shareAllowed"] = rounded(step.standing.allowed);
+    out["shareCredit"] = rounded(step.standing.credit);
+}
+
+void describe(const NoTargetStep & /*step*/, Json::Value &out)
+{
+    out["step"] = "no target";
+}
+
+void describe(const AnswerBegunStep &step, Json::Value &out)
+{
+    out["step"] = "answer begun";
+    out["status"] = step.status;
+}
+
+void describe(const FailedStep &step, Json::Value &out)
+{
+    out["step"] = "attempt failed";
+    out["target"] = step.target.str();
+    out["failure"] = step.failure;
+    out["sent"] = step.isSent;
+}
+
+} // namespace
+
+void RequestStory::add(Duration at, StoryStep step)
+{
+    if (m_entries.size() < limit)
+        m_entries.push_back({at, std::move(step)});
+}
+
+Json::Value RequestStory::details() const
+{
+    Json::Value list(Json::arrayValue);
+    for (const Entry &entry : m_entries) {
+        Json::Value one;
+        one["atMs"] = toMilliseconds(entry.at);
+        std::visit([&](const auto &step) { describe(step, one); }, entry.step);
+        list.append(std::move(one));
+    }
+    return list;
+}
+
+} // namespace berylridge
--- a/lib/Balancer/TargetBoard.cpp
+++ b/lib/Balancer/TargetBoard.cpp
@@ -120,6 +120,9 @@
     choice.readMs = placed->readMs;
     choice.tokens = placed->tokens;
     choice.aheadTokens = candidates[placed->index].load.tokens;
+    choice.running = candidates[placed->index].load.running;
+    choice.candidates = candidates.size();
+    choice.heardAge = now - entry->heardAt;
     return choice;
 }
 
--- a/lib/Balancer/TargetBoard.h
+++ b/lib/Balancer/TargetBoard.h
@@ -29,6 +29,9 @@
     double readMs = 0;             ///< Expected for reading the prompt.
     std::uint32_t tokens = 0;      ///< Of the prompt, still to be read there.
     std::uint64_t aheadTokens = 0; ///< Of requests before it.
+    std::uint32_t running = 0;     ///< Requests at the target, of all nodes.
+    std::size_t candidates = 0;    ///< Targets that it was chosen from.
+    Duration heardAge {0};         ///< Of the platform's last word on the target.
 };
 
 class TargetBoard
--- a/lib/Net/LogSink.cpp
+++ b/lib/Net/LogSink.cpp
@@ -1,5 +1,7 @@
 #include "berylridge/Net/LogSink.h"
 
+#include "LogBudget.h"
+#include "LogLine.h"
 #include "ThreadName.h"
 
 #include <condition_variable>
@@ -9,6 +11,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -19,16 +22,8 @@
 namespace {
 
 constexpr std::chrono::seconds closeLimit {1};
-
-std::string lineOf(const LogRecord &record)
-{
-    const LogEventInfo &info = logEventInfo(record.id);
-    std::string line = std::to_string(static_cast<unsigned>(info.id)) + " ";
-    line.append(info.name);
-    if (!record.detail.empty())
-        line.append(": ").append(record.detail);
-    return line;
-}
+/// Between lines that tell of dropped ones.
+constexpr Duration tellPeriod = std::chrono::seconds(1);
 
 log4cplus::LogLevel levelOf(LogLevel level)
 {
@@ -48,36 +43,79 @@
 
 struct LogSink::Shared
 {
-    Write write;
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::deque<Line> lines;
-    std::uint64_t dropped = 0;
-    std::uint64_t droppedSaid = 0;
-    bool isClosing = false;
-    bool isDone = false;
+    struct Entry
+    {
+        LogRecord record;
+        WallTime time;
+    };
 
-    /// The next line to write; nothing once the sink closes and all is written.
-    std::optional<Line> next()
+    /// The next record to write; nothing once the sink closes and all is written.
+    std::optional<Entry> next()
     {
         std::unique_lock lock(mutex);
-        changed.wait(lock, [this] { return isClosing || !lines.empty(); });
-        if (lines.empty()) {
+        changed.wait(lock, [this] { return isClosing || !entries.empty(); });
+        if (entries.empty()) {
             isDone = true;
             changed.notify_all();
             return std::nullopt;
         }
-        if (dropped != droppedSaid) {
-            const std::uint64_t count = dropped - std::exchange(droppedSaid, dropped);
-            return Line {LogLevel::Warning,
-                         lineOf({LogEventId::LogLinesDropped, std::to_string(count) + " lines"})};
-        }
-        Line line = std::move(lines.front());
-        lines.pop_front();
-        return line;
+        Entry entry = std::move(entries.front());
+        entries.pop_front();
+        return entry;
+    }
+
+    void drop(LogEventId id)
+    {
+        ++dropped;
+        ++droppedUntold[id];
+    }
+
+    /// What was dropped since this was last asked, as a record; nothing where it was nothing, or too
+    /// short a time ago.
+    std::optional<LogRecord> takeDropped(TimePoint now)
+    {
+        const std::lock_guard lock(mutex);
+        if (droppedUntold.empty() || now - toldAt < tellPeriod)
+            return std::nullopt;
+        toldAt = now;
+        LogRecord record {LogEventId::LogLinesDropped, ""};
+        for (const auto &[id, count] : std::exchange(droppedUntold, {}))
+            record.fields[std::string(logEventInfo(id).name)] = Json::UInt64(count);
+        return record;
     }
+
+    /// Writes records until the sink closes.
+    void writeAll();
+
+    Write write;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<Entry> entries;
+    std::uint64_t dropped = 0;
+    std::map<LogEventId, std::uint64_t> droppedUntold;
+    TimePoint toldAt {};
+    bool isClosing = false;
+    bool isDone = false;
 };
 
+void LogSink::Shared::writeAll()
+{
+    const SystemClock clock;
+    LogBudget budget {LogBudget::Limits()};
+    while (const auto entry = next()) {
+        const LogLevel level = logEventInfo(entry->record.id).level;
+        const std::string line = logLine(entry->record, entry->time);
+        if (!budget.tryTake(line.size(), level, clock.now())) {
+            const std::lock_guard lock(mutex);
+            drop(entry->record.id);
+            continue;
+        }
+        if (const auto untold = takeDropped(clock.now()))
+            write(LogLevel::Warning, logLine(*untold, clock.wallNow()));
+        write(level, line);
+    }
+}
+
 LogSink::LogSink(LogLevel lowest, Write write)
     : m_lowest(lowest)
     , m_shared(std::make_shared<Shared>())
@@ -85,8 +123,7 @@
     m_shared->write = std::move(write);
     m_writer = std::thread([shared = m_shared] {
         nameThread("log");
-        while (const auto line = shared->next())
-            shared->write(line->level, line->text);
+        shared->writeAll();
     });
 }
 
@@ -105,18 +142,18 @@
         m_writer.detach(); // Stuck in a write that the log's reader doesn't take.
 }
 
-void LogSink::add(const LogRecord &record)
+void LogSink::add(LogRecord record)
 {
     const LogLevel level = logEventInfo(record.id).level;
     if (level < m_lowest || level == LogLevel::Retired)
         return;
-    Line line {level, lineOf(record)};
+    const WallTime time = SystemClock().wallNow();
     const std::lock_guard lock(m_shared->mutex);
-    if (m_shared->lines.size() >= queueLimit) {
-        ++m_shared->dropped;
+    if (m_shared->entries.size() >= queueLimit) {
+        m_shared->drop(record.id);
         return;
     }
-    m_shared->lines.push_back(std::move(line));
+    m_shared->entries.push_back({std::move(record), time});
     m_shared->changed.notify_all();
 }
 
@@ -129,9 +166,9 @@
 LogSink::Write log4cplusWriter()
 {
     const auto library = std::make_shared<log4cplus::Initializer>();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n")));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("berylridge"));
     logger.addAppender(appender);
     return [library, logger](LogLevel level, const std::string &line) {
--- /dev/null
+++ b/lib/Policy/Admission.cpp
@@ -0,0 +1,34 @@
+#include "berylridge/Policy/Admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace berylridge {
+
+namespace {
+
+/// Part of the latency target that may pass in a target's queue.
+constexpr double waitPart = 0.85;
+/// The same for workspaces beyond their share: the difference is room that others find free.
+constexpr double waitPartBeyondShare = 0.35;
+/// Beyond its share a workspace finds half as much room after this many seconds of the share more.
+/// With the same room for all of them, a workspace that asks six times as often as another gets three
+/// times as much of what is left.
+constexpr double secondsToHalf = 0.5;
+/// Some of the latency target is left for waiting even where reading takes all of it.
+constexpr double leastWaitPart = 0.25;
+
+} // namespace
+
+double allowedWaitMs(const AdmissionNeed &need)
+{
+    assert(need.secondsAhead >= 0 && "a workspace within its share is not ahead");
+    const double part = need.secondsAhead > 0
+        ? waitPartBeyondShare * std::exp2(-need.secondsAhead / secondsToHalf)
+        : waitPart;
+    const double whole = part * need.latencyTargetMs;
+    return std::max(whole - need.readMs, leastWaitPart * whole);
+}
+
+} // namespace berylridge
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -14,6 +14,9 @@
 constexpr double smoothingSeconds = 1.5;
 /// Longest time for which unused share is kept, in seconds of the share.
 constexpr double creditSeconds = 1.0;
+/// What a workspace got beyond its share is held against it so far, in seconds of the share: a flood
+/// that took what was idle must not go without for long once others come.
+constexpr double debtSeconds = 3.0;
 /// A node's demands count so long after its last digest.
 constexpr Duration remoteLimit = std::chrono::milliseconds(1500);
 /// Shares add up to a little more than was served, so that they find out when the fleet bears more.
@@ -59,7 +62,7 @@
     m_remotes[node] = {std::move(news), now};
 }
 
-double WorkspaceShares::capacity(double namedCapacity, TimePoint now) const
+double WorkspaceShares::capacity(double namedCapacity, TimePoint now)
 {
     double served = m_served.at(now);
     double turnedAway = m_turnedAway.at(now);
@@ -70,7 +73,8 @@
     // Targets that have to read most parts anew bear a third of what operators name. Shares of the
     // named figure hold nobody back then: a flood takes what room there is, and its neighbours get
     // a third of what it gets.
-    if (turnedAway > fullPart * served)
+    m_isFull = turnedAway > fullPart * served;
+    if (m_isFull)
         return served * growth;
     return std::max(namedCapacity, served * growth);
 }
@@ -99,20 +103,38 @@
     std::erase_if(m_own, [&](const auto &entry) { return entry.second.demand.at(now) < idleRate; });
 }
 
-bool WorkspaceShares::tryTake(WorkspaceKey workspace, double tokens, TimePoint now)
+double WorkspaceShares::secondsAhead(WorkspaceKey workspace, TimePoint now)
 {
     const auto found = m_own.find(workspace);
     if (found == m_own.end() || !found->second.isLimited)
-        return true;
+        return 0;
     Own &own = found->second;
     const double earned = own.allowedRate * toSeconds(now - own.creditedAt);
     own.credit = std::min(own.credit + earned, own.allowedRate * creditSeconds);
     own.creditedAt = now;
     // Credit may go below zero by one request, so that a large request is served in its turn.
-    if (own.credit <= 0)
-        return false;
-    own.credit -= tokens;
-    return true;
+    if (own.credit > 0 || own.allowedRate <= 0)
+        return 0;
+    return -own.credit / own.allowedRate;
+}
+
+void WorkspaceShares::onAdmitted(WorkspaceKey workspace, double tokens, TimePoint now)
+{
+    m_served.add(tokens, now);
+    const auto found = m_own.find(workspace);
+    if (found == m_own.end() || !found->second.isLimited)
+        return;
+    Own &own = found->second;
+    own.credit = std::max(own.credit - tokens, -own.allowedRate * debtSeconds);
+}
+
+WorkspaceShares::Standing WorkspaceShares::standing(WorkspaceKey workspace, TimePoint now) const
+{
+    const auto found = m_own.find(workspace);
+    if (found == m_own.end())
+        return {};
+    const Own &own = found->second;
+    return {own.demand.at(now), own.allowedRate, own.credit, own.isLimited};
 }
 
 std::vector<WorkspaceShares::RemoteDemand> WorkspaceShares::ownDemands(TimePoint now) const
