--- a/include/berylridge/Catalog/TargetRecord.h
+++ b/include/berylridge/Catalog/TargetRecord.h
@@ -22,8 +22,10 @@
     bool isDraining = false;      ///< It leaves: no new work.
     std::uint32_t coldLeftMs = 0; ///< How much longer it was cold when the entry was written.
     std::int64_t startedAtMs = 0; ///< Unix time of its start; tells one start from the next.
+    /// Removed while the platform was away, and to be used for so much longer: it may be well.
+    std::uint32_t usableForMs = 0;
     MSGPACK_DEFINE(id, revision, isRemoved, service, address, port, zone, slots, isDraining,
-                   coldLeftMs, startedAtMs)
+                   coldLeftMs, startedAtMs, usableForMs)
 };
 
 /// An operator's order that a zone's targets get nothing new.
--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -30,9 +30,10 @@
     std::string chartDirectory;          ///< Where the state charts are.
     std::string sharing = "fleet"; ///< "fleet", or a baseline: "per-node", "round-robin", "fifo".
     std::uint32_t trafficThreads = 2;
-    std::uint64_t headerLimit = 16 << 10;            ///< Bytes of a caller's request head.
-    std::uint64_t bodyLimit = 4 << 20;               ///< Bytes of a caller's request body.
-    std::uint32_t connectionLimit = 4096;            ///< Callers' connections open at once.
+    std::uint64_t headerLimit = 16 << 10; ///< Bytes of a caller's request head.
+    std::uint64_t bodyLimit = 4 << 20;    ///< Bytes of a caller's request body.
+    std::uint32_t connectionLimit = 4096; ///< Callers' connections open at once.
+    std::uint32_t descriptorLimit = 0;    ///< Open files that the system allows; 0: not known.
     Duration readTimeout = std::chrono::seconds(10); ///< For a caller to send a whole request.
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspectAfter = std::chrono::milliseconds(1200);
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -76,12 +76,14 @@
     std::vector<PlacementEntry> placements;
     std::vector<WorkspaceDemandEntry> demands;
     std::vector<BrokenRunEntry> brokenRuns;
-    std::vector<PeerEntry> peers;       ///< Now and then: whom the sender has heard lately.
-    std::uint32_t servedPerSecond = 0;  ///< Tokens of requests that the sender had admitted.
-    std::vector<TargetReadEntry> reads; ///< Where there is news.
+    std::vector<PeerEntry> peers;          ///< Now and then: whom the sender has heard lately.
+    std::uint32_t servedPerSecond = 0;     ///< Tokens of requests that the sender had admitted.
+    std::vector<TargetReadEntry> reads;    ///< Where there is news.
     std::uint32_t turnedAwayPerSecond = 0; ///< Tokens of requests that found no room.
+    bool isReading = false; ///< The sender reads the platform's state, and the platform answers.
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
-                   placements, demands, brokenRuns, peers, servedPerSecond, reads, turnedAwayPerSecond)
+                   placements, demands, brokenRuns, peers, servedPerSecond, reads,
+                   turnedAwayPerSecond, isReading)
 };
 
 /// Asks a peer whose digest shows newer state for what is newer than this.
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -47,6 +47,7 @@
         std::optional<TimePoint> heardAt; ///< Nothing for one that is only known by name.
         TimePoint listedAt;               ///< When another node last named it.
         bool isLeaving = false;
+        bool isReading = false; ///< Reads the platform's state with success.
     };
 
     PeerTable(PeerTableOptions options, std::uint64_t seed);
@@ -66,6 +67,15 @@
 
     bool isLive(const Peer &peer, TimePoint now) const;
     const Peer *find(const NodeId &node) const;
+    /// Calls visit(node, peer) for each node that is known.
+    template <typename Visit>
+    void forEach(Visit visit) const
+    {
+        for (const auto &[node, peer] : m_peers)
+            visit(node, peer);
+    }
+    /// Whether one of the seeds is this node.
+    bool isSeed() const;
     /// This node and all that were heard within countedLimit; at least two, so that a node that has
     /// heard nobody yet doesn't take a limit's whole for itself.
     std::size_t counted(TimePoint now) const;
--- a/include/berylridge/Net/LogSink.h
+++ b/include/berylridge/Net/LogSink.h
@@ -12,10 +12,10 @@
 
 namespace berylridge {
 
-/// A bounded queue before a writer thread, which turns records into lines of JSON. A reader of the log
-/// that is slow, or has stopped, blocks the writer alone. Records beyond the bound of the queue, and
-/// lines beyond the budget of lines and bytes a second, are dropped, counted by event, and told of in
-/// one line a second at most.
+/// A bounded queue before a writer thread, which turns records into lines of JSON. A reader of the
+/// log that is slow, or has stopped, blocks the writer alone. Records beyond the bound of the
+/// queue, and lines beyond the budget of lines and bytes a second, are dropped, counted by event,
+/// and told of in one line a second at most.
 class LogSink
 {
 public:
--- a/include/berylridge/Net/RouterNode.h
+++ b/include/berylridge/Net/RouterNode.h
@@ -97,6 +97,9 @@
     RouterNodeBuilder &audit(AuditHandler handler);
     /// How requests and answers look; the product's own protocol unless given.
     RouterNodeBuilder &protocol(WireProtocolHandle protocol);
+    /// What begins (true) or ceases to read the platform's state when the core says so, on the
+    /// control thread; the product's own watch of documents and VM list unless given.
+    RouterNodeBuilder &platformReader(std::function<void(bool)> reader);
     /// What SIGHUP calls, on the control thread; without it SIGHUP is ignored.
     RouterNodeBuilder &reload(std::function<void()> reload);
     /// Whether SIGTERM and SIGINT order a planned stop, and a second one ends the process.
@@ -113,6 +116,7 @@
     RpcHandler m_rpc;
     AuditHandler m_audit;
     WireProtocolHandle m_protocol = ownProtocol();
+    std::function<void(bool)> m_platformReader;
     std::function<void()> m_reload;
     bool m_handlesSignals = false;
 };
--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -1,7 +1,7 @@
 // How long a request may wait in a target's queue; one that would wait longer is refused at once.
 //
-// Load it answers: callers ask for twice what the targets read. Without a limit each queue grows until
-// all answers are late, and who asks most often takes the room that becomes free.
+// Load it answers: callers ask for twice what the targets read. Without a limit each queue grows
+// until all answers are late, and who asks most often takes the room that becomes free.
 #pragma once
 
 namespace berylridge {
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -2,6 +2,7 @@
 
 #include "BalancerContext.h"
 #include "FleetTalk.h"
+#include "ReaderRole.h"
 #include "RequestFlow.h"
 #include "TargetBoard.h"
 
@@ -29,7 +30,8 @@
         : m_context(std::move(options), std::move(charts), now)
         , m_board(m_context)
         , m_requests(m_context, m_board)
-        , m_talk(m_context, m_board, m_requests)
+        , m_reader(m_context)
+        , m_talk(m_context, m_board, m_requests, m_reader)
         , m_state(m_context.charts.node.initial())
         , m_handledAt(now)
         , m_nextDigest(now)
@@ -49,12 +51,14 @@
     void onLeave(const std::string &who);
     void runTimers();
     void checkReady();
+    void checkReader();
     void checkStop();
     void stop(NodeSign sign);
 
     BalancerContext m_context;
     TargetBoard m_board;
     RequestFlow m_requests;
+    ReaderRole m_reader;
     FleetTalk m_talk;
     NodeState m_state;
     TimePoint m_handledAt;
@@ -187,10 +191,23 @@
     m_context.peers.forgetSilent(m_context.now);
     m_board.expire();
     m_requests.tick();
-    m_talk.sendDigests(m_state == NodeState::Leaving);
+    checkReader();
+    const bool isTold = m_reader.isReading() && m_isPlatformReachable;
+    m_talk.sendDigests(m_state == NodeState::Leaving, isTold);
     checkStop();
 }
 
+void BalancerCore::Impl::checkReader()
+{
+    const bool wasReading = m_reader.isReading();
+    if (m_reader.decide() == wasReading)
+        return;
+    m_context.log(LogEventId::ReaderRole, wasReading ? "ceases to read" : "begins to read");
+    m_context.act(WatchPlatform {!wasReading});
+    // Whoever doesn't call the platform can't tell that it is silent.
+    m_isPlatformReachable = true;
+}
+
 void BalancerCore::Impl::checkStop()
 {
     if (m_state != NodeState::Leaving)
--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -25,21 +25,22 @@
 
 } // namespace
 
-void FleetTalk::sendDigests(bool isLeaving)
+void FleetTalk::sendDigests(bool isLeaving, bool isReading)
 {
-    const LoadDigest digest = ownDigest(isLeaving);
+    LoadDigest digest = ownDigest();
+    digest.isLeaving = isLeaving;
+    digest.isReading = isReading;
     for (auto &[node, endpoint] : m_context.peers.nextReceivers(m_context.now))
         m_context.act(SendToNode {node, endpoint, BalancerMessage(digest)});
 }
 
-LoadDigest FleetTalk::ownDigest(bool isLeaving)
+LoadDigest FleetTalk::ownDigest()
 {
     LoadDigest digest;
     const BalancerOptions &options = m_context.options;
     digest.zone = options.zone.str();
     digest.address = options.endpoint.address;
     digest.port = options.endpoint.port;
-    digest.isLeaving = isLeaving;
     digest.catalogVersion = m_context.table ? m_context.table->catalog().version : 0;
     digest.directoryRevision = m_context.directory.revision();
     for (const auto &[target, load] : m_board.loads().allOwn())
@@ -64,6 +65,7 @@
     if (!wasKnown)
         m_context.log(LogEventId::MemberJoined, from.str() + " zone " + digest.zone);
     takeLoads(from, incarnation, digest);
+    m_reader.onPeerState(digest.catalogVersion, digest.directoryRevision);
     askForNewer(from, digest);
 }
 
@@ -92,8 +94,9 @@
 {
     const StateRequest have {m_context.table ? m_context.table->catalog().version : 0,
                              m_context.directory.revision()};
-    if (digest.catalogVersion <= have.catalogVersion
-        && digest.directoryRevision <= have.directoryRevision)
+    const bool isBehind = digest.catalogVersion > have.catalogVersion
+        || digest.directoryRevision > have.directoryRevision;
+    if (!isBehind)
         return;
     TimePoint &askedAt = m_askedAt[from];
     if (askedAt > TimePoint {} && m_context.now - askedAt < askAgainAfter)
--- a/lib/Balancer/FleetTalk.h
+++ b/lib/Balancer/FleetTalk.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "BalancerContext.h"
+#include "ReaderRole.h"
 #include "RequestFlow.h"
 #include "TargetBoard.h"
 
@@ -14,27 +15,30 @@
 class FleetTalk
 {
 public:
-    FleetTalk(BalancerContext &context, TargetBoard &board, RequestFlow &requests)
+    FleetTalk(BalancerContext &context, TargetBoard &board, RequestFlow &requests,
+              ReaderRole &reader)
         : m_context(context)
         , m_board(board)
         , m_requests(requests)
+        , m_reader(reader)
     {
     }
 
-    /// Sends this period's digests.
-    void sendDigests(bool isLeaving);
+    /// Sends this period's digests. isReading: this node reads the platform's state with success.
+    void sendDigests(bool isLeaving, bool isReading);
 
     void onDigest(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void onStateRequest(const NodeId &from, const StateRequest &request);
 
 private:
-    LoadDigest ownDigest(bool isLeaving);
+    LoadDigest ownDigest();
     void takeLoads(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void askForNewer(const NodeId &from, const LoadDigest &digest);
 
     BalancerContext &m_context;
     TargetBoard &m_board;
     RequestFlow &m_requests;
+    ReaderRole &m_reader;
     std::uint64_t m_digests = 0;           ///< Sent so far.
     std::map<NodeId, TimePoint> m_askedAt; ///< When state was last asked for.
 };
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -171,8 +171,9 @@
     return std::nullopt;
 }
 
-std::optional<RequestFlow::Refusal>
-RequestFlow::roomFor(BalancedRequest &request, const BoardChoice &choice, PlacedStep &step)
+std::optional<RequestFlow::Refusal> RequestFlow::roomFor(BalancedRequest &request,
+                                                         const BoardChoice &choice,
+                                                         PlacedStep &step)
 {
     double ahead = 0;
     if (request.chain) {
@@ -471,8 +472,7 @@
 {
     Json::Value fields = refusalFields(refusal);
     fields["verdict"] = std::string(verdictName(Verdict::NotRun));
-    fields["catalog"]
-        = Json::UInt64(m_context.table ? m_context.table->catalog().version : 0);
+    fields["catalog"] = Json::UInt64(m_context.table ? m_context.table->catalog().version : 0);
     m_context.act(
         Log {{LogEventId::RequestRefused, refusal.title, event.requestId, std::move(fields)}});
     m_context.act(Refuse {event.handle, refusal.status, Verdict::NotRun, refusal.title,
--- a/lib/Balancer/RequestStory.h
+++ b/lib/Balancer/RequestStory.h
@@ -1,5 +1,5 @@
-// What was decided about one request and on which inputs, kept until its end. Most requests need only
-// one line in the log; where one was refused, failed or late, its steps go into that line too.
+// What was decided about one request and on which inputs, kept until its end. Most requests need
+// only one line in the log; where one was refused, failed or late, its steps go into that line too.
 #pragma once
 
 #include "TargetBoard.h"
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -30,6 +30,9 @@
         if (isNew)
             entry.record = record;
         remove(entry, record.revision, now);
+        // A node that saw the outage tells of the grace; this one may read nothing itself.
+        if (record.usableForMs > 0)
+            entry.usableUntil = now + fromMilliseconds(record.usableForMs);
         return true;
     }
     const bool isOther = isNew || entry.record.isRemoved
@@ -126,6 +129,8 @@
         news.targets.push_back(entry.record);
         const auto coldLeft = std::max(entry.coldUntil - now, Duration(0));
         news.targets.back().coldLeftMs = toMilliseconds(coldLeft);
+        const auto usableFor = entry.usableUntil.value_or(now) - now;
+        news.targets.back().usableForMs = entry.record.isRemoved ? toMilliseconds(usableFor) : 0;
     }
     for (const auto &[name, zone] : m_zones) {
         if (zone.revision > revision || news.isWhole)
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -32,6 +32,7 @@
     peer.endpoint = {digest.address, digest.port};
     peer.heardAt = now;
     peer.isLeaving = digest.isLeaving;
+    peer.isReading = digest.isReading;
     for (const PeerEntry &entry : digest.peers) {
         const NodeId named(entry.node);
         if (named == m_options.self)
@@ -95,6 +96,12 @@
     return entries;
 }
 
+bool PeerTable::isSeed() const
+{
+    return std::find(m_options.seeds.begin(), m_options.seeds.end(), m_options.endpoint)
+        != m_options.seeds.end();
+}
+
 bool PeerTable::isLive(const Peer &peer, TimePoint now) const
 {
     return peer.heardAt && now - *peer.heardAt < liveLimit;
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -220,7 +220,7 @@
     m_parser.reset();
     auto read = m_thread.protocol().readRequest(request, freshId);
     if (const auto *problem = std::get_if<Problem>(&read)) {
-        answerProblem(*problem, request.keep_alive());
+        answerProblem(*problem, request.keep_alive() && m_thread.keepsConnections());
         return;
     }
     auto arrived = std::get<RequestArrived>(std::move(read));
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -432,7 +432,7 @@
 
 bool Exchange::isKept() const
 {
-    return m_request.keep_alive() && !m_thread.isLeaving();
+    return m_request.keep_alive() && m_thread.keepsConnections();
 }
 
 } // namespace berylridge
--- a/lib/Net/LogBudget.h
+++ b/lib/Net/LogBudget.h
@@ -1,7 +1,7 @@
 // How much a process may log.
 //
-// Load it answers: an outage turns away every request, each refusal is a line, and writing them takes
-// the processor from the requests that could be served.
+// Load it answers: an outage turns away every request, each refusal is a line, and writing them
+// takes the processor from the requests that could be served.
 #pragma once
 
 #include "berylridge/Support/LogEvent.h"
@@ -35,8 +35,8 @@
 
 private:
     static constexpr double burstSeconds = 2;
-    /// Part of the burst that is kept for warnings and errors: a flood of requests must not push out
-    /// the lines that tell why.
+    /// Part of the burst that is kept for warnings and errors: a flood of requests must not push
+    /// out the lines that tell why.
     static constexpr double keptPart = 0.25;
 
     void refill(TimePoint now);
--- a/lib/Net/LogSink.cpp
+++ b/lib/Net/LogSink.cpp
@@ -54,11 +54,8 @@
     {
         std::unique_lock lock(mutex);
         changed.wait(lock, [this] { return isClosing || !entries.empty(); });
-        if (entries.empty()) {
-            isDone = true;
-            changed.notify_all();
+        if (entries.empty())
             return std::nullopt;
-        }
         Entry entry = std::move(entries.front());
         entries.pop_front();
         return entry;
@@ -70,8 +67,8 @@
         ++droppedUntold[id];
     }
 
-    /// What was dropped since this was last asked, as a record; nothing where it was nothing, or too
-    /// short a time ago.
+    /// What was dropped since this was last asked, as a record; nothing where it was nothing, or
+    /// too short a time ago.
     std::optional<LogRecord> takeDropped(TimePoint now)
     {
         const std::lock_guard lock(mutex);
@@ -114,6 +111,8 @@
             write(LogLevel::Warning, logLine(*untold, clock.wallNow()));
         write(level, line);
     }
+    if (const auto untold = takeDropped(clock.now() + tellPeriod))
+        write(LogLevel::Warning, logLine(*untold, clock.wallNow()));
 }
 
 LogSink::LogSink(LogLevel lowest, Write write)
@@ -124,6 +123,9 @@
     m_writer = std::thread([shared = m_shared] {
         nameThread("log");
         shared->writeAll();
+        const std::lock_guard lock(shared->mutex);
+        shared->isDone = true;
+        shared->changed.notify_all();
     });
 }
 
@@ -167,8 +169,7 @@
 {
     const auto library = std::make_shared<log4cplus::Initializer>();
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
-    appender->setLayout(
-        std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("berylridge"));
     logger.addAppender(appender);
     return [library, logger](LogLevel level, const std::string &line) {
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// Part of the descriptors that callers' connections may use; the rest is for targets and nodes.
+constexpr double callersPart = 0.6;
+
 std::string idPrefixOf(const Settings &settings, Incarnation incarnation)
 {
     return settings.node.str() + "-" + std::to_string(incarnation) + "-";
@@ -32,6 +35,10 @@
     options.headerLimit = settings.headerLimit;
     options.bodyLimit = settings.bodyLimit;
     options.connectionLimit = settings.connectionLimit;
+    if (settings.descriptorLimit > 0) {
+        const auto part = static_cast<std::uint32_t>(callersPart * settings.descriptorLimit);
+        options.connectionLimit = std::min(options.connectionLimit, std::max(part, 1U));
+    }
     options.readTimeout = settings.readTimeout;
     options.threads = settings.trafficThreads;
     return options;
@@ -82,7 +89,7 @@
     void operator()(const SendToNode &action) { m_peers.send(action); }
     void operator()(const ProbeNode &action) { m_peers.probe(action); }
     void operator()(const PollTarget &action) { m_poller.poll(action); }
-    void operator()(const WatchPlatform &action) { m_watch.set(action.isOn); }
+    void operator()(const WatchPlatform &action) { m_platformReader(action.isOn); }
     void operator()(const Readiness &action);
     void operator()(const Stopped &action);
     void operator()(const Log &action) { m_log.add(action.record); }
@@ -91,6 +98,10 @@
     Metrics m_metrics; // NOLINT: used by the face
     CallerListener &listener() { return *m_listener; }
     PeerLink &peers() { return m_peers; }
+    void setPlatformReader(std::function<void(bool)> reader)
+    {
+        m_platformReader = std::move(reader);
+    }
     AdminFace &admin() { return m_admin; }
 
 private:
@@ -113,6 +124,7 @@
     TargetPoller m_poller;
     AdminFace m_admin;
     asio::signal_set m_signals;
+    std::function<void(bool)> m_platformReader;
     std::function<void()> m_reload;
     int m_signalsSeen = 0;
     std::atomic<std::size_t> m_threadsLeft {0};
@@ -135,6 +147,7 @@
     , m_poller(m_context, m_metrics, [this](Event event) { m_loop.post(std::move(event)); })
     , m_admin(m_context, adminSources(settings, std::move(rpc)))
     , m_signals(m_context)
+    , m_platformReader([this](bool isOn) { m_watch.set(isOn); })
 {
     m_options.protocol = std::move(protocol);
     m_options.report = [this](std::vector<Event> &events) { m_loop.postAll(events); };
@@ -372,6 +385,12 @@
     return *this;
 }
 
+RouterNodeBuilder &RouterNodeBuilder::platformReader(std::function<void(bool)> reader)
+{
+    m_platformReader = std::move(reader);
+    return *this;
+}
+
 RouterNodeBuilder &RouterNodeBuilder::reload(std::function<void()> reload)
 {
     m_reload = std::move(reload);
@@ -393,6 +412,8 @@
     std::string reason = impl->open(m_settings);
     if (!reason.empty())
         return Reason {std::move(reason)};
+    if (m_platformReader)
+        impl->setPlatformReader(m_platformReader);
     if (m_handlesSignals)
         impl->handleSignals(m_reload);
     return std::unique_ptr<RouterNode>(new RouterNode(std::move(impl)));
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -69,6 +69,16 @@
     Metrics &metrics() { return m_metrics; }
     ConnectionPool &pool() { return m_pool; }
     bool isLeaving() const { return m_isLeaving; }
+    /// Whether callers may keep their connections after an answer. Refused callers come back on new
+    /// connections and leave the old ones idle: a flood of them would use up the descriptors within
+    /// seconds, and then no target can be reached and no caller accepted. An answer that ends its
+    /// connection costs the caller one round trip more and cuts nothing.
+    bool keepsConnections() const
+    {
+        return !m_isLeaving
+            && static_cast<double>(m_metrics.connectionsOpen)
+            < crowdedPart * m_options.connectionLimit;
+    }
     /// To the core, with whatever else is reported in this turn of the thread.
     void report(Event event);
     /// Its remainder by the number of threads is this thread's index.
@@ -78,6 +88,9 @@
     void forget(CallerSession *session) { m_sessions.erase(session); }
 
 private:
+    /// Room for a second's new connections of a flood above it.
+    static constexpr double crowdedPart = 0.6;
+
     void run();
     void carryOut(std::vector<TrafficOrder> &orders);
     void flushReports();
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -13,8 +13,8 @@
 /// The same for workspaces beyond their share: the difference is room that others find free.
 constexpr double waitPartBeyondShare = 0.35;
 /// Beyond its share a workspace finds half as much room after this many seconds of the share more.
-/// With the same room for all of them, a workspace that asks six times as often as another gets three
-/// times as much of what is left.
+/// With the same room for all of them, a workspace that asks six times as often as another gets
+/// three times as much of what is left.
 constexpr double secondsToHalf = 0.5;
 /// Some of the latency target is left for waiting even where reading takes all of it.
 constexpr double leastWaitPart = 0.25;
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -14,8 +14,8 @@
 constexpr double smoothingSeconds = 1.5;
 /// Longest time for which unused share is kept, in seconds of the share.
 constexpr double creditSeconds = 1.0;
-/// What a workspace got beyond its share is held against it so far, in seconds of the share: a flood
-/// that took what was idle must not go without for long once others come.
+/// What a workspace got beyond its share is held against it so far, in seconds of the share: a
+/// flood that took what was idle must not go without for long once others come.
 constexpr double debtSeconds = 3.0;
 /// A node's demands count so long after its last digest.
 constexpr Duration remoteLimit = std::chrono::milliseconds(1500);
--- a/tools/berylridged/Main.cpp
+++ b/tools/berylridged/Main.cpp
@@ -23,8 +23,8 @@
         "router of a berylridge fleet",
         "Routes callers' requests of many workspaces to targets and shares their capacity fairly.\n"
         "SIGTERM and SIGINT begin a planned stop: running requests end first; a second one ends\n"
-        "the process at once. Log lines go to standard error; each begins with the number of its\n"
-        "event, which `berylctl events` explains. Exit status 1 means that a listener could not\n"
+        "the process at once. The log goes to standard output as lines of JSON; `berylctl events`\n"
+        "explains their events by number. Exit status 1 means that a listener could not\n"
         "be opened, 2 wrong arguments or settings.",
         {{"FILES", "FILE  settings, JSON with comments; docs/OPERATING.md gives an example"},
          {"EXAMPLES",
--- /dev/null
+++ b/unittests/Balancer/BalancerFixture.h
@@ -0,0 +1,140 @@
+// One balancer under a paused clock: events in, actions out.
+#pragma once
+
+#include "berylridge/Balancer/BalancerCore.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace berylridge::test {
+
+using namespace std::chrono_literals;
+
+class BalancerFixture : public testing::Test
+{
+protected:
+    BalancerFixture() { start(); }
+
+    void start()
+    {
+        BalancerOptions options;
+        options.node = NodeId("n1");
+        options.zone = ZoneId("a");
+        options.endpoint = {"10.0.0.1", 7400};
+        options.incarnation = 5;
+        options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+        auto created = BalancerCore::create(options, clock.now(), clock.wallNow());
+        ASSERT_TRUE(created) << created.lastReason();
+        core = *std::move(created);
+    }
+
+    void handle(const Event &event)
+    {
+        actions.clear();
+        core->handle(event, clock.now(), clock.wallNow(), actions);
+    }
+
+    /// Lets time pass as the shell does: the core's timers are kept.
+    void pass(Duration time)
+    {
+        const TimePoint end = clock.now() + time;
+        Actions all;
+        while (core->nextTimer() < end) {
+            clock.advance(std::max(core->nextTimer() - clock.now(), Duration(1)));
+            handle(TimerDue {});
+            all.insert(all.end(), actions.begin(), actions.end());
+        }
+        clock.advance(std::max(end - clock.now(), Duration(0)));
+        actions = std::move(all);
+    }
+
+    template <typename T>
+    const T *find() const
+    {
+        for (const Action &action : actions) {
+            if (const auto *found = std::get_if<T>(&action))
+                return found;
+        }
+        return nullptr;
+    }
+
+    static RouteSpec route(const char *prefix, RequestKind kind, std::uint32_t attempts)
+    {
+        RouteSpec spec;
+        spec.host = "h";
+        spec.pathPrefix = prefix;
+        spec.kind = static_cast<std::uint8_t>(kind);
+        spec.timeoutMs = 4000;
+        spec.latencyTargetMs = 400;
+        spec.attempts = attempts;
+        spec.services = {{"s", 1}};
+        return spec;
+    }
+
+    void giveCatalog(std::uint64_t version = 1)
+    {
+        Catalog catalog;
+        catalog.version = version;
+        catalog.routes = {route("/read/", RequestKind::Idempotent, 2),
+                          route("/buy/", RequestKind::NonIdempotent, 1),
+                          route("/stream/", RequestKind::Stream, 2)};
+        catalog.routes[2].isResumable = true;
+        catalog.services = {{"s", 100, 3000, coldPerSecond, isEngine, 128, 1000000}};
+        catalog.workspaces = {{"potters", {"key"}}};
+        handle(CatalogArrived {std::make_shared<const Catalog>(catalog)});
+    }
+
+    void giveTargets(const std::vector<std::string> &ids)
+    {
+        DirectoryNews news;
+        news.revision = ++revision;
+        news.isWhole = true;
+        for (const std::string &id : ids) {
+            TargetRecord record;
+            record.id = id;
+            record.revision = revision;
+            record.service = "s";
+            record.address = "10.1.0.1";
+            record.port = 80;
+            record.zone = "a";
+            record.slots = 6;
+            record.coldLeftMs = coldLeftMs;
+            news.targets.push_back(record);
+        }
+        handle(DirectoryArrived {news});
+    }
+
+    void ask(const std::string &path, const std::string &credential = "key")
+    {
+        RequestArrived request;
+        request.handle = ++handles;
+        request.requestId = "r" + std::to_string(handles);
+        request.host = "h";
+        request.path = path;
+        request.credential = credential;
+        request.deadline = 4s;
+        request.bodyHash = body;
+        if (isEngine)
+            request.prompt = Prompt {"m", {{1, 10000}, {handles + 100, 4000}}, 14000, 100};
+        handle(request);
+    }
+
+    AttemptFailed failure(const Dispatch &dispatch, AttemptFailure what, bool sentAny = true) const
+    {
+        return {dispatch.handle, dispatch.attempt, what, sentAny, false};
+    }
+
+    PausedClock clock;
+    std::unique_ptr<BalancerCore> core;
+    Actions actions;
+    RequestHandle handles = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t body = 0;
+    double coldPerSecond = 0;
+    std::uint32_t coldLeftMs = 0;
+    bool isEngine = false;
+};
+
+} // namespace berylridge::test
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -155,3 +155,20 @@
     clock.advance(2s);
     EXPECT_FALSE(directory.isCold(*directory.find("t"), clock.now()));
 }
+
+// A node that doesn't read the platform itself hears from a reader that an entry lapsed in an
+// outage. Taken for gone at once, all its targets would be out of use until they are back.
+TEST_F(TargetDirectoryTest, ARelayTellsOfEntriesThatMayBeWell)
+{
+    apply(5, {recordOf("t1", 5)}, true);
+    TargetDirectory other;
+    other.apply(directory.newsSince(0, clock.now()), clock.now());
+    clock.advance(1s);
+    directory.onPlatformBack(clock.now());
+    apply(6, {removalOf("t1", 6)});
+    other.apply(directory.newsSince(5, clock.now()), clock.now());
+    const auto isUsableThere = [&] { return other.isUsable(*other.find("t1"), clock.now()); };
+    EXPECT_TRUE(isUsableThere());
+    clock.advance(TargetDirectory::lapseGrace);
+    EXPECT_FALSE(isUsableThere());
+}
--- a/unittests/Net/CallerFaceTest.cpp
+++ b/unittests/Net/CallerFaceTest.cpp
@@ -143,6 +143,29 @@
     EXPECT_NE(answer.find("too-many-connections"), std::string::npos) << answer;
 }
 
+TEST(CallerFaceTest, asksCallersToCloseBeforeItRunsOutOfConnections)
+{
+    // What the caller sees: an answer that ends its connection.
+    // What happens: refused callers come back on new connections and leave the old ones idle, until
+    // the node has no descriptor left for a target or for any other caller.
+    // Why it is enough: each answer above the mark takes one of them away.
+    FakeCore core(refuseAll());
+    TestNode node(core, [](Settings &settings) {
+        settings.descriptorLimit = 10; // Six for callers, of which the last two close.
+    });
+    FakeCaller first = node.caller();
+    FakeCaller second = node.caller();
+    const FakeCaller third = node.caller();
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 3; }));
+    first.send(requestText("GET", "/v1/services/shop/x"));
+    EXPECT_EQ(first.readUntil("\r\n\r\n").find("Connection: close"), std::string::npos);
+    const FakeCaller fourth = node.caller();
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 4; }));
+    second.send(requestText("GET", "/v1/services/shop/x"));
+    const std::string answer = second.readAll();
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+}
+
 TEST(CallerFaceTest, noticesACallerThatLeavesWhileItWaits)
 {
     FakeCore core;
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -1,6 +1,6 @@
 // Shares of workspaces and what they admit, under loads that ask for more than the fleet bears.
-#include "berylridge/Policy/Admission.h"
 #include "berylridge/Policy/WorkspaceShares.h"
+#include "berylridge/Policy/Admission.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// A target that reads at a fixed rate, whose queue is all that requests wait for. What nodes know of
-/// the queue is up to a digest's period old.
+/// A target that reads at a fixed rate, whose queue is all that requests wait for. What nodes know
+/// of the queue is up to a digest's period old.
 class ReadingTarget
 {
 public:
@@ -132,9 +132,9 @@
 }
 
 // Targets that have lost their memory read every shared part anew and bear a third of the capacity
-// that operators name. A flood and a small workspace together ask for less than the named figure, so
-// by that figure nobody is beyond its share, though most of both is turned away. The caller of the
-// small one sees refusals while the flood gets three times as much.
+// that operators name. A flood and a small workspace together ask for less than the named figure,
+// so by that figure nobody is beyond its share, though most of both is turned away. The caller of
+// the small one sees refusals while the flood gets three times as much.
 TEST(WorkspaceShares, SharesFollowWhatIsServedWhereOperatorsNameMore)
 {
     constexpr WorkspaceKey flood = 1;
@@ -165,10 +165,10 @@
     EXPECT_GT(floodRefused, 1500);
 }
 
-// Two large workspaces ask for more than their shares, one six times as often as the other, beside a
-// small one. What a node knows of the queue is 100 ms old, so whoever asks most often overfills it each
-// time that it looks short. Callers of the small one then find no room for half of what they ask,
-// though it is a seventh of their share.
+// Two large workspaces ask for more than their shares, one six times as often as the other, beside
+// a small one. What a node knows of the queue is 100 ms old, so whoever asks most often overfills
+// it each time that it looks short. Callers of the small one then find no room for half of what
+// they ask, though it is a seventh of their share.
 TEST(WorkspaceShares, WorkspacesFarBeyondTheirShareWaitForShorterQueues)
 {
     constexpr WorkspaceKey fast = 1;
