Turn away at once what a node's own processor can't bear, the heaviest workspace's requests first

Change: traffic threads tell how late they run; Policy/NodeLoad turns away a part of the arrivals, held to max-min shares of the workspaces at this node; connections are accepted 32 a turn; lines on requests have a budget before they are built, in RequestLog.

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -8,6 +8,7 @@
 // two either way. It counts only while next to nothing is turned away.
 #pragma once
 
+#include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
 
@@ -81,17 +82,6 @@
     bool isFull() const { return m_isFull; }
 
 private:
-    /// Tokens a second, smoothed.
-    class Rate
-    {
-    public:
-        void add(double tokens, TimePoint now);
-        double at(TimePoint now) const;
-
-    private:
-        double m_rate = 0;
-        TimePoint m_countedAt {};
-    };
     struct Own
     {
         Rate demand;
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -155,6 +155,12 @@
     VmList list;
 };
 
+/// How late a traffic thread's timer ran: what each caller's bytes wait at this node.
+struct TrafficLag
+{
+    Duration lag;
+};
+
 /// The platform did not answer, or answers again.
 struct PlatformReach
 {
@@ -196,9 +202,10 @@
 {
 };
 
-using Event = std::variant<RequestArrived, KeyIssueAsked, CallerGone, AttemptHead, AttemptDone,
-                           AttemptFailed, TargetReport, TargetPollFailed, NodeMessage, ProbeEnded,
-                           DocumentArrived, VmListArrived, PlatformReach, CatalogArrived,
-                           DirectoryArrived, SeedsChanged, LeaveOrdered, ReturnOrdered, TimerDue>;
+using Event
+    = std::variant<RequestArrived, KeyIssueAsked, CallerGone, AttemptHead, AttemptDone,
+                   AttemptFailed, TargetReport, TargetPollFailed, NodeMessage, ProbeEnded,
+                   DocumentArrived, VmListArrived, PlatformReach, CatalogArrived, DirectoryArrived,
+                   SeedsChanged, LeaveOrdered, ReturnOrdered, TrafficLag, TimerDue>;
 
 } // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/BalancedRequest.h
@@ -0,0 +1,64 @@
+// What the balancer keeps of one request while it runs, and what it is refused with.
+#pragma once
+
+#include "RequestStory.h"
+#include "TargetBoard.h"
+
+#include "berylridge/Catalog/RouteTable.h"
+#include "berylridge/Chart/RequestLife.h"
+#include "berylridge/Policy/WorkspaceShares.h"
+#include "berylridge/Router/Events.h"
+#include "berylridge/Support/Hash.h"
+#include "berylridge/Support/Verdict.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylridge {
+
+/// One caller's request, from its arrival to its one final answer.
+struct BalancedRequest
+{
+    RequestHandle handle = 0;
+    std::string id;
+    std::shared_ptr<const RouteTable> table; ///< Under which it was admitted.
+    const RouteSpec *route = nullptr;
+    const ServiceSpec *service = nullptr;
+    WorkspaceId workspace;
+    std::uint64_t fingerprint = 0;
+    std::optional<PromptChain> chain;
+    TimePoint arrivedAt;
+    TimePoint deadline; ///< Its caller's, or its route's time limit if that ends sooner.
+    RequestState state = RequestState::Arrived;
+    Verdict verdict = Verdict::NotRun;
+
+    AttemptNumber attempts = 0;     ///< Begun, of whatever end.
+    std::uint32_t sent = 0;         ///< Attempts of which a byte may have reached a target.
+    std::vector<TargetKey> avoided; ///< Targets at which it failed.
+    bool isBegun = false;           ///< The caller has part of the answer.
+
+    // Of the attempt that runs.
+    bool isRunning = false;
+    BoardChoice choice;
+    TimePoint dispatchedAt;
+    Verdict verdictBefore = Verdict::NotRun;
+    bool isRead = false; ///< The target's answer has begun.
+
+    WorkspaceKey workspaceKey() const { return shortHash(workspace.str()); }
+
+    RequestStory story;
+    std::optional<Duration> firstAfter; ///< From arrival to the answer's begin.
+};
+
+/// Why a request is not served, as its caller is told.
+struct Refusal
+{
+    unsigned status;
+    const char *type;
+    std::string title;
+    std::optional<Duration> retryAfter;
+};
+
+} // namespace berylridge
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -16,14 +16,14 @@
 constexpr Duration startingRetryAfter = std::chrono::milliseconds(300);
 /// The next connection of the caller reaches another node.
 constexpr Duration leavingRetryAfter = std::chrono::milliseconds(20);
+/// As the next connection reaches another node, which is likely to have room.
+constexpr Duration busyRetryAfter = std::chrono::milliseconds(30);
 /// Where no target can be reached: most faults pass in a few seconds, and a target is tried again
 /// within two.
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
 /// Callers who are turned away together must not come back together.
 constexpr double retrySpread = 0.5;
-/// One request in so many has its steps logged though nothing went wrong.
-constexpr std::uint64_t sampleEvery = 100;
 constexpr double tokensPerGenerated = 2; ///< What a generated token weighs against one read.
 
 std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
@@ -90,6 +90,7 @@
 RequestFlow::RequestFlow(BalancerContext &context, TargetBoard &board)
     : m_context(context)
     , m_board(board)
+    , m_log(context)
     , m_random(context.options.seed)
 {
 }
@@ -112,8 +113,7 @@
         refuse(kept, *refusal);
 }
 
-std::optional<RequestFlow::Refusal> RequestFlow::admit(BalancedRequest &request,
-                                                       const RequestArrived &event)
+std::optional<Refusal> RequestFlow::admit(BalancedRequest &request, const RequestArrived &event)
 {
     if (m_isClosed)
         return Refusal {503, "leaving", "the router stops", leavingRetryAfter};
@@ -130,6 +130,9 @@
         if (workspace)
             request.workspace = WorkspaceId(workspace->name);
     }
+    if (m_nodeLoad.sheds(request.workspaceKey(), m_context.now))
+        return Refusal {503, "busy", "the router has more to do than it can",
+                        spread(busyRetryAfter)};
     request.fingerprint = fingerprintOf(event, request.workspace);
     if (m_crashes.blockedFor(request.fingerprint, m_context.now))
         return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
@@ -146,7 +149,7 @@
     return std::nullopt;
 }
 
-std::optional<RequestFlow::Refusal> RequestFlow::findPlace(BalancedRequest &request, bool isFirst)
+std::optional<Refusal> RequestFlow::findPlace(BalancedRequest &request, bool isFirst)
 {
     const PromptChain *chain = request.chain ? &*request.chain : nullptr;
     const auto choice = m_board.choose(*request.service, chain, request.avoided);
@@ -171,9 +174,8 @@
     return std::nullopt;
 }
 
-std::optional<RequestFlow::Refusal> RequestFlow::roomFor(BalancedRequest &request,
-                                                         const BoardChoice &choice,
-                                                         PlacedStep &step)
+std::optional<Refusal> RequestFlow::roomFor(BalancedRequest &request, const BoardChoice &choice,
+                                            PlacedStep &step)
 {
     double ahead = 0;
     if (request.chain) {
@@ -276,11 +278,7 @@
         m_board.onServed(request->service->name, m_context.now - request->dispatchedAt);
     endAttempt(*request);
     step(*request, RequestSign::AnswerEnded);
-    const bool isSample = m_served++ % sampleEvery == 0;
-    Json::Value fields;
-    fields["status"] = event.status;
-    logEnd(*request, LogEventId::RequestEnded, "answered", std::move(fields),
-           isSample || isLate(*request) || request->attempts > 1);
+    m_log.answered(*request, event.status);
     finish(event.handle);
 }
 
@@ -400,13 +398,14 @@
         endAttempt(request);
     }
     step(request, RequestSign::CallerGone);
-    logEnd(request, LogEventId::RequestEnded, "caller gone", {}, true);
+    m_log.callerGone(request);
     finish(event.handle);
 }
 
 void RequestFlow::tick()
 {
     m_crashes.expire(m_context.now);
+    m_log.tick();
     const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
     m_shares.update(named, m_context.now);
     if (m_shares.isFull() == m_wasFull)
@@ -461,7 +460,7 @@
 
 void RequestFlow::refuse(BalancedRequest &request, const Refusal &refusal)
 {
-    logEnd(request, LogEventId::RequestRefused, "refused", refusalFields(refusal), true);
+    m_log.refused(request, refusal);
     m_context.act(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
                           refusal.type, refusal.retryAfter});
     step(request, RequestSign::GivenUp);
@@ -470,58 +469,11 @@
 
 void RequestFlow::refuseEarly(const RequestArrived &event, const Refusal &refusal)
 {
-    Json::Value fields = refusalFields(refusal);
-    fields["verdict"] = std::string(verdictName(Verdict::NotRun));
-    fields["catalog"] = Json::UInt64(m_context.table ? m_context.table->catalog().version : 0);
-    m_context.act(
-        Log {{LogEventId::RequestRefused, refusal.title, event.requestId, std::move(fields)}});
+    m_log.refusedAtOnce(event, refusal);
     m_context.act(Refuse {event.handle, refusal.status, Verdict::NotRun, refusal.title,
                           refusal.type, refusal.retryAfter});
 }
 
-Json::Value RequestFlow::refusalFields(const Refusal &refusal)
-{
-    Json::Value fields;
-    fields["status"] = refusal.status;
-    fields["type"] = refusal.type;
-    if (refusal.retryAfter)
-        fields["retryAfterMs"] = toMilliseconds(*refusal.retryAfter);
-    return fields;
-}
-
-bool RequestFlow::isLate(const BalancedRequest &request) const
-{
-    const double target = request.route->latencyTargetMs;
-    const Duration since = request.firstAfter.value_or(m_context.now - request.arrivedAt);
-    return target > 0 && toSeconds(since) * 1000 > target;
-}
-
-void RequestFlow::logEnd(const BalancedRequest &request, LogEventId id, const char *outcome,
-                         Json::Value fields, bool withSteps)
-{
-    fields["outcome"] = outcome;
-    fields["verdict"] = std::string(verdictName(request.verdict));
-    fields["route"] = request.route->name;
-    fields["service"] = request.service->name;
-    if (!request.workspace.str().empty())
-        fields["workspace"] = request.workspace.str();
-    if (request.attempts > 0)
-        fields["target"] = request.choice.target.str();
-    fields["attempts"] = request.attempts;
-    fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
-    if (request.firstAfter)
-        fields["firstMs"] = toMilliseconds(*request.firstAfter);
-    if (isLate(request))
-        fields["late"] = true;
-    fields["catalog"] = Json::UInt64(request.table->catalog().version);
-    if (withSteps) {
-        fields["directory"] = Json::UInt64(m_context.directory.revision());
-        fields["nodes"] = Json::UInt64(m_context.peers.live(m_context.now));
-        fields["steps"] = request.story.details();
-    }
-    m_context.act(Log {{id, {}, request.id, std::move(fields)}});
-}
-
 void RequestFlow::finish(RequestHandle handle)
 {
     m_requests.erase(handle);
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -2,18 +2,16 @@
 // final answer.
 #pragma once
 
+#include "BalancedRequest.h"
 #include "BalancerContext.h"
-#include "RequestStory.h"
+#include "RequestLog.h"
 #include "TargetBoard.h"
 
 #include "berylridge/Policy/CrashRecord.h"
-#include "berylridge/Policy/WorkspaceShares.h"
-#include "berylridge/Support/Hash.h"
+#include "berylridge/Policy/NodeLoad.h"
 #include "berylridge/Support/Random.h"
-#include "berylridge/Support/Verdict.h"
 
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,46 +19,14 @@
 
 namespace berylridge {
 
-/// One caller's request, from its arrival to its one final answer.
-struct BalancedRequest
-{
-    RequestHandle handle = 0;
-    std::string id;
-    std::shared_ptr<const RouteTable> table; ///< Under which it was admitted.
-    const RouteSpec *route = nullptr;
-    const ServiceSpec *service = nullptr;
-    WorkspaceId workspace;
-    std::uint64_t fingerprint = 0;
-    std::optional<PromptChain> chain;
-    TimePoint arrivedAt;
-    TimePoint deadline; ///< Its caller's, or its route's time limit if that ends sooner.
-    RequestState state = RequestState::Arrived;
-    Verdict verdict = Verdict::NotRun;
-
-    AttemptNumber attempts = 0;     ///< Begun, of whatever end.
-    std::uint32_t sent = 0;         ///< Attempts of which a byte may have reached a target.
-    std::vector<TargetKey> avoided; ///< Targets at which it failed.
-    bool isBegun = false;           ///< The caller has part of the answer.
-
-    // Of the attempt that runs.
-    bool isRunning = false;
-    BoardChoice choice;
-    TimePoint dispatchedAt;
-    Verdict verdictBefore = Verdict::NotRun;
-    bool isRead = false; ///< The target's answer has begun.
-
-    WorkspaceKey workspaceKey() const { return shortHash(workspace.str()); }
-
-    RequestStory story;
-    std::optional<Duration> firstAfter; ///< From arrival to the answer's begin.
-};
-
 class RequestFlow
 {
 public:
     RequestFlow(BalancerContext &context, TargetBoard &board);
 
     void onArrived(const RequestArrived &event);
+    /// How late a traffic thread runs.
+    void onLag(Duration lag) { m_nodeLoad.onLag(lag); }
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
@@ -81,14 +47,6 @@
     TimePoint lastArrival() const { return m_lastArrival; }
 
 private:
-    struct Refusal
-    {
-        unsigned status;
-        const char *type;
-        std::string title;
-        std::optional<Duration> retryAfter;
-    };
-
     std::optional<Refusal> admit(BalancedRequest &request, const RequestArrived &event);
     std::optional<Refusal> findPlace(BalancedRequest &request, bool isFirst);
     std::optional<Refusal> roomFor(BalancedRequest &request, const BoardChoice &choice,
@@ -105,24 +63,20 @@
     void endAttempt(BalancedRequest &request);
     void refuse(BalancedRequest &request, const Refusal &refusal);
     void refuseEarly(const RequestArrived &event, const Refusal &refusal);
-    /// One line on a request that ended; with its steps where something went wrong.
-    void logEnd(const BalancedRequest &request, LogEventId id, const char *outcome,
-                Json::Value fields, bool withSteps);
-    bool isLate(const BalancedRequest &request) const;
-    static Json::Value refusalFields(const Refusal &refusal);
     void finish(RequestHandle handle);
     Duration spread(Duration base);
 
     BalancerContext &m_context;
     TargetBoard &m_board;
+    RequestLog m_log;
     WorkspaceShares m_shares;
+    NodeLoad m_nodeLoad;
     CrashRecord m_crashes;
     std::map<std::string, RetryShare> m_retries; ///< By service.
     std::unordered_map<RequestHandle, BalancedRequest> m_requests;
     std::vector<BrokenRunEntry> m_brokenRuns; ///< For the next digest.
     RandomEngine m_random;
     TimePoint m_lastArrival {};
-    std::uint64_t m_served = 0; ///< Requests so far.
     bool m_wasFull = false;
     bool m_isClosed = false;
 };
--- a/lib/Net/CallerListener.cpp
+++ b/lib/Net/CallerListener.cpp
@@ -11,6 +11,7 @@
 
 /// Out of file descriptors: accepting at once again would only spin.
 constexpr std::chrono::milliseconds acceptRetry {100};
+constexpr int acceptBatch = 32;
 
 } // namespace
 
@@ -40,6 +41,7 @@
                                     return;
                                 if (!error) {
                                     thread.adopt(std::move(socket));
+                                    acceptWaiting();
                                     accept();
                                     return;
                                 }
@@ -51,6 +53,22 @@
                             });
 }
 
+void CallerListener::acceptWaiting()
+{
+    // One connection a turn of a busy thread is too few: a turn takes a tenth of a second there,
+    // and callers who wait for a second give up.
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    for (int i = 0; i < acceptBatch && !error; ++i) {
+        TrafficThread &thread = *m_threads[m_next % m_threads.size()];
+        tcp::socket socket = m_acceptor.accept(thread.context(), error);
+        if (error)
+            return; // None waits, or the next wait meets the same error and reports it.
+        ++m_next;
+        thread.adopt(std::move(socket));
+    }
+}
+
 void CallerListener::close()
 {
     asio::post(m_acceptor.get_executor(), [this] {
--- a/lib/Net/CallerListener.h
+++ b/lib/Net/CallerListener.h
@@ -27,6 +27,7 @@
 
 private:
     void accept();
+    void acceptWaiting();
 
     std::vector<std::unique_ptr<TrafficThread>> &m_threads;
     tcp::acceptor m_acceptor;
--- a/lib/Net/LogSink.cpp
+++ b/lib/Net/LogSink.cpp
@@ -1,9 +1,10 @@
 #include "berylridge/Net/LogSink.h"
 
-#include "LogBudget.h"
 #include "LogLine.h"
 #include "ThreadName.h"
 
+#include "berylridge/Support/LogBudget.h"
+
 #include <condition_variable>
 #include <deque>
 #include <log4cplus/consoleappender.h>
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -5,12 +5,17 @@
 #include "ThreadName.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace berylridge {
 
 namespace {
 
 constexpr std::chrono::seconds idleSweepPeriod {1};
+/// Short beside the latency that callers expect, long enough to cost nothing.
+constexpr std::chrono::milliseconds lagPeriod {50};
+/// Below this a late timer says nothing of the load.
+constexpr std::chrono::milliseconds leastLag {15};
 constexpr std::chrono::milliseconds drainPeriod {10};
 constexpr int drainRounds = 500; ///< Five seconds for callers to take the last bytes.
 
@@ -40,6 +45,7 @@
     , m_work(m_context.get_executor())
     , m_idleTimer(m_context)
     , m_drainTimer(m_context)
+    , m_lagTimer(m_context)
     , m_orders(m_context, [this](std::vector<TrafficOrder> &orders) { carryOut(orders); })
 {
 }
@@ -55,6 +61,7 @@
 void TrafficThread::start()
 {
     closeIdleTargets();
+    measureLag();
     m_thread = std::thread([this] { run(); });
 }
 
@@ -131,6 +138,22 @@
     });
 }
 
+void TrafficThread::measureLag()
+{
+    m_lagTimer.expires_after(lagPeriod);
+    m_lagTimer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        const auto lag = std::chrono::steady_clock::now() - m_lagTimer.expiry();
+        const bool isLate = lag > leastLag;
+        // Once more after the last late turn, so that the core learns of its end.
+        if (isLate || std::exchange(m_wasLate, isLate))
+            report(TrafficLag {std::chrono::duration_cast<Duration>(lag)});
+        m_wasLate = isLate;
+        measureLag();
+    });
+}
+
 void TrafficThread::drain(std::function<void()> done)
 {
     asio::post(m_context, [this, done = std::move(done)]() mutable {
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -95,6 +95,7 @@
     void carryOut(std::vector<TrafficOrder> &orders);
     void flushReports();
     void closeIdleTargets();
+    void measureLag();
     void closeWhenWritten(std::function<void()> done, int roundsLeft);
     bool anyWriting() const;
     void closeAll();
@@ -109,6 +110,8 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_idleTimer;
     asio::steady_timer m_drainTimer;
+    asio::steady_timer m_lagTimer;
+    bool m_wasLate = false;
     Mailbox<TrafficOrder> m_orders;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -1,7 +1,6 @@
 #include "berylridge/Policy/WorkspaceShares.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -9,9 +8,6 @@
 
 namespace {
 
-/// Demand is smoothed over this: long enough for a few requests of a small workspace, short beside
-/// the seconds over which shares are judged.
-constexpr double smoothingSeconds = 1.5;
 /// Longest time for which unused share is kept, in seconds of the share.
 constexpr double creditSeconds = 1.0;
 /// What a workspace got beyond its share is held against it so far, in seconds of the share: a
@@ -41,17 +37,6 @@
     return std::numeric_limits<double>::infinity();
 }
 
-double WorkspaceShares::Rate::at(TimePoint now) const
-{
-    return m_rate * std::exp(-toSeconds(now - m_countedAt) / smoothingSeconds);
-}
-
-void WorkspaceShares::Rate::add(double tokens, TimePoint now)
-{
-    m_rate = at(now) + tokens / smoothingSeconds;
-    m_countedAt = now;
-}
-
 void WorkspaceShares::onAsked(WorkspaceKey workspace, double tokens, TimePoint now)
 {
     m_own[workspace].demand.add(tokens, now);
--- a/lib/Router/Core.cpp
+++ b/lib/Router/Core.cpp
@@ -117,6 +117,7 @@
                    [](const CatalogArrived &) {},
                    [](const DirectoryArrived &) {},
                    [](const SeedsChanged &) {},
+                   [](const TrafficLag &) {},
                    [](const TimerDue &) {},
                },
                event);
--- a/lib/Net/LogBudget.cpp
+++ b/lib/Support/LogBudget.cpp
@@ -1,4 +1,4 @@
-#include "LogBudget.h"
+#include "berylridge/Support/LogBudget.h"
 
 #include <algorithm>
 
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -194,6 +194,7 @@
             [](const CatalogArrived &) { return typed("catalog"); },
             [](const DirectoryArrived &) { return typed("directory"); },
             [](const SeedsChanged &) { return typed("seeds"); },
+            [](const TrafficLag &) { return typed("lag"); },
             [](const LeaveOrdered &e) {
                 Json::Value json = typed("leave");
                 json["who"] = e.who;
--- a/unittests/Net/LogSinkTest.cpp
+++ b/unittests/Net/LogSinkTest.cpp
@@ -1,9 +1,10 @@
 #include "berylridge/Net/LogSink.h"
 
-#include "LogBudget.h"
 #include "LogLine.h"
 #include "NodeFixture.h"
 
+#include "berylridge/Support/LogBudget.h"
+
 #include <future>
 
 namespace berylridge::test {
--- /dev/null
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -0,0 +1,81 @@
+// What a node turns away when its own processor bears no more.
+#include "berylridge/Policy/NodeLoad.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A node's processor: requests that were kept wait for it, the others cost a tenth.
+class Processor
+{
+public:
+    explicit Processor(double requestsPerMs)
+        : m_requestsPerMs(requestsPerMs)
+    {
+    }
+
+    void take(bool isKept) { m_queued += isKept ? 1 : 0.1; }
+    void passMs() { m_queued = std::max(0.0, m_queued - m_requestsPerMs); }
+    Duration lag() const { return fromSeconds(m_queued / m_requestsPerMs / 1000); }
+
+private:
+    double m_requestsPerMs;
+    double m_queued = 0;
+};
+
+} // namespace
+
+// All callers of a large workspace are sent to one node: 900 requests a second where it bears 400.
+// Before, all its callers waited until they gave up, those of a small workspace too. The flood is
+// turned away as far as it must be; the small workspace sees nothing of it.
+TEST(NodeLoad, AFloodAtOneNodeIsTurnedAwayAndItsNeighboursAreServed)
+{
+    constexpr WorkspaceKey flood = 1;
+    constexpr WorkspaceKey small = 2;
+    PausedClock clock;
+    NodeLoad load;
+    Processor processor(0.4);
+    int floodKept = 0;
+    int smallShed = 0;
+    Duration worstLag {0};
+    for (int ms = 0; ms < 10000; ++ms) {
+        if (ms % 50 == 0)
+            load.onLag(processor.lag());
+        for (int i = 0; i < (ms % 10 == 0 ? 9 : 0); ++i) {
+            const bool isKept = !load.sheds(flood, clock.now());
+            floodKept += isKept && ms >= 4000 ? 1 : 0;
+            processor.take(isKept);
+        }
+        if (ms % 100 == 50) {
+            const bool isKept = !load.sheds(small, clock.now());
+            smallShed += isKept || ms < 2000 ? 0 : 1;
+            processor.take(isKept);
+        }
+        if (ms >= 4000)
+            worstLag = std::max(worstLag, processor.lag());
+        processor.passMs();
+        clock.advance(1ms);
+    }
+    EXPECT_EQ(smallShed, 0);
+    EXPECT_LT(worstLag, 200ms);
+    EXPECT_GT(floodKept / 6, 270); // Of the 333 a second that the refusals leave room for.
+}
+
+// A short hiccup of the machine is no flood.
+TEST(NodeLoad, OneLateTurnTurnsNobodyAwayForLong)
+{
+    PausedClock clock;
+    NodeLoad load;
+    load.onLag(60ms);
+    load.onLag(0ms);
+    int shed = 0;
+    for (int i = 0; i < 100; ++i) {
+        shed += load.sheds(1, clock.now()) ? 1 : 0;
+        clock.advance(10ms);
+    }
+    EXPECT_EQ(shed, 0);
+}
