Explain a request from logs; let shedding fade without reports; decide once whether a connection is kept

It fades without reports now; NodeLoad.OneLateTurnTurnsNobodyAwayForLong failed before. An answer's head said that its connection is kept, and at its end the node could have become crowded and closed it under the caller's next request; seen by reading, not in a run.

--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -18,13 +18,13 @@
 {
 public:
     /// How late a traffic thread ran; told each period while it is late, and once after.
-    void onLag(Duration lag);
+    void onLag(Duration lag, TimePoint now);
 
     /// Whether a request of the workspace is to be turned away; counts it as arrived.
     bool sheds(WorkspaceKey workspace, TimePoint now);
 
     /// Part of the arrivals that are turned away, from 0 to 1.
-    double shedPart() const { return m_part; }
+    double shedPart(TimePoint now) const;
 
 private:
     struct Arrivals
@@ -36,7 +36,8 @@
     double keptPart(const Arrivals &arrivals, TimePoint now) const;
 
     std::unordered_map<WorkspaceKey, Arrivals> m_arrivals;
-    double m_part = 0;
+    double m_part = 0; ///< As of the last report.
+    TimePoint m_reportedAt {};
 };
 
 } // namespace berylridge
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -26,7 +26,7 @@
 
     void onArrived(const RequestArrived &event);
     /// How late a traffic thread runs.
-    void onLag(Duration lag) { m_nodeLoad.onLag(lag); }
+    void onLag(Duration lag) { m_nodeLoad.onLag(lag, m_context.now); }
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -50,6 +50,7 @@
     , m_path(arrived.path)
     , m_callersLastId(std::string(view(request[beastView(fields::lastEventId)])))
     , m_request(std::move(request))
+    , m_keepsConnection(m_request.keep_alive() && thread.keepsConnections())
     , m_arrival(std::chrono::steady_clock::now())
 {
 }
@@ -432,7 +433,7 @@
 
 bool Exchange::isKept() const
 {
-    return m_request.keep_alive() && m_thread.keepsConnections();
+    return m_keepsConnection && !m_thread.isLeaving();
 }
 
 } // namespace berylridge
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -76,6 +76,9 @@
     const std::string m_path;
     const std::string m_callersLastId; ///< Of the last event that the caller had before.
     const StringRequest m_request;
+    /// Decided once: an answer whose head keeps the connection must not be followed by its end,
+    /// which would meet the caller's next request.
+    const bool m_keepsConnection;
     const std::chrono::steady_clock::time_point m_arrival;
     std::shared_ptr<TargetAttempt> m_attempt;
     Dispatch m_order;
--- a/tools/berylctl/Operate.cpp
+++ b/tools/berylctl/Operate.cpp
@@ -1,8 +1,13 @@
 // `berylctl explain`, `leave` and `return`.
 #include "Command.h"
 #include "Remote.h"
+#include "RequestHistory.h"
+#include "Sources.h"
 
+#include <fstream>
 #include <iostream>
+#include <string>
+#include <vector>
 
 namespace berylridge::ctl {
 
@@ -24,6 +29,27 @@
     return reportFailures(replies);
 }
 
+int explainFromLogs(const std::vector<std::string> &files, const std::string &requestId)
+{
+    RequestHistory history(requestId);
+    for (const std::string &file : files) {
+        if (file == "-") {
+            history.read(std::cin);
+            continue;
+        }
+        std::ifstream log(file);
+        if (!log) {
+            complain(file + ": can't be read");
+            return exitErrorsFound;
+        }
+        history.read(log);
+    }
+    if (history.print(std::cout))
+        return exitFine;
+    complain("no log names the request " + requestId);
+    return exitErrorsFound;
+}
+
 } // namespace
 
 int runExplain(int argc, Arguments argv)
@@ -32,14 +58,25 @@
         {"berylctl explain",
          "tell why a request went where it did, waited or was refused",
          "Asks each router for what it knows of the request with this X-Request-Id, and\n"
-         "prints one line a step. Routers keep their latest requests only.",
+         "prints one line a step. Routers keep their latest requests only; with --log the\n"
+         "answer is found in what routers logged instead.",
          {{"ENVIRONMENT", remoteEnvironmentHelp},
-          {"EXAMPLES", "berylctl explain --router 10.0.1.1:7500 7d1f0c"}}});
-    Remote remote(line);
+          {"EXAMPLES",
+           "berylctl explain --router 10.0.1.1:7500 7d1f0c\n"
+           "berylctl explain --log a1.log --log b1.log 7d1f0c"}}});
+    TCLAP::MultiArg<std::string> logs("l", "log", "a router's log; - is standard input", false,
+                                      "FILE", line.arguments());
+    Remote remote(line, false);
     TCLAP::UnlabeledValueArg<std::string> id("id", "the X-Request-Id", true, "", "REQUEST-ID",
                                              line.arguments());
     if (const auto status = remote.parse(argc, argv))
         return *status;
+    if (logs.isSet())
+        return explainFromLogs(logs.getValue(), id.getValue());
+    if (remote.routers().empty()) {
+        complain("give a router or a log");
+        return exitWrongUsage;
+    }
     Json::Value parameters;
     parameters["requestId"] = id.getValue();
     const auto replies = remote.callAll("explain", parameters);
--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -44,7 +44,7 @@
     Duration worstLag {0};
     for (int ms = 0; ms < 10000; ++ms) {
         if (ms % 50 == 0)
-            load.onLag(processor.lag());
+            load.onLag(processor.lag(), clock.now());
         for (int i = 0; i < (ms % 10 == 0 ? 9 : 0); ++i) {
             const bool isKept = !load.sheds(flood, clock.now());
             floodKept += isKept && ms >= 4000 ? 1 : 0;
@@ -70,8 +70,10 @@
 {
     PausedClock clock;
     NodeLoad load;
-    load.onLag(60ms);
-    load.onLag(0ms);
+    load.onLag(110ms, clock.now());
+    clock.advance(50ms);
+    load.onLag(0ms, clock.now()); // The last report: from now on no turn is late.
+    clock.advance(300ms);
     int shed = 0;
     for (int i = 0; i < 100; ++i) {
         shed += load.sheds(1, clock.now()) ? 1 : 0;
