--- a/lib/Balancer/ReaderRole.cpp
+++ b/lib/Balancer/ReaderRole.cpp
@@ -76,28 +76,27 @@
     return m_isReading || now - *m_shortSince >= waitPerRank * static_cast<int>(extra);
 }
 
-std::size_t ReaderRole::readersBefore() const
+template <typename Matches>
+std::size_t ReaderRole::countBefore(Matches matches) const
 {
     std::size_t count = 0;
     m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
         const bool isHeard = peer.heardAt && m_context.now - *peer.heardAt < heardLimit;
         const bool isOfZone = peer.zone == m_context.options.zone.str();
-        if (isHeard && isOfZone && peer.isReading && !peer.isLeaving
-            && node < m_context.options.node)
-            ++count;
+        count += isHeard && isOfZone && node < m_context.options.node && matches(peer) ? 1 : 0;
     });
     return count;
 }
 
+std::size_t ReaderRole::readersBefore() const
+{
+    return countBefore(
+        [](const PeerTable::Peer &peer) { return peer.isReading && !peer.isLeaving; });
+}
+
 std::size_t ReaderRole::nodesBefore() const
 {
-    std::size_t count = 0;
-    m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
-        const bool isHeard = peer.heardAt && m_context.now - *peer.heardAt < heardLimit;
-        if (isHeard && peer.zone == m_context.options.zone.str() && node < m_context.options.node)
-            ++count;
-    });
-    return count;
+    return countBefore([](const PeerTable::Peer &) { return true; });
 }
 
 } // namespace berylridge
--- a/lib/Balancer/ReaderRole.h
+++ b/lib/Balancer/ReaderRole.h
@@ -30,6 +30,9 @@
 private:
     bool wants();
     bool isStuckBehind();
+    /// Nodes of this zone that were heard lately, come first in the order, and match.
+    template <typename Matches>
+    std::size_t countBefore(Matches matches) const;
     std::size_t readersBefore() const;
     std::size_t nodesBefore() const;
 
