--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -30,8 +30,8 @@
 } // namespace
 
 // All callers of a large workspace are sent to one node: 900 requests a second where it bears 400.
-// Before, all its callers waited until they gave up, those of a small workspace too. The flood is
-// turned away as far as it must be; the small workspace sees nothing of it.
+// Served as they come, all its callers wait until they give up, those of a small one too. The flood
+// is turned away as far as it must be; the small workspace sees nothing of it.
 TEST(NodeLoad, AFloodAtOneNodeIsTurnedAwayAndItsNeighboursAreServed)
 {
     constexpr WorkspaceKey flood = 1;
