Keep connections to targets for requests that may run once too; let operations of an HTTP client own what they touch

The pool now reads the idle limit that the target tells (10 s) and gives such a request a connection only while the target surely keeps it; nodes share the connections that a target takes.

Cause: close() destroyed stream, buffer and parser while an operation that had read its answer was still to end; with a new call begun at once that operation went on with the new connection.

--- a/include/berylridge/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -6,9 +6,6 @@
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/Time.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -46,6 +43,10 @@
     void close();
 
 private:
+    /// What operations under way refer to. They own it: one whose answer has already come when the
+    /// connection is given up still touches it after that.
+    struct Connection;
+
     struct Call
     {
         StringRequest request;
@@ -60,16 +61,17 @@
     void connect();
     void send();
     void receive();
+    /// Whether a finished operation on the connection still matters.
+    bool isCurrent(const std::shared_ptr<Connection> &connection) const;
+    void drop();
     void onFailure(AttemptFailure failure);
     void onAnswer();
     void complete(HttpReply reply);
 
     asio::io_context &m_context;
     const Endpoint m_endpoint;
-    std::optional<beast::tcp_stream> m_stream; ///< Empty where there is no connection.
-    bool m_isKept = false;                     ///< The connection has served a call before.
-    beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::shared_ptr<Connection> m_connection; ///< Null where there is none.
+    bool m_isKept = false;                    ///< The connection has served a call before.
     std::deque<Call> m_calls;
 };
 
--- a/include/berylridge/Policy/FleetShare.h
+++ b/include/berylridge/Policy/FleetShare.h
@@ -9,6 +9,13 @@
 
 namespace berylridge {
 
+/// Idle connections that each of so many nodes may keep to a target, which takes `limit` connections
+/// of them all; a limit of 0 is not known.
+///
+/// Load it answers: 70 nodes keep as many connections as they once needed at the same moment. The
+/// target's limit is used up by idle ones, and it resets each new one.
+std::uint32_t keptConnections(std::uint32_t limit, std::size_t nodes);
+
 /// Requests a second to a cold target: a token bucket with one node's part of the rate.
 ///
 /// Load it answers: a zone's targets come back cold at once while the rest is overloaded, and every
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -14,6 +14,9 @@
 
 namespace berylridge {
 
+/// Whether a request whose outcome is unknown may be sent again.
+enum class Repeats : std::uint8_t { Forbidden, Allowed };
+
 /// Send the request to the target and stream the answer to the caller. Answered by AttemptHead and
 /// AttemptDone, or by AttemptFailed.
 struct Dispatch
@@ -30,9 +33,9 @@
     bool isResumed = false;        ///< Continue the stream after what the caller already has.
     bool keepsAnswer = false;      ///< Hand the answer back in AttemptDone, for repeats of its key.
     WorkspaceId workspace;         ///< Whose request it is; the target is told.
-    /// Whether the request may be repeated. Only then may it go on a kept connection, which the
-    /// target can close just as the request is sent.
-    bool isIdempotent = false;
+    Repeats repeats = Repeats::Forbidden;
+    /// Idle connections that this node may keep to the target.
+    std::uint32_t keptConnections = 64;
     /// What is left of the caller's time; the target is told. Zero where the caller named none.
     Duration timeLeft {0};
 };
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -228,7 +228,9 @@
         = mayRepeat(request) ? std::min<Duration>(left, std::chrono::milliseconds(1000)) : left;
     dispatch.isResumed = request.isBegun;
     dispatch.workspace = request.workspace;
-    dispatch.isIdempotent = request.route->isRepeatable();
+    dispatch.repeats = request.route->isRepeatable() ? Repeats::Allowed : Repeats::Forbidden;
+    dispatch.keptConnections
+        = keptConnections(request.service->connectionLimit, m_context.peers.counted(m_context.now));
     m_context.act(std::move(dispatch));
 }
 
--- a/lib/Net/ConnectionPool.cpp
+++ b/lib/Net/ConnectionPool.cpp
@@ -1,6 +1,11 @@
 #include "ConnectionPool.h"
 
+#include "WireText.h"
+
+#include <algorithm>
 #include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
 #include <utility>
 
 namespace berylridge {
@@ -16,15 +21,40 @@
     return error == asio::error::would_block;
 }
 
+ConnectionPool::Clock::duration part(std::chrono::seconds whole, double share)
+{
+    return std::chrono::duration_cast<ConnectionPool::Clock::duration>(whole * share);
+}
+
 } // namespace
 
-std::optional<tcp::socket> ConnectionPool::take(const Endpoint &endpoint)
+std::optional<std::chrono::seconds> toldIdleLimit(const http::fields &head)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::string_view text = view(head[http::field::keep_alive]);
+    const std::size_t at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view number = text.substr(at + name.size());
+    unsigned seconds = 0;
+    const auto [end, error]
+        = std::from_chars(number.data(), number.data() + number.size(), seconds);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+std::optional<tcp::socket> ConnectionPool::take(const Endpoint &endpoint, Repeats repeats,
+                                                Clock::time_point now)
 {
     const auto found = m_idle.find(endpoint);
     if (found == m_idle.end())
         return std::nullopt;
     auto &idle = found->second;
     while (!idle.empty()) {
+        const Idle &last = idle.back();
+        if (now > (repeats == Repeats::Allowed ? last.usableUntil : last.onceUntil))
+            return std::nullopt; // The others have been idle for longer.
         tcp::socket socket = std::move(idle.back().socket);
         idle.pop_back();
         if (isClean(socket))
@@ -33,22 +63,29 @@
     return std::nullopt;
 }
 
-void ConnectionPool::put(const Endpoint &endpoint, tcp::socket socket)
+void ConnectionPool::put(const Endpoint &endpoint, tcp::socket socket,
+                         std::optional<std::chrono::seconds> told, std::size_t limit,
+                         Clock::time_point now)
 {
     error_code error;
     if (!socket.non_blocking()) // Once a connection: it is a system call.
         socket.non_blocking(true, error);
     auto &idle = m_idle[endpoint];
-    if (error || idle.size() >= limitPerTarget)
+    if (error || idle.size() >= limit)
         return;
-    idle.push_back({std::move(socket), std::chrono::steady_clock::now()});
+    Clock::duration usable = idleLimit;
+    Clock::duration once = onceIdleLimit;
+    if (told) {
+        usable = std::min(usable, part(*told, repeatablePart));
+        once = std::min<Clock::duration>(onceIdleLimitTold, part(*told, oncePart));
+    }
+    idle.push_back({std::move(socket), now + usable, now + once});
 }
 
-void ConnectionPool::closeIdle()
+void ConnectionPool::closeIdle(Clock::time_point now)
 {
-    const auto oldest = std::chrono::steady_clock::now() - idleLimit;
     for (auto &[endpoint, idle] : m_idle)
-        std::erase_if(idle, [&](const Idle &entry) { return entry.since < oldest; });
+        std::erase_if(idle, [&](const Idle &entry) { return entry.usableUntil < now; });
     std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
 }
 
--- a/lib/Net/ConnectionPool.h
+++ b/lib/Net/ConnectionPool.h
@@ -3,29 +3,52 @@
 
 #include "berylridge/Net/Asio.h"
 
+#include "berylridge/Router/Actions.h"
+
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace berylridge {
 
+/// How long the server says that it keeps an idle connection (RFC 2068, 19.7.1.1); nothing where it
+/// doesn't say, or says it in another form.
+std::optional<std::chrono::seconds> toldIdleLimit(const http::fields &head);
+
 /// Not safe for use by two threads at once.
 class ConnectionPool
 {
 public:
+    using Clock = std::chrono::steady_clock;
+
     /// Below the idle limits that servers usually have, so that they seldom close first.
     static constexpr std::chrono::seconds idleLimit {4};
-    static constexpr std::size_t limitPerTarget = 64;
+    /// For a request that may run once, where the target tells no limit of its own: a limit that is
+    /// told in seconds is left out below one.
+    static constexpr std::chrono::milliseconds onceIdleLimit {250};
+    /// The same where the target tells one. Also bounds how long ago the target was last heard on
+    /// the connection: one that has lost power meanwhile takes the request and says nothing, while
+    /// a new connection to it fails with nothing sent.
+    static constexpr std::chrono::milliseconds onceIdleLimitTold {1000};
+    /// Parts of a told limit that may pass; the rest is the request's way there.
+    static constexpr double oncePart = 0.5;
+    static constexpr double repeatablePart = 0.8;
 
-    /// A connection on which nothing has arrived since its last answer.
-    std::optional<tcp::socket> take(const Endpoint &endpoint);
+    /// A connection on which nothing has arrived since its last answer, and which the target won't
+    /// close as idle while the request is on its way. The one used last: it is the safest, and the
+    /// others can be closed when the load falls.
+    std::optional<tcp::socket> take(const Endpoint &endpoint, Repeats repeats,
+                                    Clock::time_point now);
 
-    /// Only after a whole answer, with no byte left over.
-    void put(const Endpoint &endpoint, tcp::socket socket);
+    /// Only after a whole answer, with no byte left over. `told` is the target's idle limit; at most
+    /// `limit` connections are kept to the target.
+    void put(const Endpoint &endpoint, tcp::socket socket, std::optional<std::chrono::seconds> told,
+             std::size_t limit, Clock::time_point now);
 
     /// Closes what has been idle for too long.
-    void closeIdle();
+    void closeIdle(Clock::time_point now);
 
     void clear() { m_idle.clear(); }
 
@@ -33,7 +56,8 @@
     struct Idle
     {
         tcp::socket socket;
-        std::chrono::steady_clock::time_point since;
+        Clock::time_point usableUntil; ///< For requests that may be repeated.
+        Clock::time_point onceUntil;   ///< For requests that may run once.
     };
 
     std::map<Endpoint, std::vector<Idle>> m_idle;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,5 +1,8 @@
 #include "berylridge/Net/HttpClient.h"
 
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
@@ -22,6 +25,19 @@
 
 } // namespace
 
+struct HttpClient::Connection
+{
+    explicit Connection(asio::io_context &context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    StringRequest request;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
 HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
@@ -58,7 +74,7 @@
 
 void HttpClient::begin()
 {
-    if (m_stream)
+    if (m_connection)
         send();
     else
         connect();
@@ -75,54 +91,68 @@
         return;
     }
     m_isKept = false;
-    m_buffer.clear();
-    m_stream.emplace(m_context);
-    m_stream->expires_after(m_calls.front().timeout);
-    m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
-        if (!self->m_stream || self->m_calls.empty())
-            return;
-        if (error) {
-            self->onFailure(failureOf(error));
-            return;
-        }
-        error_code ignored;
-        self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
-        self->send();
-    });
+    m_connection = std::make_shared<Connection>(m_context);
+    m_connection->stream.expires_after(m_calls.front().timeout);
+    m_connection->stream.async_connect(
+        *endpoint, [self = shared_from_this(), connection = m_connection](error_code error) {
+            if (!self->isCurrent(connection))
+                return;
+            if (error) {
+                self->onFailure(failureOf(error));
+                return;
+            }
+            error_code ignored;
+            connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+            self->send();
+        });
 }
 
 void HttpClient::send()
 {
-    m_stream->expires_after(m_calls.front().timeout);
-    http::async_write(*m_stream, m_calls.front().request,
-                      [self = shared_from_this()](error_code error, std::size_t) {
-                          if (!self->m_stream || self->m_calls.empty())
-                              return;
-                          if (error)
-                              self->onFailure(failureOf(error));
-                          else
-                              self->receive();
-                      });
+    m_connection->stream.expires_after(m_calls.front().timeout);
+    m_connection->request = m_calls.front().request;
+    http::async_write(
+        m_connection->stream, m_connection->request,
+        [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
+            if (!self->isCurrent(connection))
+                return;
+            if (error)
+                self->onFailure(failureOf(error));
+            else
+                self->receive();
+        });
 }
 
 void HttpClient::receive()
 {
-    m_parser.emplace();
-    m_parser->body_limit(answerLimit);
-    http::async_read(*m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (!self->m_stream || self->m_calls.empty())
-                             return;
-                         if (error)
-                             self->onFailure(failureOf(error));
-                         else
-                             self->onAnswer();
-                     });
+    m_connection->parser.emplace();
+    m_connection->parser->body_limit(answerLimit);
+    http::async_read(
+        m_connection->stream, m_connection->buffer, *m_connection->parser,
+        [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
+            if (!self->isCurrent(connection))
+                return;
+            if (error)
+                self->onFailure(failureOf(error));
+            else
+                self->onAnswer();
+        });
+}
+
+bool HttpClient::isCurrent(const std::shared_ptr<Connection> &connection) const
+{
+    return m_connection == connection && !m_calls.empty();
+}
+
+void HttpClient::drop()
+{
+    if (const auto connection = std::exchange(m_connection, nullptr))
+        connection->stream.close();
 }
 
 void HttpClient::onFailure(AttemptFailure failure)
 {
-    m_stream.reset();
+    drop();
     const bool wasKept = std::exchange(m_isKept, false);
     // The server may have closed a kept connection just as the call was sent.
     if (wasKept && failure == AttemptFailure::Reset && !m_calls.front().isRepeated) {
@@ -135,13 +165,13 @@
 
 void HttpClient::onAnswer()
 {
-    auto &answer = m_parser->get();
+    auto &answer = m_connection->parser->get();
     HttpReply reply {std::nullopt, answer.result_int(), std::move(answer.body())};
-    m_isKept = m_parser->keep_alive() && m_buffer.size() == 0;
+    m_isKept = m_connection->parser->keep_alive() && m_connection->buffer.size() == 0;
     if (m_isKept)
-        m_stream->expires_never();
+        m_connection->stream.expires_never();
     else
-        m_stream.reset();
+        drop();
     complete(std::move(reply));
 }
 
@@ -158,7 +188,7 @@
 void HttpClient::close()
 {
     m_calls.clear();
-    m_stream.reset();
+    drop();
 }
 
 } // namespace berylridge
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -69,18 +69,18 @@
         if (const auto self = weak.lock())
             self->onOverdue();
     });
-    // A target may close a kept connection just as the request is sent, and then nobody can tell
-    // whether it ran. A request that must not be repeated therefore never goes on one.
-    if (m_order.isIdempotent) {
-        if (auto kept = m_pool.take(m_order.endpoint)) {
-            ++m_metrics.connectionsReused;
-            m_isReused = true;
-            m_socket = std::move(*kept);
-            sendRequest();
-            return;
-        }
+    // A target may close a kept connection as idle just as the request is sent, and then nobody can
+    // tell whether it ran. The pool gives a request that must not be repeated only what the target
+    // keeps open for longer than the request's way.
+    auto kept = m_pool.take(m_order.endpoint, m_order.repeats, Clock::now());
+    if (!kept) {
+        connect();
+        return;
     }
-    connect();
+    ++m_metrics.connectionsReused;
+    m_isReused = true;
+    m_socket = std::move(*kept);
+    sendRequest();
 }
 
 void TargetAttempt::connect()
@@ -308,7 +308,8 @@
     // A connection with bytes left over, or on which the target still has to read the rest of the
     // request, is out of step with the next one.
     if (m_parser->keep_alive() && m_isSent && m_buffer.size() == 0)
-        m_pool.put(m_order.endpoint, std::move(m_socket));
+        m_pool.put(m_order.endpoint, std::move(m_socket), toldIdleLimit(m_parser->get().base()),
+                   m_order.keptConnections, Clock::now());
     close();
 }
 
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -130,7 +130,7 @@
 
 void TrafficThread::closeIdleTargets()
 {
-    m_pool.closeIdle();
+    m_pool.closeIdle(ConnectionPool::Clock::now());
     m_idleTimer.expires_after(idleSweepPeriod);
     m_idleTimer.async_wait([this](error_code error) {
         if (!error)
--- a/lib/Policy/FleetShare.cpp
+++ b/lib/Policy/FleetShare.cpp
@@ -5,6 +5,24 @@
 
 namespace berylridge {
 
+namespace {
+
+/// Part of a target's connections that may be idle; the rest is for new ones.
+constexpr double idlePart = 0.5;
+constexpr std::uint32_t keptLeast = 2;
+constexpr std::uint32_t keptMost = 64;
+
+} // namespace
+
+std::uint32_t keptConnections(std::uint32_t limit, std::size_t nodes)
+{
+    assert(nodes > 0 && "a fleet without nodes has no parts");
+    if (limit == 0)
+        return keptMost;
+    const double part = idlePart * limit / static_cast<double>(nodes);
+    return std::clamp(static_cast<std::uint32_t>(part), keptLeast, keptMost);
+}
+
 double ColdShare::refilled(double ratePerSecond, std::size_t nodes, TimePoint now) const
 {
     assert(nodes > 0 && "a fleet without nodes has no parts");
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -60,7 +60,7 @@
     dispatch.isResumed = request.isResumed;
     dispatch.keepsAnswer = !request.key.empty();
     dispatch.workspace = request.workspace;
-    dispatch.isIdempotent = request.isIdempotent;
+    dispatch.repeats = request.isIdempotent ? Repeats::Allowed : Repeats::Forbidden;
     m_context.act(std::move(dispatch));
     return true;
 }
--- a/unittests/Net/NodeFixture.cpp
+++ b/unittests/Net/NodeFixture.cpp
@@ -73,7 +73,7 @@
     return [endpoint = std::move(endpoint), isIdempotent](const Event &event, Actions &actions) {
         if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
             Dispatch dispatch = dispatchOf(arrived->handle, endpoint);
-            dispatch.isIdempotent = isIdempotent;
+            dispatch.repeats = isIdempotent ? Repeats::Allowed : Repeats::Forbidden;
             dispatch.keepsAnswer = arrived->idempotencyKey.has_value();
             actions.emplace_back(std::move(dispatch));
         }
--- a/unittests/Router/CoreTest.cpp
+++ b/unittests/Router/CoreTest.cpp
@@ -91,7 +91,7 @@
     const auto sent = give<Dispatch>(lookup(1));
     ASSERT_EQ(sent.size(), 1U);
     EXPECT_EQ(sent.front().target, TargetId("shop-1"));
-    EXPECT_TRUE(sent.front().isIdempotent);
+    EXPECT_EQ(sent.front().repeats, Repeats::Allowed);
     AttemptDone done;
     done.handle = 1;
     done.attempt = 1;
