Use a kept connection for half of the told idle limit; drop what is kept to a target after a break

Then a break on one connection puts the others to the target in doubt: a new one shows at once, with nothing sent, whether the target is there.

--- a/lib/Net/ConnectionPool.cpp
+++ b/lib/Net/ConnectionPool.cpp
@@ -77,7 +77,7 @@
     Clock::duration once = onceIdleLimit;
     if (told) {
         usable = std::min(usable, part(*told, repeatablePart));
-        once = std::min<Clock::duration>(onceIdleLimitTold, part(*told, oncePart));
+        once = std::min<Clock::duration>(idleLimit, part(*told, oncePart));
     }
     idle.push_back({std::move(socket), now + usable, now + once});
 }
--- a/lib/Net/ConnectionPool.h
+++ b/lib/Net/ConnectionPool.h
@@ -28,10 +28,6 @@
     /// For a request that may run once, where the target tells no limit of its own: a limit that is
     /// told in seconds is left out below one.
     static constexpr std::chrono::milliseconds onceIdleLimit {250};
-    /// The same where the target tells one. Also bounds how long ago the target was last heard on
-    /// the connection: one that has lost power meanwhile takes the request and says nothing, while
-    /// a new connection to it fails with nothing sent.
-    static constexpr std::chrono::milliseconds onceIdleLimitTold {1000};
     /// Parts of a told limit that may pass; the rest is the request's way there.
     static constexpr double oncePart = 0.5;
     static constexpr double repeatablePart = 0.8;
@@ -47,6 +43,10 @@
     void put(const Endpoint &endpoint, tcp::socket socket, std::optional<std::chrono::seconds> told,
              std::size_t limit, Clock::time_point now);
 
+    /// Closes what is kept to the target: a connection to it broke or fell silent, so the others are
+    /// in doubt. A new one shows at once, with nothing sent, whether the target is there.
+    void drop(const Endpoint &endpoint) { m_idle.erase(endpoint); }
+
     /// Closes what has been idle for too long.
     void closeIdle(Clock::time_point now);
 
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -318,6 +318,8 @@
     if (m_isOver)
         return;
     ++m_metrics.attemptsFailed;
+    if (failure == AttemptFailure::Reset || failure == AttemptFailure::Timeout)
+        m_pool.drop(m_order.endpoint);
     const auto owner = m_owner;
     close();
     owner->attemptFailed(failure, m_sentAny);
