Pass over targets that have no room (tried, reverted)

Hypothesis: four of five refusals met a least loaded target with under 5,000 tokens before it, so another target would serve them.

--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -59,9 +59,19 @@
         cost.total += otherZoneMs;
     if (candidate.isZoneSilent)
         cost.total += silentZoneMs;
+    cost.choice.allowedMs = allowedWaitMs(need.terms, cost.choice.readMs);
     return cost;
 }
 
+bool isBetter(const Cost &one, const Cost &other)
+{
+    if (one.choice.hasRoom() != other.choice.hasRoom())
+        return one.choice.hasRoom();
+    if (one.choice.hasRoom())
+        return one.total < other.total;
+    return one.choice.waitMs - one.choice.allowedMs < other.choice.waitMs - other.choice.allowedMs;
+}
+
 } // namespace
 
 std::optional<PlacementChoice> choosePlacement(std::span<const PlacementCandidate> candidates,
@@ -74,7 +84,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         Cost cost = costOf(candidates[i], need, candidates[i].affinity == favourite);
         cost.choice.index = i;
-        if (!best || cost.total < best->total)
+        if (!best || isBetter(cost, *best))
             best = cost;
     }
     if (!best)
