--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -63,13 +63,11 @@
     return cost;
 }
 
-bool isBetter(const Cost &one, const Cost &other)
+bool isBetter(const Cost &one, const Cost &other, bool isWithinShare)
 {
-    if (one.choice.hasRoom() != other.choice.hasRoom())
+    if (isWithinShare && one.choice.hasRoom() != other.choice.hasRoom())
         return one.choice.hasRoom();
-    if (one.choice.hasRoom())
-        return one.total < other.total;
-    return one.choice.waitMs - one.choice.allowedMs < other.choice.waitMs - other.choice.allowedMs;
+    return one.total < other.total;
 }
 
 } // namespace
@@ -84,7 +82,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         Cost cost = costOf(candidates[i], need, candidates[i].affinity == favourite);
         cost.choice.index = i;
-        if (!best || isBetter(cost, *best))
+        if (!best || isBetter(cost, *best, need.terms.secondsAhead <= 0))
             best = cost;
     }
     if (!best)
