--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -6,15 +6,15 @@
 
 namespace berylridge {
 
-struct AdmissionTerms
+struct AdmissionNeed
 {
-    double latencyTargetMs = 0; ///< To the first event or the whole answer; 0 where none is set.
+    double latencyTargetMs = 0; ///< To the first event or the whole answer.
+    double readMs = 0;          ///< Expected for reading the prompt.
     /// How far the workspace is beyond its share, in seconds of the share; 0 within it.
     double secondsAhead = 0;
 };
 
-/// Longest wait in ms that is accepted at a target which is expected to read the prompt in
-/// `readMs`; infinite where the terms set no latency target.
-double allowedWaitMs(const AdmissionTerms &terms, double readMs);
+/// Longest wait in ms that is accepted.
+double allowedWaitMs(const AdmissionNeed &need);
 
 } // namespace berylridge
--- a/include/berylridge/Policy/Placement.h
+++ b/include/berylridge/Policy/Placement.h
@@ -2,12 +2,10 @@
 // shared parts that another target keeps counted dearer than waiting.
 //
 // Load it answers: all targets busy, a few hundred long shared parts, a few of them hot. A part
-// stays where it is kept until waiting there costs more than reading it once more elsewhere, or
-// takes longer than the request may wait: no request is turned away while another target is idle.
-// So a hot part spreads over more targets and shrinks back by itself.
+// stays where it is kept until waiting there costs more than reading it once more elsewhere, so a
+// hot part spreads over more targets and shrinks back by itself.
 #pragma once
 
-#include "berylridge/Policy/Admission.h"
 #include "berylridge/Policy/TargetLoads.h"
 
 #include <cstdint>
@@ -34,7 +32,6 @@
     std::uint32_t inputTokens = 0; ///< 0 for requests without a prompt.
     std::size_t holders = 0;       ///< Targets that keep the prompt's first part.
     double serviceMs = 30;         ///< Typical time of a request without a prompt.
-    AdmissionTerms terms {};       ///< How long the request may wait.
 };
 
 struct PlacementChoice
@@ -42,14 +39,10 @@
     std::size_t index = 0;
     double waitMs = 0;        ///< Expected before the target turns to the request.
     double readMs = 0;        ///< Expected for reading what it doesn't keep.
-    double allowedMs = 0;     ///< Longest wait that is accepted there.
     std::uint32_t tokens = 0; ///< That the target has to read for it.
-
-    bool hasRoom() const { return waitMs <= allowedMs; }
 };
 
-/// The best of the targets that have room for the request. Where none has, the one that has room
-/// first: the caller is told to come back then. Nothing where there is no candidate.
+/// Nothing where there is no candidate.
 std::optional<PlacementChoice> choosePlacement(std::span<const PlacementCandidate> candidates,
                                                const PlacementNeed &need);
 
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -152,21 +152,17 @@
 std::optional<Refusal> RequestFlow::findPlace(BalancedRequest &request, bool isFirst)
 {
     const PromptChain *chain = request.chain ? &*request.chain : nullptr;
-    PlacedStep step;
-    // A further attempt waits as long as it must: it has been admitted.
-    const AdmissionTerms terms = isFirst ? termsOf(request, step) : AdmissionTerms {};
-    const auto choice = m_board.choose(*request.service, chain, terms, request.avoided);
+    const auto choice = m_board.choose(*request.service, chain, request.avoided);
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
         request.story.add(at, NoTargetStep {});
         return Refusal {503, "no-target", "no target can take the request now",
                         spread(noTargetRetryAfter)};
     }
+    PlacedStep step;
     step.choice = *choice;
-    std::optional<Refusal> refusal;
-    if (!choice->hasRoom())
-        refusal = turnAway(request, step);
-    else if (!m_board.take(*choice, *request.service, chain))
+    std::optional<Refusal> refusal = isFirst ? roomFor(request, *choice, step) : std::nullopt;
+    if (!refusal && !m_board.take(*choice, *request.service, chain))
         refusal = Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
     step.isTaken = !refusal;
     request.story.add(at, std::move(step));
@@ -178,28 +174,30 @@
     return std::nullopt;
 }
 
-AdmissionTerms RequestFlow::termsOf(const BalancedRequest &request, PlacedStep &step)
+std::optional<Refusal> RequestFlow::roomFor(BalancedRequest &request, const BoardChoice &choice,
+                                            PlacedStep &step)
 {
-    AdmissionTerms terms;
-    terms.latencyTargetMs = request.route->latencyTargetMs;
+    double ahead = 0;
     if (request.chain) {
         const WorkspaceKey workspace = request.workspaceKey();
         m_shares.onAsked(workspace, demandOf(request), m_context.now);
-        terms.secondsAhead = m_shares.secondsAhead(workspace, m_context.now);
+        ahead = m_shares.secondsAhead(workspace, m_context.now);
         step.standing = m_shares.standing(workspace, m_context.now);
     }
-    step.isWithinShare = terms.secondsAhead <= 0;
-    return terms;
-}
-
-Refusal RequestFlow::turnAway(const BalancedRequest &request, const PlacedStep &step)
-{
+    step.isWithinShare = ahead <= 0;
+    const double target = request.route->latencyTargetMs;
+    if (target <= 0)
+        return std::nullopt;
+    const double allowed = allowedWaitMs({target, choice.readMs, ahead});
+    step.allowedMs = allowed;
+    if (choice.waitMs <= allowed)
+        return std::nullopt;
     m_shares.onTurnedAway(demandOf(request), m_context.now);
     // The queue is shorter by the excess after that time, if callers stay away until then.
-    const auto excess = fromSeconds((step.choice.waitMs - step.choice.allowedMs) / 1000);
-    return {503, step.isWithinShare ? "full" : "beyond-share",
-            "the targets have more to do than would be done in time",
-            spread(std::max(excess, fullRetryAfter))};
+    const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
+    return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
+                    "the targets have more to do than would be done in time",
+                    spread(std::max(excess, fullRetryAfter))};
 }
 
 void RequestFlow::start(BalancedRequest &request, const BoardChoice &choice)
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -49,9 +49,8 @@
 private:
     std::optional<Refusal> admit(BalancedRequest &request, const RequestArrived &event);
     std::optional<Refusal> findPlace(BalancedRequest &request, bool isFirst);
-    /// How long the request may wait; notes in the step what that follows from.
-    AdmissionTerms termsOf(const BalancedRequest &request, PlacedStep &step);
-    Refusal turnAway(const BalancedRequest &request, const PlacedStep &step);
+    std::optional<Refusal> roomFor(BalancedRequest &request, const BoardChoice &choice,
+                                   PlacedStep &step);
     void start(BalancedRequest &request, const BoardChoice &choice);
     Duration firstByteLimit(const BalancedRequest &request) const;
     bool mayRepeat(const BalancedRequest &request) const;
--- a/lib/Balancer/RequestStory.cpp
+++ b/lib/Balancer/RequestStory.cpp
@@ -25,9 +25,9 @@
     out["aheadTokens"] = Json::UInt64(choice.aheadTokens);
     out["running"] = choice.running;
     out["targetHeardMs"] = toMilliseconds(choice.heardAge);
-    if (std::isinf(choice.allowedMs))
+    if (step.allowedMs <= 0)
         return;
-    out["allowedMs"] = rounded(choice.allowedMs);
+    out["allowedMs"] = rounded(step.allowedMs);
     out["withinShare"] = step.isWithinShare;
     if (!step.standing.isLimited)
         return;
--- a/lib/Balancer/RequestStory.h
+++ b/lib/Balancer/RequestStory.h
@@ -19,6 +19,7 @@
     BoardChoice choice;
     bool isTaken = false;
     bool isWithinShare = true;
+    double allowedMs = 0; ///< Longest wait that is accepted; 0 where none is set.
     WorkspaceShares::Standing standing;
 };
 
--- a/lib/Balancer/TargetBoard.cpp
+++ b/lib/Balancer/TargetBoard.cpp
@@ -103,7 +103,6 @@
 }
 
 std::optional<BoardChoice> TargetBoard::choose(const ServiceSpec &service, const PromptChain *chain,
-                                               const AdmissionTerms &terms,
                                                const std::vector<TargetKey> &avoided)
 {
     const TimePoint now = m_context.now;
@@ -128,7 +127,6 @@
         entries.emplace_back(&entry, key);
     }
     PlacementNeed need;
-    need.terms = terms;
     if (chain) {
         need.inputTokens = std::max(1U, chain->inputTokens);
         need.holders = m_prompts.holders(*chain);
@@ -146,7 +144,6 @@
     choice.boot = bootOf(entry->record);
     choice.waitMs = placed->waitMs;
     choice.readMs = placed->readMs;
-    choice.allowedMs = placed->allowedMs;
     choice.tokens = placed->tokens;
     choice.aheadTokens = candidates[placed->index].load.tokens;
     choice.running = candidates[placed->index].load.running;
--- a/lib/Balancer/TargetBoard.h
+++ b/lib/Balancer/TargetBoard.h
@@ -27,15 +27,11 @@
     std::uint64_t boot = 0;        ///< Tells this run of the target from others.
     double waitMs = 0;             ///< Expected before the target turns to the request.
     double readMs = 0;             ///< Expected for reading the prompt.
-    double allowedMs = 0;          ///< Longest wait that is accepted there; may be infinite.
     std::uint32_t tokens = 0;      ///< Of the prompt, still to be read there.
     std::uint64_t aheadTokens = 0; ///< Of requests before it.
     std::uint32_t running = 0;     ///< Requests at the target, of all nodes.
     std::size_t candidates = 0;    ///< Targets that it was chosen from.
     Duration heardAge {0};         ///< Of the platform's last word on the target.
-
-    /// Whether the request would wait no longer than is accepted.
-    bool hasRoom() const { return waitMs <= allowedMs; }
 };
 
 class TargetBoard
@@ -46,10 +42,8 @@
     {
     }
 
-    /// The best target of the service that may get the request now, or the one that has room first.
-    /// Takes nothing.
+    /// The best target of the service that may get the request now. Takes nothing.
     std::optional<BoardChoice> choose(const ServiceSpec &service, const PromptChain *chain,
-                                      const AdmissionTerms &terms,
                                       const std::vector<TargetKey> &avoided);
     /// The request goes there: counts it, and a cold target's part of its rate. False where that
     /// part is used up.
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <limits>
 
 namespace berylridge {
 
@@ -22,16 +21,14 @@
 
 } // namespace
 
-double allowedWaitMs(const AdmissionTerms &terms, double readMs)
+double allowedWaitMs(const AdmissionNeed &need)
 {
-    assert(terms.secondsAhead >= 0 && "a workspace within its share is not ahead");
-    if (terms.latencyTargetMs <= 0)
-        return std::numeric_limits<double>::infinity();
-    const double part = terms.secondsAhead > 0
-        ? waitPartBeyondShare * std::exp2(-terms.secondsAhead / secondsToHalf)
+    assert(need.secondsAhead >= 0 && "a workspace within its share is not ahead");
+    const double part = need.secondsAhead > 0
+        ? waitPartBeyondShare * std::exp2(-need.secondsAhead / secondsToHalf)
         : waitPart;
-    const double whole = part * terms.latencyTargetMs;
-    return std::max(whole - readMs, leastWaitPart * whole);
+    const double whole = part * need.latencyTargetMs;
+    return std::max(whole - need.readMs, leastWaitPart * whole);
 }
 
 } // namespace berylridge
--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -59,17 +59,9 @@
         cost.total += otherZoneMs;
     if (candidate.isZoneSilent)
         cost.total += silentZoneMs;
-    cost.choice.allowedMs = allowedWaitMs(need.terms, cost.choice.readMs);
     return cost;
 }
 
-bool isBetter(const Cost &one, const Cost &other, bool isWithinShare)
-{
-    if (isWithinShare && one.choice.hasRoom() != other.choice.hasRoom())
-        return one.choice.hasRoom();
-    return one.total < other.total;
-}
-
 } // namespace
 
 std::optional<PlacementChoice> choosePlacement(std::span<const PlacementCandidate> candidates,
@@ -82,7 +74,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         Cost cost = costOf(candidates[i], need, candidates[i].affinity == favourite);
         cost.choice.index = i;
-        if (!best || isBetter(cost, *best, need.terms.secondsAhead <= 0))
+        if (!best || cost.total < best->total)
             best = cost;
     }
     if (!best)
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -50,7 +50,7 @@
         asked[workspace] += tokens;
         m_shares.onAsked(workspace, tokens, m_clock.now());
         const double ahead = m_shares.secondsAhead(workspace, m_clock.now());
-        if (m_target.knownWaitMs() > allowedWaitMs({latencyTargetMs, ahead}, readMs)) {
+        if (m_target.knownWaitMs() > allowedWaitMs({latencyTargetMs, readMs, ahead})) {
             m_shares.onTurnedAway(tokens, m_clock.now());
             return;
         }
