Weigh a copy of a shared part by the uses that it can expect

Cause: the weight of reading again counted the holders of the prompt's first part, a short one that nearly all targets keep, so on the new deployment a copy cost 30 times its reading and on the first one 6 to 12. What differs is how often a part is used while a target keeps it, about once and five to fifty times.

--- a/include/berylridge/Policy/Placement.h
+++ b/include/berylridge/Policy/Placement.h
@@ -6,11 +6,13 @@
 // hot part spreads over more targets and shrinks back by itself.
 #pragma once
 
+#include "berylridge/Policy/PromptDirectory.h"
 #include "berylridge/Policy/TargetLoads.h"
 
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace berylridge {
 
@@ -21,6 +23,7 @@
     std::uint32_t slots = 1;      ///< Requests that it runs at once.
     std::uint32_t keptTokens = 0; ///< Of the request's prompt.
     double tokensPerMs = 100;     ///< How fast it reads prompts.
+    double keptSeconds = 0;       ///< How long it keeps a part that isn't used again.
     double failureShare = 0;      ///< Of recent attempts.
     bool isOtherZone = false;
     bool isZoneSilent = false;  ///< All nodes of its zone have fallen silent.
@@ -30,7 +33,7 @@
 struct PlacementNeed
 {
     std::uint32_t inputTokens = 0; ///< 0 for requests without a prompt.
-    std::size_t holders = 0;       ///< Targets that keep the prompt's first part.
+    std::vector<SharedPart> parts; ///< Of the prompt, in its order, those that others use too.
     double serviceMs = 30;         ///< Typical time of a request without a prompt.
 };
 
--- a/include/berylridge/Policy/PromptDirectory.h
+++ b/include/berylridge/Policy/PromptDirectory.h
@@ -9,6 +9,7 @@
 // a calm day it stays.
 #pragma once
 
+#include "berylridge/Policy/Rate.h"
 #include "berylridge/Router/Prompt.h"
 #include "berylridge/Support/Time.h"
 
@@ -39,17 +40,31 @@
 
 PromptChain chainOf(const Prompt &prompt);
 
+/// How many of the chain's links are shared: the last one is the request's own, where there are
+/// others.
+std::size_t sharedLinks(const PromptChain &chain);
+
+/// A part that a prompt shares with others, as the fleet uses it.
+struct SharedPart
+{
+    std::uint32_t tokens = 0;
+    double usesPerSecond = 0; ///< By all nodes' requests.
+    std::size_t holders = 0;  ///< Targets that keep it with all parts before it.
+};
+
 /// Not safe for use by two threads at once.
 class PromptDirectory
 {
 public:
     /// Bounds this node's own memory; targets seldom keep an unused part for so long.
     static constexpr Duration keptFor = std::chrono::seconds(60);
+    /// Most parts are used once in some seconds.
+    static constexpr double useSmoothingSeconds = 10;
 
     /// A request with this chain was sent to the target by some node of the fleet.
     void onPlaced(ChainKey key, TargetKey target, TimePoint now);
     /// So many tokens have entered the target's memory, by any node's requests.
-    void onRead(TargetKey target, std::uint64_t tokens) { m_memories[target].entered += tokens; }
+    void onRead(TargetKey target, std::uint64_t tokens, TimePoint now);
     /// Tokens that the target's memory holds; 0 where nobody says.
     void setCapacity(TargetKey target, std::uint64_t tokens)
     {
@@ -61,8 +76,10 @@
 
     /// Tokens at the prompt's begin that the target keeps.
     std::uint32_t keptTokens(const PromptChain &chain, TargetKey target) const;
-    /// Targets that keep the chain's first shared part.
-    std::size_t holders(const PromptChain &chain) const;
+    /// The prompt's shared parts, in its order.
+    std::vector<SharedPart> sharedParts(const PromptChain &chain, TimePoint now) const;
+    /// How long the target keeps a part that isn't used again, as its memory fills now.
+    double keptSeconds(TargetKey target, TimePoint now) const;
 
 private:
     struct Holder
@@ -75,11 +92,17 @@
     {
         std::uint64_t entered = 0; ///< Tokens so far.
         std::uint64_t capacity = 0;
+        Rate enteredPerSecond;
+    };
+    struct Part
+    {
+        std::vector<Holder> holders;
+        Rate uses {useSmoothingSeconds};
     };
 
     bool isKept(const Holder &holder) const;
 
-    std::unordered_map<ChainKey, std::vector<Holder>> m_holders;
+    std::unordered_map<ChainKey, Part> m_parts;
     std::unordered_map<TargetKey, Memory> m_memories;
 };
 
--- a/include/berylridge/Policy/Rate.h
+++ b/include/berylridge/Policy/Rate.h
@@ -5,15 +5,24 @@
 
 namespace berylridge {
 
-/// Units a second, smoothed exponentially over 1.5 s: long enough for a few requests of a small
-/// workspace, short beside the seconds over which shares are judged.
+/// Units a second, smoothed exponentially.
 class Rate
 {
 public:
+    /// Long enough for a few requests of a small workspace, short beside the seconds over which
+    /// shares are judged.
+    static constexpr double usualSmoothingSeconds = 1.5;
+
+    explicit Rate(double smoothingSeconds = usualSmoothingSeconds)
+        : m_smoothingSeconds(smoothingSeconds)
+    {
+    }
+
     void add(double units, TimePoint now);
     double at(TimePoint now) const;
 
 private:
+    double m_smoothingSeconds;
     double m_rate = 0;
     TimePoint m_countedAt {};
 };
--- a/lib/Balancer/TargetBoard.cpp
+++ b/lib/Balancer/TargetBoard.cpp
@@ -97,6 +97,7 @@
     candidate.isZoneSilent = m_context.peers.isZoneSilent(entry.record.zone, now);
     if (chain && !chain->links.empty()) {
         candidate.keptTokens = m_prompts.keptTokens(*chain, key);
+        candidate.keptSeconds = m_prompts.keptSeconds(key, now);
         candidate.affinity = affinityOf(chain->links.front().key, key);
     }
     return candidate;
@@ -129,7 +130,7 @@
     PlacementNeed need;
     if (chain) {
         need.inputTokens = std::max(1U, chain->inputTokens);
-        need.holders = m_prompts.holders(*chain);
+        need.parts = m_prompts.sharedParts(*chain, now);
     }
     const auto learnt = m_serviceMs.find(service.name);
     need.serviceMs = learnt == m_serviceMs.end() ? assumedServiceMs : learnt->second;
@@ -168,11 +169,10 @@
         return true;
     const std::uint32_t entered = choice.tokens + chain->outputTokens;
     m_prompts.setCapacity(choice.key, service.engineTokens);
-    m_prompts.onRead(choice.key, entered);
+    m_prompts.onRead(choice.key, entered, now);
     target.entered += entered;
-    // The last part is the request's own: nobody else can use it.
-    const std::size_t shared = chain->links.size() > 1 ? chain->links.size() - 1 : 1;
-    for (std::size_t i = 0; i < std::min(shared, chain->links.size()); ++i) {
+    // Nobody else can use the request's own part.
+    for (std::size_t i = 0; i < sharedLinks(*chain); ++i) {
         m_prompts.onPlaced(chain->links[i].key, choice.key, now);
         m_placed.push_back({chain->links[i].key, choice.key});
     }
@@ -231,7 +231,7 @@
     // Numbers wrap around; the difference does not.
     const std::uint32_t since = isSame ? entry.entered - known.entered : entry.entered;
     known = {incarnation, entry.entered};
-    m_prompts.onRead(entry.target, since);
+    m_prompts.onRead(entry.target, since, m_context.now);
 }
 
 void TargetBoard::onRemotePlacement(ChainKey part, TargetKey target)
--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-/// Reading a part again takes its target's time from others and pushes parts out of its memory, so
-/// it counts more than the same time of waiting, and the more the more targets keep the part
-/// already: one copy must be, two let load be balanced, and each further one takes memory from
-/// other parts.
-constexpr double readAgainWeight = 3.0;
-constexpr double readAgainPerHolder = 3.0;
+/// Reading a part again takes its target's time from others and pushes parts out of its memory. It
+/// counts this many times as much as the same time of waiting, shared by the uses that the copy can
+/// expect before its target gives it up: a part that is seldom used is not worth a second copy, a
+/// hot one spreads at once.
+constexpr double copyWeight = 40.0;
+constexpr double leastCopyWeight = 3.0;
+constexpr double mostCopyWeight = 60.0;
 /// A round trip more to a target of another zone; breaks ties between targets that keep nothing.
 constexpr double otherZoneMs = 2.0;
 /// A part that no target keeps yet goes to the target that all nodes rank first, unless that one
@@ -32,6 +33,32 @@
     double total = 0;
 };
 
+double weightOfCopy(const SharedPart &part, double keptSeconds)
+{
+    const double sharers = static_cast<double>(part.holders) + 1;
+    const double uses = part.usesPerSecond * keptSeconds / sharers;
+    return std::clamp(copyWeight / std::max(uses, 0.01), leastCopyWeight, mostCopyWeight);
+}
+
+/// The reading of what the target doesn't keep, in ms, weighed. A part that no target keeps has to
+/// be read anyway.
+double weighedReadMs(const PlacementCandidate &candidate, const PlacementNeed &need)
+{
+    double weighed = 0;
+    std::uint32_t passed = 0;
+    for (const SharedPart &part : need.parts) {
+        passed += part.tokens;
+        if (passed <= candidate.keptTokens)
+            continue;
+        const double weight
+            = part.holders > 0 ? weightOfCopy(part, candidate.keptSeconds) : leastCopyWeight;
+        weighed += weight * part.tokens;
+    }
+    const std::uint32_t known = std::max(passed, candidate.keptTokens);
+    weighed += need.inputTokens - std::min(need.inputTokens, known);
+    return weighed / candidate.tokensPerMs;
+}
+
 Cost costOf(const PlacementCandidate &candidate, const PlacementNeed &need, bool isFavourite)
 {
     assert(candidate.tokensPerMs > 0 && "a target that never reads");
@@ -42,10 +69,9 @@
         cost.choice.tokens = need.inputTokens - std::min(need.inputTokens, candidate.keptTokens);
         cost.choice.waitMs = static_cast<double>(candidate.load.tokens) / candidate.tokensPerMs;
         cost.choice.readMs = cost.choice.tokens / candidate.tokensPerMs;
-        const double weight
-            = readAgainWeight + readAgainPerHolder * static_cast<double>(need.holders);
-        cost.total = cost.choice.waitMs + cost.choice.readMs * weight + used * crowdMs;
-        if (need.holders == 0 && !isFavourite)
+        cost.total = cost.choice.waitMs + weighedReadMs(candidate, need) + used * crowdMs;
+        const bool isNew = need.parts.empty() || need.parts.front().holders == 0;
+        if (isNew && !isFavourite)
             cost.total += affinityMs;
     } else {
         const double over = std::max(0.0, candidate.load.running + 1 - slots);
--- a/lib/Policy/Rate.cpp
+++ b/lib/Policy/Rate.cpp
@@ -4,20 +4,14 @@
 
 namespace berylridge {
 
-namespace {
-
-constexpr double smoothingSeconds = 1.5;
-
-} // namespace
-
 double Rate::at(TimePoint now) const
 {
-    return m_rate * std::exp(-toSeconds(now - m_countedAt) / smoothingSeconds);
+    return m_rate * std::exp(-toSeconds(now - m_countedAt) / m_smoothingSeconds);
 }
 
 void Rate::add(double units, TimePoint now)
 {
-    m_rate = at(now) + units / smoothingSeconds;
+    m_rate = at(now) + units / m_smoothingSeconds;
     m_countedAt = now;
 }
 
