--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -12,9 +12,13 @@
 /// counts this many times as much as the same time of waiting, shared by the uses that the copy can
 /// expect before its target gives it up: a part that is seldom used is not worth a second copy, a
 /// hot one spreads at once.
-constexpr double copyWeight = 40.0;
+constexpr double copyWeight = 60.0;
 constexpr double leastCopyWeight = 3.0;
 constexpr double mostCopyWeight = 60.0;
+/// The same for what is read in any case. It makes up for differences between targets alone: a long
+/// prompt goes where prompts have been read fastest of late, as it slows down a target that reads
+/// another one by more than its tokens say.
+constexpr double ownWeight = 30.0;
 /// A round trip more to a target of another zone; breaks ties between targets that keep nothing.
 constexpr double otherZoneMs = 2.0;
 /// A part that no target keeps yet goes to the target that all nodes rank first, unless that one
@@ -55,7 +59,7 @@
         weighed += weight * part.tokens;
     }
     const std::uint32_t known = std::max(passed, candidate.keptTokens);
-    weighed += need.inputTokens - std::min(need.inputTokens, known);
+    weighed += ownWeight * (need.inputTokens - std::min(need.inputTokens, known));
     return weighed / candidate.tokensPerMs;
 }
 
