Read the platform's state at once at a start where no peer knows one; tests of placement, kept connections, reading role

The test that a new node gives its peers a moment is replaced by two: it does where a peer knows a state, and reads in its first period where none does. The test that nothing that must not repeat goes on a kept connection is replaced by those of the rule that bounds it.

--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -80,8 +80,6 @@
         for (const auto &[node, peer] : m_peers)
             visit(node, peer);
     }
-    /// Whether one of the seeds is this node.
-    bool isSeed() const;
     /// This node and all that were heard within countedLimit; at least two, so that a node that has
     /// heard nobody yet doesn't take a limit's whole for itself.
     std::size_t counted(TimePoint now) const;
--- a/include/berylridge/Policy/FleetShare.h
+++ b/include/berylridge/Policy/FleetShare.h
@@ -9,8 +9,8 @@
 
 namespace berylridge {
 
-/// Idle connections that each of so many nodes may keep to a target, which takes `limit` connections
-/// of them all; a limit of 0 is not known.
+/// Idle connections that each of so many nodes may keep to a target, which takes `limit`
+/// connections of them all; a limit of 0 is not known.
 ///
 /// Load it answers: 70 nodes keep as many connections as they once needed at the same moment. The
 /// target's limit is used up by idle ones, and it resets each new one.
--- a/lib/Balancer/ReaderRole.cpp
+++ b/lib/Balancer/ReaderRole.cpp
@@ -8,7 +8,8 @@
 
 /// One may be lost at any moment, and news must not wait for the next to notice.
 constexpr std::size_t readersPerZone = 2;
-/// A new node asks the seeds and is answered within two digests; after this it reads by itself.
+/// A node that starts and hears of a state asks for it, and is answered within two digests; after
+/// this it reads by itself.
 constexpr Duration firstWait = std::chrono::milliseconds(700);
 /// News reach a node through its peers within three digests. One that lags for longer is not
 /// reached by them, as behind a cut in one direction, and has to read by itself, for so long at
@@ -58,8 +59,12 @@
 {
     const TimePoint now = m_context.now;
     const bool knowsState = m_context.table && m_context.directory.revision() > 0;
+    // After all nodes were killed nobody knows a state. Callers come as soon as a node is up, and
+    // those whom it turns away as it waits for its peers come back together, more than the targets
+    // bear at once.
+    const bool isAnyKnown = m_seenVersion > 0 && m_seenRevision > 0;
     if (!knowsState)
-        return m_context.peers.isSeed() || now - m_startedAt >= firstWait;
+        return !isAnyKnown || m_isReading || now - m_startedAt >= firstWait;
     if (isStuckBehind())
         m_holdUntil = now + holdTime;
     if (now < m_holdUntil)
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -114,12 +114,6 @@
     return entries;
 }
 
-bool PeerTable::isSeed() const
-{
-    return std::find(m_options.seeds.begin(), m_options.seeds.end(), m_options.endpoint)
-        != m_options.seeds.end();
-}
-
 bool PeerTable::isLive(const Peer &peer, TimePoint now) const
 {
     return peer.heardAt && now - *peer.heardAt < liveLimit;
--- a/lib/Net/ConnectionPool.h
+++ b/lib/Net/ConnectionPool.h
@@ -38,13 +38,13 @@
     std::optional<tcp::socket> take(const Endpoint &endpoint, Repeats repeats,
                                     Clock::time_point now);
 
-    /// Only after a whole answer, with no byte left over. `told` is the target's idle limit; at most
-    /// `limit` connections are kept to the target.
+    /// Only after a whole answer, with no byte left over. `told` is the target's idle limit; at
+    /// most `limit` connections are kept to the target.
     void put(const Endpoint &endpoint, tcp::socket socket, std::optional<std::chrono::seconds> told,
              std::size_t limit, Clock::time_point now);
 
-    /// Closes what is kept to the target: a connection to it broke or fell silent, so the others are
-    /// in doubt. A new one shows at once, with nothing sent, whether the target is there.
+    /// Closes what is kept to the target: a connection to it broke or fell silent, so the others
+    /// are in doubt. A new one shows at once, with nothing sent, whether the target is there.
     void drop(const Endpoint &endpoint) { m_idle.erase(endpoint); }
 
     /// Closes what has been idle for too long.
--- a/lib/Policy/PromptDirectory.cpp
+++ b/lib/Policy/PromptDirectory.cpp
@@ -115,9 +115,8 @@
             continue;
         part.usesPerSecond = found->second.uses.at(now);
         const auto &holders = found->second.holders;
-        part.holders = static_cast<std::size_t>(
-            std::count_if(holders.begin(), holders.end(),
-                          [this](const Holder &each) { return isKept(each); }));
+        part.holders = static_cast<std::size_t>(std::count_if(
+            holders.begin(), holders.end(), [this](const Holder &each) { return isKept(each); }));
     }
     return parts;
 }
--- a/unittests/Balancer/ReaderRoleTest.cpp
+++ b/unittests/Balancer/ReaderRoleTest.cpp
@@ -17,6 +17,7 @@
         digest.port = 7400;
         digest.isReading = isReading;
         digest.directoryRevision = directoryRevision;
+        digest.catalogVersion = directoryRevision > 0 ? 1 : 0;
         handle(NodeMessage {NodeId(node), 1, BalancerMessage(digest)});
         noteOrders();
     }
@@ -45,13 +46,23 @@
 
 } // namespace
 
-// A new node knows nothing. Its peers answer sooner than the platform's turn comes; where nobody
-// does, it reads by itself.
-TEST_F(ReaderRoleTest, ANewNodeGivesItsPeersAMomentFirst)
+// A new node knows nothing, and a peer tells of a state. The peer's answer comes sooner than the
+// platform's turn; where it doesn't, as behind a cut in one direction, the node reads by itself.
+TEST_F(ReaderRoleTest, ANewNodeGivesAPeerThatKnowsAMomentFirst)
 {
-    passHearing(600ms, {});
+    hear("m1", true, 1);
+    passHearing(600ms, {"m1"});
     EXPECT_FALSE(reads);
-    passHearing(200ms, {});
+    passHearing(200ms, {"m1"});
+    EXPECT_TRUE(reads);
+}
+
+// All nodes were killed and start again, and callers come at once. Waiting for peers that know as
+// little would turn them all away for as long: the node reads the platform in its first period.
+TEST_F(ReaderRoleTest, ANewNodeAmongOthersThatKnowNothingReadsAtOnce)
+{
+    hear("m1", false, 0);
+    passHearing(100ms, {});
     EXPECT_TRUE(reads);
 }
 
@@ -60,6 +71,7 @@
 TEST_F(ReaderRoleTest, TwoReadersOfAZoneAreEnough)
 {
     giveCatalog();
+    noteOrders(); // It reads from its first period on.
     giveTargets({"t1"});
     passHearing(1s, {});
     EXPECT_TRUE(reads);
--- /dev/null
+++ b/unittests/Net/ConnectionPoolTest.cpp
@@ -0,0 +1,105 @@
+// Which idle connections a request may go on.
+#include "ConnectionPool.h"
+
+#include <gtest/gtest.h>
+
+namespace berylridge::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Endpoint target {"127.0.0.1", 1};
+
+class ConnectionPoolTest : public ::testing::Test
+{
+protected:
+    /// One end of a connection; the other end is kept open in `peers`.
+    tcp::socket connected()
+    {
+        tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        tcp::socket socket(context);
+        socket.connect(acceptor.local_endpoint());
+        peers.push_back(acceptor.accept());
+        return socket;
+    }
+
+    void keep(std::optional<std::chrono::seconds> told)
+    {
+        pool.put(target, connected(), told, 8, now);
+    }
+
+    bool gives(Repeats repeats) { return pool.take(target, repeats, now).has_value(); }
+
+    asio::io_context context;
+    std::vector<tcp::socket> peers;
+    ConnectionPool pool;
+    ConnectionPool::Clock::time_point now = ConnectionPool::Clock::now();
+};
+
+// A target closes a connection as idle just as a purchase is on its way: nobody knows whether it
+// ran. So a purchase goes on a connection only in the first half of what the target says; a lookup
+// may be sent again and goes on it for longer.
+TEST_F(ConnectionPoolTest, APurchaseGoesOnAConnectionOnlyWhileItsTargetSurelyKeepsIt)
+{
+    keep(4s);
+    now += 1900ms;
+    EXPECT_TRUE(gives(Repeats::Forbidden));
+    keep(4s);
+    now += 2100ms;
+    EXPECT_FALSE(gives(Repeats::Forbidden));
+    EXPECT_TRUE(gives(Repeats::Allowed));
+    keep(4s);
+    now += 3300ms;
+    EXPECT_FALSE(gives(Repeats::Allowed));
+}
+
+// Whole seconds are told, so a target that tells nothing may close within one.
+TEST_F(ConnectionPoolTest, APurchaseGoesOnAnUntoldConnectionForAMomentAlone)
+{
+    keep(std::nullopt);
+    now += 200ms;
+    EXPECT_TRUE(gives(Repeats::Forbidden));
+    keep(std::nullopt);
+    now += 300ms;
+    EXPECT_FALSE(gives(Repeats::Forbidden));
+    EXPECT_TRUE(gives(Repeats::Allowed));
+}
+
+TEST_F(ConnectionPoolTest, AClosedConnectionIsNotGiven)
+{
+    keep(10s);
+    peers.clear();
+    EXPECT_FALSE(gives(Repeats::Allowed));
+}
+
+// One connection to a target broke, so the others are in doubt: the next request finds out on a new
+// one, where a target that is gone costs it nothing.
+TEST_F(ConnectionPoolTest, ABreakDropsTheTargetsOtherConnections)
+{
+    keep(10s);
+    keep(10s);
+    pool.drop(target);
+    EXPECT_FALSE(gives(Repeats::Allowed));
+}
+
+TEST_F(ConnectionPoolTest, KeepsNoMoreThanItsPart)
+{
+    for (int i = 0; i < 3; ++i)
+        pool.put(target, connected(), 10s, 2, now);
+    EXPECT_TRUE(gives(Repeats::Allowed));
+    EXPECT_TRUE(gives(Repeats::Allowed));
+    EXPECT_FALSE(gives(Repeats::Allowed));
+}
+
+TEST(ToldIdleLimit, IsReadFromTheHead)
+{
+    http::fields head;
+    EXPECT_FALSE(toldIdleLimit(head));
+    head.set(http::field::keep_alive, "timeout=10, max=100");
+    EXPECT_EQ(toldIdleLimit(head), 10s);
+    head.set(http::field::keep_alive, "timeout=soon");
+    EXPECT_FALSE(toldIdleLimit(head));
+}
+
+} // namespace
+} // namespace berylridge::test
--- a/unittests/Net/HttpClientTest.cpp
+++ b/unittests/Net/HttpClientTest.cpp
@@ -43,11 +43,13 @@
         while (server.connections() == 0)
             context.run_one_for(std::chrono::milliseconds(1));
         std::this_thread::sleep_for(std::chrono::milliseconds(5)); // The answer is in the socket.
+        bool hasBegunAnew = false;
         afterTurns(context, turns, [&] {
             client->close();
             client->get("/new", patience, take);
+            hasBegunAnew = true;
         });
-        while (client->pending() > 0 && context.run_one_for(patience) > 0)
+        while ((!hasBegunAnew || client->pending() > 0) && context.run_one_for(patience) > 0)
             continue;
         ASSERT_FALSE(answers.empty());
         EXPECT_EQ(answers.back(), "/new") << turns;
--- a/unittests/Policy/FleetShareTest.cpp
+++ b/unittests/Policy/FleetShareTest.cpp
@@ -27,6 +27,18 @@
     }
 }
 
+// 70 nodes keep connections to a target that takes 680 of them. Idle ones must leave room for new
+// ones, or the target resets these.
+TEST(KeptConnections, NodesTogetherLeaveTheTargetRoom)
+{
+    for (const std::size_t nodes : {2U, 6U, 70U}) {
+        const std::uint32_t limit = 680;
+        EXPECT_LE(keptConnections(limit, nodes) * nodes, limit * 3 / 4);
+        EXPECT_GE(keptConnections(limit, nodes), 2U);
+    }
+    EXPECT_GT(keptConnections(0, 70), 2U) << "no limit is known";
+}
+
 // Every attempt fails. Further attempts end at the fleet's budget in any window, however many nodes
 // take part.
 TEST(RetryShare, NodesTogetherStayWithinTheBudget)
