--- a/test/rig/FakeNode.h
+++ b/test/rig/FakeNode.h
@@ -143,7 +143,13 @@
     int m_timersNow = 0; ///< Timers that were due at that same instant.
     RequestHandle m_nextHandle = 1;
     std::map<RequestHandle, Open> m_open;
-    std::map<const FakeTarget *, std::string> m_idle; ///< Boot to which a kept connection leads.
+    /// A kept connection.
+    struct Idle
+    {
+        std::string boot; ///< To which it leads.
+        TimePoint since;
+    };
+    std::map<const FakeTarget *, Idle> m_idle;
     std::map<PlaceId, std::vector<std::string>> m_outbox;
     ControlTraffic m_traffic;
     std::vector<std::pair<TimePoint, TimePoint>> m_disturbances;
--- a/test/rig/FakeNodeAttempts.cpp
+++ b/test/rig/FakeNodeAttempts.cpp
@@ -39,8 +39,13 @@
     attempt->order = {open.callerTry, action.isResumed ? cost - open.streamed : cost, 0.1 * cost};
     open.attempt = attempt;
     const auto idle = m_idle.find(attempt->target);
-    if (idle != m_idle.end()) {
-        attempt->reusedBoot = idle->second;
+    // As the shell does where targets tell no limit of their own: a request that may run once goes
+    // on a connection for a moment alone.
+    constexpr Duration onceIdleLimit = std::chrono::milliseconds(250);
+    const bool isFresh
+        = idle != m_idle.end() && m_world.queue.now() - idle->second.since <= onceIdleLimit;
+    if (idle != m_idle.end() && (isFresh || action.repeats == Repeats::Allowed)) {
+        attempt->reusedBoot = idle->second.boot;
         m_idle.erase(idle);
         sendRequest(attempt);
     } else {
@@ -141,7 +146,7 @@
     if (attempt->isOver)
         return;
     attempt->isOver = true;
-    m_idle[attempt->target] = bootId;
+    m_idle[attempt->target] = {bootId, m_world.queue.now()};
     const auto &action = attempt->action;
     AttemptDone done {action.handle, action.attempt, statusOk, bootId, 100, {}, {}};
     if (action.keepsAnswer)
