--- a/lib/Net/ConnectionPool.cpp
+++ b/lib/Net/ConnectionPool.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <utility>
 
