--- a/include/berylridge/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -61,8 +61,9 @@
     void connect();
     void send();
     void receive();
-    /// Whether a finished operation on the connection still matters.
-    bool isCurrent(const std::shared_ptr<Connection> &connection) const;
+    /// An operation on the connection has ended: what comes next, unless it failed.
+    void goOn(const std::shared_ptr<Connection> &connection, error_code error,
+              void (HttpClient::*next)());
     void drop();
     void onFailure(AttemptFailure failure);
     void onAnswer();
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -95,15 +95,9 @@
     m_connection->stream.expires_after(m_calls.front().timeout);
     m_connection->stream.async_connect(
         *endpoint, [self = shared_from_this(), connection = m_connection](error_code error) {
-            if (!self->isCurrent(connection))
-                return;
-            if (error) {
-                self->onFailure(failureOf(error));
-                return;
-            }
             error_code ignored;
             connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-            self->send();
+            self->goOn(connection, error, &HttpClient::send);
         });
 }
 
@@ -114,12 +108,7 @@
     http::async_write(
         m_connection->stream, m_connection->request,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
-            if (!self->isCurrent(connection))
-                return;
-            if (error)
-                self->onFailure(failureOf(error));
-            else
-                self->receive();
+            self->goOn(connection, error, &HttpClient::receive);
         });
 }
 
@@ -130,18 +119,19 @@
     http::async_read(
         m_connection->stream, m_connection->buffer, *m_connection->parser,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
-            if (!self->isCurrent(connection))
-                return;
-            if (error)
-                self->onFailure(failureOf(error));
-            else
-                self->onAnswer();
+            self->goOn(connection, error, &HttpClient::onAnswer);
         });
 }
 
-bool HttpClient::isCurrent(const std::shared_ptr<Connection> &connection) const
+void HttpClient::goOn(const std::shared_ptr<Connection> &connection, error_code error,
+                      void (HttpClient::*next)())
 {
-    return m_connection == connection && !m_calls.empty();
+    if (m_connection != connection || m_calls.empty())
+        return; // It was given up meanwhile.
+    if (error)
+        onFailure(failureOf(error));
+    else
+        (this->*next)();
 }
 
 void HttpClient::drop()
