--- a/include/berylridge/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -49,7 +49,7 @@
 
     struct Call
     {
-        StringRequest request;
+        std::shared_ptr<const StringRequest> request; ///< Shared with the write under way.
         Duration timeout;
         Done done;
         bool isRepeated = false;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -34,7 +34,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    StringRequest request;
+    std::shared_ptr<const StringRequest> request;
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
@@ -67,7 +67,8 @@
         request.set(http::field::content_type, "application/json");
     request.body() = std::move(body);
     request.prepare_payload();
-    m_calls.push_back({std::move(request), timeout, std::move(done), false});
+    m_calls.push_back({std::make_shared<const StringRequest>(std::move(request)), timeout,
+                       std::move(done), false});
     if (m_calls.size() == 1)
         begin();
 }
@@ -106,7 +107,7 @@
     m_connection->stream.expires_after(m_calls.front().timeout);
     m_connection->request = m_calls.front().request;
     http::async_write(
-        m_connection->stream, m_connection->request,
+        m_connection->stream, *m_connection->request,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
             self->goOn(connection, error, &HttpClient::receive);
         });
--- a/lib/Policy/Placement.cpp
+++ b/lib/Policy/Placement.cpp
@@ -14,7 +14,6 @@
 /// hot one spreads at once.
 constexpr double copyWeight = 60.0;
 constexpr double leastCopyWeight = 3.0;
-constexpr double mostCopyWeight = 60.0;
 /// The same for what is read in any case. It makes up for differences between targets alone: a long
 /// prompt goes where prompts have been read fastest of late, as it slows down a target that reads
 /// another one by more than its tokens say.
@@ -41,7 +40,7 @@
 {
     const double sharers = static_cast<double>(part.holders) + 1;
     const double uses = part.usesPerSecond * keptSeconds / sharers;
-    return std::clamp(copyWeight / std::max(uses, 0.01), leastCopyWeight, mostCopyWeight);
+    return std::max(copyWeight / std::max(uses, 1.0), leastCopyWeight);
 }
 
 /// The reading of what the target doesn't keep, in ms, weighed. A part that no target keeps has to
