--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -48,6 +48,10 @@
     std::array<Counter, 3> requestsByVerdict {}; ///< Indexed by Verdict: requests that ended.
     Counter requestsReceived {0};
     Counter callersGone {0};
+    Counter callersGoneUnread {0}; ///< Of requests that were read when their caller had left.
+    Counter connectionsAccepted {0};
+    Counter acceptFailures {0};
+    Counter trafficLagMicroseconds {0}; ///< The last that a traffic thread reported.
     Counter connectionsOpen {0};
     Counter connectionsRefused {0};
     Counter attemptsStarted {0};
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -159,6 +159,9 @@
 struct TrafficLag
 {
     Duration lag;
+    // Since the thread's last report:
+    std::uint64_t connections = 0; ///< That were accepted.
+    std::uint64_t leftUnread = 0;  ///< Requests whose caller had left before they were read.
 };
 
 /// The platform did not answer, or answers again.
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -46,10 +46,16 @@
     Verdict verdictBefore = Verdict::NotRun;
     bool isRead = false; ///< The target's answer has begun.
 
-    WorkspaceKey workspaceKey() const { return shortHash(workspace.str()); }
-
     RequestStory story;
     std::optional<Duration> firstAfter; ///< From arrival to the answer's begin.
+
+    WorkspaceKey workspaceKey() const { return shortHash(workspace.str()); }
+    /// Whether the answer began, or hasn't begun until now, beyond the route's latency target.
+    bool isLate(TimePoint now) const
+    {
+        const Duration since = firstAfter.value_or(now - arrivedAt);
+        return route->latencyTargetMs > 0 && toSeconds(since) * 1000 > route->latencyTargetMs;
+    }
 };
 
 /// Why a request is not served, as its caller is told.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -101,7 +101,7 @@
                    [&](const DirectoryArrived &e) { onDirectory(e.news, "platform"); },
                    [&](const PlatformReach &e) { onPlatformReach(e.isReachable); },
                    [&](const LeaveOrdered &e) { onLeave(e.who); },
-                   [&](const TrafficLag &e) { m_requests.onLag(e.lag); },
+                   [&](const TrafficLag &e) { m_requests.onLag(e); },
                    [&](const SeedsChanged &e) { m_context.peers.setSeeds(e.seeds); },
                    // Events of the core that shares by leases (lib/Router).
                    [](const KeyIssueAsked &) {},
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
+#include <utility>
 
 namespace berylridge {
 
@@ -24,6 +26,8 @@
 constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
 /// Callers who are turned away together must not come back together.
 constexpr double retrySpread = 0.5;
+/// Between lines that tell how late the traffic threads run.
+constexpr Duration busyPeriod = std::chrono::seconds(1);
 constexpr double tokensPerGenerated = 2; ///< What a generated token weighs against one read.
 
 std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
@@ -91,6 +95,7 @@
     : m_context(context)
     , m_board(board)
     , m_log(context)
+    , m_tally(context)
     , m_random(context.options.seed)
 {
 }
@@ -103,11 +108,13 @@
     request.id = event.requestId;
     request.arrivedAt = m_context.now;
     if (const auto refusal = admit(request, event)) {
+        m_tally.refused(request, refusal->type);
         refuseEarly(event, *refusal);
         return;
     }
     BalancedRequest &kept = m_requests.emplace(event.handle, std::move(request)).first->second;
     step(kept, RequestSign::Enqueued);
+    m_tally.asked(kept, demandOf(kept));
     m_retries[kept.service->name].onFirstAttempt(m_context.now);
     if (const auto refusal = findPlace(kept, true))
         refuse(kept, *refusal);
@@ -170,6 +177,8 @@
         return refusal;
     if (isFirst)
         m_shares.onAdmitted(request.workspaceKey(), demandOf(request), m_context.now);
+    if (isFirst)
+        m_tally.admitted(request, demandOf(request));
     start(request, *choice);
     return std::nullopt;
 }
@@ -263,8 +272,10 @@
         return;
     const Duration at = m_context.now - request->arrivedAt;
     request->story.add(at, AnswerBegunStep {event.status});
-    if (!request->firstAfter)
+    if (!request->firstAfter) {
         request->firstAfter = at;
+        m_tally.begun(*request, request->isLate(m_context.now));
+    }
     m_board.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
 }
 
@@ -297,6 +308,7 @@
         ++request->sent;
     request->isBegun = request->isBegun || event.answerBegun;
     request->avoided.push_back(request->choice.key);
+    m_tally.attemptFailed(*request, failureName(event.failure));
     request->story.add(
         m_context.now - request->arrivedAt,
         FailedStep {request->choice.target, failureName(event.failure), event.sentAny});
@@ -408,6 +420,8 @@
 {
     m_crashes.expire(m_context.now);
     m_log.tick();
+    m_tally.tick();
+    logBusy();
     const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
     m_shares.update(named, m_context.now);
     if (m_shares.isFull() == m_wasFull)
@@ -420,6 +434,28 @@
                   std::move(fields));
 }
 
+void RequestFlow::onLag(const TrafficLag &event)
+{
+    m_nodeLoad.onLag(event.lag, m_context.now);
+    m_worstLag = std::max(m_worstLag, event.lag);
+    m_accepted += event.connections;
+    m_leftUnread += event.leftUnread;
+}
+
+void RequestFlow::logBusy()
+{
+    if (m_worstLag == Duration(0) || m_context.now - m_busyToldAt < busyPeriod)
+        return;
+    m_busyToldAt = m_context.now;
+    Json::Value fields;
+    fields["lagMs"] = toMilliseconds(std::exchange(m_worstLag, Duration(0)));
+    fields["shedPercent"] = std::lround(m_nodeLoad.shedPart(m_context.now) * 100);
+    fields["connections"] = Json::UInt64(std::exchange(m_accepted, 0));
+    fields["leftUnread"] = Json::UInt64(std::exchange(m_leftUnread, 0));
+    fields["running"] = Json::UInt64(m_requests.size());
+    m_context.log(LogEventId::NodeBusy, "", std::move(fields));
+}
+
 void RequestFlow::endAll()
 {
     std::vector<RequestHandle> handles;
@@ -463,6 +499,7 @@
 void RequestFlow::refuse(BalancedRequest &request, const Refusal &refusal)
 {
     m_log.refused(request, refusal);
+    m_tally.refused(request, refusal.type);
     m_context.act(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
                           refusal.type, refusal.retryAfter});
     step(request, RequestSign::GivenUp);
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -6,6 +6,7 @@
 #include "BalancerContext.h"
 #include "RequestLog.h"
 #include "TargetBoard.h"
+#include "WorkspaceTally.h"
 
 #include "berylridge/Policy/CrashRecord.h"
 #include "berylridge/Policy/NodeLoad.h"
@@ -26,7 +27,7 @@
 
     void onArrived(const RequestArrived &event);
     /// How late a traffic thread runs.
-    void onLag(Duration lag) { m_nodeLoad.onLag(lag, m_context.now); }
+    void onLag(const TrafficLag &event);
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
@@ -64,11 +65,13 @@
     void refuse(BalancedRequest &request, const Refusal &refusal);
     void refuseEarly(const RequestArrived &event, const Refusal &refusal);
     void finish(RequestHandle handle);
+    void logBusy();
     Duration spread(Duration base);
 
     BalancerContext &m_context;
     TargetBoard &m_board;
     RequestLog m_log;
+    WorkspaceTally m_tally;
     WorkspaceShares m_shares;
     NodeLoad m_nodeLoad;
     CrashRecord m_crashes;
@@ -77,6 +80,11 @@
     std::vector<BrokenRunEntry> m_brokenRuns; ///< For the next digest.
     RandomEngine m_random;
     TimePoint m_lastArrival {};
+    // Of the traffic threads, since the last line of it.
+    Duration m_worstLag {0};
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_leftUnread = 0;
+    TimePoint m_busyToldAt {};
     bool m_wasFull = false;
     bool m_isClosed = false;
 };
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -39,7 +39,7 @@
     Json::Value fields;
     fields["status"] = status;
     end(request, LogEventId::RequestEnded, "answered", std::move(fields),
-        isSample || isLate(request) || request.attempts > 1);
+        isSample || request.isLate(m_context.now) || request.attempts > 1);
 }
 
 void RequestLog::refused(const BalancedRequest &request, const Refusal &refusal)
@@ -81,13 +81,6 @@
     return hasRoom;
 }
 
-bool RequestLog::isLate(const BalancedRequest &request) const
-{
-    const double target = request.route->latencyTargetMs;
-    const Duration since = request.firstAfter.value_or(m_context.now - request.arrivedAt);
-    return target > 0 && toSeconds(since) * 1000 > target;
-}
-
 void RequestLog::end(const BalancedRequest &request, LogEventId id, const char *outcome,
                      Json::Value fields, bool wantsSteps)
 {
@@ -105,7 +98,7 @@
     fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
     if (request.firstAfter)
         fields["firstMs"] = toMilliseconds(*request.firstAfter);
-    if (isLate(request))
+    if (request.isLate(m_context.now))
         fields["late"] = true;
     fields["catalog"] = Json::UInt64(request.table->catalog().version);
     if (wantsSteps && m_details.tryTake(0, LogLevel::Info, m_context.now)) {
--- a/lib/Balancer/RequestLog.h
+++ b/lib/Balancer/RequestLog.h
@@ -30,7 +30,6 @@
 
 private:
     bool takesLine();
-    bool isLate(const BalancedRequest &request) const;
     void end(const BalancedRequest &request, LogEventId id, const char *outcome, Json::Value fields,
              bool wantsSteps);
 
--- /dev/null
+++ b/lib/Balancer/WorkspaceTally.cpp
@@ -0,0 +1,95 @@
+#include "WorkspaceTally.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace berylridge {
+
+namespace {
+
+constexpr Duration tellPeriod = std::chrono::seconds(1);
+/// Workspaces of one line, those that asked most; the line stays under a few kilobytes.
+constexpr std::size_t workspaceLimit = 24;
+
+Json::Value counts(const std::map<std::string, std::uint64_t> &byName)
+{
+    Json::Value out(Json::objectValue);
+    for (const auto &[name, count] : byName)
+        out[name] = Json::UInt64(count);
+    return out;
+}
+
+Json::Value wholeTokens(double tokens)
+{
+    return Json::Int64(std::llround(tokens));
+}
+
+} // namespace
+
+void WorkspaceTally::asked(const BalancedRequest &request, double tokens)
+{
+    Entry &entry = m_entries[request.workspace.str()];
+    ++entry.requests;
+    entry.askedTokens += tokens;
+}
+
+void WorkspaceTally::admitted(const BalancedRequest &request, double tokens)
+{
+    m_entries[request.workspace.str()].admittedTokens += tokens;
+}
+
+void WorkspaceTally::refused(const BalancedRequest &request, const char *type)
+{
+    ++m_entries[request.workspace.str()].refusals[type];
+    m_hasRefusals = true;
+}
+
+void WorkspaceTally::begun(const BalancedRequest &request, bool isLate)
+{
+    Entry &entry = m_entries[request.workspace.str()];
+    ++entry.begun;
+    entry.late += isLate ? 1 : 0;
+}
+
+void WorkspaceTally::attemptFailed(const BalancedRequest &request, const char *failure)
+{
+    ++m_entries[request.workspace.str()].failures[failure];
+}
+
+void WorkspaceTally::tick()
+{
+    if (m_context.now - m_toldAt < tellPeriod)
+        return;
+    m_toldAt = m_context.now;
+    const auto entries = std::exchange(m_entries, {});
+    if (!std::exchange(m_hasRefusals, false))
+        return;
+    std::vector<const std::pair<const std::string, Entry> *> order;
+    for (const auto &named : entries)
+        order.push_back(&named);
+    std::sort(order.begin(), order.end(), [](const auto *left, const auto *right) {
+        return left->second.askedTokens > right->second.askedTokens;
+    });
+    order.resize(std::min(order.size(), workspaceLimit));
+    Json::Value workspaces(Json::objectValue);
+    for (const auto *named : order) {
+        const Entry &entry = named->second;
+        Json::Value &out = workspaces[named->first];
+        out["requests"] = Json::UInt64(entry.requests);
+        out["askedTokens"] = wholeTokens(entry.askedTokens);
+        out["admittedTokens"] = wholeTokens(entry.admittedTokens);
+        out["begun"] = Json::UInt64(entry.begun);
+        out["late"] = Json::UInt64(entry.late);
+        out["refused"] = counts(entry.refusals);
+        out["failed"] = counts(entry.failures);
+    }
+    Json::Value fields;
+    fields["named"] = Json::UInt64(order.size());
+    fields["known"] = Json::UInt64(entries.size());
+    fields["workspaces"] = std::move(workspaces);
+    m_context.log(LogEventId::WorkspaceTally, "", std::move(fields));
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/WorkspaceTally.h
@@ -0,0 +1,52 @@
+// One line a second of what workspaces asked for and got while some of it is refused.
+//
+// Load it answers: one workspace is refused a thousand times a second, and its lines in the log
+// leave no room for those of the others, of whom an operator asks who got what.
+#pragma once
+
+#include "BalancedRequest.h"
+#include "BalancerContext.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace berylridge {
+
+class WorkspaceTally
+{
+public:
+    explicit WorkspaceTally(BalancerContext &context)
+        : m_context(context)
+    {
+    }
+
+    void asked(const BalancedRequest &request, double tokens);
+    void admitted(const BalancedRequest &request, double tokens);
+    void refused(const BalancedRequest &request, const char *type);
+    /// The answer began.
+    void begun(const BalancedRequest &request, bool isLate);
+    void attemptFailed(const BalancedRequest &request, const char *failure);
+
+    /// Logs and begins anew, once a second at most.
+    void tick();
+
+private:
+    struct Entry
+    {
+        std::uint64_t requests = 0;
+        double askedTokens = 0;
+        double admittedTokens = 0;
+        std::uint64_t begun = 0;
+        std::uint64_t late = 0;                           ///< Of those begun.
+        std::map<std::string, std::uint64_t> refusals {}; ///< By type.
+        std::map<std::string, std::uint64_t> failures {}; ///< Of attempts, by kind.
+    };
+
+    BalancerContext &m_context;
+    std::map<std::string, Entry> m_entries; ///< By workspace.
+    bool m_hasRefusals = false;
+    TimePoint m_toldAt {};
+};
+
+} // namespace berylridge
--- a/lib/Net/CallerListener.cpp
+++ b/lib/Net/CallerListener.cpp
@@ -4,6 +4,7 @@
 #include "TrafficThread.h"
 
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace berylridge {
 
@@ -15,8 +16,10 @@
 
 } // namespace
 
-CallerListener::CallerListener(std::vector<std::unique_ptr<TrafficThread>> &threads)
+CallerListener::CallerListener(std::vector<std::unique_ptr<TrafficThread>> &threads,
+                               std::function<void(const LogRecord &)> log)
     : m_threads(threads)
+    , m_log(std::move(log))
     , m_acceptor(threads.front()->context())
     , m_retryTimer(threads.front()->context())
 {
@@ -45,6 +48,7 @@
                                     accept();
                                     return;
                                 }
+                                onFailed(error);
                                 m_retryTimer.expires_after(acceptRetry);
                                 m_retryTimer.async_wait([this](error_code waitError) {
                                     if (!waitError)
@@ -53,6 +57,12 @@
                             });
 }
 
+void CallerListener::onFailed(const error_code &error)
+{
+    ++m_threads.front()->metrics().acceptFailures;
+    m_log({LogEventId::AcceptFailed, error.message()});
+}
+
 void CallerListener::acceptWaiting()
 {
     // One connection a turn of a busy thread is too few: a turn takes a tenth of a second there,
--- a/lib/Net/CallerListener.h
+++ b/lib/Net/CallerListener.h
@@ -3,7 +3,10 @@
 
 #include "berylridge/Net/Asio.h"
 
+#include "berylridge/Support/LogEvent.h"
+
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,7 +19,8 @@
 class CallerListener
 {
 public:
-    explicit CallerListener(std::vector<std::unique_ptr<TrafficThread>> &threads);
+    CallerListener(std::vector<std::unique_ptr<TrafficThread>> &threads,
+                   std::function<void(const LogRecord &)> log);
 
     /// Before the threads start. Empty where it listens, else why it can't.
     std::string listen(const Endpoint &endpoint);
@@ -28,8 +32,10 @@
 private:
     void accept();
     void acceptWaiting();
+    void onFailed(const error_code &error);
 
     std::vector<std::unique_ptr<TrafficThread>> &m_threads;
+    std::function<void(const LogRecord &)> m_log;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
     Endpoint m_endpoint;
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -209,9 +209,19 @@
     if (m_buffer.size() == 0)
         m_buffer.shrink_to_fit(); // A waiting request may wait for long.
     ++m_thread.metrics().requestsReceived;
+    if (hasCallerLeft())
+        m_thread.countLeftUnread();
     beginExchange();
 }
 
+bool CallerSession::hasCallerLeft()
+{
+    std::array<char, 1> byte {};
+    error_code error;
+    m_socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void CallerSession::beginExchange()
 {
     const RequestHandle handle = m_thread.nextHandle();
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -61,6 +61,7 @@
     void onHead(error_code error);
     void readRest();
     void onRequest();
+    bool hasCallerLeft();
     void onReadError(error_code error);
     void beginExchange();
     void answerProblem(const Problem &problem, bool isKept);
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -134,6 +134,14 @@
             printValue("berylridge_refusals_total", label("type", type), count, out);
     }
     counter("berylridge_callers_gone_total", "callers that left before their answer", callersGone);
+    counter("berylridge_callers_gone_unread_total",
+            "requests that were read when their callers had left", callersGoneUnread);
+    counter("berylridge_caller_connections_accepted_total", "connections of callers",
+            connectionsAccepted);
+    counter("berylridge_accept_failures_total", "connections that could not be accepted",
+            acceptFailures);
+    printOne("berylridge_traffic_lag_seconds", "how late a traffic thread ran", "gauge",
+             static_cast<double>(trafficLagMicroseconds.load()) * 1e-6, out);
     printOne("berylridge_caller_connections", "open connections of callers", "gauge",
              connectionsOpen.load(), out);
     counter("berylridge_caller_connections_refused_total", "connections beyond the limit",
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -153,7 +153,8 @@
     m_options.report = [this](std::vector<Event> &events) { m_loop.postAll(events); };
     for (unsigned i = 0; i < settings.trafficThreads; ++i)
         m_threads.push_back(std::make_unique<TrafficThread>(i, m_options, m_metrics));
-    m_listener = std::make_unique<CallerListener>(m_threads);
+    m_listener = std::make_unique<CallerListener>(
+        m_threads, [this](const LogRecord &record) { m_log.add(record); });
 }
 
 RouterNode::Impl::~Impl()
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -80,8 +80,10 @@
 
 void TrafficThread::adopt(tcp::socket socket)
 {
+    ++m_metrics.connectionsAccepted;
     auto session = std::make_shared<CallerSession>(*this, std::move(socket));
     asio::post(m_context, [this, session = std::move(session)] {
+        ++m_accepted;
         m_sessions.insert(session.get());
         session->start();
     });
@@ -147,13 +149,20 @@
         const auto lag = std::chrono::steady_clock::now() - m_lagTimer.expiry();
         const bool isLate = lag > leastLag;
         // Once more after the last late turn, so that the core learns of its end.
-        if (isLate || std::exchange(m_wasLate, isLate))
-            report(TrafficLag {std::chrono::duration_cast<Duration>(lag)});
+        if (isLate || m_wasLate)
+            reportLag(std::chrono::duration_cast<Duration>(lag));
         m_wasLate = isLate;
         measureLag();
     });
 }
 
+void TrafficThread::reportLag(Duration lag)
+{
+    m_metrics.trafficLagMicroseconds
+        = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
+    report(TrafficLag {lag, std::exchange(m_accepted, 0), std::exchange(m_leftUnread, 0)});
+}
+
 void TrafficThread::drain(std::function<void()> done)
 {
     asio::post(m_context, [this, done = std::move(done)]() mutable {
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -79,6 +79,12 @@
             && static_cast<double>(m_metrics.connectionsOpen)
             < crowdedPart * m_options.connectionLimit;
     }
+    /// Counts a request that was read when its caller had left.
+    void countLeftUnread()
+    {
+        ++m_leftUnread;
+        ++m_metrics.callersGoneUnread;
+    }
     /// To the core, with whatever else is reported in this turn of the thread.
     void report(Event event);
     /// Its remainder by the number of threads is this thread's index.
@@ -96,6 +102,7 @@
     void flushReports();
     void closeIdleTargets();
     void measureLag();
+    void reportLag(Duration lag);
     void closeWhenWritten(std::function<void()> done, int roundsLeft);
     bool anyWriting() const;
     void closeAll();
@@ -112,6 +119,9 @@
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_lagTimer;
     bool m_wasLate = false;
+    // Since the last report of lag.
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_leftUnread = 0;
     Mailbox<TrafficOrder> m_orders;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
