--- a/unittests/Policy/FleetSharesTest.cpp
+++ b/unittests/Policy/FleetSharesTest.cpp
@@ -20,20 +20,24 @@
 constexpr double tokensPerMs = 100; ///< Of each target.
 constexpr double latencyTargetMs = 600;
 constexpr double meanTokens = 12000; ///< Of a request.
-constexpr int tellEveryMs = 600;     ///< Each node hears each other node once in this time.
+constexpr int tellEveryMs = 100;
+constexpr std::size_t turnsToTellAll = 6;
 constexpr int updateEveryMs = 100;
 constexpr double namedCapacity = 20e6;
 
-/// Nodes before targets that read at a fixed rate.
+/// Nodes before targets that read at a fixed rate. Each node tells a sixth of the others each
+/// tenth of a second what its callers ask and what it has at each target.
 class ModelFleet
 {
 public:
     ModelFleet()
         : m_nodes(nodeCount)
-        , m_queued(targetCount)
     {
-        for (Node &node : m_nodes)
-            node.known.resize(targetCount);
+        for (Node &node : m_nodes) {
+            node.own.resize(targetCount);
+            node.heard.resize(nodeCount, std::vector<double>(targetCount));
+            node.heardSum.resize(targetCount);
+        }
     }
 
     /// A request of the workspace comes to one of the nodes from first to last.
@@ -44,30 +48,29 @@
         const double tokens = -std::log(1 - uniform(m_random)) * meanTokens;
         asked[workspace] += tokens;
         node.shares.onAsked(workspace, tokens, m_clock.now());
-        const auto least = std::min_element(node.known.begin(), node.known.end());
-        const auto target = static_cast<std::size_t>(least - node.known.begin());
+        std::size_t target = 0;
+        for (std::size_t i = 1; i < targetCount; ++i)
+            target = node.known(i) < node.known(target) ? i : target;
         const double ahead = node.shares.secondsAhead(workspace, m_clock.now());
         const double allowed = allowedWaitMs({latencyTargetMs, tokens / tokensPerMs, ahead});
-        if (*least / tokensPerMs > allowed) {
+        if (node.known(target) / tokensPerMs > allowed) {
             node.shares.onTurnedAway(tokens, m_clock.now());
             return;
         }
         node.shares.onAdmitted(workspace, tokens, m_clock.now());
         got[workspace] += tokens;
-        m_queued[target] += tokens;
-        *least += tokens;
+        node.own[target] += tokens;
     }
 
     void passMs()
     {
-        for (double &queued : m_queued)
-            queued = std::max(0.0, queued - tokensPerMs);
+        for (std::size_t i = 0; i < targetCount; ++i)
+            read(i);
         m_clock.advance(1ms);
         ++m_ms;
         for (std::size_t i = 0; i < nodeCount; ++i) {
-            // Nodes tell in turn, so that what each knows is of all ages up to the period.
-            if ((m_ms + static_cast<int>(i) * 10) % tellEveryMs == 0)
-                hear(i);
+            if ((m_ms + static_cast<int>(i)) % tellEveryMs == 0)
+                tell(i);
             if ((m_ms + static_cast<int>(i)) % updateEveryMs == 0)
                 m_nodes[i].shares.update(namedCapacity, m_clock.now());
         }
@@ -80,69 +83,132 @@
     struct Node
     {
         WorkspaceShares shares;
-        std::vector<double> known; ///< Tokens queued at each target.
+        std::vector<double> own;                ///< Tokens of its requests, by target.
+        std::vector<std::vector<double>> heard; ///< The same of other nodes.
+        std::vector<double> heardSum;
+
+        double known(std::size_t target) const { return own[target] + heardSum[target]; }
     };
 
-    void hear(std::size_t listener)
+    void read(std::size_t target)
+    {
+        double queued = 0;
+        for (const Node &node : m_nodes)
+            queued += node.own[target];
+        const double left = queued > tokensPerMs ? 1 - tokensPerMs / queued : 0;
+        for (Node &node : m_nodes)
+            node.own[target] *= left;
+    }
+
+    void tell(std::size_t teller)
     {
-        Node &node = m_nodes[listener];
-        node.known = m_queued;
+        const Node &from = m_nodes[teller];
+        const TimePoint now = m_clock.now();
+        const auto turn = static_cast<std::size_t>(m_ms / tellEveryMs);
         for (std::size_t i = 0; i < nodeCount; ++i) {
-            if (i == listener)
+            if (i == teller || (i + teller + turn) % turnsToTellAll != 0)
                 continue;
-            const WorkspaceShares &shares = m_nodes[i].shares;
-            const TimePoint now = m_clock.now();
-            node.shares.onDigest(NodeId("n" + std::to_string(i)),
-                                 {shares.ownDemands(now), shares.servedPerSecond(now),
-                                  shares.turnedAwayPerSecond(now)},
+            Node &node = m_nodes[i];
+            node.shares.onDigest(NodeId("n" + std::to_string(teller)),
+                                 {from.shares.ownDemands(now), from.shares.servedPerSecond(now),
+                                  from.shares.turnedAwayPerSecond(now)},
                                  now);
+            for (std::size_t target = 0; target < targetCount; ++target)
+                node.heardSum[target] += from.own[target] - node.heard[teller][target];
+            node.heard[teller] = from.own;
         }
     }
 
     PausedClock m_clock;
     std::vector<Node> m_nodes;
-    std::vector<double> m_queued;
     RandomEngine m_random {7};
     int m_ms = 0;
 };
 
+/// What workspaces got and asked from one moment on.
+class Window
+{
+public:
+    explicit Window(const ModelFleet &fleet)
+        : m_askedBefore(fleet.asked)
+        , m_gotBefore(fleet.got)
+    {
+    }
+
+    /// Each gets at least half of what it asked or the best served one got.
+    void expectFair(const ModelFleet &fleet)
+    {
+        double most = 0;
+        for (const auto &[workspace, tokens] : fleet.got)
+            most = std::max(most, tokens - m_gotBefore[workspace]);
+        for (const auto &[workspace, tokens] : fleet.got) {
+            const double got = tokens - m_gotBefore[workspace];
+            const double asked = fleet.asked.at(workspace) - m_askedBefore[workspace];
+            EXPECT_GE(got, std::min(asked, most) / 2)
+                << "workspace " << workspace << " asked " << asked << ", the best got " << most;
+        }
+    }
+
+private:
+    std::map<WorkspaceKey, double> m_askedBefore;
+    std::map<WorkspaceKey, double> m_gotBefore;
+};
+
+constexpr WorkspaceKey flood = 1;
+constexpr WorkspaceKey firstLarge = 2; ///< Three of them, each at one node.
+constexpr WorkspaceKey firstSmall = 5; ///< Ten of them, each at two nodes.
+
+/// Twice what the targets read, without the flood.
+void askUsual(ModelFleet &fleet, int ms)
+{
+    if (ms % 5 == 0) {
+        for (WorkspaceKey i = 0; i < 3; ++i)
+            fleet.ask(firstLarge + i, i, i);
+    }
+    if (ms % 40 == 0) {
+        for (WorkspaceKey i = 0; i < 10; ++i)
+            fleet.ask(firstSmall + i, 10 + 2 * i, 11 + 2 * i);
+    }
+}
+
 } // namespace
 
 // Guards against a flood that comes to all nodes getting several times what others get, while
 // small workspaces find the targets full.
 TEST(FleetShares, AFloodAtAllNodesLeavesOthersTheirShare)
 {
-    constexpr WorkspaceKey flood = 1;
-    constexpr WorkspaceKey firstLarge = 2; // Three of them, each at one node.
-    constexpr WorkspaceKey firstSmall = 5; // Ten of them, each at two nodes.
     ModelFleet fleet;
-    std::map<WorkspaceKey, double> askedBefore;
-    std::map<WorkspaceKey, double> gotBefore;
-    for (int ms = 0; ms < 14000; ++ms) {
-        if (ms == 8000) {
-            askedBefore = fleet.asked;
-            gotBefore = fleet.got;
-        }
+    for (int ms = 0; ms < 8000; ++ms) {
         fleet.ask(flood, 0, nodeCount - 1);
-        if (ms % 2 == 0)
-            fleet.ask(flood, 0, nodeCount - 1);
-        if (ms % 5 == 0) {
-            for (WorkspaceKey i = 0; i < 3; ++i)
-                fleet.ask(firstLarge + i, i, i);
-        }
-        if (ms % 40 == 0) {
-            for (WorkspaceKey i = 0; i < 10; ++i)
-                fleet.ask(firstSmall + i, 10 + 2 * i, 11 + 2 * i);
-        }
+        askUsual(fleet, ms);
+        fleet.passMs();
+    }
+    Window window(fleet);
+    for (int ms = 0; ms < 6000; ++ms) {
+        fleet.ask(flood, 0, nodeCount - 1);
+        askUsual(fleet, ms);
+        fleet.passMs();
+    }
+    window.expectFair(fleet);
+}
+
+// Guards against a flood that begins at all nodes at once and takes the room of several seconds
+// before nodes have heard of each other's demand.
+TEST(FleetShares, AFloodThatBeginsAtAllNodesLeavesOthersTheirShare)
+{
+    ModelFleet fleet;
+    for (int ms = 0; ms < 8000; ++ms) {
+        if (ms % 50 == 0)
+            fleet.ask(flood, 0, nodeCount - 1); // Its usual.
+        askUsual(fleet, ms);
         fleet.passMs();
     }
-    double most = 0;
-    for (const auto &[workspace, tokens] : fleet.got)
-        most = std::max(most, tokens - gotBefore[workspace]);
-    for (const auto &[workspace, tokens] : fleet.got) {
-        const double got = tokens - gotBefore[workspace];
-        const double owed = std::min(fleet.asked[workspace] - askedBefore[workspace], most);
-        EXPECT_GE(got, owed / 2) << "workspace " << workspace << " asked "
-                                 << fleet.asked[workspace] - askedBefore[workspace];
+    Window window(fleet);
+    for (int ms = 0; ms < 6000; ++ms) {
+        fleet.ask(flood, 0, nodeCount - 1);
+        fleet.ask(flood, 0, nodeCount - 1);
+        askUsual(fleet, ms);
+        fleet.passMs();
     }
+    window.expectFair(fleet);
 }
