Bound the queue of connections, take all of it each turn, and turn away before the core is asked

Cause: the overload control did not see the queue in which requests waited. Each refusal went to the core and back. Ruled out: descriptors (accept failed nowhere), the control thread.

Now a turn takes all that waits, the queue holds 256, the part is worked out by the time that the thread is late for and never fades by itself, refusals go out from the traffic thread by the head alone, and a request whose caller has left goes nowhere. The product's own interface has the same by acceptedLagMs, off unless set.

Tests: HeldThreadTest (the two known red pass, two new), NodeLoad.AFloodIsShedWhereReportsComeAsLateAsTheThreadRuns (failed on the old controller). NodeLoad.OneLateTurn reports each period, as the contract now says; what it asks is the same. All other tests passed; PolicyTests has the known red one.

--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -34,6 +34,8 @@
     std::uint64_t bodyLimit = 4 << 20;    ///< Bytes of a caller's request body.
     std::uint32_t connectionLimit = 4096; ///< Callers' connections open at once.
     std::uint32_t descriptorLimit = 0;    ///< Open files that the system allows; 0: not known.
+    /// A traffic thread that runs later than this turns requests away; 0: never.
+    Duration acceptedLag {0};
     Duration readTimeout = std::chrono::seconds(10); ///< For a caller to send a whole request.
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspectAfter = std::chrono::milliseconds(1200);
--- a/include/berylridge/Net/WireProtocol.h
+++ b/include/berylridge/Net/WireProtocol.h
@@ -42,6 +42,13 @@
     std::optional<Duration> coldFor {}; ///< How long the target says that it stays cold.
 };
 
+/// Who sends a request, as its head says.
+struct CallerNames
+{
+    std::string requestId;  ///< Empty where the caller gave none.
+    std::string credential; ///< The workspace's key; empty where there is none.
+};
+
 /// Choices of a protocol that the shell itself acts on.
 struct WireRules
 {
@@ -59,6 +66,9 @@
                const Dispatch &order, const AttemptNames &names, RequestHead &requestHead,
                const AnswerHead &answerHead, CallerAnswerHead &callerHead, const Problem &problem)
 {
+    {
+        protocol.readCaller(request)
+        } -> std::same_as<CallerNames>;
     {
         protocol.readRequest(request, text)
         } -> std::same_as<std::variant<RequestArrived, Problem>>;
@@ -84,6 +94,8 @@
 /// A protocol as the shell holds it; the protocol itself must outlive it.
 struct WireProtocolHandle
 {
+    /// From the request's head; its body need not have been read.
+    std::function<CallerNames(const StringRequest &)> readCaller;
     /// The event for a request that was read whole, without its handle; or why it is refused.
     std::function<std::variant<RequestArrived, Problem>(const StringRequest &,
                                                         std::string_view freshId)>
@@ -105,7 +117,8 @@
     template <WireProtocol T>
     static WireProtocolHandle of(const T &protocol)
     {
-        return {[&protocol](const StringRequest &request, std::string_view freshId) {
+        return {[&protocol](const StringRequest &request) { return protocol.readCaller(request); },
+                [&protocol](const StringRequest &request, std::string_view freshId) {
                     return protocol.readRequest(request, freshId);
                 },
                 [&protocol](std::string_view name) { return protocol.passesRequestField(name); },
--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -1,4 +1,4 @@
-// What this node's own processor bears, and whose requests are turned away when it bears no more.
+// What one thread's processor bears, and whose requests are turned away when it bears no more.
 //
 // Load it answers: all callers of a large workspace are sent to one node, which gets ten times its
 // usual requests. Its processor is used up, and every caller of the node waits for seconds until
@@ -6,25 +6,41 @@
 // nodes.
 #pragma once
 
-#include "berylridge/Policy/WorkspaceShares.h"
+#include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Time.h"
 
+#include <cstdint>
 #include <unordered_map>
 
 namespace berylridge {
 
+/// shortHash() of a credential; 0 for callers without one.
+using CredentialKey = std::uint32_t;
+
 /// Not safe for use by two threads at once.
 class NodeLoad
 {
 public:
-    /// How late a traffic thread ran; told each period while it is late, and once after.
-    void onLag(Duration lag, TimePoint now);
+    /// A tenth of the shortest latency target in use.
+    static constexpr Duration usualAcceptedLag = std::chrono::milliseconds(30);
+
+    explicit NodeLoad(Duration acceptedLag = usualAcceptedLag)
+        : m_acceptedLag(acceptedLag)
+    {
+    }
+
+    /// Between two reports of a thread that isn't late.
+    static constexpr Duration reportPeriod = std::chrono::milliseconds(50);
+
+    /// How late the thread ran; told each period, which is longer by as much. Time without a report
+    /// says nothing: the thread that reports is the one that is late.
+    void onLag(Duration lag);
 
-    /// Whether a request of the workspace is to be turned away; counts it as arrived.
-    bool sheds(WorkspaceKey workspace, TimePoint now);
+    /// Whether a request with the credential is to be turned away; counts it as arrived.
+    bool sheds(CredentialKey credential, TimePoint now);
 
     /// Part of the arrivals that are turned away, from 0 to 1.
-    double shedPart(TimePoint now) const;
+    double shedPart() const { return m_part; }
 
 private:
     struct Arrivals
@@ -35,9 +51,9 @@
 
     double keptPart(const Arrivals &arrivals, TimePoint now) const;
 
-    std::unordered_map<WorkspaceKey, Arrivals> m_arrivals;
-    double m_part = 0; ///< As of the last report.
-    TimePoint m_reportedAt {};
+    const Duration m_acceptedLag;
+    std::unordered_map<CredentialKey, Arrivals> m_arrivals;
+    double m_part = 0;
 };
 
 } // namespace berylridge
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -162,6 +162,7 @@
     // Since the thread's last report:
     std::uint64_t connections = 0; ///< That were accepted.
     std::uint64_t leftUnread = 0;  ///< Requests whose caller had left before they were read.
+    std::uint64_t shed = 0;        ///< Requests that it turned away itself.
 };
 
 /// The platform did not answer, or answers again.
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -18,8 +18,6 @@
 constexpr Duration startingRetryAfter = std::chrono::milliseconds(300);
 /// The next connection of the caller reaches another node.
 constexpr Duration leavingRetryAfter = std::chrono::milliseconds(20);
-/// As the next connection reaches another node, which is likely to have room.
-constexpr Duration busyRetryAfter = std::chrono::milliseconds(30);
 /// Where no target can be reached: most faults pass in a few seconds, and a target is tried again
 /// within two.
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
@@ -137,9 +135,6 @@
         if (workspace)
             request.workspace = WorkspaceId(workspace->name);
     }
-    if (m_nodeLoad.sheds(request.workspaceKey(), m_context.now))
-        return Refusal {503, "busy", "the router has more to do than it can",
-                        spread(busyRetryAfter)};
     request.fingerprint = fingerprintOf(event, request.workspace);
     if (m_crashes.blockedFor(request.fingerprint, m_context.now))
         return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
@@ -436,10 +431,10 @@
 
 void RequestFlow::onLag(const TrafficLag &event)
 {
-    m_nodeLoad.onLag(event.lag, m_context.now);
     m_worstLag = std::max(m_worstLag, event.lag);
     m_accepted += event.connections;
     m_leftUnread += event.leftUnread;
+    m_shed += event.shed;
 }
 
 void RequestFlow::logBusy()
@@ -449,7 +444,7 @@
     m_busyToldAt = m_context.now;
     Json::Value fields;
     fields["lagMs"] = toMilliseconds(std::exchange(m_worstLag, Duration(0)));
-    fields["shedPercent"] = std::lround(m_nodeLoad.shedPart(m_context.now) * 100);
+    fields["turnedAway"] = Json::UInt64(std::exchange(m_shed, 0));
     fields["connections"] = Json::UInt64(std::exchange(m_accepted, 0));
     fields["leftUnread"] = Json::UInt64(std::exchange(m_leftUnread, 0));
     fields["running"] = Json::UInt64(m_requests.size());
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -9,7 +9,6 @@
 #include "WorkspaceTally.h"
 
 #include "berylridge/Policy/CrashRecord.h"
-#include "berylridge/Policy/NodeLoad.h"
 #include "berylridge/Support/Random.h"
 
 #include <map>
@@ -73,7 +72,6 @@
     RequestLog m_log;
     WorkspaceTally m_tally;
     WorkspaceShares m_shares;
-    NodeLoad m_nodeLoad;
     CrashRecord m_crashes;
     std::map<std::string, RetryShare> m_retries; ///< By service.
     std::unordered_map<RequestHandle, BalancedRequest> m_requests;
@@ -84,6 +82,7 @@
     Duration m_worstLag {0};
     std::uint64_t m_accepted = 0;
     std::uint64_t m_leftUnread = 0;
+    std::uint64_t m_shed = 0;
     TimePoint m_busyToldAt {};
     bool m_wasFull = false;
     bool m_isClosed = false;
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -89,6 +89,7 @@
     fields.integer("bodyLimit", settings.bodyLimit, 1, 1ULL << 30);
     fields.integer("connectionLimit", settings.connectionLimit, 1, 1'000'000);
     fields.integer("descriptorLimit", settings.descriptorLimit, 0, 100'000'000);
+    fields.duration("acceptedLagMs", settings.acceptedLag, milliseconds(0), minutes(1));
     fields.duration("readTimeoutMs", settings.readTimeout, milliseconds(10), hours(1));
     fields.duration("heartbeatPeriodMs", settings.heartbeatPeriod, milliseconds(10), minutes(1));
     fields.duration("suspectAfterMs", settings.suspectAfter, milliseconds(20), minutes(10));
--- a/lib/Net/CallerListener.cpp
+++ b/lib/Net/CallerListener.cpp
@@ -12,7 +12,11 @@
 
 /// Out of file descriptors: accepting at once again would only spin.
 constexpr std::chrono::milliseconds acceptRetry {100};
-constexpr int acceptBatch = 32;
+
+/// Connections that wait to be taken. A thread without processor time answers so many within the
+/// second that callers wait; of a longer queue it would only take connections of callers who have
+/// given up.
+constexpr int queueLimit = 256;
 
 } // namespace
 
@@ -27,7 +31,7 @@
 
 std::string CallerListener::listen(const Endpoint &endpoint)
 {
-    std::string reason = openAcceptor(m_acceptor, endpoint);
+    std::string reason = openAcceptor(m_acceptor, endpoint, queueLimit);
     if (!reason.empty())
         return reason;
     m_endpoint = boundEndpoint(m_acceptor);
@@ -65,11 +69,10 @@
 
 void CallerListener::acceptWaiting()
 {
-    // One connection a turn of a busy thread is too few: a turn takes a tenth of a second there,
-    // and callers who wait for a second give up.
+    // Whatever waits: no measure of the thread's load sees what stays in the system's queue.
     error_code error;
     m_acceptor.non_blocking(true, error);
-    for (int i = 0; i < acceptBatch && !error; ++i) {
+    while (!error) {
         TrafficThread &thread = *m_threads[m_next % m_threads.size()];
         tcp::socket socket = m_acceptor.accept(thread.context(), error);
         if (error)
--- a/lib/Net/CallerRequest.cpp
+++ b/lib/Net/CallerRequest.cpp
@@ -40,12 +40,6 @@
     return text.substr(prefix.size());
 }
 
-std::string credentialOf(const StringRequest &request)
-{
-    const auto key = afterPrefix(view(request[http::field::authorization]), "Bearer ");
-    return std::string(key.value_or(""));
-}
-
 std::optional<double> costHintOf(const StringRequest &request)
 {
     const std::string_view text = view(request[beastView(fields::costHint)]);
@@ -101,6 +95,12 @@
 
 } // namespace
 
+std::string credentialOf(const StringRequest &request)
+{
+    const auto key = afterPrefix(view(request[http::field::authorization]), "Bearer ");
+    return std::string(key.value_or(""));
+}
+
 std::variant<RequestArrived, Problem> readCallerRequest(const StringRequest &request,
                                                         std::string_view freshId)
 {
--- a/lib/Net/CallerRequest.h
+++ b/lib/Net/CallerRequest.h
@@ -30,6 +30,9 @@
 std::variant<RequestArrived, Problem> readCallerRequest(const StringRequest &request,
                                                         std::string_view freshId);
 
+/// The workspace's key in the request's head; empty where there is none.
+std::string credentialOf(const StringRequest &request);
+
 /// The problem that stands for an error of the HTTP parser; nothing where the connection broke.
 std::optional<Problem> problemOfParser(const error_code &error);
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -56,6 +56,21 @@
                       false);
         return;
     }
+    takeWaiting();
+}
+
+void CallerSession::takeWaiting()
+{
+    // Callers send their request as soon as they are connected: it is mostly there when the
+    // connection is taken, and waiting for it would cost two system calls and a turn.
+    const asio::mutable_buffer scratch = m_thread.scratch();
+    error_code error;
+    const std::size_t size = m_socket.read_some(scratch, error);
+    if (error && error != asio::error::would_block) {
+        close();
+        return;
+    }
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(size), asio::buffer(scratch, size)));
     awaitRequest();
 }
 
@@ -162,6 +177,14 @@
                       false);
         return;
     }
+    const CallerNames caller = m_thread.protocol().readCaller(request);
+    if (m_thread.sheds(caller.credential)) {
+        // Nothing is left to arrive then, and the connection can be closed without a reset.
+        m_isRequestWhole = m_parser->is_done()
+            || m_parser->content_length_remaining().value_or(~0ULL) <= m_buffer.size();
+        answerProblem(m_thread.busyProblem(), false, caller.requestId);
+        return;
+    }
     if (m_parser->is_done()) {
         onRequest();
         return;
@@ -209,8 +232,11 @@
     if (m_buffer.size() == 0)
         m_buffer.shrink_to_fit(); // A waiting request may wait for long.
     ++m_thread.metrics().requestsReceived;
-    if (hasCallerLeft())
+    if (hasCallerLeft()) {
         m_thread.countLeftUnread();
+        close();
+        return;
+    }
     beginExchange();
 }
 
@@ -245,13 +271,15 @@
     watch();
 }
 
-void CallerSession::answerProblem(const Problem &problem, bool isKept)
+void CallerSession::answerProblem(const Problem &problem, bool isKept, std::string_view requestId)
 {
     m_state = State::Waiting;
     m_deadline->clear();
     ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
     m_thread.metrics().addRefusal(problem.type);
-    auto response = m_thread.protocol().problemAnswer(problem, m_thread.options().idPrefix + "0");
+    const std::string unknownId = m_thread.options().idPrefix + "0";
+    auto response = m_thread.protocol().problemAnswer(
+        problem, requestId.empty() ? std::string_view(unknownId) : requestId);
     response.keep_alive(isKept);
     write(wireText(response), [self = shared_from_this(), isKept] { self->endExchange(isKept); });
 }
@@ -305,6 +333,8 @@
     m_exchange.reset();
     if (isKept)
         awaitRequest();
+    else if (m_isRequestWhole)
+        close();
     else
         linger();
 }
@@ -326,6 +356,7 @@
     // short while.
     m_state = State::Closing;
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
     if (error) {
@@ -341,7 +372,7 @@
 
 void CallerSession::discard()
 {
-    m_socket.async_read_some(m_buffer.prepare(headReadBytes),
+    m_socket.async_read_some(m_thread.scratch(),
                              [self = shared_from_this()](error_code error, std::size_t) {
                                  if (error)
                                      self->close();
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -53,6 +53,7 @@
         std::function<void()> written;
     };
 
+    void takeWaiting();
     void awaitRequest();
     void watch();
     void onReadable(error_code error);
@@ -64,7 +65,7 @@
     bool hasCallerLeft();
     void onReadError(error_code error);
     void beginExchange();
-    void answerProblem(const Problem &problem, bool isKept);
+    void answerProblem(const Problem &problem, bool isKept, std::string_view requestId = {});
     void writeFront();
     void onWritten(error_code error);
     void callerGone();
@@ -82,6 +83,7 @@
     State m_state = State::Idle;
     bool m_isWatching = false;
     bool m_isOverdue = false;
+    bool m_isRequestWhole = false; ///< Refused, with all its bytes here.
     bool m_isWriteActive = false;
 };
 
--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -119,7 +119,7 @@
     });
 }
 
-std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint)
+std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint, int backlog)
 {
     const auto place = asioEndpoint<tcp>(endpoint);
     if (!place)
@@ -131,7 +131,7 @@
     if (!error)
         acceptor.bind(*place, error);
     if (!error)
-        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+        acceptor.listen(backlog, error);
     if (!error)
         return {};
     return endpoint.address + ":" + std::to_string(endpoint.port)
--- a/lib/Net/HttpListener.h
+++ b/lib/Net/HttpListener.h
@@ -48,8 +48,10 @@
     std::shared_ptr<Shared> m_shared;
 };
 
-/// Opens a listening socket on the endpoint; empty where it listens, else why it can't.
-std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint);
+/// Opens a listening socket on the endpoint, with so many connections that may wait to be taken.
+/// Empty where it listens, else why it can't.
+std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint,
+                         int backlog = tcp::acceptor::max_listen_connections);
 
 /// Where a listening socket is bound.
 Endpoint boundEndpoint(const tcp::acceptor &acceptor);
--- a/lib/Net/OwnProtocol.cpp
+++ b/lib/Net/OwnProtocol.cpp
@@ -20,6 +20,11 @@
 class OwnProtocol
 {
 public:
+    CallerNames readCaller(const StringRequest &request) const
+    {
+        return {std::string(view(request[beastView(fields::requestId)])), credentialOf(request)};
+    }
+
     std::variant<RequestArrived, Problem> readRequest(const StringRequest &request,
                                                       std::string_view freshId) const
     {
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -40,6 +40,7 @@
         options.connectionLimit = std::min(options.connectionLimit, std::max(part, 1U));
     }
     options.readTimeout = settings.readTimeout;
+    options.acceptedLag = settings.acceptedLag;
     options.threads = settings.trafficThreads;
     return options;
 }
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -3,6 +3,7 @@
 #include "CallerSession.h"
 #include "Exchange.h"
 #include "ThreadName.h"
+#include "berylridge/Support/Hash.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,10 +13,12 @@
 namespace {
 
 constexpr std::chrono::seconds idleSweepPeriod {1};
-/// Short beside the latency that callers expect, long enough to cost nothing.
-constexpr std::chrono::milliseconds lagPeriod {50};
 /// Below this a late timer says nothing of the load.
 constexpr std::chrono::milliseconds leastLag {15};
+/// The next connection of the caller reaches another node, which is likely to have room.
+constexpr Duration busyRetryAfter = std::chrono::milliseconds(30);
+/// Callers who are turned away together must not come back together.
+constexpr double retrySpread = 0.5;
 constexpr std::chrono::milliseconds drainPeriod {10};
 constexpr int drainRounds = 500; ///< Five seconds for callers to take the last bytes.
 
@@ -46,6 +49,8 @@
     , m_idleTimer(m_context)
     , m_drainTimer(m_context)
     , m_lagTimer(m_context)
+    , m_load(options.acceptedLag)
+    , m_random(index)
     , m_orders(m_context, [this](std::vector<TrafficOrder> &orders) { carryOut(orders); })
 {
 }
@@ -142,25 +147,44 @@
 
 void TrafficThread::measureLag()
 {
-    m_lagTimer.expires_after(lagPeriod);
+    m_lagTimer.expires_after(NodeLoad::reportPeriod);
     m_lagTimer.async_wait([this](error_code error) {
         if (error)
             return;
         const auto lag = std::chrono::steady_clock::now() - m_lagTimer.expiry();
-        const bool isLate = lag > leastLag;
-        // Once more after the last late turn, so that the core learns of its end.
-        if (isLate || m_wasLate)
-            reportLag(std::chrono::duration_cast<Duration>(lag));
-        m_wasLate = isLate;
+        onLag(std::chrono::duration_cast<Duration>(lag));
         measureLag();
     });
 }
 
-void TrafficThread::reportLag(Duration lag)
+void TrafficThread::onLag(Duration lag)
 {
+    if (m_options.acceptedLag > Duration(0))
+        m_load.onLag(lag);
     m_metrics.trafficLagMicroseconds
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
-    report(TrafficLag {lag, std::exchange(m_accepted, 0), std::exchange(m_leftUnread, 0)});
+    const bool isLate = lag > leastLag;
+    // Once more after the last late turn, so that the core learns of its end.
+    if (isLate || m_wasLate)
+        report(TrafficLag {lag, std::exchange(m_accepted, 0), std::exchange(m_leftUnread, 0),
+                           std::exchange(m_shed, 0)});
+    m_wasLate = isLate;
+}
+
+bool TrafficThread::sheds(std::string_view credential)
+{
+    if (m_options.acceptedLag == Duration(0))
+        return false;
+    const bool isShed = m_load.sheds(shortHash(credential), m_options.now());
+    m_shed += isShed ? 1 : 0;
+    return isShed;
+}
+
+Problem TrafficThread::busyProblem()
+{
+    const double spread = 1 + retrySpread * uniform(m_random);
+    return {503, "busy", "the router has more to do than it can", Verdict::NotRun,
+            fromSeconds(toSeconds(busyRetryAfter) * spread)};
 }
 
 void TrafficThread::drain(std::function<void()> done)
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -7,8 +7,12 @@
 
 #include "berylridge/Net/Metrics.h"
 #include "berylridge/Net/WireProtocol.h"
+#include "berylridge/Policy/NodeLoad.h"
 #include "berylridge/Router/Actions.h"
 
+#include "berylridge/Support/Random.h"
+
+#include <array>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,9 +41,11 @@
     std::uint64_t bodyLimit = 4 << 20;
     std::uint32_t connectionLimit = 4096;
     Duration readTimeout = std::chrono::seconds(10);
+    Duration acceptedLag {0}; ///< See Settings.
     unsigned threads = 1;
     WireProtocolHandle protocol = ownProtocol();
     std::function<void(std::vector<Event> &)> report; ///< To the control thread; takes them all.
+    std::function<TimePoint()> now = [] { return SystemClock().now(); };
 };
 
 class TrafficThread
@@ -79,6 +85,15 @@
             && static_cast<double>(m_metrics.connectionsOpen)
             < crowdedPart * m_options.connectionLimit;
     }
+    /// How late the thread ran.
+    void onLag(Duration lag);
+    /// Whether the thread has more to do than it can and turns a request away. Decided here, as a
+    /// request that goes to the core and back costs several times as much.
+    bool sheds(std::string_view credential);
+    /// What such a request is refused with.
+    Problem busyProblem();
+    /// Bytes that are read and dropped, or copied on at once.
+    asio::mutable_buffer scratch() { return asio::buffer(m_scratch); }
     /// Counts a request that was read when its caller had left.
     void countLeftUnread()
     {
@@ -96,13 +111,13 @@
 private:
     /// Room for a second's new connections of a flood above it.
     static constexpr double crowdedPart = 0.6;
+    static constexpr std::size_t scratchBytes = 64 << 10;
 
     void run();
     void carryOut(std::vector<TrafficOrder> &orders);
     void flushReports();
     void closeIdleTargets();
     void measureLag();
-    void reportLag(Duration lag);
     void closeWhenWritten(std::function<void()> done, int roundsLeft);
     bool anyWriting() const;
     void closeAll();
@@ -119,9 +134,13 @@
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_lagTimer;
     bool m_wasLate = false;
+    NodeLoad m_load;
+    RandomEngine m_random; ///< Spreads the return of callers.
+    std::array<char, scratchBytes> m_scratch {};
     // Since the last report of lag.
     std::uint64_t m_accepted = 0;
     std::uint64_t m_leftUnread = 0;
+    std::uint64_t m_shed = 0;
     Mailbox<TrafficOrder> m_orders;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
--- a/lib/Policy/NodeLoad.cpp
+++ b/lib/Policy/NodeLoad.cpp
@@ -1,5 +1,7 @@
 #include "berylridge/Policy/NodeLoad.h"
 
+#include "berylridge/Policy/WorkspaceShares.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -7,45 +9,33 @@
 
 namespace {
 
-/// A tenth of the shortest latency target in use.
-constexpr Duration acceptedLag = std::chrono::milliseconds(30);
-/// Of the part, for each report whose lag is twice the accepted one; a flood is met in half a
+/// Of the part, for each period whose lag is twice the accepted one; a flood is met in half a
 /// second.
 constexpr double gain = 0.06;
-/// Of the threads' reports while they are late.
-constexpr Duration reportPeriod = std::chrono::milliseconds(50);
 /// Lags beyond so many times the accepted one count the same.
 constexpr double highestLag = 4;
 /// Some requests go on, so that the node finds out when it bears more.
 constexpr double highestPart = 0.95;
-/// A workspace without arrivals for some seconds is forgotten.
+/// A credential without arrivals for some seconds is forgotten.
 constexpr double idleRate = 0.05;
 
 } // namespace
 
-void NodeLoad::onLag(Duration lag, TimePoint now)
-{
-    const double times = std::min(toSeconds(lag) / toSeconds(acceptedLag), highestLag);
-    m_part = std::clamp(shedPart(now) + gain * (times - 1), 0.0, highestPart);
-    m_reportedAt = now;
-}
-
-double NodeLoad::shedPart(TimePoint now) const
+void NodeLoad::onLag(Duration lag)
 {
-    // No report means that nothing is late. Without this, one late turn would turn callers away for
-    // as long as none is late.
-    const double quietSeconds = std::max(0.0, toSeconds(now - m_reportedAt - reportPeriod));
-    return std::max(0.0, m_part - gain * quietSeconds / toSeconds(reportPeriod));
+    const double times = std::min(toSeconds(lag) / toSeconds(m_acceptedLag), highestLag);
+    const double periods = std::max(1.0, toSeconds(lag) / toSeconds(reportPeriod));
+    m_part = std::clamp(m_part + gain * (times - 1) * periods, 0.0, highestPart);
 }
 
-bool NodeLoad::sheds(WorkspaceKey workspace, TimePoint now)
+bool NodeLoad::sheds(CredentialKey credential, TimePoint now)
 {
-    m_arrivals[workspace].rate.add(1, now);
-    if (shedPart(now) <= 0)
+    m_arrivals[credential].rate.add(1, now);
+    if (shedPart() <= 0)
         return false;
     std::erase_if(m_arrivals,
                   [&](const auto &entry) { return entry.second.rate.at(now) < idleRate; });
-    Arrivals &arrivals = m_arrivals[workspace];
+    Arrivals &arrivals = m_arrivals[credential];
     arrivals.kept = std::min(arrivals.kept + keptPart(arrivals, now), 2.0);
     if (arrivals.kept < 1)
         return true;
@@ -57,11 +47,11 @@
 {
     std::vector<double> rates;
     double total = 0;
-    for (const auto &[workspace, each] : m_arrivals) {
+    for (const auto &[credential, each] : m_arrivals) {
         rates.push_back(each.rate.at(now));
         total += rates.back();
     }
-    const double level = maxMinLevel(std::move(rates), (1 - shedPart(now)) * total);
+    const double level = maxMinLevel(std::move(rates), (1 - shedPart()) * total);
     return std::min(1.0, level / arrivals.rate.at(now));
 }
 
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -4,11 +4,14 @@
 #include "TrafficThread.h"
 
 #include <list>
+#include <poll.h>
 #include <vector>
 
 namespace berylridge::test {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t flood = 200;
 constexpr const char *path = "/v1/services/shop/orders";
 
@@ -18,6 +21,8 @@
 protected:
     HeldThreadTest()
     {
+        m_options.acceptedLag = 30ms;
+        m_options.now = [this] { return clock.now(); };
         m_options.report = [this](std::vector<Event> &events) {
             reported.insert(reported.end(), events.begin(), events.end());
         };
@@ -30,6 +35,7 @@
     TrafficThread &thread() { return *m_threads.front(); }
     asio::io_context &context() { return thread().context(); }
 
+    PausedClock clock;
     Metrics metrics;
     std::vector<Event> reported;
 
@@ -49,6 +55,24 @@
     EXPECT_EQ(metrics.connectionsAccepted, flood);
 }
 
+// Guards against a queue so long that callers give up before a busy thread reaches them.
+TEST_F(HeldThreadTest, connectionsBeyondAShortQueueAreNotTaken)
+{
+    asio::io_context io;
+    std::list<tcp::socket> sockets;
+    std::size_t connected = 0;
+    for (std::size_t i = 0; i < 1000; ++i) {
+        tcp::socket &socket = sockets.emplace_back(io, tcp::v4());
+        socket.non_blocking(true);
+        const tcp::endpoint to = *asioEndpoint<tcp>(endpoint()); // Asio's connect() would wait.
+        ::connect(socket.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        pollfd state {socket.native_handle(), POLLOUT, 0};
+        connected += ::poll(&state, 1, 0) == 1 ? 1 : 0;
+    }
+    EXPECT_GE(connected, flood);
+    EXPECT_LE(connected, 2 * flood);
+}
+
 // Guards against work for callers that gave up while their connections waited to be taken.
 TEST_F(HeldThreadTest, requestsOfCallersThatLeftInTheQueueAreDropped)
 {
@@ -59,12 +83,38 @@
     }
     FakeCaller waiting(endpoint());
     waiting.send(requestText("POST", path, {}, "clay"));
-    while (metrics.requestsReceived == 0 || reported.empty())
+    while (reported.empty())
         context().run_one();
     context().poll();
     EXPECT_EQ(reported.size(), 1U);
     EXPECT_EQ(metrics.callersGoneUnread, flood);
 }
 
+// Guards against refusals that cost a busy thread as much as what it serves: they go out when the
+// head is read, without the body and without the core.
+TEST_F(HeldThreadTest, busyThreadRefusesByTheHeadAlone)
+{
+    for (int i = 0; i < 10; ++i)
+        thread().onLag(1s);
+    const std::string head = "POST " + std::string(path)
+        + " HTTP/1.1\r\nHost: router\r\nX-Request-Id: r1\r\n"
+        + "Authorization: Bearer key\r\nContent-Length: 1000000\r\n\r\n";
+    std::list<FakeCaller> callers;
+    for (std::size_t i = 0; i < 2; ++i) {
+        callers.emplace_back(endpoint());
+        callers.back().send(head); // The first of a credential is always kept.
+    }
+    while (metrics.connectionsOpen < callers.size())
+        context().run_one();
+    context().poll();
+    const std::string answer = callers.back().readUntil("more to do than it can");
+    EXPECT_NE(answer.find("503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("X-Request-Id: r1"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    for (const Event &event : reported)
+        EXPECT_TRUE(std::holds_alternative<TrafficLag>(event));
+}
+
 } // namespace
 } // namespace berylridge::test
--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -19,6 +19,7 @@
     }
 
     void take(bool isKept) { m_queued += isKept ? 1 : 0.1; }
+    void hold(double requests) { m_queued += requests; }
     void passMs() { m_queued = std::max(0.0, m_queued - m_requestsPerMs); }
     Duration lag() const { return fromSeconds(m_queued / m_requestsPerMs / 1000); }
 
@@ -34,8 +35,8 @@
 // is turned away as far as it must be; the small workspace sees nothing of it.
 TEST(NodeLoad, AFloodAtOneNodeIsTurnedAwayAndItsNeighboursAreServed)
 {
-    constexpr WorkspaceKey flood = 1;
-    constexpr WorkspaceKey small = 2;
+    constexpr CredentialKey flood = 1;
+    constexpr CredentialKey small = 2;
     PausedClock clock;
     NodeLoad load;
     Processor processor(0.4);
@@ -44,7 +45,7 @@
     Duration worstLag {0};
     for (int ms = 0; ms < 10000; ++ms) {
         if (ms % 50 == 0)
-            load.onLag(processor.lag(), clock.now());
+            load.onLag(processor.lag());
         for (int i = 0; i < (ms % 10 == 0 ? 9 : 0); ++i) {
             const bool isKept = !load.sheds(flood, clock.now());
             floodKept += isKept && ms >= 4000 ? 1 : 0;
@@ -70,10 +71,11 @@
 {
     PausedClock clock;
     NodeLoad load;
-    load.onLag(110ms, clock.now());
-    clock.advance(50ms);
-    load.onLag(0ms, clock.now()); // The last report: from now on no turn is late.
-    clock.advance(300ms);
+    load.onLag(110ms);
+    for (int i = 0; i < 7; ++i) {
+        clock.advance(50ms);
+        load.onLag(0ms);
+    }
     int shed = 0;
     for (int i = 0; i < 100; ++i) {
         shed += load.sheds(1, clock.now()) ? 1 : 0;
@@ -81,3 +83,30 @@
     }
     EXPECT_EQ(shed, 0);
 }
+
+// Guards against a thread that is late by seconds and sheds nothing, as its reports are late too.
+TEST(NodeLoad, AFloodIsShedWhereReportsComeAsLateAsTheThreadRuns)
+{
+    PausedClock clock;
+    NodeLoad load;
+    Processor processor(0.4);
+    Duration worstLag {0};
+    int nextReport = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        if (ms == nextReport) {
+            const Duration lag = processor.lag();
+            load.onLag(lag);
+            nextReport += 50 + static_cast<int>(lag / 1ms);
+        }
+        // From the first moment on: the thread is late before the first report can tell.
+        for (int i = 0; i < (ms % 10 == 0 ? 9 : 0); ++i)
+            processor.take(!load.sheds(1, clock.now()));
+        if (ms == 0)
+            processor.hold(400);
+        if (ms >= 4000)
+            worstLag = std::max(worstLag, processor.lag());
+        processor.passMs();
+        clock.advance(1ms);
+    }
+    EXPECT_LT(worstLag, 200ms);
+}
