Shares: hear of a flood by a sample of nodes, count what it got before, and end its room

Cause: what nodes know of each other's demand is up to 0.6 s old, so a flood that begins at 74 nodes looks at each like a small workspace for 0.2 to 0.6 s, and nothing that it got then was held against it; and of what nodes take for idle, as old, it got twice its share by asking 2,000 times a second, as a workspace however far beyond its share was admitted where no wait was expected. The class: a decision by a view that is older than the change it must answer, taken by many nodes at once.

Now demand is estimated from the nodes that were heard in this period where that is more; what a workspace got unlimited while the fleet was full begins its debt; 2.5 s beyond its share it finds no room.

--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -14,7 +14,10 @@
     double secondsAhead = 0;
 };
 
-/// Longest wait in ms that is accepted.
+/// Below any wait: nothing is accepted.
+inline constexpr double noWaitMs = -1;
+
+/// Longest wait in ms that is accepted, or noWaitMs.
 double allowedWaitMs(const AdmissionNeed &need);
 
 } // namespace berylridge
--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -49,11 +49,13 @@
         double kept = 1; ///< Requests that may still be kept; a whole one keeps the next.
     };
 
-    double keptPart(const Arrivals &arrivals, TimePoint now) const;
+    void updateLevel(TimePoint now);
 
     const Duration m_acceptedLag;
     std::unordered_map<CredentialKey, Arrivals> m_arrivals;
     double m_part = 0;
+    double m_level = 0; ///< Requests a second that no credential with more is kept below.
+    TimePoint m_levelAt {};
 };
 
 } // namespace berylridge
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -85,6 +85,7 @@
     struct Own
     {
         Rate demand;
+        Rate unlimited;         ///< What it got while the fleet was full and it wasn't limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
         double credit = 0;      ///< Tokens that it may still get; below zero beyond its share.
         TimePoint creditedAt {};
@@ -97,12 +98,16 @@
     };
 
     double capacity(double namedCapacity, TimePoint now);
+    static void beginLimit(Own &own, TimePoint now);
+    /// Tokens a second over all nodes, as far as this one can tell.
+    std::unordered_map<WorkspaceKey, double> fleetDemands(TimePoint now) const;
 
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
     Rate m_served;
     Rate m_turnedAway;
     double m_level = 0;
+    TimePoint m_updatedAt {};
     bool m_isFull = false;
 };
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -179,10 +179,7 @@
     }
     const CallerNames caller = m_thread.protocol().readCaller(request);
     if (m_thread.sheds(caller.credential)) {
-        // Nothing is left to arrive then, and the connection can be closed without a reset.
-        m_isRequestWhole = m_parser->is_done()
-            || m_parser->content_length_remaining().value_or(~0ULL) <= m_buffer.size();
-        answerProblem(m_thread.busyProblem(), false, caller.requestId);
+        refuseBusy(caller.requestId);
         return;
     }
     if (m_parser->is_done()) {
@@ -194,6 +191,19 @@
     readRest();
 }
 
+void CallerSession::refuseBusy(std::string_view requestId)
+{
+    const std::uint64_t left
+        = m_parser->is_done() ? 0 : m_parser->content_length_remaining().value_or(~0ULL);
+    // A connection whose request is here to its end can go on, or be closed without a reset.
+    m_isRequestWhole = left <= m_buffer.size();
+    if (m_isRequestWhole)
+        m_buffer.consume(left);
+    const bool isKept
+        = m_isRequestWhole && m_parser->get().keep_alive() && m_thread.keepsConnections();
+    answerProblem(m_thread.busyProblem(), isKept, requestId);
+}
+
 void CallerSession::readRest()
 {
     const std::uint64_t length = m_parser->content_length().value_or(bodyReadBytes);
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -60,6 +60,7 @@
     void lookForEnd();
     void readHead();
     void onHead(error_code error);
+    void refuseBusy(std::string_view requestId);
     void readRest();
     void onRequest();
     bool hasCallerLeft();
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -16,6 +16,9 @@
 /// With the same room for all of them, a workspace that asks six times as often as another gets
 /// three times as much of what is left.
 constexpr double secondsToHalf = 0.5;
+/// So far beyond its share a workspace finds no room at all. What nodes take for idle is a moment
+/// old, and of it a flood at all nodes would get several times what others do.
+constexpr double secondsToNone = 2.5;
 /// Some of the latency target is left for waiting even where reading takes all of it.
 constexpr double leastWaitPart = 0.25;
 
@@ -24,6 +27,8 @@
 double allowedWaitMs(const AdmissionNeed &need)
 {
     assert(need.secondsAhead >= 0 && "a workspace within its share is not ahead");
+    if (need.secondsAhead >= secondsToNone)
+        return noWaitMs;
     const double part = need.secondsAhead > 0
         ? waitPartBeyondShare * std::exp2(-need.secondsAhead / secondsToHalf)
         : waitPart;
--- a/lib/Policy/NodeLoad.cpp
+++ b/lib/Policy/NodeLoad.cpp
@@ -30,29 +30,31 @@
 
 bool NodeLoad::sheds(CredentialKey credential, TimePoint now)
 {
-    m_arrivals[credential].rate.add(1, now);
-    if (shedPart() <= 0)
-        return false;
-    std::erase_if(m_arrivals,
-                  [&](const auto &entry) { return entry.second.rate.at(now) < idleRate; });
     Arrivals &arrivals = m_arrivals[credential];
-    arrivals.kept = std::min(arrivals.kept + keptPart(arrivals, now), 2.0);
+    arrivals.rate.add(1, now);
+    if (m_part <= 0)
+        return false;
+    if (now - m_levelAt >= reportPeriod)
+        updateLevel(now);
+    arrivals.kept = std::min(arrivals.kept + std::min(1.0, m_level / arrivals.rate.at(now)), 2.0);
     if (arrivals.kept < 1)
         return true;
     arrivals.kept -= 1;
     return false;
 }
 
-double NodeLoad::keptPart(const Arrivals &arrivals, TimePoint now) const
+void NodeLoad::updateLevel(TimePoint now)
 {
+    m_levelAt = now;
+    std::erase_if(m_arrivals,
+                  [&](const auto &entry) { return entry.second.rate.at(now) < idleRate; });
     std::vector<double> rates;
     double total = 0;
     for (const auto &[credential, each] : m_arrivals) {
         rates.push_back(each.rate.at(now));
         total += rates.back();
     }
-    const double level = maxMinLevel(std::move(rates), (1 - shedPart()) * total);
-    return std::min(1.0, level / arrivals.rate.at(now));
+    m_level = maxMinLevel(std::move(rates), (1 - m_part) * total);
 }
 
 } // namespace berylridge
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -19,6 +19,8 @@
 constexpr double growth = 1.05;
 /// Beyond this part of what is served, what is turned away shows that the fleet is full.
 constexpr double fullPart = 0.05;
+/// Nodes at which a workspace's callers must be for a sample of nodes to tell of the others.
+constexpr std::size_t leastSample = 3;
 /// Below this a workspace is idle.
 constexpr double idleRate = 1.0;
 
@@ -64,30 +66,73 @@
     return std::max(namedCapacity, served * growth);
 }
 
+std::unordered_map<WorkspaceKey, double> WorkspaceShares::fleetDemands(TimePoint now) const
+{
+    struct Sample
+    {
+        double rate = 0;
+        std::size_t nodes = 0;
+    };
+    std::unordered_map<WorkspaceKey, double> known;
+    std::unordered_map<WorkspaceKey, Sample> samples;
+    std::size_t sampled = 0;
+    for (const auto &[node, remote] : m_remotes) {
+        const bool isNew = remote.heardAt > m_updatedAt;
+        sampled += isNew ? 1 : 0;
+        for (const RemoteDemand &demand : remote.news.demands) {
+            known[demand.workspace] += demand.tokensPerSecond;
+            if (!isNew)
+                continue;
+            Sample &sample = samples[demand.workspace];
+            sample.rate += demand.tokensPerSecond;
+            ++sample.nodes;
+        }
+    }
+    // The other nodes' last digests are of before a flood that has begun since. Where it comes to
+    // many nodes, those that were heard in this period stand for all.
+    for (const auto &[workspace, sample] : samples) {
+        if (sample.nodes < leastSample)
+            continue;
+        const double all
+            = sample.rate * static_cast<double>(m_remotes.size()) / static_cast<double>(sampled);
+        double &rate = known[workspace];
+        rate = std::max(rate, all);
+    }
+    for (const auto &[workspace, own] : m_own)
+        known[workspace] += own.demand.at(now);
+    return known;
+}
+
 void WorkspaceShares::update(double namedCapacity, TimePoint now)
 {
     std::erase_if(m_remotes,
                   [&](const auto &entry) { return now - entry.second.heardAt > remoteLimit; });
-    std::unordered_map<WorkspaceKey, double> fleet;
-    for (const auto &[workspace, own] : m_own)
-        fleet[workspace] += own.demand.at(now);
-    for (const auto &[node, remote] : m_remotes) {
-        for (const RemoteDemand &demand : remote.news.demands)
-            fleet[demand.workspace] += demand.tokensPerSecond;
-    }
+    const std::unordered_map<WorkspaceKey, double> fleet = fleetDemands(now);
+    m_updatedAt = now;
     std::vector<double> demands;
     demands.reserve(fleet.size());
     for (const auto &[workspace, rate] : fleet)
         demands.push_back(rate);
     m_level = maxMinLevel(std::move(demands), capacity(namedCapacity, now));
     for (auto &[workspace, own] : m_own) {
-        const double all = fleet[workspace];
-        own.isLimited = all > m_level;
+        const double all = fleet.at(workspace);
+        const bool wasLimited = std::exchange(own.isLimited, all > m_level);
         own.allowedRate = own.isLimited ? m_level * own.demand.at(now) / all : all;
+        if (own.isLimited && !wasLimited)
+            beginLimit(own, now);
     }
     std::erase_if(m_own, [&](const auto &entry) { return entry.second.demand.at(now) < idleRate; });
 }
 
+void WorkspaceShares::beginLimit(Own &own, TimePoint now)
+{
+    // What it got while the fleet was full and nobody knew yet of its demand counts.
+    const double behind = (own.allowedRate - own.unlimited.at(now)) * Rate::usualSmoothingSeconds;
+    own.credit
+        = std::clamp(behind, -own.allowedRate * debtSeconds, own.allowedRate * creditSeconds);
+    own.creditedAt = now;
+}
+
 double WorkspaceShares::secondsAhead(WorkspaceKey workspace, TimePoint now)
 {
     const auto found = m_own.find(workspace);
@@ -107,9 +152,14 @@
 {
     m_served.add(tokens, now);
     const auto found = m_own.find(workspace);
-    if (found == m_own.end() || !found->second.isLimited)
+    if (found == m_own.end())
         return;
     Own &own = found->second;
+    if (!own.isLimited) {
+        if (m_isFull)
+            own.unlimited.add(tokens, now);
+        return;
+    }
     own.credit = std::max(own.credit - tokens, -own.allowedRate * debtSeconds);
 }
 
