Forget credentials that don't return also while nothing is shed; a refused connection's state ends with its request

Shedding was keyed by credential since the queue was mended, and entries went only while requests were shed: a caller that makes up credentials would have grown the map without end. A connection that was refused whole and kept would have been closed, not drained, at a later refusal whose body is still coming.

--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -9,6 +9,7 @@
 #include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 
@@ -41,6 +42,7 @@
 
     /// Part of the arrivals that are turned away, from 0 to 1.
     double shedPart() const { return m_part; }
+    std::size_t knownCredentials() const { return m_arrivals.size(); }
 
 private:
     struct Arrivals
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -136,6 +136,7 @@
 {
     m_state = State::Reading;
     m_isOverdue = false;
+    m_isRequestWhole = false;
     const TrafficOptions &options = m_thread.options();
     m_parser = std::make_unique<http::request_parser<http::string_body>>();
     m_parser->header_limit(static_cast<std::uint32_t>(options.headerLimit));
--- a/lib/Policy/NodeLoad.cpp
+++ b/lib/Policy/NodeLoad.cpp
@@ -32,10 +32,11 @@
 {
     Arrivals &arrivals = m_arrivals[credential];
     arrivals.rate.add(1, now);
-    if (m_part <= 0)
-        return false;
+    // Also while nothing is shed: credentials are whatever callers send, and must not pile up.
     if (now - m_levelAt >= reportPeriod)
         updateLevel(now);
+    if (m_part <= 0)
+        return false;
     arrivals.kept = std::min(arrivals.kept + std::min(1.0, m_level / arrivals.rate.at(now)), 2.0);
     if (arrivals.kept < 1)
         return true;
--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -110,3 +110,15 @@
     }
     EXPECT_LT(worstLag, 200ms);
 }
+
+// Guards against memory that grows with each credential that a caller makes up.
+TEST(NodeLoad, CredentialsThatDoNotReturnAreForgotten)
+{
+    PausedClock clock;
+    NodeLoad load;
+    for (CredentialKey i = 0; i < 20000; ++i) {
+        load.sheds(i, clock.now());
+        clock.advance(1ms);
+    }
+    EXPECT_LT(load.knownCredentials(), 5000U);
+}
