--- a/lib/Balancer/WorkspaceTally.cpp
+++ b/lib/Balancer/WorkspaceTally.cpp
@@ -67,6 +67,7 @@
     if (!std::exchange(m_hasRefusals, false))
         return;
     std::vector<const std::pair<const std::string, Entry> *> order;
+    order.reserve(entries.size());
     for (const auto &named : entries)
         order.push_back(&named);
     std::sort(order.begin(), order.end(), [](const auto *left, const auto *right) {
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -3,6 +3,7 @@
 #include "NodeFixture.h"
 #include "TrafficThread.h"
 
+#include <cerrno>
 #include <list>
 #include <poll.h>
 #include <vector>
@@ -65,7 +66,9 @@
         tcp::socket &socket = sockets.emplace_back(io, tcp::v4());
         socket.non_blocking(true);
         const tcp::endpoint to = *asioEndpoint<tcp>(endpoint()); // Asio's connect() would wait.
-        ::connect(socket.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        const int result
+            = ::connect(socket.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        ASSERT_TRUE(result == 0 || errno == EINPROGRESS);
         pollfd state {socket.native_handle(), POLLOUT, 0};
         connected += ::poll(&state, 1, 0) == 1 ? 1 : 0;
     }
--- a/unittests/Policy/FleetSharesTest.cpp
+++ b/unittests/Policy/FleetSharesTest.cpp
@@ -43,7 +43,8 @@
     /// A request of the workspace comes to one of the nodes from first to last.
     void ask(WorkspaceKey workspace, std::size_t first, std::size_t last)
     {
-        const auto index = first + static_cast<std::size_t>(uniform(m_random) * (last - first + 1));
+        const auto nodes = static_cast<double>(last - first + 1);
+        const auto index = first + static_cast<std::size_t>(uniform(m_random) * nodes);
         Node &node = m_nodes[std::min(index, last)];
         const double tokens = -std::log(1 - uniform(m_random)) * meanTokens;
         asked[workspace] += tokens;
