Read once more: one spread of Retry-After, one peek at a caller's connection, the busy line in a class of its own

Behaviour stays. The traffic thread had written again what RequestFlow::spread does: both call spreadRetry (Support/Random.h). hasCallerLeft and lookForEnd peeked in the same way. Admission asked isFirst twice and worked the demand out twice. Tests: Net, Policy, Balancer, berylctl, sessions.

--- a/include/berylridge/Support/Random.h
+++ b/include/berylridge/Support/Random.h
@@ -2,6 +2,8 @@
 // can be repeated from its seed.
 #pragma once
 
+#include "berylridge/Support/Time.h"
+
 #include <cstdint>
 #include <random>
 
@@ -15,4 +17,12 @@
     return std::uniform_real_distribution<double>(0.0, 1.0)(engine);
 }
 
+/// The time, or up to a half more: callers who are turned away together must not come back
+/// together.
+inline Duration spreadRetry(Duration base, RandomEngine &engine)
+{
+    constexpr double spread = 0.5;
+    return base + fromSeconds(toSeconds(base) * spread * uniform(engine));
+}
+
 } // namespace berylridge
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 namespace berylridge {
@@ -22,10 +21,6 @@
 /// within two.
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
-/// Callers who are turned away together must not come back together.
-constexpr double retrySpread = 0.5;
-/// Between lines that tell how late the traffic threads run.
-constexpr Duration busyPeriod = std::chrono::seconds(1);
 constexpr double tokensPerGenerated = 2; ///< What a generated token weighs against one read.
 
 std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
@@ -94,6 +89,7 @@
     , m_board(board)
     , m_log(context)
     , m_tally(context)
+    , m_busy(context)
     , m_random(context.options.seed)
 {
 }
@@ -159,21 +155,23 @@
     if (!choice) {
         request.story.add(at, NoTargetStep {});
         return Refusal {503, "no-target", "no target can take the request now",
-                        spread(noTargetRetryAfter)};
+                        spreadRetry(noTargetRetryAfter, m_random)};
     }
     PlacedStep step;
     step.choice = *choice;
     std::optional<Refusal> refusal = isFirst ? roomFor(request, *choice, step) : std::nullopt;
     if (!refusal && !m_board.take(*choice, *request.service, chain))
-        refusal = Refusal {503, "target-cold", "the targets are cold", spread(noTargetRetryAfter)};
+        refusal = Refusal {503, "target-cold", "the targets are cold",
+                           spreadRetry(noTargetRetryAfter, m_random)};
     step.isTaken = !refusal;
     request.story.add(at, std::move(step));
     if (refusal)
         return refusal;
-    if (isFirst)
-        m_shares.onAdmitted(request.workspaceKey(), demandOf(request), m_context.now);
-    if (isFirst)
-        m_tally.admitted(request, demandOf(request));
+    if (isFirst) {
+        const double demand = demandOf(request);
+        m_shares.onAdmitted(request.workspaceKey(), demand, m_context.now);
+        m_tally.admitted(request, demand);
+    }
     start(request, *choice);
     return std::nullopt;
 }
@@ -201,7 +199,7 @@
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
     return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
                     "the targets have more to do than would be done in time",
-                    spread(std::max(excess, fullRetryAfter))};
+                    spreadRetry(std::max(excess, fullRetryAfter), m_random)};
 }
 
 void RequestFlow::start(BalancedRequest &request, const BoardChoice &choice)
@@ -374,7 +372,8 @@
     }
     if (request.verdict == Verdict::NotRun) {
         refuse(request,
-               {503, "target-refused", "no target took the request", spread(fullRetryAfter)});
+               {503, "target-refused", "no target took the request",
+                spreadRetry(fullRetryAfter, m_random)});
         return;
     }
     const bool isLate = m_context.now + std::chrono::milliseconds(5) >= request.deadline;
@@ -416,7 +415,7 @@
     m_crashes.expire(m_context.now);
     m_log.tick();
     m_tally.tick();
-    logBusy();
+    m_busy.tick(m_requests.size());
     const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
     m_shares.update(named, m_context.now);
     if (m_shares.isFull() == m_wasFull)
@@ -429,28 +428,6 @@
                   std::move(fields));
 }
 
-void RequestFlow::onLag(const TrafficLag &event)
-{
-    m_worstLag = std::max(m_worstLag, event.lag);
-    m_accepted += event.connections;
-    m_leftUnread += event.leftUnread;
-    m_shed += event.shed;
-}
-
-void RequestFlow::logBusy()
-{
-    if (m_worstLag == Duration(0) || m_context.now - m_busyToldAt < busyPeriod)
-        return;
-    m_busyToldAt = m_context.now;
-    Json::Value fields;
-    fields["lagMs"] = toMilliseconds(std::exchange(m_worstLag, Duration(0)));
-    fields["turnedAway"] = Json::UInt64(std::exchange(m_shed, 0));
-    fields["connections"] = Json::UInt64(std::exchange(m_accepted, 0));
-    fields["leftUnread"] = Json::UInt64(std::exchange(m_leftUnread, 0));
-    fields["running"] = Json::UInt64(m_requests.size());
-    m_context.log(LogEventId::NodeBusy, "", std::move(fields));
-}
-
 void RequestFlow::endAll()
 {
     std::vector<RequestHandle> handles;
@@ -513,9 +490,4 @@
     m_requests.erase(handle);
 }
 
-Duration RequestFlow::spread(Duration base)
-{
-    return base + fromSeconds(toSeconds(base) * retrySpread * uniform(m_random));
-}
-
 } // namespace berylridge
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -4,6 +4,7 @@
 
 #include "BalancedRequest.h"
 #include "BalancerContext.h"
+#include "BusyLog.h"
 #include "RequestLog.h"
 #include "TargetBoard.h"
 #include "WorkspaceTally.h"
@@ -26,7 +27,7 @@
 
     void onArrived(const RequestArrived &event);
     /// How late a traffic thread runs.
-    void onLag(const TrafficLag &event);
+    void onLag(const TrafficLag &event) { m_busy.onLag(event); }
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
@@ -64,13 +65,12 @@
     void refuse(BalancedRequest &request, const Refusal &refusal);
     void refuseEarly(const RequestArrived &event, const Refusal &refusal);
     void finish(RequestHandle handle);
-    void logBusy();
-    Duration spread(Duration base);
 
     BalancerContext &m_context;
     TargetBoard &m_board;
     RequestLog m_log;
     WorkspaceTally m_tally;
+    BusyLog m_busy;
     WorkspaceShares m_shares;
     CrashRecord m_crashes;
     std::map<std::string, RetryShare> m_retries; ///< By service.
@@ -78,12 +78,6 @@
     std::vector<BrokenRunEntry> m_brokenRuns; ///< For the next digest.
     RandomEngine m_random;
     TimePoint m_lastArrival {};
-    // Of the traffic threads, since the last line of it.
-    Duration m_worstLag {0};
-    std::uint64_t m_accepted = 0;
-    std::uint64_t m_leftUnread = 0;
-    std::uint64_t m_shed = 0;
-    TimePoint m_busyToldAt {};
     bool m_wasFull = false;
     bool m_isClosed = false;
 };
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -111,9 +111,7 @@
 
 void CallerSession::lookForEnd()
 {
-    std::array<char, 1> byte {};
-    error_code error;
-    m_socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    error_code error = peek();
     if (error == asio::error::would_block) {
         watch();
         return;
@@ -251,11 +249,17 @@
     beginExchange();
 }
 
-bool CallerSession::hasCallerLeft()
+error_code CallerSession::peek()
 {
     std::array<char, 1> byte {};
     error_code error;
     m_socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    return error;
+}
+
+bool CallerSession::hasCallerLeft()
+{
+    const error_code error = peek();
     return error && error != asio::error::would_block;
 }
 
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -63,6 +63,8 @@
     void refuseBusy(std::string_view requestId);
     void readRest();
     void onRequest();
+    /// Whether bytes or the end wait to be read, without taking them.
+    error_code peek();
     bool hasCallerLeft();
     void onReadError(error_code error);
     void beginExchange();
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -15,10 +15,8 @@
 constexpr std::chrono::seconds idleSweepPeriod {1};
 /// Below this a late timer says nothing of the load.
 constexpr std::chrono::milliseconds leastLag {15};
-/// The next connection of the caller reaches another node, which is likely to have room.
+/// The next connection of the caller may reach another node, which is likely to have room.
 constexpr Duration busyRetryAfter = std::chrono::milliseconds(30);
-/// Callers who are turned away together must not come back together.
-constexpr double retrySpread = 0.5;
 constexpr std::chrono::milliseconds drainPeriod {10};
 constexpr int drainRounds = 500; ///< Five seconds for callers to take the last bytes.
 
@@ -182,9 +180,8 @@
 
 Problem TrafficThread::busyProblem()
 {
-    const double spread = 1 + retrySpread * uniform(m_random);
     return {503, "busy", "the router has more to do than it can", Verdict::NotRun,
-            fromSeconds(toSeconds(busyRetryAfter) * spread)};
+            spreadRetry(busyRetryAfter, m_random)};
 }
 
 void TrafficThread::drain(std::function<void()> done)
