Tell what a busy node turns away by workspace, refusals that found room, and what the fleet is taken to bear

It has now, by workspace, the requests that the traffic threads turned away, and the refusals beyond a share for which the targets had room; and the fleet's figures that shares are worked out from. No decision changes.

--- a/include/berylridge/Catalog/RouteTable.h
+++ b/include/berylridge/Catalog/RouteTable.h
@@ -3,6 +3,7 @@
 
 #include "berylridge/Catalog/Catalog.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
     const RouteSpec *route(std::string_view host, std::string_view path) const;
     /// Null for a credential that no workspace has.
     const WorkspaceSpec *workspaceOf(const std::string &credential) const;
+    /// The same by the credential's shortHash().
+    const WorkspaceSpec *workspaceOfHash(std::uint32_t credentialHash) const;
     const ServiceSpec *service(const std::string &name) const;
     /// Whether callers of routes that aren't public need a credential.
     bool needsCredentials() const { return !m_catalog->workspaces.empty(); }
@@ -31,6 +34,7 @@
     std::shared_ptr<const Catalog> m_catalog;
     std::unordered_map<std::string, const RouteSpec *> m_routes;         ///< By host and prefix.
     std::unordered_map<std::string, const WorkspaceSpec *> m_workspaces; ///< By credential.
+    std::unordered_map<std::uint32_t, const WorkspaceSpec *> m_workspacesByHash;
     std::unordered_map<std::string, const ServiceSpec *> m_services;
 };
 
--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -12,12 +12,20 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace berylridge {
 
 /// shortHash() of a credential; 0 for callers without one.
 using CredentialKey = std::uint32_t;
 
+/// Requests of one credential that were turned away.
+struct ShedCount
+{
+    CredentialKey credential = 0;
+    std::uint64_t requests = 0;
+};
+
 /// Not safe for use by two threads at once.
 class NodeLoad
 {
@@ -42,13 +50,16 @@
 
     /// Part of the arrivals that are turned away, from 0 to 1.
     double shedPart() const { return m_part; }
+    /// What was turned away since the last call, by credential.
+    std::vector<ShedCount> takeShed();
     std::size_t knownCredentials() const { return m_arrivals.size(); }
 
 private:
     struct Arrivals
     {
         Rate rate;
-        double kept = 1; ///< Requests that may still be kept; a whole one keeps the next.
+        double kept = 1;        ///< Requests that may still be kept; a whole one keeps the next.
+        std::uint64_t shed = 0; ///< Since takeShed() was called.
     };
 
     void updateLevel(TimePoint now);
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -76,8 +76,15 @@
     std::vector<RemoteDemand> ownDemands(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
     double turnedAwayPerSecond(TimePoint now) const { return m_turnedAway.at(now); }
-    /// What no workspace with unmet demand falls below; infinite where all demands fit.
-    double level() const { return m_level; }
+    /// Of the whole fleet, as this node sees it; in tokens a second.
+    struct FleetView
+    {
+        double servedPerSecond = 0;
+        double turnedAwayPerSecond = 0;
+        double capacity = 0; ///< What shares are of.
+        double level = 0;    ///< No workspace with unmet demand falls below; may be infinite.
+    };
+    const FleetView &fleet() const { return m_fleet; }
     /// Whether shares are of what the fleet serves, since it turns requests away.
     bool isFull() const { return m_isFull; }
 
@@ -106,7 +113,7 @@
     std::map<NodeId, Remote> m_remotes;
     Rate m_served;
     Rate m_turnedAway;
-    double m_level = 0;
+    FleetView m_fleet;
     TimePoint m_updatedAt {};
     bool m_isFull = false;
 };
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -8,6 +8,7 @@
 #include "berylridge/Fleet/BalancerMessages.h"
 #include "berylridge/Fleet/Messages.h"
 #include "berylridge/Idempotency/Messages.h"
+#include "berylridge/Policy/NodeLoad.h"
 #include "berylridge/Router/Prompt.h"
 #include "berylridge/Support/Endpoint.h"
 #include "berylridge/Support/Id.h"
@@ -160,9 +161,9 @@
 {
     Duration lag;
     // Since the thread's last report:
-    std::uint64_t connections = 0; ///< That were accepted.
-    std::uint64_t leftUnread = 0;  ///< Requests whose caller had left before they were read.
-    std::uint64_t shed = 0;        ///< Requests that it turned away itself.
+    std::uint64_t connections = 0;  ///< That were accepted.
+    std::uint64_t leftUnread = 0;   ///< Requests whose caller had left before they were read.
+    std::vector<ShedCount> shed {}; ///< Requests that it turned away itself.
 };
 
 /// The platform did not answer, or answers again.
--- a/lib/Balancer/BusyLog.cpp
+++ b/lib/Balancer/BusyLog.cpp
@@ -16,7 +16,8 @@
     m_sum.lag = std::max(m_sum.lag, event.lag);
     m_sum.connections += event.connections;
     m_sum.leftUnread += event.leftUnread;
-    m_sum.shed += event.shed;
+    for (const ShedCount &each : event.shed)
+        m_shed += each.requests;
 }
 
 void BusyLog::tick(std::size_t running)
@@ -25,9 +26,10 @@
         return;
     m_toldAt = m_context.now;
     const TrafficLag sum = std::exchange(m_sum, TrafficLag {Duration(0)});
+    const std::uint64_t shed = std::exchange(m_shed, 0);
     Json::Value fields;
     fields["lagMs"] = toMilliseconds(sum.lag);
-    fields["turnedAway"] = Json::UInt64(sum.shed);
+    fields["turnedAway"] = Json::UInt64(shed);
     fields["connections"] = Json::UInt64(sum.connections);
     fields["leftUnread"] = Json::UInt64(sum.leftUnread);
     fields["running"] = Json::UInt64(running);
--- a/lib/Balancer/BusyLog.h
+++ b/lib/Balancer/BusyLog.h
@@ -25,6 +25,7 @@
 private:
     BalancerContext &m_context;
     TrafficLag m_sum {Duration(0)}; ///< Since the last line; the lag is the worst.
+    std::uint64_t m_shed = 0;       ///< Requests turned away since then.
     TimePoint m_toldAt {};
 };
 
--- a/lib/Balancer/RequestFlow.cpp
+++ b/lib/Balancer/RequestFlow.cpp
@@ -195,6 +195,8 @@
     if (choice.waitMs <= allowed)
         return std::nullopt;
     m_shares.onTurnedAway(demandOf(request), m_context.now);
+    if (!step.isWithinShare && choice.waitMs <= allowedWaitMs({target, choice.readMs, 0}))
+        m_tally.heldBack(request);
     // The queue is shorter by the excess after that time, if callers stay away until then.
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
     return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
@@ -395,6 +397,12 @@
     m_crashes.add(entry.fingerprint, entry.boot, m_context.now);
 }
 
+void RequestFlow::onLag(const TrafficLag &event)
+{
+    m_busy.onLag(event);
+    m_tally.turnedAway(event.shed);
+}
+
 void RequestFlow::onCallerGone(const CallerGone &event)
 {
     const auto found = m_requests.find(event.handle);
@@ -414,16 +422,16 @@
 {
     m_crashes.expire(m_context.now);
     m_log.tick();
-    m_tally.tick();
     m_busy.tick(m_requests.size());
     const double named = m_context.table ? m_context.table->catalog().tokensPerSecond : 0;
     m_shares.update(named, m_context.now);
+    m_tally.tick(m_shares.fleet());
     if (m_shares.isFull() == m_wasFull)
         return;
     m_wasFull = m_shares.isFull();
     Json::Value fields;
     fields["named"] = named;
-    fields["level"] = std::min(m_shares.level(), named);
+    fields["level"] = std::min(m_shares.fleet().level, named);
     m_context.log(m_wasFull ? LogEventId::FleetFull : LogEventId::FleetHasRoom, "",
                   std::move(fields));
 }
--- a/lib/Balancer/RequestFlow.h
+++ b/lib/Balancer/RequestFlow.h
@@ -27,7 +27,7 @@
 
     void onArrived(const RequestArrived &event);
     /// How late a traffic thread runs.
-    void onLag(const TrafficLag &event) { m_busy.onLag(event); }
+    void onLag(const TrafficLag &event);
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
--- a/lib/Balancer/WorkspaceTally.cpp
+++ b/lib/Balancer/WorkspaceTally.cpp
@@ -46,6 +46,21 @@
     m_hasRefusals = true;
 }
 
+void WorkspaceTally::heldBack(const BalancedRequest &request)
+{
+    ++m_entries[request.workspace.str()].heldBack;
+}
+
+void WorkspaceTally::turnedAway(std::span<const ShedCount> counts)
+{
+    for (const ShedCount &each : counts) {
+        const WorkspaceSpec *workspace
+            = m_context.table ? m_context.table->workspaceOfHash(each.credential) : nullptr;
+        m_entries[workspace ? workspace->name : std::string()].turnedAway += each.requests;
+        m_hasRefusals = true;
+    }
+}
+
 void WorkspaceTally::begun(const BalancedRequest &request, bool isLate)
 {
     Entry &entry = m_entries[request.workspace.str()];
@@ -58,7 +73,7 @@
     ++m_entries[request.workspace.str()].failures[failure];
 }
 
-void WorkspaceTally::tick()
+void WorkspaceTally::tick(const WorkspaceShares::FleetView &fleet)
 {
     if (m_context.now - m_toldAt < tellPeriod)
         return;
@@ -83,12 +98,19 @@
         out["admittedTokens"] = wholeTokens(entry.admittedTokens);
         out["begun"] = Json::UInt64(entry.begun);
         out["late"] = Json::UInt64(entry.late);
+        out["turnedAway"] = Json::UInt64(entry.turnedAway);
+        out["heldBack"] = Json::UInt64(entry.heldBack);
         out["refused"] = counts(entry.refusals);
         out["failed"] = counts(entry.failures);
     }
     Json::Value fields;
     fields["named"] = Json::UInt64(order.size());
     fields["known"] = Json::UInt64(entries.size());
+    fields["fleetServed"] = wholeTokens(fleet.servedPerSecond);
+    fields["fleetTurnedAway"] = wholeTokens(fleet.turnedAwayPerSecond);
+    fields["fleetCapacity"] = wholeTokens(fleet.capacity);
+    if (std::isfinite(fleet.level))
+        fields["shareLevel"] = wholeTokens(fleet.level);
     fields["workspaces"] = std::move(workspaces);
     m_context.log(LogEventId::WorkspaceTally, "", std::move(fields));
 }
--- a/lib/Balancer/WorkspaceTally.h
+++ b/lib/Balancer/WorkspaceTally.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 
 namespace berylridge {
@@ -24,12 +25,16 @@
     void asked(const BalancedRequest &request, double tokens);
     void admitted(const BalancedRequest &request, double tokens);
     void refused(const BalancedRequest &request, const char *type);
+    /// Refused for being beyond its share, though the targets had room for one within it.
+    void heldBack(const BalancedRequest &request);
+    /// The node's traffic threads turned requests away before the core was asked.
+    void turnedAway(std::span<const ShedCount> counts);
     /// The answer began.
     void begun(const BalancedRequest &request, bool isLate);
     void attemptFailed(const BalancedRequest &request, const char *failure);
 
     /// Logs and begins anew, once a second at most.
-    void tick();
+    void tick(const WorkspaceShares::FleetView &fleet);
 
 private:
     struct Entry
@@ -39,6 +44,8 @@
         double admittedTokens = 0;
         std::uint64_t begun = 0;
         std::uint64_t late = 0;                           ///< Of those begun.
+        std::uint64_t turnedAway = 0;                     ///< Before the core.
+        std::uint64_t heldBack = 0;                       ///< Of the refusals.
         std::map<std::string, std::uint64_t> refusals {}; ///< By type.
         std::map<std::string, std::uint64_t> failures {}; ///< Of attempts, by kind.
     };
--- a/lib/Catalog/RouteTable.cpp
+++ b/lib/Catalog/RouteTable.cpp
@@ -1,5 +1,7 @@
 #include "berylridge/Catalog/RouteTable.h"
 
+#include "berylridge/Support/Hash.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -15,9 +17,8 @@
     return lower;
 }
 
-template <typename Value>
-const Value *valueOf(const std::unordered_map<std::string, const Value *> &map,
-                     const std::string &key)
+template <typename Key, typename Value>
+const Value *valueOf(const std::unordered_map<Key, const Value *> &map, const Key &key)
 {
     const auto found = map.find(key);
     return found == map.end() ? nullptr : found->second;
@@ -33,8 +34,10 @@
     for (const ServiceSpec &service : m_catalog->services)
         m_services.emplace(service.name, &service);
     for (const WorkspaceSpec &workspace : m_catalog->workspaces) {
-        for (const std::string &credential : workspace.credentials)
+        for (const std::string &credential : workspace.credentials) {
             m_workspaces.emplace(credential, &workspace);
+            m_workspacesByHash.emplace(shortHash(credential), &workspace);
+        }
     }
 }
 
@@ -58,6 +61,11 @@
     return valueOf(m_workspaces, credential);
 }
 
+const WorkspaceSpec *RouteTable::workspaceOfHash(std::uint32_t credentialHash) const
+{
+    return valueOf(m_workspacesByHash, credentialHash);
+}
+
 const ServiceSpec *RouteTable::service(const std::string &name) const
 {
     return valueOf(m_services, name);
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -165,7 +165,7 @@
     // Once more after the last late turn, so that the core learns of its end.
     if (isLate || m_wasLate)
         report(TrafficLag {lag, std::exchange(m_accepted, 0), std::exchange(m_leftUnread, 0),
-                           std::exchange(m_shed, 0)});
+                           m_load.takeShed()});
     m_wasLate = isLate;
 }
 
@@ -173,9 +173,7 @@
 {
     if (m_options.acceptedLag == Duration(0))
         return false;
-    const bool isShed = m_load.sheds(shortHash(credential), m_options.now());
-    m_shed += isShed ? 1 : 0;
-    return isShed;
+    return m_load.sheds(shortHash(credential), m_options.now());
 }
 
 Problem TrafficThread::busyProblem()
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -140,7 +140,6 @@
     // Since the last report of lag.
     std::uint64_t m_accepted = 0;
     std::uint64_t m_leftUnread = 0;
-    std::uint64_t m_shed = 0;
     Mailbox<TrafficOrder> m_orders;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
--- a/lib/Policy/NodeLoad.cpp
+++ b/lib/Policy/NodeLoad.cpp
@@ -3,7 +3,7 @@
 #include "berylridge/Policy/WorkspaceShares.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace berylridge {
 
@@ -38,12 +38,24 @@
     if (m_part <= 0)
         return false;
     arrivals.kept = std::min(arrivals.kept + std::min(1.0, m_level / arrivals.rate.at(now)), 2.0);
-    if (arrivals.kept < 1)
+    if (arrivals.kept < 1) {
+        ++arrivals.shed;
         return true;
+    }
     arrivals.kept -= 1;
     return false;
 }
 
+std::vector<ShedCount> NodeLoad::takeShed()
+{
+    std::vector<ShedCount> counts;
+    for (auto &[credential, each] : m_arrivals) {
+        if (each.shed > 0)
+            counts.push_back({credential, std::exchange(each.shed, 0)});
+    }
+    return counts;
+}
+
 void NodeLoad::updateLevel(TimePoint now)
 {
     m_levelAt = now;
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -60,6 +60,8 @@
     // Targets that have to read most parts anew bear a third of what operators name. Shares of the
     // named figure hold nobody back then: a flood takes what room there is, and its neighbours get
     // a third of what it gets.
+    m_fleet.servedPerSecond = served;
+    m_fleet.turnedAwayPerSecond = turnedAway;
     m_isFull = turnedAway > fullPart * served;
     if (m_isFull)
         return served * growth;
@@ -113,11 +115,12 @@
     demands.reserve(fleet.size());
     for (const auto &[workspace, rate] : fleet)
         demands.push_back(rate);
-    m_level = maxMinLevel(std::move(demands), capacity(namedCapacity, now));
+    m_fleet.capacity = capacity(namedCapacity, now);
+    m_fleet.level = maxMinLevel(std::move(demands), m_fleet.capacity);
     for (auto &[workspace, own] : m_own) {
         const double all = fleet.at(workspace);
-        const bool wasLimited = std::exchange(own.isLimited, all > m_level);
-        own.allowedRate = own.isLimited ? m_level * own.demand.at(now) / all : all;
+        const bool wasLimited = std::exchange(own.isLimited, all > m_fleet.level);
+        own.allowedRate = own.isLimited ? m_fleet.level * own.demand.at(now) / all : all;
         if (own.isLimited && !wasLimited)
             beginLimit(own, now);
     }
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -128,7 +128,7 @@
     }
     shares.onDigest(NodeId("b"), {{{soft, 200000}}, 150000, 0}, clock.now());
     shares.update(100000, clock.now());
-    EXPECT_NEAR(shares.level(), 150000, 20000);
+    EXPECT_NEAR(shares.fleet().level, 150000, 20000);
 }
 
 // Targets that have lost their memory read every shared part anew and bear a third of the capacity
