--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -119,5 +119,26 @@
         EXPECT_TRUE(std::holds_alternative<TrafficLag>(event));
 }
 
+// Guards against refusals that use up the processor of a busy thread, so that it serves next to
+// nothing: each is one turn of work.
+TEST_F(HeldThreadTest, busyThreadRefusesInOneTurn)
+{
+    for (int i = 0; i < 10; ++i)
+        thread().onLag(1s);
+    std::list<FakeCaller> callers;
+    for (std::size_t i = 0; i < flood; ++i) {
+        callers.emplace_back(endpoint());
+        callers.back().send(requestText("POST", path, {}, "clay"));
+    }
+    std::size_t turns = 0;
+    while (metrics.connectionsAccepted < flood)
+        turns += context().run_one();
+    turns += context().poll();
+    EXPECT_LE(turns, flood + flood / 4);
+    const std::string answer = callers.back().readUntil("more to do than it can");
+    EXPECT_NE(answer.find("503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+}
+
 } // namespace
 } // namespace berylridge::test
--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -9,22 +9,24 @@
 
 namespace {
 
-/// A node's processor: requests that were kept wait for it, the others cost a tenth.
+/// A node's processor: requests that were kept wait for it, the others cost a part of one.
 class Processor
 {
 public:
-    explicit Processor(double requestsPerMs)
+    explicit Processor(double requestsPerMs, double refusalCost = 0.1)
         : m_requestsPerMs(requestsPerMs)
+        , m_refusalCost(refusalCost)
     {
     }
 
-    void take(bool isKept) { m_queued += isKept ? 1 : 0.1; }
+    void take(bool isKept) { m_queued += isKept ? 1 : m_refusalCost; }
     void hold(double requests) { m_queued += requests; }
     void passMs() { m_queued = std::max(0.0, m_queued - m_requestsPerMs); }
     Duration lag() const { return fromSeconds(m_queued / m_requestsPerMs / 1000); }
 
 private:
     double m_requestsPerMs;
+    double m_refusalCost;
     double m_queued = 0;
 };
 
@@ -122,3 +124,56 @@
     }
     EXPECT_LT(load.knownCredentials(), 5000U);
 }
+
+// Guards against a thread that keeps a fixed part of any flood, and is late by all that it keeps
+// beyond what it bears.
+TEST(NodeLoad, AFloodOfManyTimesWhatTheNodeBearsIsHeldToThat)
+{
+    PausedClock clock;
+    NodeLoad load;
+    Processor processor(0.4, 0.02); // Refusals of the flood leave room for 200 a second.
+    int kept = 0;
+    int nextReport = 0;
+    Duration worstLag {0};
+    for (int ms = 0; ms < 10000; ++ms) {
+        if (ms == nextReport) {
+            load.onLag(processor.lag());
+            nextReport += 50 + static_cast<int>(processor.lag() / 1ms);
+        }
+        for (int i = 0; i < 10; ++i) {
+            const bool isKept = !load.sheds(1, clock.now());
+            kept += isKept && ms >= 4000 ? 1 : 0;
+            processor.take(isKept);
+        }
+        if (ms >= 4000)
+            worstLag = std::max(worstLag, processor.lag());
+        processor.passMs();
+        clock.advance(1ms);
+    }
+    EXPECT_LT(worstLag, 100ms);
+    EXPECT_GT(kept / 6, 180);
+}
+
+// Guards against a node that goes on to turn callers away when a flood has ended.
+TEST(NodeLoad, AFloodThatEndsLeavesNobodyTurnedAway)
+{
+    PausedClock clock;
+    NodeLoad load;
+    Processor processor(0.4);
+    int shedAfter = 0;
+    for (int ms = 0; ms < 8000; ++ms) {
+        if (ms % 50 == 0)
+            load.onLag(processor.lag());
+        const int requests = ms < 4000 ? 2 : 0;
+        for (int i = 0; i < requests; ++i)
+            processor.take(!load.sheds(1, clock.now()));
+        if (ms % 10 == 0) { // The usual.
+            const bool isKept = !load.sheds(2, clock.now());
+            shedAfter += isKept || ms < 4500 ? 0 : 1;
+            processor.take(isKept);
+        }
+        processor.passMs();
+        clock.advance(1ms);
+    }
+    EXPECT_EQ(shedAfter, 0);
+}
