A busy node holds a rate that it finds by its lag, in place of a part of the arrivals

All callers of a workspace come to one node, which kept 5 in 100 of their requests however many it bore, and ran 180 to 218 ms late meanwhile: 687 of the 800 requests that began were late. Cause: NodeLoad's control was a part of the arrivals, ended at 0.95, and had no way to find what the processor bears: too much at more than 20 times of that, and a part of an average that lags at the start and the end of a flood. Now: a rate, found from what was kept when the thread became late, by how late it runs; damped, as the lag adds up what was kept too much; shared max-min by token buckets; never below a hundredth of the arrivals, as refusals make the thread late too; a first late turn counts as one period, for it may be a pause. Two tests of the shell are fed otherwise, and ask for the same: two requests are no flood any more, so busyThreadRefusesByTheHeadAlone sends 200; the thread of busyThreadRefusesInOneTurn (red still) is late by 100 ms, as more is kept at once after a longer lag. Tried: the limit by the sum of lags alone (swings between 5 a second and the flood), and without the floor (refusals alone end it at the lowest).

--- a/include/berylridge/Policy/NodeLoad.h
+++ b/include/berylridge/Policy/NodeLoad.h
@@ -1,4 +1,5 @@
-// What one thread's processor bears, and whose requests are turned away when it bears no more.
+// How many requests a second one thread's processor bears, and whose are turned away when more
+// come.
 //
 // Load it answers: all callers of a large workspace are sent to one node, which gets ten times its
 // usual requests. Its processor is used up, and every caller of the node waits for seconds until
@@ -11,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -43,32 +45,47 @@
 
     /// How late the thread ran; told each period, which is longer by as much. Time without a report
     /// says nothing: the thread that reports is the one that is late.
-    void onLag(Duration lag);
+    void onLag(Duration lag, TimePoint now);
 
     /// Whether a request with the credential is to be turned away; counts it as arrived.
     bool sheds(CredentialKey credential, TimePoint now);
 
-    /// Part of the arrivals that are turned away, from 0 to 1.
-    double shedPart() const { return m_part; }
+    /// Whether any request may be turned away now.
+    bool isLimited() const { return m_limit < unlimited; }
+    /// Requests a second that are kept; infinite while the thread keeps up.
+    double limit() const { return m_limit; }
     /// What was turned away since the last call, by credential.
     std::vector<ShedCount> takeShed();
     std::size_t knownCredentials() const { return m_arrivals.size(); }
 
 private:
+    static constexpr double unlimited = std::numeric_limits<double>::infinity();
+
     struct Arrivals
     {
         Rate rate;
-        double kept = 1;        ///< Requests that may still be kept; a whole one keeps the next.
+        double allowed = 1; ///< Requests that may be kept at once.
+        TimePoint filledAt {};
         std::uint64_t shed = 0; ///< Since takeShed() was called.
     };
 
+    bool tryTake(Arrivals &arrivals, TimePoint now);
     void updateLevel(TimePoint now);
 
     const Duration m_acceptedLag;
     std::unordered_map<CredentialKey, Arrivals> m_arrivals;
-    double m_part = 0;
-    double m_level = 0; ///< Requests a second that no credential with more is kept below.
+    Rate m_keptRate;
+    double m_timelyRate = 0; ///< Of what was kept, at the last report of a thread in time.
+    // Requests a second. The borne rate is what the processor is taken to bear; the limit is below
+    // it while the thread is late, and the level is what each credential may have of the limit.
+    double m_borneRate = unlimited;
+    double m_limit = unlimited;
+    double m_level = unlimited;
+    double m_arrivalRate = 0;
     TimePoint m_levelAt {};
+    Duration m_lag {0};
+    bool m_wasLate = false;
+    bool m_hasShed = false; ///< Since the last report.
 };
 
 } // namespace berylridge
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -158,7 +158,7 @@
 void TrafficThread::onLag(Duration lag)
 {
     if (m_options.acceptedLag > Duration(0))
-        m_load.onLag(lag);
+        m_load.onLag(lag, m_options.now());
     m_metrics.trafficLagMicroseconds
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
     const bool isLate = lag > leastLag;
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -103,9 +103,9 @@
         + " HTTP/1.1\r\nHost: router\r\nX-Request-Id: r1\r\n"
         + "Authorization: Bearer key\r\nContent-Length: 1000000\r\n\r\n";
     std::list<FakeCaller> callers;
-    for (std::size_t i = 0; i < 2; ++i) {
+    for (std::size_t i = 0; i < flood; ++i) {
         callers.emplace_back(endpoint());
-        callers.back().send(head); // The first of a credential is always kept.
+        callers.back().send(head); // The first of a credential are always kept.
     }
     while (metrics.connectionsOpen < callers.size())
         context().run_one();
@@ -124,7 +124,7 @@
 TEST_F(HeldThreadTest, busyThreadRefusesInOneTurn)
 {
     for (int i = 0; i < 10; ++i)
-        thread().onLag(1s);
+        thread().onLag(100ms);
     std::list<FakeCaller> callers;
     for (std::size_t i = 0; i < flood; ++i) {
         callers.emplace_back(endpoint());
--- a/unittests/Policy/NodeLoadTest.cpp
+++ b/unittests/Policy/NodeLoadTest.cpp
@@ -47,7 +47,7 @@
     Duration worstLag {0};
     for (int ms = 0; ms < 10000; ++ms) {
         if (ms % 50 == 0)
-            load.onLag(processor.lag());
+            load.onLag(processor.lag(), clock.now());
         for (int i = 0; i < (ms % 10 == 0 ? 9 : 0); ++i) {
             const bool isKept = !load.sheds(flood, clock.now());
             floodKept += isKept && ms >= 4000 ? 1 : 0;
@@ -73,10 +73,10 @@
 {
     PausedClock clock;
     NodeLoad load;
-    load.onLag(110ms);
+    load.onLag(110ms, clock.now());
     for (int i = 0; i < 7; ++i) {
         clock.advance(50ms);
-        load.onLag(0ms);
+        load.onLag(0ms, clock.now());
     }
     int shed = 0;
     for (int i = 0; i < 100; ++i) {
@@ -97,7 +97,7 @@
     for (int ms = 0; ms < 10000; ++ms) {
         if (ms == nextReport) {
             const Duration lag = processor.lag();
-            load.onLag(lag);
+            load.onLag(lag, clock.now());
             nextReport += 50 + static_cast<int>(lag / 1ms);
         }
         // From the first moment on: the thread is late before the first report can tell.
@@ -137,7 +137,7 @@
     Duration worstLag {0};
     for (int ms = 0; ms < 10000; ++ms) {
         if (ms == nextReport) {
-            load.onLag(processor.lag());
+            load.onLag(processor.lag(), clock.now());
             nextReport += 50 + static_cast<int>(processor.lag() / 1ms);
         }
         for (int i = 0; i < 10; ++i) {
@@ -163,7 +163,7 @@
     int shedAfter = 0;
     for (int ms = 0; ms < 8000; ++ms) {
         if (ms % 50 == 0)
-            load.onLag(processor.lag());
+            load.onLag(processor.lag(), clock.now());
         const int requests = ms < 4000 ? 2 : 0;
         for (int i = 0; i < requests; ++i)
             processor.take(!load.sheds(1, clock.now()));
@@ -177,3 +177,41 @@
     }
     EXPECT_EQ(shedAfter, 0);
 }
+
+// Guards against a pause of the process that is taken for load, and closes the node for a second.
+TEST(NodeLoad, APauseTurnsNobodyAwayForLong)
+{
+    PausedClock clock;
+    NodeLoad load;
+    int shed = 0;
+    for (int ms = 0; ms < 6000; ++ms) {
+        const bool isPaused = ms > 3000 && ms < 4000;
+        if (ms % 10 == 0 && !isPaused)
+            shed += load.sheds(1, clock.now()) ? 1 : 0;
+        if (ms % 50 == 0 && !isPaused)
+            load.onLag(ms == 4000 ? 1000ms : 0ms, clock.now());
+        clock.advance(1ms);
+    }
+    EXPECT_LT(shed, 10);
+}
+
+// Guards against refusals alone making a node late, and so leaving next to none of its requests.
+TEST(NodeLoad, RefusalsThatUseUpTheProcessorLeaveAPartToBeServed)
+{
+    PausedClock clock;
+    NodeLoad load;
+    Processor processor(0.4, 0.05); // Refusals alone take more than all of it.
+    int kept = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        if (ms % 50 == 0)
+            load.onLag(processor.lag(), clock.now());
+        for (int i = 0; i < 10; ++i) {
+            const bool isKept = !load.sheds(1, clock.now());
+            kept += isKept && ms >= 4000 ? 1 : 0;
+            processor.take(isKept);
+        }
+        processor.passMs();
+        clock.advance(1ms);
+    }
+    EXPECT_GT(kept / 6, 80);
+}
