A busy node refuses by the first bytes, without a session

Cause: a refusal took a session, a timer, a registration with the event loop, Beast's asynchronous operations and several turns. Now the thread reads what waits when it takes a connection, or when a kept one becomes readable, and while it sheds it decides by these bytes (Screening): a request that is here to its end is refused with one write; a new connection is closed again before it is registered, a kept one stays.

--- a/lib/Net/CallerListener.cpp
+++ b/lib/Net/CallerListener.cpp
@@ -4,6 +4,8 @@
 #include "TrafficThread.h"
 
 #include <boost/asio/post.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace berylridge {
@@ -35,30 +37,33 @@
     if (!reason.empty())
         return reason;
     m_endpoint = boundEndpoint(m_acceptor);
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    if (error)
+        return error.message();
+    m_protocol = m_acceptor.local_endpoint(error).protocol();
     accept();
     return {};
 }
 
 void CallerListener::accept()
 {
-    TrafficThread &thread = *m_threads[m_next++ % m_threads.size()];
-    m_acceptor.async_accept(thread.context(),
-                            [this, &thread](error_code error, tcp::socket socket) {
-                                if (error == asio::error::operation_aborted)
-                                    return;
-                                if (!error) {
-                                    thread.adopt(std::move(socket));
-                                    acceptWaiting();
-                                    accept();
-                                    return;
-                                }
-                                onFailed(error);
-                                m_retryTimer.expires_after(acceptRetry);
-                                m_retryTimer.async_wait([this](error_code waitError) {
-                                    if (!waitError)
-                                        accept();
-                                });
-                            });
+    m_acceptor.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!error)
+            error = acceptWaiting();
+        if (!error) {
+            accept();
+            return;
+        }
+        onFailed(error);
+        m_retryTimer.expires_after(acceptRetry);
+        m_retryTimer.async_wait([this](error_code waitError) {
+            if (!waitError)
+                accept();
+        });
+    });
 }
 
 void CallerListener::onFailed(const error_code &error)
@@ -67,19 +72,24 @@
     m_log({LogEventId::AcceptFailed, error.message()});
 }
 
-void CallerListener::acceptWaiting()
+error_code CallerListener::acceptWaiting()
 {
-    // Whatever waits: no measure of the thread's load sees what stays in the system's queue.
-    error_code error;
-    m_acceptor.non_blocking(true, error);
-    while (!error) {
-        TrafficThread &thread = *m_threads[m_next % m_threads.size()];
-        tcp::socket socket = m_acceptor.accept(thread.context(), error);
-        if (error)
-            return; // None waits, or the next wait meets the same error and reports it.
-        ++m_next;
-        thread.adopt(std::move(socket));
+    // Whatever waits: no measure of the thread's load sees what stays in the system's queue. Not by
+    // Asio, which registers each connection with the event loop before anybody has looked at it.
+    // Bounded, so that a flood doesn't hold up what else the thread has to do.
+    for (int i = 0; i < queueLimit; ++i) {
+        Descriptor connection(
+            ::accept4(m_acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (connection.isOpen()) {
+            m_threads[m_next++ % m_threads.size()]->adopt(std::move(connection), m_protocol);
+            continue;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK)
+            return {};
+        if (errno != EINTR && errno != ECONNABORTED)
+            return {errno, boost::system::system_category()};
     }
+    return {};
 }
 
 void CallerListener::close()
--- a/lib/Net/CallerListener.h
+++ b/lib/Net/CallerListener.h
@@ -31,12 +31,14 @@
 
 private:
     void accept();
-    void acceptWaiting();
+    /// Takes the connections that wait; the error that ended it, if any.
+    error_code acceptWaiting();
     void onFailed(const error_code &error);
 
     std::vector<std::unique_ptr<TrafficThread>> &m_threads;
     std::function<void(const LogRecord &)> m_log;
     tcp::acceptor m_acceptor;
+    tcp m_protocol = tcp::v4();
     asio::steady_timer m_retryTimer;
     Endpoint m_endpoint;
     std::size_t m_next = 0;
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -44,7 +44,7 @@
     m_thread.forget(this);
 }
 
-void CallerSession::start()
+void CallerSession::start(std::string_view received, ShedDecision decision)
 {
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -56,21 +56,8 @@
                       false);
         return;
     }
-    takeWaiting();
-}
-
-void CallerSession::takeWaiting()
-{
-    // Callers send their request as soon as they are connected: it is mostly there when the
-    // connection is taken, and waiting for it would cost two system calls and a turn.
-    const asio::mutable_buffer scratch = m_thread.scratch();
-    error_code error;
-    const std::size_t size = m_socket.read_some(scratch, error);
-    if (error && error != asio::error::would_block) {
-        close();
-        return;
-    }
-    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(size), asio::buffer(scratch, size)));
+    m_decision = decision;
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(received.size()), asio::buffer(received)));
     awaitRequest();
 }
 
@@ -82,6 +69,11 @@
         return;
     }
     m_buffer.shrink_to_fit(); // An idle connection holds no buffer.
+    keepIdle();
+}
+
+void CallerSession::keepIdle()
+{
     m_deadline->set(Deadline::Clock::now() + idleLimit, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->close();
@@ -103,12 +95,57 @@
 {
     if (error == asio::error::operation_aborted)
         return;
-    if (m_state == State::Idle)
+    if (m_state == State::Idle && m_thread.isShedding())
+        readScreened();
+    else if (m_state == State::Idle)
         readHead();
     else if (m_state == State::Waiting)
         lookForEnd();
 }
 
+void CallerSession::readScreened()
+{
+    const asio::mutable_buffer scratch = m_thread.scratch();
+    error_code error;
+    const std::size_t size = m_socket.read_some(scratch, error);
+    if (error == asio::error::would_block) {
+        watch();
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    const std::string_view bytes(static_cast<const char *>(scratch.data()), size);
+    const Screening screening = m_thread.screen(bytes, m_thread.keepsConnections());
+    if (screening.answer) {
+        answerAtOnce(screening);
+        return;
+    }
+    m_decision = screening.decision;
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(size), asio::buffer(bytes)));
+    awaitRequest();
+}
+
+void CallerSession::answerAtOnce(const Screening &screening)
+{
+    error_code error;
+    const std::size_t size = m_socket.write_some(asio::buffer(*screening.answer), error);
+    if (error && error != asio::error::would_block) {
+        close();
+        return;
+    }
+    const bool isKept = screening.isConnectionKept;
+    if (size == screening.answer->size() && isKept) {
+        keepIdle();
+        return;
+    }
+    m_state = State::Waiting;
+    m_isRequestWhole = true;
+    write(screening.answer->substr(size),
+          [self = shared_from_this(), isKept] { self->endExchange(isKept); });
+}
+
 void CallerSession::lookForEnd()
 {
     error_code error = peek();
@@ -177,7 +214,9 @@
         return;
     }
     const CallerNames caller = m_thread.protocol().readCaller(request);
-    if (m_thread.sheds(caller.credential)) {
+    const ShedDecision decision = std::exchange(m_decision, ShedDecision::Open);
+    if (decision == ShedDecision::Shed
+        || (decision == ShedDecision::Open && m_thread.sheds(caller.credential))) {
         refuseBusy(caller.requestId);
         return;
     }
@@ -292,7 +331,7 @@
     m_deadline->clear();
     ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
     m_thread.metrics().addRefusal(problem.type);
-    const std::string unknownId = m_thread.options().idPrefix + "0";
+    const std::string unknownId = m_thread.options().unknownId();
     auto response = m_thread.protocol().problemAnswer(
         problem, requestId.empty() ? std::string_view(unknownId) : requestId);
     response.keep_alive(isKept);
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Deadline.h"
+#include "Screening.h"
 #include "berylridge/Net/Asio.h"
 #include "berylridge/Net/Problem.h"
 
@@ -25,7 +26,8 @@
     CallerSession(const CallerSession &) = delete;
     CallerSession &operator=(const CallerSession &) = delete;
 
-    void start();
+    /// received: what was read from the connection so far, and the decision on it.
+    void start(std::string_view received, ShedDecision decision);
 
     /// Queues bytes of an answer; written is called once the operating system has taken them.
     void write(std::string bytes, std::function<void()> written);
@@ -53,10 +55,13 @@
         std::function<void()> written;
     };
 
-    void takeWaiting();
     void awaitRequest();
     void watch();
     void onReadable(error_code error);
+    /// Reads a request's first bytes, and refuses it where it is shed.
+    void readScreened();
+    void answerAtOnce(const Screening &screening);
+    void keepIdle();
     void lookForEnd();
     void readHead();
     void onHead(error_code error);
@@ -84,6 +89,7 @@
     std::shared_ptr<Exchange> m_exchange;
     std::deque<Outgoing> m_out;
     State m_state = State::Idle;
+    ShedDecision m_decision = ShedDecision::Open; ///< On the request that is being read.
     bool m_isWatching = false;
     bool m_isOverdue = false;
     bool m_isRequestWhole = false; ///< Refused, with all its bytes here.
--- /dev/null
+++ b/lib/Net/Descriptor.h
@@ -0,0 +1,39 @@
+// Owns a file descriptor of the operating system.
+#pragma once
+
+#include <unistd.h>
+#include <utility>
+
+namespace berylridge {
+
+class Descriptor
+{
+public:
+    explicit Descriptor(int number = none)
+        : m_number(number)
+    {
+    }
+    ~Descriptor()
+    {
+        if (isOpen())
+            ::close(m_number);
+    }
+    Descriptor(Descriptor &&other) noexcept
+        : m_number(other.release())
+    {
+    }
+    Descriptor(const Descriptor &) = delete;
+    Descriptor &operator=(const Descriptor &) = delete;
+
+    bool isOpen() const { return m_number != none; }
+    int number() const { return m_number; }
+    /// The caller owns it from now on.
+    int release() { return std::exchange(m_number, none); }
+
+private:
+    static constexpr int none = -1;
+
+    int m_number;
+};
+
+} // namespace berylridge
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -6,6 +6,8 @@
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <sys/socket.h>
 #include <utility>
 
 namespace berylridge {
@@ -17,6 +19,7 @@
 constexpr std::chrono::milliseconds leastLag {15};
 /// The next connection of the caller may reach another node, which is likely to have room.
 constexpr Duration busyRetryAfter = std::chrono::milliseconds(30);
+constexpr const char *busyType = "busy";
 constexpr std::chrono::milliseconds drainPeriod {10};
 constexpr int drainRounds = 500; ///< Five seconds for callers to take the last bytes.
 
@@ -81,17 +84,44 @@
         m_thread.join();
 }
 
-void TrafficThread::adopt(tcp::socket socket)
+void TrafficThread::adopt(Descriptor connection, tcp protocol)
 {
     ++m_metrics.connectionsAccepted;
-    auto session = std::make_shared<CallerSession>(*this, std::move(socket));
-    asio::post(m_context, [this, session = std::move(session)] {
-        ++m_accepted;
-        m_sessions.insert(session.get());
-        session->start();
+    asio::dispatch(m_context, [this, connection = std::move(connection), protocol]() mutable {
+        take(std::move(connection), protocol);
     });
 }
 
+void TrafficThread::take(Descriptor connection, tcp protocol)
+{
+    ++m_accepted;
+    // Callers send their request as soon as they are connected: it is mostly there when the
+    // connection is taken, and waiting for it would cost two system calls and a turn.
+    const ssize_t size = ::recv(connection.number(), m_scratch.data(), m_scratch.size(), 0);
+    if (size == 0)
+        return;
+    const std::string_view bytes(m_scratch.data(), std::max<ssize_t>(size, 0));
+    Screening screening;
+    if (isShedding() && !bytes.empty())
+        screening = screen(bytes, false);
+    if (screening.answer) {
+        // A connection that is refused is never registered with the event loop. Its buffer is empty
+        // and takes the answer whole.
+        const std::string &answer = *screening.answer;
+        ::send(connection.number(), answer.data(), answer.size(), MSG_NOSIGNAL);
+        return;
+    }
+    tcp::socket socket(m_context);
+    error_code error;
+    socket.assign(protocol, connection.number(), error);
+    if (error)
+        return;
+    connection.release();
+    const auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+    m_sessions.insert(session.get());
+    session->start(bytes, screening.decision);
+}
+
 RequestHandle TrafficThread::nextHandle()
 {
     return ++m_lastNumber * m_options.threads + m_index;
@@ -163,7 +193,7 @@
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
     const bool isLate = lag > leastLag;
     // Once more after the last late turn, so that the core learns of its end.
-    if (isLate || m_wasLate)
+    if (isLate || m_wasLate || isShedding())
         report(TrafficLag {lag, std::exchange(m_accepted, 0), std::exchange(m_leftUnread, 0),
                            m_load.takeShed()});
     m_wasLate = isLate;
@@ -176,9 +206,23 @@
     return m_load.sheds(shortHash(credential), m_options.now());
 }
 
+Screening TrafficThread::screen(std::string_view bytes, bool keepsConnection)
+{
+    const std::string unknownId = m_options.unknownId();
+    Screening screening
+        = screenRequest(bytes,
+                        {m_options.protocol, [this](std::string_view key) { return sheds(key); },
+                         [this] { return busyProblem(); }, unknownId, keepsConnection});
+    if (screening.answer) {
+        ++m_metrics.requestsByVerdict[static_cast<std::size_t>(Verdict::NotRun)];
+        m_metrics.addRefusal(busyType);
+    }
+    return screening;
+}
+
 Problem TrafficThread::busyProblem()
 {
-    return {503, "busy", "the router has more to do than it can", Verdict::NotRun,
+    return {503, busyType, "the router has more to do than it can", Verdict::NotRun,
             spreadRetry(busyRetryAfter, m_random)};
 }
 
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "ConnectionPool.h"
+#include "Descriptor.h"
 #include "Mailbox.h"
+#include "Screening.h"
 #include "berylridge/Net/Asio.h"
 
 #include "berylridge/Net/Metrics.h"
@@ -46,6 +48,9 @@
     WireProtocolHandle protocol = ownProtocol();
     std::function<void(std::vector<Event> &)> report; ///< To the control thread; takes them all.
     std::function<TimePoint()> now = [] { return SystemClock().now(); };
+
+    /// For an answer to a request whose caller gave no id.
+    std::string unknownId() const { return idPrefix + "0"; }
 };
 
 class TrafficThread
@@ -59,8 +64,8 @@
     void start();
     /// From any thread.
     void order(TrafficOrder order) { m_orders.put(std::move(order)); }
-    /// From any thread: serves a connection that was accepted for this thread's context().
-    void adopt(tcp::socket socket);
+    /// From any thread: serves a connection that was accepted, by a non-blocking descriptor.
+    void adopt(Descriptor connection, tcp protocol);
     /// From any thread: answers from now on ask callers to connect anew, elsewhere.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     /// From any thread: lets answers that are being written end, closes everything, calls done.
@@ -90,6 +95,11 @@
     /// Whether the thread has more to do than it can and turns a request away. Decided here, as a
     /// request that goes to the core and back costs several times as much.
     bool sheds(std::string_view credential);
+    /// Whether any request may be turned away now.
+    bool isShedding() const { return m_load.isLimited(); }
+    /// The decision by the first bytes of a request, with its answer and its count in the metrics
+    /// where it can be refused at once.
+    Screening screen(std::string_view bytes, bool keepsConnection);
     /// What such a request is refused with.
     Problem busyProblem();
     /// Bytes that are read and dropped, or copied on at once.
@@ -114,6 +124,7 @@
     static constexpr std::size_t scratchBytes = 64 << 10;
 
     void run();
+    void take(Descriptor connection, tcp protocol);
     void carryOut(std::vector<TrafficOrder> &orders);
     void flushReports();
     void closeIdleTargets();
