Tell where a process died: a log line for fatal signals, with thread and calls

Now SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT write event 1013 with the signal, the address, the thread's name and the return addresses as offsets in the program file, on a signal stack of the thread's own, so that a stack that is used up is told too. A handler that was set before (a sanitizer's) stays.

--- a/lib/Net/LogSink.cpp
+++ b/lib/Net/LogSink.cpp
@@ -3,6 +3,7 @@
 #include "LogLine.h"
 #include "ThreadName.h"
 
+#include "berylridge/Support/FatalSignal.h"
 #include "berylridge/Support/LogBudget.h"
 
 #include <condition_variable>
@@ -123,6 +124,7 @@
     m_shared->write = std::move(write);
     m_writer = std::thread([shared = m_shared] {
         nameThread("log");
+        const SignalStack stack;
         shared->writeAll();
         const std::lock_guard lock(shared->mutex);
         shared->isDone = true;
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -8,6 +8,7 @@
 #include "TargetPoller.h"
 #include "ThreadName.h"
 #include "TrafficThread.h"
+#include "berylridge/Support/FatalSignal.h"
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
@@ -223,6 +224,7 @@
 void RouterNode::Impl::run()
 {
     nameThread("control");
+    const SignalStack stack;
     for (const auto &thread : m_threads)
         thread->start();
     handleNow(TimerDue {});
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -3,6 +3,7 @@
 #include "CallerSession.h"
 #include "Exchange.h"
 #include "ThreadName.h"
+#include "berylridge/Support/FatalSignal.h"
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
@@ -74,6 +75,7 @@
 void TrafficThread::run()
 {
     nameThread("traffic-" + std::to_string(m_index));
+    const SignalStack stack;
     m_context.run();
 }
 
--- a/tools/berylridged/Main.cpp
+++ b/tools/berylridged/Main.cpp
@@ -7,6 +7,7 @@
 #include "berylridge/Net/LogSink.h"
 #include "berylridge/Net/RouterNode.h"
 #include "berylridge/Router/Core.h"
+#include "berylridge/Support/FatalSignal.h"
 
 #include <iostream>
 #include <optional>
@@ -109,6 +110,7 @@
 
 int main(int argc, char **argv)
 {
+    reportFatalSignals();
     CommandLine line(manPage());
     TCLAP::ValueArg<std::string> path("s", "settings", "the settings file, JSON with comments",
                                       true, "", "FILE", line.arguments());
