Shares: hold a workspace by what the whole fleet admitted, not by each node's count alone

Cause: each node holds its own part of the level by its own count. What nodes let through too much, or held back too much, while they knew each other's demand late is in no count that would ever put it right: whoever took 3.7 levels in its first second keeps them, and whoever pays a debt made at a higher level goes short for seconds. Digests told what workspaces ask, not what they got.

Digests now tell both. A node's part of the level is multiplied by two less what the fleet admitted for the workspace, in levels, within 0.25 and 2: short of its level a workspace gets up to twice its part, beyond it a quarter.

Evidence: the new test has targets lost in steps under a flood at all nodes, one at two nodes and one at one node.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -38,12 +38,13 @@
     MSGPACK_DEFINE(part, target)
 };
 
-/// How fast a workspace's callers ask at the sender.
-struct WorkspaceDemandEntry
+/// What a workspace's callers ask and get at the sender, smoothed over a few seconds.
+struct WorkspaceFlowEntry
 {
-    std::uint32_t workspace = 0;       ///< shortHash() of its name.
-    std::uint32_t tokensPerSecond = 0; ///< Smoothed over a few seconds.
-    MSGPACK_DEFINE(workspace, tokensPerSecond)
+    std::uint32_t workspace = 0;         ///< shortHash() of its name.
+    std::uint32_t askedPerSecond = 0;    ///< Tokens.
+    std::uint32_t admittedPerSecond = 0; ///< Tokens.
+    MSGPACK_DEFINE(workspace, askedPerSecond, admittedPerSecond)
 };
 
 /// A request that was running when its target's connections broke.
@@ -73,14 +74,14 @@
     std::uint64_t catalogVersion = 0;
     std::uint64_t directoryRevision = 0;
     std::vector<TargetLoadEntry> loads;
-    std::vector<WorkspaceDemandEntry> demands;
+    std::vector<WorkspaceFlowEntry> flows;
     std::vector<BrokenRunEntry> brokenRuns;
     std::vector<PeerEntry> peers;          ///< Now and then: some whom the sender has heard lately.
     std::uint32_t servedPerSecond = 0;     ///< Tokens of requests that the sender had admitted.
     std::uint32_t turnedAwayPerSecond = 0; ///< Tokens of requests that found no room.
     bool isReading = false; ///< The sender reads the platform's state, and the platform answers.
-    MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads,
-                   demands, brokenRuns, peers, servedPerSecond, turnedAwayPerSecond, isReading)
+    MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads, flows,
+                   brokenRuns, peers, servedPerSecond, turnedAwayPerSecond, isReading)
 };
 
 /// What the sender made targets read and keep. Goes out with digests until each peer had it.
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -39,15 +39,17 @@
     /// The request was refused since no target had room for it.
     void onTurnedAway(double tokens, TimePoint now) { m_turnedAway.add(tokens, now); }
 
-    struct RemoteDemand
+    /// Of one workspace's callers at one node, in tokens a second.
+    struct Flow
     {
         WorkspaceKey workspace = 0;
-        double tokensPerSecond = 0;
+        double asked = 0;
+        double admitted = 0;
     };
     /// What another node told of its own callers.
     struct RemoteNews
     {
-        std::vector<RemoteDemand> demands;
+        std::vector<Flow> flows;
         double servedPerSecond = 0;     ///< Tokens of requests that it admitted.
         double turnedAwayPerSecond = 0; ///< Tokens of requests that found no room.
     };
@@ -72,8 +74,8 @@
     };
     Standing standing(WorkspaceKey workspace, TimePoint now) const;
 
-    /// This node's own demands in tokens a second, for its digests.
-    std::vector<RemoteDemand> ownDemands(TimePoint now) const;
+    /// Of this node's own callers, for its digests.
+    std::vector<Flow> ownFlows(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
     double turnedAwayPerSecond(TimePoint now) const { return m_turnedAway.at(now); }
     /// Of the whole fleet, as this node sees it; in tokens a second.
@@ -92,6 +94,7 @@
     struct Own
     {
         Rate demand;
+        Rate admitted;
         Rate unlimited;         ///< What it got while the fleet was full and it wasn't limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
         double credit = 0;      ///< Tokens that it may still get; below zero beyond its share.
@@ -106,8 +109,10 @@
 
     double capacity(double namedCapacity, TimePoint now);
     static void beginLimit(Own &own, TimePoint now);
-    /// Tokens a second over all nodes, as far as this one can tell.
-    std::unordered_map<WorkspaceKey, double> fleetDemands(TimePoint now) const;
+    /// This node's part of the share of a workspace that asks for more.
+    double limitedRate(const Own &own, const Flow &fleet, TimePoint now) const;
+    /// Over all nodes, as far as this one can tell.
+    std::unordered_map<WorkspaceKey, Flow> fleetFlows(TimePoint now) const;
 
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
--- a/lib/Balancer/FleetTalk.cpp
+++ b/lib/Balancer/FleetTalk.cpp
@@ -86,8 +86,8 @@
     digest.directoryRevision = m_context.directory.revision();
     for (const auto &[target, load] : m_board.loads().allOwn())
         digest.loads.push_back({target, load.running, clampTo32(static_cast<double>(load.tokens))});
-    for (const auto &demand : m_requests.shares().ownDemands(m_context.now))
-        digest.demands.push_back({demand.workspace, clampTo32(demand.tokensPerSecond)});
+    for (const auto &flow : m_requests.shares().ownFlows(m_context.now))
+        digest.flows.push_back({flow.workspace, clampTo32(flow.asked), clampTo32(flow.admitted)});
     digest.servedPerSecond = clampTo32(m_requests.shares().servedPerSecond(m_context.now));
     digest.turnedAwayPerSecond = clampTo32(m_requests.shares().turnedAwayPerSecond(m_context.now));
     digest.brokenRuns = m_brokenRuns.take(brokenRunsLimit);
@@ -115,8 +115,9 @@
         loads.push_back({entry.target, {entry.running, entry.tokens}});
     m_board.loads().onDigest(from, std::move(loads), m_context.now);
     WorkspaceShares::RemoteNews news;
-    for (const WorkspaceDemandEntry &entry : digest.demands)
-        news.demands.push_back({entry.workspace, static_cast<double>(entry.tokensPerSecond)});
+    for (const WorkspaceFlowEntry &entry : digest.flows)
+        news.flows.push_back({entry.workspace, static_cast<double>(entry.askedPerSecond),
+                              static_cast<double>(entry.admittedPerSecond)});
     news.servedPerSecond = digest.servedPerSecond;
     news.turnedAwayPerSecond = digest.turnedAwayPerSecond;
     m_requests.shares().onDigest(from, std::move(news), m_context.now);
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -23,6 +23,15 @@
 constexpr std::size_t leastSample = 3;
 /// Below this a workspace is idle.
 constexpr double idleRate = 1.0;
+/// Bounds of what the fleet's own count makes of a node's part of a share.
+constexpr double leastCorrection = 0.25;
+constexpr double mostCorrection = 2.0;
+
+void add(const WorkspaceShares::Flow &flow, WorkspaceShares::Flow &sum)
+{
+    sum.asked += flow.asked;
+    sum.admitted += flow.admitted;
+}
 
 } // namespace
 
@@ -68,25 +77,26 @@
     return std::max(namedCapacity, served * growth);
 }
 
-std::unordered_map<WorkspaceKey, double> WorkspaceShares::fleetDemands(TimePoint now) const
+std::unordered_map<WorkspaceKey, WorkspaceShares::Flow> WorkspaceShares::fleetFlows(
+    TimePoint now) const
 {
     struct Sample
     {
-        double rate = 0;
+        Flow flow;
         std::size_t nodes = 0;
     };
-    std::unordered_map<WorkspaceKey, double> known;
+    std::unordered_map<WorkspaceKey, Flow> known;
     std::unordered_map<WorkspaceKey, Sample> samples;
     std::size_t sampled = 0;
     for (const auto &[node, remote] : m_remotes) {
         const bool isNew = remote.heardAt > m_updatedAt;
         sampled += isNew ? 1 : 0;
-        for (const RemoteDemand &demand : remote.news.demands) {
-            known[demand.workspace] += demand.tokensPerSecond;
+        for (const Flow &flow : remote.news.flows) {
+            add(flow, known[flow.workspace]);
             if (!isNew)
                 continue;
-            Sample &sample = samples[demand.workspace];
-            sample.rate += demand.tokensPerSecond;
+            Sample &sample = samples[flow.workspace];
+            add(flow, sample.flow);
             ++sample.nodes;
         }
     }
@@ -95,13 +105,13 @@
     for (const auto &[workspace, sample] : samples) {
         if (sample.nodes < leastSample)
             continue;
-        const double all
-            = sample.rate * static_cast<double>(m_remotes.size()) / static_cast<double>(sampled);
-        double &rate = known[workspace];
-        rate = std::max(rate, all);
+        const double times = static_cast<double>(m_remotes.size()) / static_cast<double>(sampled);
+        Flow &flow = known[workspace];
+        flow.asked = std::max(flow.asked, sample.flow.asked * times);
+        flow.admitted = std::max(flow.admitted, sample.flow.admitted * times);
     }
     for (const auto &[workspace, own] : m_own)
-        known[workspace] += own.demand.at(now);
+        add({workspace, own.demand.at(now), own.admitted.at(now)}, known[workspace]);
     return known;
 }
 
@@ -109,24 +119,33 @@
 {
     std::erase_if(m_remotes,
                   [&](const auto &entry) { return now - entry.second.heardAt > remoteLimit; });
-    const std::unordered_map<WorkspaceKey, double> fleet = fleetDemands(now);
+    const std::unordered_map<WorkspaceKey, Flow> fleet = fleetFlows(now);
     m_updatedAt = now;
     std::vector<double> demands;
     demands.reserve(fleet.size());
-    for (const auto &[workspace, rate] : fleet)
-        demands.push_back(rate);
+    for (const auto &[workspace, flow] : fleet)
+        demands.push_back(flow.asked);
     m_fleet.capacity = capacity(namedCapacity, now);
     m_fleet.level = maxMinLevel(std::move(demands), m_fleet.capacity);
     for (auto &[workspace, own] : m_own) {
-        const double all = fleet.at(workspace);
-        const bool wasLimited = std::exchange(own.isLimited, all > m_fleet.level);
-        own.allowedRate = own.isLimited ? m_fleet.level * own.demand.at(now) / all : all;
+        const Flow &flow = fleet.at(workspace);
+        const bool wasLimited = std::exchange(own.isLimited, flow.asked > m_fleet.level);
+        own.allowedRate = own.isLimited ? limitedRate(own, flow, now) : flow.asked;
         if (own.isLimited && !wasLimited)
             beginLimit(own, now);
     }
     std::erase_if(m_own, [&](const auto &entry) { return entry.second.demand.at(now) < idleRate; });
 }
 
+double WorkspaceShares::limitedRate(const Own &own, const Flow &fleet, TimePoint now) const
+{
+    // Nodes see each other late: what the fleet admitted beyond the share, or short of it, in the
+    // last seconds comes off, or on.
+    const double correction
+        = std::clamp(2 - fleet.admitted / m_fleet.level, leastCorrection, mostCorrection);
+    return m_fleet.level * own.demand.at(now) / fleet.asked * correction;
+}
+
 void WorkspaceShares::beginLimit(Own &own, TimePoint now)
 {
     // What it got while the fleet was full and nobody knew yet of its demand counts.
@@ -158,6 +177,7 @@
     if (found == m_own.end())
         return;
     Own &own = found->second;
+    own.admitted.add(tokens, now);
     if (!own.isLimited) {
         if (m_isFull)
             own.unlimited.add(tokens, now);
@@ -175,13 +195,13 @@
     return {own.demand.at(now), own.allowedRate, own.credit, own.isLimited};
 }
 
-std::vector<WorkspaceShares::RemoteDemand> WorkspaceShares::ownDemands(TimePoint now) const
+std::vector<WorkspaceShares::Flow> WorkspaceShares::ownFlows(TimePoint now) const
 {
-    std::vector<RemoteDemand> demands;
-    demands.reserve(m_own.size());
+    std::vector<Flow> flows;
+    flows.reserve(m_own.size());
     for (const auto &[workspace, own] : m_own)
-        demands.push_back({workspace, own.demand.at(now)});
-    return demands;
+        flows.push_back({workspace, own.demand.at(now), own.admitted.at(now)});
+    return flows;
 }
 
 } // namespace berylridge
--- a/unittests/Policy/FleetSharesTest.cpp
+++ b/unittests/Policy/FleetSharesTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <gtest/gtest.h>
 #include <map>
 #include <vector>
@@ -50,7 +51,7 @@
         asked[workspace] += tokens;
         node.shares.onAsked(workspace, tokens, m_clock.now());
         std::size_t target = 0;
-        for (std::size_t i = 1; i < targetCount; ++i)
+        for (std::size_t i = 1; i < m_running; ++i)
             target = node.known(i) < node.known(target) ? i : target;
         const double ahead = node.shares.secondsAhead(workspace, m_clock.now());
         const double allowed = allowedWaitMs({latencyTargetMs, tokens / tokensPerMs, ahead});
@@ -63,9 +64,19 @@
         node.own[target] += tokens;
     }
 
+    /// From now on only so many targets read; what was queued at the others is lost.
+    void setRunning(std::size_t targets)
+    {
+        for (std::size_t i = targets; i < m_running; ++i) {
+            for (Node &node : m_nodes)
+                node.own[i] = 0;
+        }
+        m_running = targets;
+    }
+
     void passMs()
     {
-        for (std::size_t i = 0; i < targetCount; ++i)
+        for (std::size_t i = 0; i < m_running; ++i)
             read(i);
         m_clock.advance(1ms);
         ++m_ms;
@@ -111,7 +122,7 @@
                 continue;
             Node &node = m_nodes[i];
             node.shares.onDigest(NodeId("n" + std::to_string(teller)),
-                                 {from.shares.ownDemands(now), from.shares.servedPerSecond(now),
+                                 {from.shares.ownFlows(now), from.shares.servedPerSecond(now),
                                   from.shares.turnedAwayPerSecond(now)},
                                  now);
             for (std::size_t target = 0; target < targetCount; ++target)
@@ -123,6 +134,7 @@
     PausedClock m_clock;
     std::vector<Node> m_nodes;
     RandomEngine m_random {7};
+    std::size_t m_running = targetCount;
     int m_ms = 0;
 };
 
@@ -155,9 +167,29 @@
     std::map<WorkspaceKey, double> m_gotBefore;
 };
 
+/// Looks once a second at the last six.
+class WindowPerSecond
+{
+public:
+    void next(const ModelFleet &fleet)
+    {
+        m_windows.emplace_back(fleet);
+        if (m_windows.size() <= seconds)
+            return;
+        m_windows.front().expectFair(fleet);
+        m_windows.pop_front();
+    }
+
+private:
+    static constexpr std::size_t seconds = 6;
+
+    std::deque<Window> m_windows;
+};
+
 constexpr WorkspaceKey flood = 1;
 constexpr WorkspaceKey firstLarge = 2; ///< Three of them, each at one node.
 constexpr WorkspaceKey firstSmall = 5; ///< Ten of them, each at two nodes.
+constexpr WorkspaceKey secondFlood = 15;
 
 /// Twice what the targets read, without the flood.
 void askUsual(ModelFleet &fleet, int ms)
@@ -213,3 +245,27 @@
     }
     window.expectFair(fleet);
 }
+
+// Guards against a flood at all nodes paying at a low level for what it got at a high one, and
+// against one at few nodes owing nothing for it.
+TEST(FleetShares, FloodsGetTheirShareWhileTargetsAreLost)
+{
+    ModelFleet fleet;
+    WindowPerSecond windows;
+    std::size_t running = targetCount;
+    for (int ms = 0; ms < 18000; ++ms) {
+        if (ms >= 4000) {
+            fleet.ask(flood, 0, nodeCount - 1);
+            fleet.ask(flood, 0, nodeCount - 1);
+        }
+        if (ms % 5 == 0)
+            fleet.ask(firstLarge, 0, 0);
+        if (ms >= 4000 && ms % 2 == 0)
+            fleet.ask(secondFlood, 40, 41);
+        if (ms >= 8000 && ms % 1000 == 0 && running > 15)
+            fleet.setRunning(running -= 5);
+        fleet.passMs();
+        if (ms >= 7000 && ms % 1000 == 0)
+            windows.next(fleet);
+    }
+}
