Shares: count credit in seconds of the share

Cause: a debt was kept in tokens and bounded only when something was admitted.

Credit is now counted in seconds of the share at the time of each admission.

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -69,7 +69,7 @@
     {
         double demand = 0;  ///< At this node.
         double allowed = 0; ///< This node's part of the workspace's share.
-        double credit = 0;  ///< Tokens.
+        double credit = 0;  ///< Seconds of the share.
         bool isLimited = false;
     };
     Standing standing(WorkspaceKey workspace, TimePoint now) const;
@@ -97,7 +97,9 @@
         Rate admitted;
         Rate unlimited;         ///< What it got while the fleet was full and it wasn't limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
-        double credit = 0;      ///< Tokens that it may still get; below zero beyond its share.
+        /// What it may still get, in seconds of the share; below zero beyond it. Seconds, as the
+        /// share may fall by half in one: in tokens a debt made before would last twice as long.
+        double credit = 0;
         TimePoint creditedAt {};
         bool isLimited = false;
     };
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -187,3 +187,35 @@
     EXPECT_GT(fleet.got[slow], 0.75 * fleet.got[fast]);
     EXPECT_GT(fleet.got[fast] + fleet.got[slow] + fleet.got[small], 0.95 * 8 * 400000);
 }
+
+// Guards against a debt made at a high level shutting a workspace out for long once the level is
+// low.
+TEST(WorkspaceShares, ADebtGetsNoLongerWhenTheShareFalls)
+{
+    constexpr WorkspaceKey own = 1;
+    constexpr WorkspaceKey other = 2;
+    PausedClock clock;
+    WorkspaceShares shares;
+    const auto pass = [&](double othersServed, double admitted) {
+        shares.onDigest(NodeId("b"), {{{other, 4e7, othersServed}}, othersServed, 5e6},
+                        clock.now());
+        for (int ms = 0; ms < 100; ++ms) {
+            shares.onAsked(own, 40000, clock.now());
+            shares.onAdmitted(own, admitted, clock.now());
+            clock.advance(1ms);
+        }
+        shares.update(0, clock.now());
+    };
+    for (int i = 0; i < 20; ++i)
+        pass(5e6, 3000);
+    for (int i = 0; i < 10; ++i)
+        pass(5e6, 40000);
+    double before = shares.secondsAhead(own, clock.now());
+    EXPECT_GT(before, 0);
+    for (int i = 0; i < 20; ++i) {
+        pass(1e5, 0);
+        const double after = shares.secondsAhead(own, clock.now());
+        EXPECT_LE(after, before);
+        before = after;
+    }
+}
