--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t leastSample = 3;
 /// Below this a workspace is idle.
 constexpr double idleRate = 1.0;
-/// Bounds of what the fleet's own count makes of a node's part of a share.
+/// Bounds of the correction of a node's part of a share.
 constexpr double leastCorrection = 0.25;
 constexpr double mostCorrection = 2.0;
 
@@ -139,8 +139,8 @@
 
 double WorkspaceShares::limitedRate(const Own &own, const Flow &fleet, TimePoint now) const
 {
-    // Nodes see each other late: what the fleet admitted beyond the share, or short of it, in the
-    // last seconds comes off, or on.
+    // Nodes know each other's demand late, so that their parts add up to more or less than the
+    // share. What the fleet admitted tells by how much.
     const double correction
         = std::clamp(2 - fleet.admitted / m_fleet.level, leastCorrection, mostCorrection);
     return m_fleet.level * own.demand.at(now) / fleet.asked * correction;
