--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -69,7 +69,7 @@
     {
         double demand = 0;  ///< At this node.
         double allowed = 0; ///< This node's part of the workspace's share.
-        double credit = 0;  ///< Seconds of the share.
+        double credit = 0;  ///< Tokens.
         bool isLimited = false;
     };
     Standing standing(WorkspaceKey workspace, TimePoint now) const;
@@ -97,9 +97,7 @@
         Rate admitted;
         Rate unlimited;         ///< What it got while the fleet was full and it wasn't limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
-        /// What it may still get, in seconds of the share; below zero beyond it. Seconds, as the
-        /// share may fall by half in one: in tokens a debt made before would last twice as long.
-        double credit = 0;
+        double credit = 0;      ///< Tokens that it may still get; below zero beyond its share.
         TimePoint creditedAt {};
         bool isLimited = false;
     };
--- a/lib/Balancer/RequestStory.cpp
+++ b/lib/Balancer/RequestStory.cpp
@@ -33,7 +33,7 @@
         return;
     out["shareDemand"] = rounded(step.standing.demand);
     out["shareAllowed"] = rounded(step.standing.allowed);
-    out["shareCreditMs"] = rounded(step.standing.credit * 1000);
+    out["shareCredit"] = rounded(step.standing.credit);
 }
 
 void describe(const NoTargetStep & /*step*/, Json::Value &out)
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -149,8 +149,9 @@
 void WorkspaceShares::beginLimit(Own &own, TimePoint now)
 {
     // What it got while the fleet was full and nobody knew yet of its demand counts.
-    const double part = own.allowedRate > 0 ? own.unlimited.at(now) / own.allowedRate : 0;
-    own.credit = std::clamp((1 - part) * Rate::usualSmoothingSeconds, -debtSeconds, creditSeconds);
+    const double behind = (own.allowedRate - own.unlimited.at(now)) * Rate::usualSmoothingSeconds;
+    own.credit
+        = std::clamp(behind, -own.allowedRate * debtSeconds, own.allowedRate * creditSeconds);
     own.creditedAt = now;
 }
 
@@ -160,10 +161,13 @@
     if (found == m_own.end() || !found->second.isLimited)
         return 0;
     Own &own = found->second;
-    own.credit = std::min(own.credit + toSeconds(now - own.creditedAt), creditSeconds);
+    const double earned = own.allowedRate * toSeconds(now - own.creditedAt);
+    own.credit = std::min(own.credit + earned, own.allowedRate * creditSeconds);
     own.creditedAt = now;
     // Credit may go below zero by one request, so that a large request is served in its turn.
-    return std::max(-own.credit, 0.0);
+    if (own.credit > 0 || own.allowedRate <= 0)
+        return 0;
+    return -own.credit / own.allowedRate;
 }
 
 void WorkspaceShares::onAdmitted(WorkspaceKey workspace, double tokens, TimePoint now)
@@ -179,8 +183,7 @@
             own.unlimited.add(tokens, now);
         return;
     }
-    if (own.allowedRate > 0)
-        own.credit = std::max(own.credit - tokens / own.allowedRate, -debtSeconds);
+    own.credit = std::max(own.credit - tokens, -own.allowedRate * debtSeconds);
 }
 
 WorkspaceShares::Standing WorkspaceShares::standing(WorkspaceKey workspace, TimePoint now) const
