Shares: correct a workspace by what others beyond their share got, not by the level

Cause: the correction by what the fleet admitted held each workspace to its level, and the level is of what was admitted: a fleet that admitted too little held itself there. Before, what nodes let through beyond the level let it grow.

The correction is now relative to the mean of all workspaces that ask for more than the level, so it only moves work from one to another.

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -109,10 +109,15 @@
 
     double capacity(double namedCapacity, TimePoint now);
     static void beginLimit(Own &own, TimePoint now);
-    /// This node's part of the share of a workspace that asks for more.
-    double limitedRate(const Own &own, const Flow &fleet, TimePoint now) const;
+    using FlowMap = std::unordered_map<WorkspaceKey, Flow>;
+
     /// Over all nodes, as far as this one can tell.
-    std::unordered_map<WorkspaceKey, Flow> fleetFlows(TimePoint now) const;
+    FlowMap fleetFlows(TimePoint now) const;
+    /// What the fleet admitted for a workspace that asks for more than the level, in levels; the
+    /// mean of all of these.
+    double levelsAdmitted(const FlowMap &fleet) const;
+    /// This node's part of the share of a workspace that asks for more.
+    double limitedRate(const Own &own, const Flow &fleet, double usualLevels, TimePoint now) const;
 
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -77,15 +77,14 @@
     return std::max(namedCapacity, served * growth);
 }
 
-std::unordered_map<WorkspaceKey, WorkspaceShares::Flow> WorkspaceShares::fleetFlows(
-    TimePoint now) const
+WorkspaceShares::FlowMap WorkspaceShares::fleetFlows(TimePoint now) const
 {
     struct Sample
     {
         Flow flow;
         std::size_t nodes = 0;
     };
-    std::unordered_map<WorkspaceKey, Flow> known;
+    FlowMap known;
     std::unordered_map<WorkspaceKey, Sample> samples;
     std::size_t sampled = 0;
     for (const auto &[node, remote] : m_remotes) {
@@ -119,7 +118,7 @@
 {
     std::erase_if(m_remotes,
                   [&](const auto &entry) { return now - entry.second.heardAt > remoteLimit; });
-    const std::unordered_map<WorkspaceKey, Flow> fleet = fleetFlows(now);
+    const FlowMap fleet = fleetFlows(now);
     m_updatedAt = now;
     std::vector<double> demands;
     demands.reserve(fleet.size());
@@ -127,22 +126,38 @@
         demands.push_back(flow.asked);
     m_fleet.capacity = capacity(namedCapacity, now);
     m_fleet.level = maxMinLevel(std::move(demands), m_fleet.capacity);
+    const double usualLevels = levelsAdmitted(fleet);
     for (auto &[workspace, own] : m_own) {
         const Flow &flow = fleet.at(workspace);
         const bool wasLimited = std::exchange(own.isLimited, flow.asked > m_fleet.level);
-        own.allowedRate = own.isLimited ? limitedRate(own, flow, now) : flow.asked;
+        own.allowedRate = own.isLimited ? limitedRate(own, flow, usualLevels, now) : flow.asked;
         if (own.isLimited && !wasLimited)
             beginLimit(own, now);
     }
     std::erase_if(m_own, [&](const auto &entry) { return entry.second.demand.at(now) < idleRate; });
 }
 
-double WorkspaceShares::limitedRate(const Own &own, const Flow &fleet, TimePoint now) const
+double WorkspaceShares::levelsAdmitted(const FlowMap &fleet) const
+{
+    double levels = 0;
+    std::size_t count = 0;
+    for (const auto &[workspace, flow] : fleet) {
+        if (flow.asked <= m_fleet.level)
+            continue;
+        levels += flow.admitted / m_fleet.level;
+        ++count;
+    }
+    return count > 0 ? levels / static_cast<double>(count) : 1;
+}
+
+double WorkspaceShares::limitedRate(const Own &own, const Flow &fleet, double usualLevels,
+                                    TimePoint now) const
 {
     // Nodes know each other's demand late, so that their parts add up to more or less than the
-    // share. What the fleet admitted tells by how much.
-    const double correction
-        = std::clamp(2 - fleet.admitted / m_fleet.level, leastCorrection, mostCorrection);
+    // share. What the fleet admitted tells by how much. The others are the measure, not the level:
+    // held to it by its own count, a fleet that admits too little would never find out.
+    const double levels = fleet.admitted / m_fleet.level;
+    const double correction = std::clamp(1 + usualLevels - levels, leastCorrection, mostCorrection);
     return m_fleet.level * own.demand.at(now) / fleet.asked * correction;
 }
 
