--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -1,5 +1,6 @@
-// Messages between nodes that run the balancer: load digests, placements, and the state that the
-// platform published. MessagePack encodes each structure as an array; newer releases append fields.
+// Messages between nodes that run the balancer: load digests, zone summaries, placements, and the
+// state that the platform published. MessagePack encodes each structure as an array; newer releases
+// append fields.
 #pragma once
 
 #include "berylridge/Catalog/Catalog.h"
@@ -86,9 +87,37 @@
     std::uint32_t rejectedPerSecond = 0; ///< Tokens of requests rejected for lack of capacity.
     /// Whether the sender reads the platform's state and the platform responds.
     bool isReadingPlatform = false;
+    /// Whether the sender's loads and flows are missing here. Where the receiver is in another zone
+    /// of a large fleet, the summaries of the sender's zone contain them.
+    bool isSummarized = false;
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads, flows,
                    interruptedRequests, peers, servedPerSecond, rejectedPerSecond,
-                   isReadingPlatform)
+                   isReadingPlatform, isSummarized)
+};
+
+/// The load that the requests of all nodes of the sender's zone put on targets. Each node of a zone
+/// sends it to some nodes of the other zones. A large summary is sent in several parts.
+struct ZoneLoadSummary
+{
+    std::string zone;
+    std::uint32_t nodes = 0; ///< Number of nodes whose loads are included.
+    /// Covers the targets whose keys lie in this inclusive range; those without an entry have no
+    /// load.
+    std::uint32_t firstTarget = 0;
+    std::uint32_t lastTarget = 0;
+    std::vector<TargetLoadEntry> loads;
+    MSGPACK_DEFINE(zone, nodes, firstTarget, lastTarget, loads)
+};
+
+/// The token rates at all nodes of the sender's zone, sent like ZoneLoadSummary.
+struct ZoneFlowSummary
+{
+    std::string zone;
+    std::uint32_t nodes = 0;               ///< Number of nodes whose rates are included.
+    std::vector<WorkspaceFlowEntry> flows; ///< Only the workspaces with the highest demand.
+    std::uint32_t servedPerSecond = 0;
+    std::uint32_t rejectedPerSecond = 0;
+    MSGPACK_DEFINE(zone, nodes, flows, servedPerSecond, rejectedPerSecond)
 };
 
 /// The prompt prefixes that the sender's requests added to targets' caches. It is sent along with
@@ -97,7 +126,10 @@
 {
     std::vector<PlacementEntry> placements;
     std::vector<TargetCacheWriteEntry> cacheWrites; ///< Only targets whose count has changed.
-    MSGPACK_DEFINE(placements, cacheWrites)
+    /// The same for the nodes of other zones, where a node receives only some of the sender's
+    /// messages and the rest through its peers: the counts' increases.
+    std::vector<TargetCacheWriteEntry> cacheWriteIncreases;
+    MSGPACK_DEFINE(placements, cacheWrites, cacheWriteIncreases)
 };
 
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
@@ -122,7 +154,7 @@
     MSGPACK_DEFINE(directoryUpdate)
 };
 
-using BalancerMessage
-    = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay, PlacementUpdate>;
+using BalancerMessage = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay,
+                                     PlacementUpdate, ZoneLoadSummary, ZoneFlowSummary>;
 
 } // namespace berylridge
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -7,9 +7,12 @@
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylridge {
@@ -20,6 +23,7 @@
     ZoneId zone;
     Endpoint endpoint;           ///< Endpoint at which other nodes reach this one.
     std::vector<Endpoint> seeds; ///< Some may be stale or down; this node's own may be included.
+    Duration digestPeriod = std::chrono::milliseconds(100);
 };
 
 /// Not thread-safe.
@@ -29,14 +33,21 @@
     /// A node counts as live if a digest from it arrived within this time. That is the time of five
     /// digests, each of which may be lost.
     static constexpr Duration liveTimeout = std::chrono::milliseconds(1000);
+    /// The same for a node of another zone in a fleet that uses zone summaries.
+    static constexpr Duration remoteLiveTimeout = std::chrono::seconds(5);
     /// For this long, a silent node still counts when a fleet-wide limit is divided among nodes,
     /// because it may still use its share behind a network partition.
     static constexpr Duration limitShareTimeout = std::chrono::seconds(10);
     /// After this time a silent node is removed, since its address may belong to another node.
     static constexpr Duration removalTimeout = std::chrono::seconds(60);
-    /// Number of peers that receive a digest in one period. With a fixed number, the cost per node
-    /// does not grow with the fleet; the age of the nodes' knowledge of each other grows instead.
-    static constexpr std::size_t fanOut = 12;
+    /// Maximum number of peers that receive a digest in one period, so that the cost per node does
+    /// not grow with the fleet. A fleet with more peers uses zone summaries: a node sends its own
+    /// digests to the nodes of its zone only.
+    static constexpr std::size_t fanOut = 14;
+    /// Number of nodes of other zones that receive a summary of this node's zone in one period, and
+    /// maximum number of periods in which one node of each other zone receives one.
+    static constexpr std::size_t minRemoteFanOut = 2;
+    static constexpr std::size_t maxRemotePeriods = 4;
 
     struct Peer
     {
@@ -44,7 +55,7 @@
         Endpoint endpoint;
         Incarnation incarnation = 0;
         std::optional<TimePoint> lastMessageAt; ///< Empty if it is known from peer lists only.
-        TimePoint lastListedAt;                 ///< When a peer list last contained it.
+        TimePoint lastListedAt {};              ///< When a peer list last contained it.
         bool isLeaving = false;
         bool isReadingPlatform = false; ///< Whether it reads the platform's state successfully.
     };
@@ -60,18 +71,37 @@
     /// Extends all silence timeouts by a pause of this process, during which it received nothing.
     void onProcessResumed(Duration gap);
 
+    /// Returns whether the fleet is so large that nodes of other zones receive summaries.
+    bool usesZoneSummaries() const { return m_peers.size() > fanOut; }
+    using Receivers = std::vector<std::pair<NodeId, Endpoint>>;
     /// Returns the receivers of this period's digest.
-    std::vector<std::pair<NodeId, Endpoint>> nextReceivers(TimePoint now);
-    /// Returns the number of periods within which each peer is a receiver once.
+    Receivers nextReceivers(TimePoint now);
+    /// Returns the receivers of this period's zone summary. The nodes of a zone take turns by the
+    /// time of day, so that together they reach each node of the other zones at about equal
+    /// intervals. A node whose clock is off only reaches some of them at other times.
+    Receivers remoteReceivers(WallTime wall) const;
+    /// Returns the number of periods within which each receiver of digests is one once.
     unsigned periodsPerRotation() const;
+    /// Returns the number of periods within which one node of each other zone receives a summary
+    /// from this node.
+    unsigned periodsPerRemoteRotation() const;
+    /// Returns the time within which each receiver of digests receives one.
+    Duration rotationTime() const { return m_options.digestPeriod * periodsPerRotation(); }
+    /// Returns the number of other nodes that this node knows, live or not.
+    std::size_t size() const { return m_peers.size(); }
     /// Returns the next live nodes in rotation, for the peer lists that nodes send each other.
     std::vector<PeerEntry> nextLiveEntries(std::size_t maxCount, TimePoint now);
 
+    /// Returns all nodes that were reported lately, for a node that has just started.
+    std::vector<PeerEntry> reportedEntries(TimePoint now) const;
+
     bool isLive(const Peer &peer, TimePoint now) const;
-    /// Returns whether the peer counts when a fleet-wide limit is divided among nodes.
+    /// Returns whether the peer counts when a fleet-wide limit is divided among nodes. In a large
+    /// fleet, peer lists report the nodes of other zones more often than these send messages.
     bool hasLimitShare(const Peer &peer, TimePoint now) const
     {
-        return peer.lastMessageAt && now - *peer.lastMessageAt < limitShareTimeout;
+        const TimePoint reportedAt = lastReportedAt(peer);
+        return reportedAt > TimePoint {} && now - reportedAt < limitShareTimeout;
     }
     const Peer *find(const NodeId &node) const;
     /// Calls visit(node, peer) for each known node.
@@ -92,9 +122,39 @@
     bool isZoneSilent(const std::string &zone, TimePoint now) const;
 
 private:
+    struct OwnZone
+    {
+        std::size_t peers = 0;
+        std::size_t precedingPeers = 0; ///< Those whose ids precede this node's.
+    };
+    using ZonePeers = std::map<std::string, std::vector<std::map<NodeId, Peer>::const_iterator>>;
+
+    static PeerEntry entryOf(const NodeId &node, const Peer &peer)
+    {
+        return {node.str(), peer.zone, peer.endpoint.address, peer.endpoint.port};
+    }
+    static TimePoint lastReportedAt(const Peer &peer)
+    {
+        return std::max(peer.lastMessageAt.value_or(peer.lastListedAt), peer.lastListedAt);
+    }
+    bool isDigestReceiver(const Peer &peer) const
+    {
+        return !usesZoneSummaries() || peer.zone == m_options.zone.str();
+    }
+    std::size_t digestReceiverCount() const;
+    OwnZone ownZone() const;
+    ZonePeers remotePeers() const;
+    static std::size_t remoteFanOut(std::size_t zones)
+    {
+        return std::max(minRemoteFanOut, (zones + maxRemotePeriods - 1) / maxRemotePeriods);
+    }
+    Duration zoneSilenceTimeout() const;
+    void addNextSeed(Receivers &receivers, TimePoint now);
+
     PeerTableOptions m_options;
-    NodeId m_lastReceiver; ///< Last receiver of the previous period's digest.
-    NodeId m_lastListed;   ///< Last node that was put into a peer list.
+    std::size_t m_nextSeed = 0; ///< Position in the options' seeds.
+    NodeId m_lastReceiver;      ///< Last receiver of the previous period's digest.
+    NodeId m_lastListed;        ///< Last node that was put into a peer list.
     std::map<NodeId, Peer> m_peers;
 };
 
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -3,18 +3,20 @@
 //
 // Guards against a few large workspaces that request several times their usual load, so that small
 // ones find every target full. Each node knows its own callers' demand exactly and that of the
-// other nodes' callers from digests. While the fleet rejects requests, its capacity is the rate
-// that it serves. A capacity configured by operators does not account for how much of the prompts
-// the targets have cached, and is off by a factor of two either way. It counts only while next to
-// nothing is rejected.
+// other nodes' callers from digests and from summaries of other zones. While the fleet rejects
+// requests, its capacity is the rate that it serves. A capacity configured by operators does not
+// account for how much of the prompts the targets have cached, and is off by a factor of two either
+// way. It counts only while next to nothing is rejected.
 #pragma once
 
 #include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -46,15 +48,25 @@
         WorkspaceKey workspace = 0;
         double requested = 0;
         double admitted = 0;
+
+        void add(const Flow &other)
+        {
+            requested += other.requested;
+            admitted += other.admitted;
+        }
     };
-    /// What another node reported about its own callers.
+    /// What another node, or all nodes of another zone, reported about their own callers.
     struct RemoteDigest
     {
         std::vector<Flow> flows;
         double servedPerSecond = 0;   ///< Tokens of requests that it admitted.
         double rejectedPerSecond = 0; ///< Tokens of requests that it rejected for lack of capacity.
+        std::size_t nodes = 1;        ///< Number of nodes that it covers.
     };
     void onDigest(const NodeId &node, RemoteDigest digest, TimePoint now);
+    /// Drops what the node's last digest contained.
+    void forgetNode(const NodeId &node) { m_remotes.erase(node); }
+    void onZoneSummary(const std::string &zone, RemoteDigest digest, TimePoint now);
 
     /// Recomputes the shares; called each period. configuredCapacity is the capacity of the fleet
     /// that operators state, in tokens per second.
@@ -74,6 +86,29 @@
     };
     ShareStatus shareStatus(WorkspaceKey workspace, TimePoint now) const;
 
+    /// Returns the sum of this node's rates and those in the digests of the nodes for which
+    /// `isIncluded(node)` is true. Contains at most `maxFlows` workspaces, those with the highest
+    /// demand.
+    template <typename IsIncluded>
+    RemoteDigest sumOfNodes(IsIncluded isIncluded, std::size_t maxFlows, TimePoint now) const
+    {
+        RemoteDigest sum {{}, servedPerSecond(now), rejectedPerSecond(now), 1};
+        FlowMap flows;
+        for (const Flow &flow : ownFlows(now))
+            flows[flow.workspace].add(flow);
+        for (const auto &[node, remote] : m_remotes) {
+            if (!isIncluded(node))
+                continue;
+            sum.nodes += remote.digest.nodes;
+            sum.servedPerSecond += remote.digest.servedPerSecond;
+            sum.rejectedPerSecond += remote.digest.rejectedPerSecond;
+            for (const Flow &flow : remote.digest.flows)
+                flows[flow.workspace].add(flow);
+        }
+        sum.flows = highestDemand(flows, maxFlows);
+        return sum;
+    }
+
     /// Returns the rates of this node's own callers, for its digests.
     std::vector<Flow> ownFlows(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
@@ -112,6 +147,17 @@
     static void startLimiting(Own &own, TimePoint now);
     using FlowMap = std::unordered_map<WorkspaceKey, Flow>;
 
+    static std::vector<Flow> highestDemand(const FlowMap &flows, std::size_t maxFlows);
+    /// Calls visit(remote) for each digest of a node and each summary of a zone.
+    template <typename Visit>
+    void forEachRemote(Visit visit) const
+    {
+        for (const auto &[node, remote] : m_remotes)
+            visit(remote);
+        for (const auto &[zone, remote] : m_zones)
+            visit(remote);
+    }
+    void expireRemotes(TimePoint now);
     /// Returns the flows over all nodes, as known to this node.
     FlowMap fleetFlows(TimePoint now) const;
     /// Returns the mean, over all workspaces that request more than the fair rate, of what the
@@ -122,6 +168,7 @@
 
     std::unordered_map<WorkspaceKey, Own> m_own;
     std::map<NodeId, Remote> m_remotes;
+    std::map<std::string, Remote> m_zones; ///< Keyed by the zone's name.
     Rate m_served;
     Rate m_rejected;
     FleetView m_fleet;
--- a/lib/Balancer/BalancerContext.h
+++ b/lib/Balancer/BalancerContext.h
@@ -25,14 +25,20 @@
 {
 public:
     BalancerContext(BalancerOptions balancerOptions, BalancerStateMachines loadedStateMachines,
-                    TimePoint start)
+                    TimePoint start, WallTime wallStart)
         : options(std::move(balancerOptions))
         , stateMachines(std::move(loadedStateMachines))
         , now(start)
-        , peers({options.node, options.zone, options.endpoint, options.seeds})
+        , wallNow(wallStart)
+        , peers({options.node, options.zone, options.endpoint, options.seeds, options.digestPeriod})
     {
     }
 
+    /// Returns the version of the active catalog; 0 if there is none.
+    std::uint64_t catalogVersion() const { return routeTable ? routeTable->catalog().version : 0; }
+    /// Returns whether some peer has a newer catalog than this node.
+    bool isCatalogOutdated() const { return catalogVersion() < newestPeerCatalogVersion; }
+
     void emit(Action action) { actions->push_back(std::move(action)); }
     void log(LogEventId id, std::string detail, Json::Value fields = {})
     {
@@ -42,8 +48,10 @@
     const BalancerOptions options;
     const BalancerStateMachines stateMachines;
     TimePoint now;
+    WallTime wallNow;
     Actions *actions = nullptr;
     std::shared_ptr<const RouteTable> routeTable; ///< Null until a catalog is known.
+    std::uint64_t newestPeerCatalogVersion = 0;   ///< Highest version in any peer's digest.
     TargetDirectory directory;
     PeerTable peers;
 };
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -26,8 +26,8 @@
 class BalancerCore::Impl
 {
 public:
-    Impl(BalancerOptions options, BalancerStateMachines stateMachines, TimePoint now)
-        : m_context(std::move(options), std::move(stateMachines), now)
+    Impl(BalancerOptions options, BalancerStateMachines stateMachines, TimePoint now, WallTime wall)
+        : m_context(std::move(options), std::move(stateMachines), now, wall)
         , m_targetSelector(m_context)
         , m_requests(m_context, m_targetSelector)
         , m_reader(m_context)
@@ -38,7 +38,7 @@
     {
     }
 
-    void handle(const Event &event, TimePoint now, Actions &actions);
+    void handle(const Event &event, TimePoint now, WallTime wall, Actions &actions);
     TimePoint nextTimer() const { return m_nextDigest; }
 
 private:
@@ -67,10 +67,11 @@
     bool m_isPlatformReachable = true;
 };
 
-void BalancerCore::Impl::handle(const Event &event, TimePoint now, Actions &actions)
+void BalancerCore::Impl::handle(const Event &event, TimePoint now, WallTime wall, Actions &actions)
 {
     assert(now >= m_context.now && "time must not step back");
     m_context.now = now;
+    m_context.wallNow = wall;
     m_context.actions = &actions;
     detectPause();
     m_lastEventAt = now;
@@ -124,14 +125,20 @@
     std::visit(
         Overloaded {
             [&](const LoadDigest &m) { m_gossip.onDigest(message.from, message.incarnation, m); },
+            [&](const ZoneLoadSummary &m) { m_gossip.onZoneLoads(message.from, m); },
+            [&](const ZoneFlowSummary &m) { m_gossip.onZoneFlows(message.from, m); },
             [&](const StateRequest &m) { m_gossip.onStateRequest(message.from, m); },
             [&](const CatalogUpdate &m) {
+                m_gossip.onCatalogRelayed();
                 onCatalog(std::make_shared<const Catalog>(m.catalog), message.from.str());
             },
             [&](const PlacementUpdate &m) {
                 m_gossip.onPlacements(message.from, message.incarnation, m);
             },
-            [&](const DirectoryRelay &m) { onDirectory(m.directoryUpdate, message.from.str()); },
+            [&](const DirectoryRelay &m) {
+                m_gossip.onDirectoryRelayed();
+                onDirectory(m.directoryUpdate, message.from.str());
+            },
         },
         *balancer);
 }
@@ -140,7 +147,7 @@
                                    const std::string &source)
 {
     // An older version must never become active again in this run, whichever node relays it.
-    if (m_context.routeTable && catalog->version <= m_context.routeTable->catalog().version)
+    if (m_context.routeTable && catalog->version <= m_context.catalogVersion())
         return;
     m_context.log(LogEventId::DocumentAccepted,
                   "catalog version " + std::to_string(catalog->version) + " from " + source);
@@ -186,6 +193,7 @@
         return;
     m_context.log(LogEventId::NodeReady, m_context.options.node.str());
     m_context.emit(Readiness {true});
+    m_gossip.answerWaitingPeers();
 }
 
 void BalancerCore::Impl::runTimers()
@@ -194,7 +202,7 @@
         return;
     m_nextDigest = m_context.now + m_context.options.digestPeriod;
     m_context.peers.removeSilent(m_context.now);
-    m_targetSelector.expire();
+    m_targetSelector.tick();
     m_requests.tick();
     updateReaderRole();
     const bool isPlatformStateCurrent = m_reader.isReadingPlatform() && m_isPlatformReachable;
@@ -245,7 +253,7 @@
 }
 
 Expected<std::unique_ptr<BalancerCore>> BalancerCore::create(BalancerOptions options, TimePoint now,
-                                                             WallTime)
+                                                             WallTime wall)
 {
     Expected<NodeStateMachine> node = loadNodeStateMachine(options.chartDirectory);
     if (!node)
@@ -254,7 +262,8 @@
     if (!request)
         return Reason {request.failureReason()};
     auto impl = std::make_unique<Impl>(
-        std::move(options), BalancerStateMachines {*std::move(node), *std::move(request)}, now);
+        std::move(options), BalancerStateMachines {*std::move(node), *std::move(request)}, now,
+        wall);
     return std::unique_ptr<BalancerCore>(new BalancerCore(std::move(impl)));
 }
 
@@ -265,9 +274,9 @@
 
 BalancerCore::~BalancerCore() = default;
 
-void BalancerCore::handle(const Event &event, TimePoint now, WallTime, Actions &actions)
+void BalancerCore::handle(const Event &event, TimePoint now, WallTime wall, Actions &actions)
 {
-    m_impl->handle(event, now, actions);
+    m_impl->handle(event, now, wall, actions);
 }
 
 TimePoint BalancerCore::nextTimer() const
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -5,25 +5,32 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace berylridge {
 
 namespace {
 
-/// Every fifth digest carries a list of live nodes. A new node needs one; the others need none.
+/// Every fifth digest carries a list of live nodes, and each of the first digests, because a node
+/// that has just started is usually not the only one. The others need few lists.
 constexpr std::uint64_t digestsPerPeerList = 5;
+constexpr std::uint64_t startingDigests = 30;
 /// Limits on the entries of one message, so that it fits into a datagram.
 constexpr std::size_t maxPeersPerDigest = 16;
 constexpr std::size_t maxInterruptedRequestsPerDigest = 16;
 constexpr std::size_t maxPlacementsPerMessage = 80;
 constexpr std::size_t maxCacheWritesPerMessage = 20;
+constexpr std::size_t maxLoadsPerSummary = 80;
+constexpr std::size_t maxFlowsPerSummary = 60;
 /// Placement messages that are sent per period; the rest are sent in later periods.
 constexpr int maxPlacementMessagesPerPeriod = 2;
 /// Each peer receives an interrupted request twice, because a peer that misses it lets the request
 /// crash one more target.
 constexpr unsigned interruptedRequestRounds = 2;
-/// Time for which a request for newer state is considered pending before it is repeated.
-constexpr Duration stateRequestRetryDelay = std::chrono::milliseconds(400);
+/// In a StateRequest, asks for the directory alone.
+constexpr std::uint64_t noCatalogWanted = std::numeric_limits<std::uint64_t>::max();
+/// Maximum number of peers that are remembered until this node knows the state.
+constexpr std::size_t maxWaitingPeers = 2048;
 
 std::uint32_t clampToUint32(double value)
 {
@@ -36,26 +43,116 @@
 void GossipExchange::sendDigests(bool isLeaving, bool isReadingPlatform)
 {
     queueUpdates();
-    LoadDigest digest = buildDigest();
-    digest.isLeaving = isLeaving;
-    digest.isReadingPlatform = isReadingPlatform;
+    m_heartbeat = buildHeartbeat();
+    m_heartbeat.isLeaving = isLeaving;
+    m_heartbeat.isReadingPlatform = isReadingPlatform;
+    const LoadDigest digest = buildDigest();
+    if (m_context.peers.usesZoneSummaries())
+        sendZoneSummaries(digest);
     const std::vector<PlacementUpdate> updates = takePlacementMessages();
     for (auto &[node, endpoint] : m_context.peers.nextReceivers(m_context.now)) {
         m_context.emit(SendToNode {node, endpoint, BalancerMessage(digest)});
         for (const PlacementUpdate &update : updates)
             m_context.emit(SendToNode {node, endpoint, BalancerMessage(update)});
     }
+    if (!knowsState() && !m_reader.isStateKnownToPeers())
+        requestInitialState(digest);
 }
 
 void GossipExchange::queueUpdates()
 {
-    const unsigned periodsPerRound = m_context.peers.periodsPerRotation();
-    for (const PlacementEntry &entry : m_targetSelector.takePlacements())
-        m_placements.add(entry, periodsPerRound);
-    for (const TargetCacheWriteEntry &entry : m_targetSelector.takeCacheWrites())
-        m_cacheWrites.add(entry, periodsPerRound);
+    const PeerTable &peers = m_context.peers;
+    const bool hasRemoteReceivers = peers.usesZoneSummaries();
+    const unsigned periods = peers.periodsPerRotation();
+    const unsigned remotePeriods = peers.periodsPerRemoteRotation();
+    for (const PlacementEntry &entry : m_targetSelector.takePlacements()) {
+        m_placements.add(entry, periods);
+        if (hasRemoteReceivers)
+            m_remotePlacements.add(entry, remotePeriods);
+    }
+    for (const TargetSelector::CacheWrite &write : m_targetSelector.takeCacheWrites()) {
+        m_cacheWrites.add({write.target, write.writtenTokens}, periods);
+        if (hasRemoteReceivers)
+            m_remoteCacheWrites.add({write.target, write.increase}, remotePeriods);
+    }
     for (const InterruptedRequestEntry &entry : m_requests.takeInterruptedRequests())
-        m_interruptedRequests.add(entry, periodsPerRound * interruptedRequestRounds);
+        m_interruptedRequests.add(entry,
+                                  std::max(periods, remotePeriods) * interruptedRequestRounds);
+}
+
+void GossipExchange::sendZoneSummaries(const LoadDigest &digest)
+{
+    LoadDigest heartbeat = m_heartbeat;
+    heartbeat.interruptedRequests = digest.interruptedRequests;
+    heartbeat.peers = digest.peers;
+    std::vector<BalancerMessage> messages {BalancerMessage(std::move(heartbeat))};
+    PlacementUpdate placements = takeRemotePlacements();
+    if (!placements.placements.empty() || !placements.cacheWriteIncreases.empty())
+        messages.emplace_back(std::move(placements));
+    for (BalancerMessage &summary : buildZoneSummaries())
+        messages.push_back(std::move(summary));
+    for (const auto &[node, endpoint] : m_context.peers.remoteReceivers(m_context.wallNow)) {
+        for (const BalancerMessage &message : messages)
+            m_context.emit(SendToNode {node, endpoint, message});
+    }
+}
+
+bool GossipExchange::isInOwnZone(const NodeId &node) const
+{
+    const PeerTable::Peer *peer = m_context.peers.find(node);
+    return peer && peer->zone == m_context.options.zone.str();
+}
+
+std::vector<BalancerMessage> GossipExchange::buildZoneSummaries() const
+{
+    const auto isIncluded = [&](const NodeId &node) { return isInOwnZone(node); };
+    std::vector<BalancerMessage> summaries;
+    appendZoneLoads(summaries);
+    const WorkspaceShares::RemoteDigest flows
+        = m_requests.shares().sumOfNodes(isIncluded, maxFlowsPerSummary, m_context.now);
+    ZoneFlowSummary summary;
+    summary.zone = m_context.options.zone.str();
+    summary.nodes = static_cast<std::uint32_t>(flows.nodes);
+    summary.servedPerSecond = clampToUint32(flows.servedPerSecond);
+    summary.rejectedPerSecond = clampToUint32(flows.rejectedPerSecond);
+    for (const WorkspaceShares::Flow &flow : flows.flows) {
+        summary.flows.push_back(
+            {flow.workspace, clampToUint32(flow.requested), clampToUint32(flow.admitted)});
+    }
+    summaries.emplace_back(std::move(summary));
+    return summaries;
+}
+
+/// Appends as many summaries as are needed for all loaded targets. Their ranges cover all keys, so
+/// that the receivers learn of targets that no longer have a load.
+void GossipExchange::appendZoneLoads(std::vector<BalancerMessage> &summaries) const
+{
+    const TargetLoads::Sum sum = m_targetSelector.loads().sumOfNodes(
+        [&](const NodeId &node) { return isInOwnZone(node); });
+    ZoneLoadSummary summary;
+    summary.zone = m_context.options.zone.str();
+    summary.nodes = static_cast<std::uint32_t>(sum.nodes);
+    for (const auto &[target, load] : sum.loads) {
+        if (load.running == 0 && load.tokens == 0)
+            continue;
+        if (summary.loads.size() == maxLoadsPerSummary) {
+            summary.lastTarget = target - 1;
+            summaries.emplace_back(summary);
+            summary.firstTarget = target;
+            summary.loads.clear();
+        }
+        summary.loads.push_back(
+            {target, load.running, clampToUint32(static_cast<double>(load.tokens))});
+    }
+    summary.lastTarget = std::numeric_limits<TargetKey>::max();
+    summaries.emplace_back(std::move(summary));
+}
+
+PlacementUpdate GossipExchange::takeRemotePlacements()
+{
+    return {m_remotePlacements.take(maxPlacementsPerMessage),
+            {},
+            m_remoteCacheWrites.take(maxCacheWritesPerMessage)};
 }
 
 std::vector<PlacementUpdate> GossipExchange::takePlacementMessages()
@@ -66,26 +163,38 @@
     for (std::size_t first = 0; first < placements.size(); first += maxPlacementsPerMessage) {
         const auto begin = placements.begin() + static_cast<std::ptrdiff_t>(first);
         const auto count = std::min(maxPlacementsPerMessage, placements.size() - first);
-        updates.push_back({{begin, begin + static_cast<std::ptrdiff_t>(count)}, {}});
+        updates.push_back({{begin, begin + static_cast<std::ptrdiff_t>(count)}, {}, {}});
     }
     std::vector<TargetCacheWriteEntry> cacheWrites = m_cacheWrites.take(maxCacheWritesPerMessage);
-    if (cacheWrites.empty())
+    std::vector<TargetCacheWriteEntry> increases
+        = m_cacheWriteIncreases.take(maxCacheWritesPerMessage);
+    if (cacheWrites.empty() && increases.empty())
         return updates;
     if (updates.empty())
         updates.emplace_back();
     updates.front().cacheWrites = std::move(cacheWrites);
+    updates.front().cacheWriteIncreases = std::move(increases);
     return updates;
 }
 
-LoadDigest GossipExchange::buildDigest()
+/// Returns a digest without loads and flows.
+LoadDigest GossipExchange::buildHeartbeat() const
 {
     LoadDigest digest;
     const BalancerOptions &options = m_context.options;
     digest.zone = options.zone.str();
     digest.address = options.endpoint.address;
     digest.port = options.endpoint.port;
-    digest.catalogVersion = m_context.routeTable ? m_context.routeTable->catalog().version : 0;
+    digest.catalogVersion = m_context.catalogVersion();
     digest.directoryRevision = m_context.directory.revision();
+    digest.isSummarized = true;
+    return digest;
+}
+
+LoadDigest GossipExchange::buildDigest()
+{
+    LoadDigest digest = m_heartbeat;
+    digest.isSummarized = false;
     for (const auto &[target, load] : m_targetSelector.loads().allOwn())
         digest.loads.push_back(
             {target, load.running, clampToUint32(static_cast<double>(load.tokens))});
@@ -95,7 +204,8 @@
     digest.servedPerSecond = clampToUint32(m_requests.shares().servedPerSecond(m_context.now));
     digest.rejectedPerSecond = clampToUint32(m_requests.shares().rejectedPerSecond(m_context.now));
     digest.interruptedRequests = m_interruptedRequests.take(maxInterruptedRequestsPerDigest);
-    if (m_digestsSent++ % digestsPerPeerList == 0)
+    const bool isStarting = m_digestsSent < startingDigests;
+    if (m_digestsSent++ % digestsPerPeerList == 0 || isStarting)
         digest.peers = m_context.peers.nextLiveEntries(maxPeersPerDigest, m_context.now);
     return digest;
 }
@@ -108,12 +218,20 @@
     if (!wasKnown)
         m_context.log(LogEventId::MemberJoined, from.str() + " zone " + digest.zone);
     mergeLoads(from, digest);
+    mergeInterruptedRequests(from, digest);
     m_reader.onPeerState(digest.catalogVersion, digest.directoryRevision);
     requestNewerState(from, digest);
 }
 
 void GossipExchange::mergeLoads(const NodeId &from, const LoadDigest &digest)
 {
+    const bool isCountedInSummary = digest.isSummarized
+        || (!isInOwnZone(from) && m_zoneSummaries.hasRecentSummary(digest.zone, m_context.now));
+    if (isCountedInSummary) {
+        m_targetSelector.loads().forgetNode(from);
+        m_requests.shares().forgetNode(from);
+        return;
+    }
     std::vector<TargetLoads::RemoteEntry> loads;
     for (const TargetLoadEntry &entry : digest.loads)
         loads.push_back({entry.target, {entry.running, entry.tokens}});
@@ -127,8 +245,50 @@
     update.servedPerSecond = digest.servedPerSecond;
     update.rejectedPerSecond = digest.rejectedPerSecond;
     m_requests.shares().onDigest(from, std::move(update), m_context.now);
-    for (const InterruptedRequestEntry &entry : digest.interruptedRequests)
-        m_requests.onRemoteInterruptedRequest(entry);
+}
+
+void GossipExchange::mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest)
+{
+    // A node sends digests to few nodes of the other zones, so these relay the entries.
+    const bool isRelay = m_context.peers.usesZoneSummaries() && !isInOwnZone(from);
+    const unsigned periods = m_context.peers.periodsPerRotation();
+    for (const InterruptedRequestEntry &entry : digest.interruptedRequests) {
+        const bool isNew = m_requests.onRemoteInterruptedRequest(entry);
+        if (isNew && isRelay)
+            m_interruptedRequests.add(entry, periods);
+    }
+}
+
+void GossipExchange::onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary)
+{
+    const bool isUsed
+        = !isInOwnZone(from) && m_zoneSummaries.accepts(summary.zone, summary.nodes, m_context.now);
+    if (!isUsed)
+        return;
+    std::vector<TargetLoads::RemoteEntry> loads;
+    loads.reserve(summary.loads.size());
+    for (const TargetLoadEntry &entry : summary.loads)
+        loads.push_back({entry.target, {entry.running, entry.tokens}});
+    m_targetSelector.loads().onZoneSummary(summary.zone, {summary.firstTarget, summary.lastTarget},
+                                           loads, m_context.now);
+}
+
+void GossipExchange::onZoneFlows(const NodeId &from, const ZoneFlowSummary &summary)
+{
+    const bool isUsed
+        = !isInOwnZone(from) && m_zoneSummaries.accepts(summary.zone, summary.nodes, m_context.now);
+    if (!isUsed)
+        return;
+    WorkspaceShares::RemoteDigest digest;
+    digest.nodes = summary.nodes;
+    digest.servedPerSecond = summary.servedPerSecond;
+    digest.rejectedPerSecond = summary.rejectedPerSecond;
+    for (const WorkspaceFlowEntry &entry : summary.flows) {
+        digest.flows.push_back({entry.workspace,
+                                static_cast<double>(entry.requestedTokensPerSecond),
+                                static_cast<double>(entry.admittedTokensPerSecond)});
+    }
+    m_requests.shares().onZoneSummary(summary.zone, std::move(digest), m_context.now);
 }
 
 void GossipExchange::onPlacements(const NodeId &from, Incarnation incarnation,
@@ -140,23 +300,64 @@
     // Applies the cache writes first, because the placements of the same message are newer.
     for (const TargetCacheWriteEntry &entry : update.cacheWrites)
         m_targetSelector.onRemoteCacheWrite(from, incarnation, entry);
+    for (const TargetCacheWriteEntry &entry : update.cacheWriteIncreases)
+        m_targetSelector.onRemoteCacheWriteIncrease(entry);
     for (const PlacementEntry &entry : update.placements)
         m_targetSelector.onRemotePlacement(entry.prefix, entry.target);
+    if (m_context.peers.usesZoneSummaries() && peer && !isInOwnZone(from))
+        relayInOwnZone(update);
+}
+
+/// A node of another zone sends its updates to one node of this zone only.
+void GossipExchange::relayInOwnZone(const PlacementUpdate &update)
+{
+    const unsigned periods = m_context.peers.periodsPerRotation();
+    for (const PlacementEntry &entry : update.placements)
+        m_placements.add(entry, periods);
+    for (const TargetCacheWriteEntry &entry : update.cacheWriteIncreases)
+        m_cacheWriteIncreases.add(entry, periods);
+}
+
+StateRequest GossipExchange::ownState() const
+{
+    return {m_context.catalogVersion(), m_context.directory.revision()};
+}
+
+bool GossipExchange::knowsState() const
+{
+    return m_context.routeTable && m_context.directory.revision() > 0;
 }
 
 void GossipExchange::requestNewerState(const NodeId &from, const LoadDigest &digest)
 {
-    const StateRequest ownState {m_context.routeTable ? m_context.routeTable->catalog().version : 0,
-                                 m_context.directory.revision()};
-    const bool isBehind = digest.catalogVersion > ownState.catalogVersion
-        || digest.directoryRevision > ownState.directoryRevision;
-    if (!isBehind)
+    StateRequest request = ownState();
+    const bool isCatalogRequested = digest.catalogVersion > request.catalogVersion
+        && m_catalogRequests.tryStart(m_context.now);
+    const bool isDirectoryRequested = digest.directoryRevision > request.directoryRevision
+        && m_directoryRequests.tryStart(m_context.now);
+    if (!isCatalogRequested && !isDirectoryRequested)
         return;
-    TimePoint &requestedAt = m_stateRequestedAt[from];
-    if (requestedAt > TimePoint {} && m_context.now - requestedAt < stateRequestRetryDelay)
+    if (!isCatalogRequested)
+        request.catalogVersion = noCatalogWanted;
+    m_context.emit(SendToNode {from, {digest.address, digest.port}, BalancerMessage(request)});
+}
+
+/// Asks one seed at a time; until a digest arrives, this node knows no other peer.
+void GossipExchange::requestInitialState(const LoadDigest &digest)
+{
+    const std::vector<Endpoint> &seeds = m_context.options.seeds;
+    if (seeds.empty() || !m_catalogRequests.tryStart(m_context.now))
+        return;
+    m_directoryRequests.tryStart(m_context.now);
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        const Endpoint &seed = seeds[m_nextSeed++ % seeds.size()];
+        if (seed == m_context.options.endpoint)
+            continue;
+        // The seed answers only nodes whose digest it has.
+        m_context.emit(SendToNode {NodeId(), seed, BalancerMessage(digest)});
+        m_context.emit(SendToNode {NodeId(), seed, BalancerMessage(ownState())});
         return;
-    requestedAt = m_context.now;
-    m_context.emit(SendToNode {from, {digest.address, digest.port}, BalancerMessage(ownState)});
+    }
 }
 
 void GossipExchange::onStateRequest(const NodeId &from, const StateRequest &request)
@@ -164,14 +365,42 @@
     const PeerTable::Peer *peer = m_context.peers.find(from);
     if (!peer)
         return;
+    if (!knowsState()) {
+        if (m_waitingPeers.size() < maxWaitingPeers)
+            m_waitingPeers[from] = request;
+        return;
+    }
     const auto send = [&](BalancerMessage message) {
         m_context.emit(SendToNode {from, peer->endpoint, std::move(message)});
     };
-    if (m_context.routeTable && m_context.routeTable->catalog().version > request.catalogVersion)
+    if (m_context.catalogVersion() > request.catalogVersion)
         send(CatalogUpdate {m_context.routeTable->catalog()});
     const TargetDirectory &directory = m_context.directory;
     if (directory.revision() > request.directoryRevision)
         send(DirectoryRelay {directory.updateSince(request.directoryRevision, m_context.now)});
+    if (request.catalogVersion == 0)
+        sendPeers(from, *peer);
+}
+
+/// A node that has just started knows the seeds only.
+void GossipExchange::sendPeers(const NodeId &to, const PeerTable::Peer &peer)
+{
+    const std::vector<PeerEntry> entries = m_context.peers.reportedEntries(m_context.now);
+    LoadDigest digest = m_heartbeat;
+    for (std::size_t first = 0; first < entries.size(); first += maxPeersPerDigest) {
+        const auto begin = entries.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto count = std::min(maxPeersPerDigest, entries.size() - first);
+        digest.peers.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        m_context.emit(SendToNode {to, peer.endpoint, BalancerMessage(digest)});
+    }
+}
+
+void GossipExchange::answerWaitingPeers()
+{
+    if (!knowsState())
+        return;
+    for (const auto &[node, request] : std::exchange(m_waitingPeers, {}))
+        onStateRequest(node, request);
 }
 
 } // namespace berylridge
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -5,11 +5,14 @@
 #include "BalancerContext.h"
 #include "ReaderRole.h"
 #include "RequestProcessor.h"
+#include "StateRequestPacer.h"
 #include "TargetSelector.h"
 #include "TransmitLimitedQueue.h"
+#include "ZoneSummaryFilter.h"
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace berylridge {
 
@@ -22,6 +25,9 @@
         , m_targetSelector(targetSelector)
         , m_requests(requests)
         , m_reader(reader)
+        , m_heartbeat(buildHeartbeat())
+        , m_catalogRequests(Duration(0), stateRetryDelay, maxCatalogRetryDelay)
+        , m_directoryRequests(minDirectoryInterval, stateRetryDelay, stateRetryDelay)
     {
     }
 
@@ -31,25 +37,59 @@
 
     void onDigest(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void onPlacements(const NodeId &from, Incarnation incarnation, const PlacementUpdate &update);
+    void onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary);
+    void onZoneFlows(const NodeId &from, const ZoneFlowSummary &summary);
     void onStateRequest(const NodeId &from, const StateRequest &request);
+    /// Records that a peer responded to a request for newer state.
+    void onCatalogRelayed() { m_catalogRequests.onResponse(); }
+    void onDirectoryRelayed() { m_directoryRequests.onResponse(); }
+    /// Sends the state to the peers that asked before this node knew it.
+    void answerWaitingPeers();
 
 private:
+    /// Time after which a request for state counts as lost.
+    static constexpr Duration stateRetryDelay = std::chrono::milliseconds(400);
+    /// An overloaded node takes seconds to receive a large catalog; each further copy delays it.
+    static constexpr Duration maxCatalogRetryDelay = std::chrono::milliseconds(1600);
+    /// Targets' entries change all the time; one response carries all changes of a digest period.
+    static constexpr Duration minDirectoryInterval = std::chrono::milliseconds(100);
+
+    LoadDigest buildHeartbeat() const;
     LoadDigest buildDigest();
     std::vector<PlacementUpdate> takePlacementMessages();
     void queueUpdates();
+    void sendZoneSummaries(const LoadDigest &digest);
+    std::vector<BalancerMessage> buildZoneSummaries() const;
+    void appendZoneLoads(std::vector<BalancerMessage> &summaries) const;
+    PlacementUpdate takeRemotePlacements();
+    bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
+    void mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest);
+    void relayInOwnZone(const PlacementUpdate &update);
     void requestNewerState(const NodeId &from, const LoadDigest &digest);
+    void sendPeers(const NodeId &to, const PeerTable::Peer &peer);
+    void requestInitialState(const LoadDigest &digest);
+    bool knowsState() const;
+    StateRequest ownState() const;
 
     BalancerContext &m_context;
     TargetSelector &m_targetSelector;
     RequestProcessor &m_requests;
     ReaderRole &m_reader;
+    LoadDigest m_heartbeat;          ///< This period's digest without loads, flows and lists.
     std::uint64_t m_digestsSent = 0; ///< Number of digests built so far.
     TransmitLimitedQueue<PlacementEntry> m_placements;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWrites;
+    TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWriteIncreases;
     TransmitLimitedQueue<InterruptedRequestEntry> m_interruptedRequests;
-    /// Time of the last StateRequest to each node.
-    std::map<NodeId, TimePoint> m_stateRequestedAt;
+    // Updates for one node of each other zone, which relays them in its zone.
+    TransmitLimitedQueue<PlacementEntry> m_remotePlacements;
+    TransmitLimitedQueue<TargetCacheWriteEntry> m_remoteCacheWrites;
+    ZoneSummaryFilter m_zoneSummaries;
+    StateRequestPacer m_catalogRequests;
+    StateRequestPacer m_directoryRequests;
+    std::size_t m_nextSeed = 0; ///< Position in the options' seeds.
+    std::map<NodeId, StateRequest> m_waitingPeers;
 };
 
 } // namespace berylridge
--- a/lib/Balancer/ReaderRole.cpp
+++ b/lib/Balancer/ReaderRole.cpp
@@ -1,6 +1,9 @@
 #include "ReaderRole.h"
 
+#include "berylridge/Support/Hash.h"
+
 #include <algorithm>
+#include <vector>
 
 namespace berylridge {
 
@@ -8,13 +11,18 @@
 
 /// One reader may fail at any moment, and updates must not wait until another node detects that.
 constexpr std::size_t readersPerZone = 2;
-/// A starting node that learns from a digest that newer state exists requests it and receives
-/// it within two digests. After this time it reads from the platform itself.
-constexpr Duration peerStateTimeout = std::chrono::milliseconds(700);
-/// Updates reach a node through its peers within three digests. A node that is behind for longer is
-/// not reached by its peers, for example because of a one-way network partition, and reads from the
-/// platform itself for at least minReadTime.
-constexpr Duration maxTimeBehind = std::chrono::milliseconds(600);
+/// A starting node asks the seeds, which read the platform's state at once. If no peer has sent it
+/// the state after this time, it reads from the platform itself.
+constexpr Duration initialStateTimeout = std::chrono::milliseconds(700);
+/// Starting nodes reach that timeout one after the other, spread over this much time for each peer,
+/// so that those that follow receive the state from the first ones.
+constexpr Duration initialReadSpreadPerPeer = std::chrono::milliseconds(5);
+/// A starting node doesn't know yet which nodes of its zone precede it.
+constexpr Duration rankLearningTime = std::chrono::milliseconds(1200);
+/// Updates reach a node within one rotation of digests. A node that lacks one for this much longer
+/// is not reached by its peers, for example because of a one-way network partition, and reads from
+/// the platform itself for at least minReadTime.
+constexpr Duration maxTimeBehind = std::chrono::milliseconds(500);
 constexpr Duration minReadTime = std::chrono::seconds(5);
 /// A reader whose digests have been missing for this long is not counted. In a fleet of 300 nodes,
 /// a node receives a digest from a given other node of its zone every 1.6 s.
@@ -30,24 +38,35 @@
 
 void ReaderRole::onPeerState(std::uint64_t catalogVersion, std::uint64_t directoryRevision)
 {
-    m_newestPeerVersion = std::max(m_newestPeerVersion, catalogVersion);
+    m_context.newestPeerCatalogVersion
+        = std::max(m_context.newestPeerCatalogVersion, catalogVersion);
     m_newestPeerRevision = std::max(m_newestPeerRevision, directoryRevision);
 }
 
+bool ReaderRole::isStateKnownToPeers() const
+{
+    return m_context.newestPeerCatalogVersion > 0 && m_newestPeerRevision > 0;
+}
+
+Duration ReaderRole::MissingVersion::update(std::uint64_t ownVersion, std::uint64_t newestVersion,
+                                            TimePoint now)
+{
+    const bool isMissing = missingSince && ownVersion < version;
+    if (!isMissing) {
+        version = newestVersion;
+        missingSince = ownVersion < newestVersion ? std::optional(now) : std::nullopt;
+    }
+    return missingSince ? now - *missingSince : Duration(0);
+}
+
 bool ReaderRole::isPersistentlyBehind()
 {
-    const std::uint64_t version
-        = m_context.routeTable ? m_context.routeTable->catalog().version : 0;
-    const std::uint64_t revision = m_context.directory.revision();
-    const bool isProgress = version != m_ownVersion || revision != m_ownRevision;
-    m_ownVersion = version;
-    m_ownRevision = revision;
-    const bool isBehind = version < m_newestPeerVersion || revision < m_newestPeerRevision;
-    if (!isBehind)
-        m_behindSince.reset();
-    else if (isProgress || !m_behindSince)
-        m_behindSince = m_context.now;
-    return isBehind && m_context.now - *m_behindSince >= maxTimeBehind;
+    const TimePoint now = m_context.now;
+    const Duration catalogTime = m_missingCatalog.update(m_context.catalogVersion(),
+                                                         m_context.newestPeerCatalogVersion, now);
+    const Duration directoryTime
+        = m_missingDirectory.update(m_context.directory.revision(), m_newestPeerRevision, now);
+    return std::max(catalogTime, directoryTime) >= maxTimeBehind + m_context.peers.rotationTime();
 }
 
 bool ReaderRole::update()
@@ -56,16 +75,38 @@
     return m_isReading;
 }
 
+bool ReaderRole::isSeed() const
+{
+    const std::vector<Endpoint> &seeds = m_context.options.seeds;
+    return std::find(seeds.begin(), seeds.end(), m_context.options.endpoint) != seeds.end();
+}
+
+std::size_t ReaderRole::otherSeedCount() const
+{
+    return m_context.options.seeds.size() - (isSeed() ? 1 : 0);
+}
+
+/// After all nodes were killed, no node knows any state, and callers arrive as soon as a node is
+/// up: the seeds must read without delay.
+bool ReaderRole::shouldReadInitialState() const
+{
+    const bool isAloneOrSeed = isSeed() || otherSeedCount() == 0;
+    if (m_isReading || (isAloneOrSeed && !isStateKnownToPeers()))
+        return true;
+    constexpr std::uint64_t spreadSteps = 1000;
+    const auto step = static_cast<std::int64_t>(hash64(m_context.options.node.str()) % spreadSteps);
+    const auto peers = static_cast<std::int64_t>(m_context.peers.size());
+    const Duration spread
+        = initialReadSpreadPerPeer * peers * step / static_cast<std::int64_t>(spreadSteps);
+    return m_context.now - m_startedAt >= initialStateTimeout + spread;
+}
+
 bool ReaderRole::shouldRead()
 {
     const TimePoint now = m_context.now;
     const bool knowsState = m_context.routeTable && m_context.directory.revision() > 0;
-    // After all nodes were killed, no node knows any state. Callers arrive as soon as a node is up.
-    // If nodes rejected them while waiting for peers, the callers would retry at the same time and
-    // overload the targets.
-    const bool isStateKnownToPeers = m_newestPeerVersion > 0 && m_newestPeerRevision > 0;
     if (!knowsState)
-        return !isStateKnownToPeers || m_isReading || now - m_startedAt >= peerStateTimeout;
+        return shouldReadInitialState();
     if (isPersistentlyBehind())
         m_mustReadUntil = now + minReadTime;
     if (now < m_mustReadUntil)
@@ -76,11 +117,14 @@
         return m_isReading && now - *m_enoughReadersSince < surplusReaderTimeout;
     }
     m_enoughReadersSince.reset();
+    if (m_isReading)
+        return true;
+    if (now - m_startedAt < rankLearningTime && otherSeedCount() > 0)
+        return false;
     m_tooFewReadersSince = m_tooFewReadersSince.value_or(now);
     const std::size_t rank = precedingNodes();
     const std::size_t extra = rank < readersPerZone ? 0 : rank - readersPerZone + 1;
-    return m_isReading
-        || now - *m_tooFewReadersSince >= takeoverDelayPerRank * static_cast<int>(extra);
+    return now - *m_tooFewReadersSince >= takeoverDelayPerRank * static_cast<int>(extra);
 }
 
 template <typename Matches>
--- a/lib/Balancer/ReaderRole.h
+++ b/lib/Balancer/ReaderRole.h
@@ -7,6 +7,8 @@
 
 #include "BalancerContext.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace berylridge {
@@ -23,13 +25,30 @@
     /// Records the state that a peer reports to have.
     void onPeerState(std::uint64_t catalogVersion, std::uint64_t directoryRevision);
 
+    /// Returns whether some peer has reported to know the platform's state.
+    bool isStateKnownToPeers() const;
+
     /// Returns whether this node reads the platform's state from now on. Called once per period.
     bool update();
     bool isReadingPlatform() const { return m_isReading; }
 
 private:
+    /// A version of some state that a peer has and this node lacks.
+    struct MissingVersion
+    {
+        std::uint64_t version = 0;
+        std::optional<TimePoint> missingSince;
+
+        /// Returns how long this node has lacked the version. Once it has it, the next one that it
+        /// lacks becomes the missing version.
+        Duration update(std::uint64_t ownVersion, std::uint64_t newestVersion, TimePoint now);
+    };
+
     bool shouldRead();
+    bool shouldReadInitialState() const;
     bool isPersistentlyBehind();
+    bool isSeed() const;
+    std::size_t otherSeedCount() const;
     /// Counts the live nodes of this zone that precede this one in the order of node ids and match.
     template <typename Matches>
     std::size_t countPreceding(Matches matches) const;
@@ -38,12 +57,9 @@
 
     BalancerContext &m_context;
     const TimePoint m_startedAt;
-    std::uint64_t m_newestPeerVersion = 0;  ///< Highest catalog version of any peer.
     std::uint64_t m_newestPeerRevision = 0; ///< Highest directory revision of any peer.
-    std::uint64_t m_ownVersion = 0; ///< Version and revision of this node at the last check.
-    std::uint64_t m_ownRevision = 0;
-    /// Time since which this node is behind its peers without any progress.
-    std::optional<TimePoint> m_behindSince;
+    MissingVersion m_missingCatalog;
+    MissingVersion m_missingDirectory;
     /// Time since which too few readers precede this node.
     std::optional<TimePoint> m_tooFewReadersSince;
     /// Time since which enough readers precede this node.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -15,6 +15,8 @@
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 /// Retry-After while no catalog is known; a node receives one within a second of its start.
 constexpr Duration startingRetryAfter = std::chrono::milliseconds(300);
+/// Retry-After if a newer catalog is on its way that may contain the route or credential.
+constexpr Duration outdatedCatalogRetryAfter = std::chrono::milliseconds(300);
 /// Retry-After during a planned stop; the caller's next connection reaches another node.
 constexpr Duration leavingRetryAfter = std::chrono::milliseconds(20);
 /// Retry-After if no target is reachable. Most faults last a few seconds, and a failed target is
@@ -126,12 +128,13 @@
         return Refusal {503, "starting", "the router has no catalog yet", startingRetryAfter};
     request.route = request.routeTable->route(event.host, event.path);
     if (!request.route)
-        return Refusal {404, "unknown-route", "no route matches host and path", {}};
+        return unknownRefusal({404, "unknown-route", "no route matches host and path", {}});
     if (request.routeTable->needsCredentials()) {
         const WorkspaceSpec *workspace
             = request.routeTable->workspaceForCredential(event.credential);
         if (!workspace && !request.route->isPublic)
-            return Refusal {401, "unknown-credential", "no workspace has this credential", {}};
+            return unknownRefusal(
+                {401, "unknown-credential", "no workspace has this credential", {}});
         if (workspace)
             request.workspace = WorkspaceId(workspace->name);
     }
@@ -151,6 +154,15 @@
     return std::nullopt;
 }
 
+/// Returns the refusal for a route or credential that the catalog doesn't contain. It is final only
+/// if no peer has a newer catalog: callers don't repeat a request that gets a 401 or 404.
+Refusal RequestProcessor::unknownRefusal(Refusal refusal) const
+{
+    if (!m_context.isCatalogOutdated())
+        return refusal;
+    return {503, "outdated-catalog", refusal.title, outdatedCatalogRetryAfter};
+}
+
 std::optional<Refusal> RequestProcessor::placeRequest(BalancedRequest &request, bool isFirst)
 {
     const PrefixChain *chain = request.chain ? &*request.chain : nullptr;
@@ -404,9 +416,9 @@
         m_interruptedRequests.push_back({request.fingerprint, request.choice.boot});
 }
 
-void RequestProcessor::onRemoteInterruptedRequest(const InterruptedRequestEntry &entry)
+bool RequestProcessor::onRemoteInterruptedRequest(const InterruptedRequestEntry &entry)
 {
-    m_crashes.add(entry.fingerprint, entry.boot, m_context.now);
+    return m_crashes.add(entry.fingerprint, entry.boot, m_context.now);
 }
 
 void RequestProcessor::onLag(const TrafficThreadReport &event)
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -32,8 +32,8 @@
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
     /// Records that another node lost a target while the target ran a request with this
-    /// fingerprint.
-    void onRemoteInterruptedRequest(const InterruptedRequestEntry &entry);
+    /// fingerprint. Returns whether it was not known yet.
+    bool onRemoteInterruptedRequest(const InterruptedRequestEntry &entry);
 
     /// Does the periodic work: updates shares and logs, and removes expired entries.
     void tick();
@@ -44,12 +44,14 @@
     void abortAll();
 
     WorkspaceShares &shares() { return m_shares; }
+    const WorkspaceShares &shares() const { return m_shares; }
     std::vector<InterruptedRequestEntry> takeInterruptedRequests();
     std::size_t size() const { return m_requests.size(); }
     TimePoint lastArrival() const { return m_lastArrival; }
 
 private:
     std::optional<Refusal> resolveRequest(BalancedRequest &request, const RequestArrived &event);
+    Refusal unknownRefusal(Refusal refusal) const;
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
     std::optional<Refusal> checkAdmission(BalancedRequest &request, const TargetChoice &choice,
                                           PlacementStep &step);
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -98,7 +98,7 @@
     candidate.tokensPerMs = target.tokensPerMs > 0 ? target.tokensPerMs : initialTokensPerMs;
     candidate.failureRatio = target.health.failureRatio(now);
     candidate.isOtherZone = entry.record.zone != m_context.options.zone.str();
-    candidate.isZoneSilent = m_context.peers.isZoneSilent(entry.record.zone, now);
+    candidate.isZoneSilent = m_silentZones.contains(entry.record.zone);
     if (chain && !chain->links.empty()) {
         candidate.cachedTokens = m_prompts.cachedTokens(*chain, key);
         candidate.cacheLifetimeSeconds = m_prompts.cacheLifetimeSeconds(key, now);
@@ -216,14 +216,15 @@
     found->second += (toSeconds(duration) * 1000 - found->second) * serviceSampleWeight;
 }
 
-std::vector<TargetCacheWriteEntry> TargetSelector::takeCacheWrites()
+std::vector<TargetSelector::CacheWrite> TargetSelector::takeCacheWrites()
 {
-    std::vector<TargetCacheWriteEntry> cacheWrites;
+    std::vector<CacheWrite> cacheWrites;
     for (auto &[key, target] : m_targets) {
-        if (target.writtenTokens - target.writtenTokensReported < minReportedWrittenTokens)
+        const std::uint32_t increase = target.writtenTokens - target.writtenTokensReported;
+        if (increase < minReportedWrittenTokens)
             continue;
         target.writtenTokensReported = target.writtenTokens;
-        cacheWrites.push_back({key, target.writtenTokens});
+        cacheWrites.push_back({key, target.writtenTokens, increase});
     }
     return cacheWrites;
 }
@@ -240,6 +241,11 @@
     m_prompts.onTokensWritten(entry.target, since, m_context.now);
 }
 
+void TargetSelector::onRemoteCacheWriteIncrease(const TargetCacheWriteEntry &entry)
+{
+    m_prompts.onTokensWritten(entry.target, entry.writtenTokens, m_context.now);
+}
+
 void TargetSelector::onRemotePlacement(PrefixKey part, TargetKey target)
 {
     m_prompts.onPromptSent(part, target, m_context.now);
@@ -260,10 +266,18 @@
     }
 }
 
-void TargetSelector::expire()
+void TargetSelector::tick()
 {
     m_prompts.expire(m_context.now);
     m_loads.expire(m_context.now);
+    std::set<std::string> zones;
+    for (const auto &[id, entry] : m_context.directory.entries())
+        zones.insert(entry.record.zone);
+    m_silentZones.clear();
+    for (const std::string &zone : zones) {
+        if (m_context.peers.isZoneSilent(zone, m_context.now))
+            m_silentZones.insert(zone);
+    }
 }
 
 } // namespace berylridge
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -60,17 +61,27 @@
     void onRemotePlacement(PrefixKey part, TargetKey target);
     void onRemoteCacheWrite(const NodeId &node, Incarnation incarnation,
                             const TargetCacheWriteEntry &entry);
+    /// Records an increase of the counter of some node of another zone.
+    void onRemoteCacheWriteIncrease(const TargetCacheWriteEntry &entry);
     /// Discards the cached prompts of targets that have restarted or been removed.
     void onDirectory();
-    void expire();
+    /// Does the periodic work: removes expired entries and updates the silent zones.
+    void tick();
 
     TargetLoads &loads() { return m_loads; }
+    const TargetLoads &loads() const { return m_loads; }
     /// Returns the shared prompt parts that this node placed since the last call, for the other
     /// nodes.
     std::vector<PlacementEntry> takePlacements() { return std::exchange(m_newPlacements, {}); }
+    struct CacheWrite
+    {
+        TargetKey target = 0;
+        std::uint32_t writtenTokens = 0; ///< Cumulative; wraps around.
+        std::uint32_t increase = 0;      ///< Since the last report.
+    };
     /// Returns the counters of tokens that this node's requests added to targets' caches, where
     /// they have grown enough to be reported to the other nodes.
-    std::vector<TargetCacheWriteEntry> takeCacheWrites();
+    std::vector<CacheWrite> takeCacheWrites();
 
 private:
     struct Target
@@ -106,6 +117,7 @@
     std::unordered_map<TargetKey, Target> m_targets;
     TargetLoads m_loads;
     PromptCacheDirectory m_prompts;
+    std::set<std::string> m_silentZones;                 ///< As of the last tick.
     std::unordered_map<std::string, double> m_serviceMs; ///< Moving average by service.
     std::vector<PlacementEntry> m_newPlacements;
     std::map<std::pair<NodeId, TargetKey>, RemoteCacheWrite> m_remoteCacheWrites;
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -1,6 +1,8 @@
 #include "berylridge/Fleet/PeerTable.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <utility>
 
 namespace berylridge {
@@ -9,7 +11,11 @@
 
 /// A zone counts as silent once no digest arrived from any of its nodes for this long. That is the
 /// time of three digests from each node.
-constexpr Duration zoneSilenceTimeout = std::chrono::milliseconds(700);
+constexpr Duration minZoneSilenceTimeout = std::chrono::milliseconds(700);
+/// In a fleet with many zones, the same for this many summaries from the zone.
+constexpr std::int64_t summariesPerZoneSilence = 4;
+/// A seed counts as known for this long after a digest from it or a peer list that contains it.
+constexpr Duration seedReportTimeout = std::chrono::seconds(5);
 constexpr std::size_t minLimitShareCount = 2;
 
 } // namespace
@@ -54,9 +60,7 @@
 {
     std::erase_if(m_peers, [&](const auto &entry) {
         const Peer &peer = entry.second;
-        const TimePoint last
-            = std::max(peer.lastMessageAt.value_or(peer.lastListedAt), peer.lastListedAt);
-        return now - last > removalTimeout;
+        return now - lastReportedAt(peer) > removalTimeout;
     });
 }
 
@@ -69,37 +73,107 @@
     }
 }
 
-std::vector<std::pair<NodeId, Endpoint>> PeerTable::nextReceivers(TimePoint now)
+PeerTable::Receivers PeerTable::nextReceivers(TimePoint now)
 {
-    std::vector<std::pair<NodeId, Endpoint>> receivers;
+    Receivers receivers;
     // Receivers rotate instead of being chosen at random. With 73 peers, each peer receives a
     // digest every 0.6 s and its knowledge of this node is 0.3 s old on average. With random choice
     // the mean age is twice that, and one peer in fifteen takes this node for silent.
-    const std::size_t count = std::min(fanOut, m_peers.size());
+    const std::size_t count = std::min(fanOut, digestReceiverCount());
     auto next = m_peers.upper_bound(m_lastReceiver);
     while (receivers.size() < count) {
         if (next == m_peers.end())
             next = m_peers.begin();
-        receivers.emplace_back(next->first, next->second.endpoint);
-        m_lastReceiver = next->first;
+        if (isDigestReceiver(next->second)) {
+            receivers.emplace_back(next->first, next->second.endpoint);
+            m_lastReceiver = next->first;
+        }
         ++next;
     }
-    // Seeds that are not live peers receive a digest too: this node may be new, or the nodes that
-    // it knows may be a part of the fleet that was started separately.
-    for (const Endpoint &seed : m_options.seeds) {
+    addNextSeed(receivers, now);
+    return receivers;
+}
+
+/// A seed that is not a known live peer receives a digest too: this node may be new, or the nodes
+/// that it knows may be a part of the fleet that was started separately.
+void PeerTable::addNextSeed(Receivers &receivers, TimePoint now)
+{
+    const std::vector<Endpoint> &seeds = m_options.seeds;
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        const Endpoint &seed = seeds[m_nextSeed++ % seeds.size()];
         const bool isKnown = seed == m_options.endpoint
             || std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-                                 return entry.second.endpoint == seed && isLive(entry.second, now);
+                                 return entry.second.endpoint == seed
+                                     && now - lastReportedAt(entry.second) < seedReportTimeout;
                              });
-        if (!isKnown)
-            receivers.emplace_back(NodeId(), seed);
+        if (isKnown)
+            continue;
+        receivers.emplace_back(NodeId(), seed);
+        return;
+    }
+}
+
+std::size_t PeerTable::digestReceiverCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(),
+                      [&](const auto &entry) { return isDigestReceiver(entry.second); }));
+}
+
+PeerTable::OwnZone PeerTable::ownZone() const
+{
+    OwnZone zone;
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.zone != m_options.zone.str())
+            continue;
+        ++zone.peers;
+        zone.precedingPeers += node < m_options.self ? 1 : 0;
+    }
+    return zone;
+}
+
+PeerTable::ZonePeers PeerTable::remotePeers() const
+{
+    ZonePeers zones;
+    for (auto each = m_peers.begin(); each != m_peers.end(); ++each) {
+        if (each->second.zone != m_options.zone.str())
+            zones[each->second.zone].push_back(each);
+    }
+    return zones;
+}
+
+PeerTable::Receivers PeerTable::remoteReceivers(WallTime wall) const
+{
+    Receivers receivers;
+    const ZonePeers zones = remotePeers();
+    if (zones.empty())
+        return receivers;
+    const OwnZone own = ownZone();
+    const std::size_t count = std::min(remoteFanOut(zones.size()), zones.size());
+    const auto period = static_cast<std::size_t>(wall.time_since_epoch() / m_options.digestPeriod);
+    // Each node of this zone starts at its own place, so that they select different receivers.
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t turn = period * count + i;
+        const std::size_t zone = (turn + own.precedingPeers) % zones.size();
+        const auto &nodes = std::next(zones.begin(), static_cast<std::ptrdiff_t>(zone))->second;
+        const std::size_t start = own.precedingPeers * nodes.size() / (own.peers + 1);
+        const std::size_t round = turn / zones.size();
+        const auto &selected = nodes[(start + round) % nodes.size()];
+        receivers.emplace_back(selected->first, selected->second.endpoint);
     }
     return receivers;
 }
 
 unsigned PeerTable::periodsPerRotation() const
 {
-    const std::size_t periods = (m_peers.size() + fanOut - 1) / fanOut;
+    const std::size_t periods = (digestReceiverCount() + fanOut - 1) / fanOut;
+    return static_cast<unsigned>(std::max<std::size_t>(periods, 1));
+}
+
+unsigned PeerTable::periodsPerRemoteRotation() const
+{
+    const std::size_t zones = remotePeers().size();
+    const std::size_t periods = (zones + remoteFanOut(zones) - 1) / remoteFanOut(zones);
     return static_cast<unsigned>(std::max<std::size_t>(periods, 1));
 }
 
@@ -113,14 +187,25 @@
         const auto &[node, peer] = *next;
         m_lastListed = node;
         if (isLive(peer, now))
-            entries.push_back({node.str(), peer.zone, peer.endpoint.address, peer.endpoint.port});
+            entries.push_back(entryOf(node, peer));
+    }
+    return entries;
+}
+
+std::vector<PeerEntry> PeerTable::reportedEntries(TimePoint now) const
+{
+    std::vector<PeerEntry> entries;
+    for (const auto &[node, peer] : m_peers) {
+        if (hasLimitShare(peer, now))
+            entries.push_back(entryOf(node, peer));
     }
     return entries;
 }
 
 bool PeerTable::isLive(const Peer &peer, TimePoint now) const
 {
-    return peer.lastMessageAt && now - *peer.lastMessageAt < liveTimeout;
+    const Duration timeout = isDigestReceiver(peer) ? liveTimeout : remoteLiveTimeout;
+    return peer.lastMessageAt && now - *peer.lastMessageAt < timeout;
 }
 
 const PeerTable::Peer *PeerTable::find(const NodeId &node) const
@@ -145,15 +230,24 @@
     return static_cast<std::size_t>(peerCount) + 1;
 }
 
+Duration PeerTable::zoneSilenceTimeout() const
+{
+    if (!usesZoneSummaries())
+        return minZoneSilenceTimeout;
+    return std::max(minZoneSilenceTimeout,
+                    m_options.digestPeriod * periodsPerRemoteRotation() * summariesPerZoneSilence);
+}
+
 bool PeerTable::isZoneSilent(const std::string &zone, TimePoint now) const
 {
     if (zone == m_options.zone.str())
         return false;
+    const Duration timeout = zoneSilenceTimeout();
     bool hasCountedNode = false;
     for (const auto &[node, peer] : m_peers) {
         if (peer.zone != zone || !peer.lastMessageAt || peer.isLeaving)
             continue;
-        if (now - *peer.lastMessageAt < zoneSilenceTimeout)
+        if (now - *peer.lastMessageAt < timeout)
             return false;
         hasCountedNode = hasCountedNode || hasLimitShare(peer, now);
     }
--- a/lib/Policy/TargetLoads.cpp
+++ b/lib/Policy/TargetLoads.cpp
@@ -35,19 +35,39 @@
     subtract(remote);
     remote.entries = std::move(entries);
     remote.digestReceivedAt = now;
-    for (const RemoteEntry &entry : remote.entries) {
-        TargetLoad &sum = m_remoteSums[entry.target];
-        sum.running += entry.load.running;
-        sum.tokens += entry.load.tokens;
-    }
+    for (const RemoteEntry &entry : remote.entries)
+        m_remoteSums[entry.target].add(entry.load);
+}
+
+void TargetLoads::forgetNode(const NodeId &node)
+{
+    const auto found = m_remotes.find(node);
+    if (found == m_remotes.end())
+        return;
+    subtract(found->second);
+    m_remotes.erase(found);
 }
 
 void TargetLoads::subtract(const Remote &remote)
 {
-    for (const RemoteEntry &entry : remote.entries) {
-        TargetLoad &sum = m_remoteSums[entry.target];
-        sum.running -= entry.load.running;
-        sum.tokens -= entry.load.tokens;
+    for (const RemoteEntry &entry : remote.entries)
+        m_remoteSums[entry.target].subtract(entry.load);
+}
+
+void TargetLoads::onZoneSummary(const std::string &zone, TargetRange range,
+                                std::span<const RemoteEntry> entries, TimePoint now)
+{
+    ZoneLoads &loads = m_zones[zone];
+    const auto begin = loads.lower_bound(range.first);
+    const auto end = loads.upper_bound(range.last);
+    for (auto each = begin; each != end; ++each)
+        m_remoteSums[each->first].subtract(each->second.load);
+    loads.erase(begin, end);
+    for (const RemoteEntry &entry : entries) {
+        if (entry.target < range.first || entry.target > range.last)
+            continue;
+        if (loads.insert({entry.target, {entry.load, now}}).second)
+            m_remoteSums[entry.target].add(entry.load);
     }
 }
 
@@ -59,6 +79,14 @@
             subtract(entry.second);
         return isOld;
     });
+    for (auto &[zone, loads] : m_zones) {
+        std::erase_if(loads, [&](const auto &entry) {
+            const bool isOld = now - entry.second.receivedAt > digestLifetime;
+            if (isOld)
+                m_remoteSums[entry.first].subtract(entry.second.load);
+            return isOld;
+        });
+    }
 }
 
 TargetLoad TargetLoads::own(TargetKey target) const
@@ -73,8 +101,7 @@
     const auto found = m_remoteSums.find(target);
     if (found == m_remoteSums.end())
         return load;
-    load.running += found->second.running;
-    load.tokens += found->second.tokens;
+    load.add(found->second);
     return load;
 }
 
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -20,21 +20,15 @@
 constexpr double capacityGrowth = 1.05;
 /// The fleet is overloaded if it rejects more than this fraction of what it serves.
 constexpr double overloadRejectFraction = 0.05;
-/// Minimum number of nodes with callers of a workspace for these nodes to be extrapolated to the
-/// others.
-constexpr std::size_t minSampledNodes = 3;
+/// Minimum number of digests and summaries that contain a workspace for them to be extrapolated to
+/// the other nodes.
+constexpr std::size_t minSampledSources = 3;
 /// A workspace below this rate is idle.
 constexpr double idleTokensPerSecond = 1.0;
 /// Bounds for the correction of a node's part of a share.
 constexpr double minCorrection = 0.25;
 constexpr double maxCorrection = 2.0;
 
-void add(const WorkspaceShares::Flow &flow, WorkspaceShares::Flow &sum)
-{
-    sum.requested += flow.requested;
-    sum.admitted += flow.admitted;
-}
-
 } // namespace
 
 double maxMinFairRate(std::vector<double> demands, double capacity)
@@ -60,14 +54,34 @@
     m_remotes[node] = {std::move(digest), now};
 }
 
+void WorkspaceShares::onZoneSummary(const std::string &zone, RemoteDigest digest, TimePoint now)
+{
+    m_zones[zone] = {std::move(digest), now};
+}
+
+std::vector<WorkspaceShares::Flow> WorkspaceShares::highestDemand(const FlowMap &flows,
+                                                                  std::size_t maxFlows)
+{
+    std::vector<Flow> highest;
+    highest.reserve(flows.size());
+    for (const auto &[workspace, flow] : flows)
+        highest.push_back({workspace, flow.requested, flow.admitted});
+    const auto kept = static_cast<std::ptrdiff_t>(std::min(maxFlows, highest.size()));
+    std::partial_sort(
+        highest.begin(), highest.begin() + kept, highest.end(),
+        [](const Flow &left, const Flow &right) { return left.requested > right.requested; });
+    highest.resize(static_cast<std::size_t>(kept));
+    return highest;
+}
+
 double WorkspaceShares::capacity(double configuredCapacity, TimePoint now)
 {
     double served = m_served.at(now);
     double rejected = m_rejected.at(now);
-    for (const auto &[node, remote] : m_remotes) {
+    forEachRemote([&](const Remote &remote) {
         served += remote.digest.servedPerSecond;
         rejected += remote.digest.rejectedPerSecond;
-    }
+    });
     // Targets that have to read most parts anew have a third of the configured capacity. Shares of
     // the configured capacity would limit nobody then: a flood takes all free capacity, and other
     // workspaces get a third of what it gets.
@@ -84,43 +98,51 @@
     struct Sample
     {
         Flow flow;
-        std::size_t nodes = 0;
+        std::size_t sources = 0; ///< Digests and summaries that contain the workspace.
     };
     FlowMap known;
     std::unordered_map<WorkspaceKey, Sample> samples;
     std::size_t sampled = 0;
-    for (const auto &[node, remote] : m_remotes) {
+    std::size_t nodes = 0;
+    forEachRemote([&](const Remote &remote) {
         const bool isNew = remote.digestReceivedAt > m_updatedAt;
-        sampled += isNew ? 1 : 0;
+        sampled += isNew ? remote.digest.nodes : 0;
+        nodes += remote.digest.nodes;
         for (const Flow &flow : remote.digest.flows) {
-            add(flow, known[flow.workspace]);
+            known[flow.workspace].add(flow);
             if (!isNew)
                 continue;
             Sample &sample = samples[flow.workspace];
-            add(flow, sample.flow);
-            ++sample.nodes;
+            sample.flow.add(flow);
+            ++sample.sources;
         }
-    }
+    });
     // The other nodes' last digests may be older than a flood. If it reaches many nodes, the
     // digests received in this period are extrapolated to all nodes.
     for (const auto &[workspace, sample] : samples) {
-        if (sample.nodes < minSampledNodes)
+        if (sample.sources < minSampledSources)
             continue;
-        const double scale = static_cast<double>(m_remotes.size()) / static_cast<double>(sampled);
+        const double scale = static_cast<double>(nodes) / static_cast<double>(sampled);
         Flow &flow = known[workspace];
         flow.requested = std::max(flow.requested, sample.flow.requested * scale);
         flow.admitted = std::max(flow.admitted, sample.flow.admitted * scale);
     }
     for (const auto &[workspace, own] : m_own)
-        add({workspace, own.demand.at(now), own.admitted.at(now)}, known[workspace]);
+        known[workspace].add({workspace, own.demand.at(now), own.admitted.at(now)});
     return known;
 }
 
+void WorkspaceShares::expireRemotes(TimePoint now)
+{
+    const auto isOld
+        = [&](const auto &entry) { return now - entry.second.digestReceivedAt > digestLifetime; };
+    std::erase_if(m_remotes, isOld);
+    std::erase_if(m_zones, isOld);
+}
+
 void WorkspaceShares::update(double configuredCapacity, TimePoint now)
 {
-    std::erase_if(m_remotes, [&](const auto &entry) {
-        return now - entry.second.digestReceivedAt > digestLifetime;
-    });
+    expireRemotes(now);
     const FlowMap fleet = fleetFlows(now);
     m_updatedAt = now;
     std::vector<double> demands;
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -318,3 +318,68 @@
     }
     EXPECT_TRUE(hasCatalog);
 }
+
+// Each of 40 peers sends a late node its whole catalog, and the copies that arrive last are old.
+TEST_F(BalancerCoreTest, ALateNodeRequestsTheCatalogFromOnePeerAtATime)
+{
+    installCatalog(1);
+    installTargets({"t1"});
+    std::size_t requests = 0;
+    for (int i = 100; i < 140; ++i) {
+        receiveDigest("m" + std::to_string(i), "b", 7, revision);
+        requests += sentMessages<StateRequest>().size();
+    }
+    EXPECT_EQ(requests, 1U);
+    advanceTime(500ms);
+    receiveDigest("m100", "b", 7, revision);
+    EXPECT_EQ(sentMessages<StateRequest>().size(), 1U);
+}
+
+// The relayed directory arrives before the larger catalog, which must not be requested again.
+TEST_F(BalancerCoreTest, ADirectoryRelayLeavesTheCatalogRequestPending)
+{
+    installCatalog(1);
+    installTargets({"t1"});
+    receiveDigest("m1", "b", 7, revision + 1);
+    ASSERT_EQ(sentMessages<StateRequest>().size(), 1U);
+    DirectoryRelay relay;
+    relay.directoryUpdate.revision = revision + 1;
+    handle(NodeMessage {NodeId("m1"), 1, BalancerMessage(relay)});
+    advanceTime(150ms);
+    receiveDigest("m2", "b", 7, revision + 2);
+    const auto sent = sentMessages<StateRequest>();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_GE(sent[0].second.catalogVersion, 7U);
+}
+
+// An outdated node rejects a valid credential or route as unknown, and the caller doesn't retry.
+TEST_F(BalancerCoreTest, AnOutdatedCatalogGivesNoFinalRejection)
+{
+    installCatalog(1);
+    installTargets({"t1"});
+    receiveDigest("m1", "b", 2, revision);
+    sendRequest("/read/1", "new-key");
+    ASSERT_TRUE(findAction<Refuse>());
+    EXPECT_EQ(findAction<Refuse>()->status, 503U);
+    EXPECT_TRUE(findAction<Refuse>()->retryAfter);
+    sendRequest("/new/1");
+    EXPECT_EQ(findAction<Refuse>()->status, 503U);
+    installCatalog(2);
+    sendRequest("/read/2", "new-key");
+    EXPECT_EQ(findAction<Refuse>()->status, 401U);
+    sendRequest("/new/2");
+    EXPECT_EQ(findAction<Refuse>()->status, 404U);
+}
+
+// All nodes start at the same time and callers arrive: a seed reads the platform's state, and nodes
+// that asked it before must receive the state as soon as the seed has it.
+TEST_F(BalancerCoreTest, NodesThatAskedBeforeTheStateWasKnownReceiveItThen)
+{
+    receiveDigest("m1", "a", 0, 0);
+    handle(NodeMessage {NodeId("m1"), 1, BalancerMessage(StateRequest {0, 0})});
+    EXPECT_TRUE(sentMessages<CatalogUpdate>().empty());
+    installCatalog(1);
+    installTargets({"t1"});
+    EXPECT_EQ(sentMessages<CatalogUpdate>().size(), 1U);
+    EXPECT_EQ(sentMessages<DirectoryRelay>().size(), 1U);
+}
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylridge::test {
@@ -17,9 +18,10 @@
 protected:
     BalancerFixture() { createCore(); }
 
-    void createCore()
+    void createCore(const std::vector<Endpoint> &seeds = {})
     {
         BalancerOptions options;
+        options.seeds = seeds;
         options.node = NodeId("n1");
         options.zone = ZoneId("a");
         options.endpoint = {"10.0.0.1", 7400};
@@ -121,6 +123,34 @@
         handle(request);
     }
 
+    void receiveDigest(const std::string &node, const std::string &zone,
+                       std::uint64_t catalogVersion, std::uint64_t directoryRevision,
+                       bool isReadingPlatform = false)
+    {
+        LoadDigest digest;
+        digest.zone = zone;
+        digest.address = "10.0.0.2";
+        digest.port = 7400;
+        digest.catalogVersion = catalogVersion;
+        digest.directoryRevision = directoryRevision;
+        digest.isReadingPlatform = isReadingPlatform;
+        handle(NodeMessage {NodeId(node), 1, BalancerMessage(digest)});
+    }
+
+    /// Returns the messages of type T in the last actions, with their receivers' endpoints.
+    template <typename T>
+    std::vector<std::pair<Endpoint, T>> sentMessages() const
+    {
+        std::vector<std::pair<Endpoint, T>> sent;
+        for (const Action &action : actions) {
+            const auto *send = std::get_if<SendToNode>(&action);
+            const auto *message = send ? std::get_if<BalancerMessage>(&send->message) : nullptr;
+            if (message && std::holds_alternative<T>(*message))
+                sent.emplace_back(send->endpoint, std::get<T>(*message));
+        }
+        return sent;
+    }
+
     AttemptFailed makeFailure(const Dispatch &dispatch, AttemptFailure failureKind,
                               bool sentAny = true) const
     {
--- a/unittests/Balancer/ReaderRoleTest.cpp
+++ b/unittests/Balancer/ReaderRoleTest.cpp
@@ -12,14 +12,8 @@
     void receiveDigest(const char *node, bool isReadingPlatform,
                        std::uint64_t directoryRevision = 0)
     {
-        LoadDigest digest;
-        digest.zone = "a";
-        digest.address = "10.0.0.2";
-        digest.port = 7400;
-        digest.isReadingPlatform = isReadingPlatform;
-        digest.directoryRevision = directoryRevision;
-        digest.catalogVersion = directoryRevision > 0 ? 1 : 0;
-        handle(NodeMessage {NodeId(node), 1, BalancerMessage(digest)});
+        BalancerFixture::receiveDigest(node, "a", directoryRevision > 0 ? 1 : 0, directoryRevision,
+                                       isReadingPlatform);
         recordWatchActions();
     }
 
@@ -124,3 +118,62 @@
     }
     EXPECT_TRUE(isWatching);
 }
+
+// 195 nodes start at once, and each reads the platform's state itself: 6,000 calls in ten seconds.
+TEST_F(ReaderRoleTest, StartingNodeAsksASeedInsteadOfThePlatform)
+{
+    createCore({{"10.0.0.9", 7400}, {"10.0.0.8", 7400}});
+    advanceTime(100ms);
+    recordWatchActions();
+    EXPECT_FALSE(isWatching);
+    ASSERT_EQ(sentMessages<StateRequest>().size(), 1U);
+    const Endpoint first = sentMessages<StateRequest>()[0].first;
+    advanceTime(500ms); // The first seed doesn't respond.
+    recordWatchActions();
+    EXPECT_FALSE(isWatching);
+    ASSERT_EQ(sentMessages<StateRequest>().size(), 1U);
+    EXPECT_NE(sentMessages<StateRequest>()[0].first, first);
+    advanceTime(1s);
+    recordWatchActions();
+    EXPECT_TRUE(isWatching);
+}
+
+// All nodes were killed; the seeds are the first to read, so that callers are served at once.
+TEST_F(ReaderRoleTest, SeedReadsAtOnceWhenItStarts)
+{
+    createCore({{"10.0.0.1", 7400}, {"10.0.0.8", 7400}});
+    advanceTime(100ms);
+    recordWatchActions();
+    EXPECT_TRUE(isWatching);
+}
+
+// A node that has just received the state has heard of few others in its zone; if it took itself
+// for one of the first, most nodes of a large zone would begin to read.
+TEST_F(ReaderRoleTest, StartingNodeLearnsItsRankBeforeItReads)
+{
+    createCore({{"10.0.0.9", 7400}});
+    advanceTime(200ms);
+    installCatalog();
+    installTargets({"t1"});
+    advanceWithReaders(600ms, {});
+    EXPECT_FALSE(isWatching);
+    advanceWithReaders(2s, {});
+    EXPECT_TRUE(isWatching);
+}
+
+// The directory changes ten times a second, so that a node always makes some progress, while its
+// catalog remains old for seconds.
+TEST_F(ReaderRoleTest, ProgressOfTheDirectoryDoesNotHideAnOldCatalog)
+{
+    installCatalog();
+    installTargets({"t1"});
+    advanceWithReaders(1s, {});
+    advanceWithReaders(3s, {"m1", "m2"});
+    ASSERT_FALSE(isWatching);
+    for (int i = 0; i < 20 && !isWatching; ++i) {
+        advanceWithReaders(100ms, {"m1", "m2"});
+        BalancerFixture::receiveDigest("m1", "a", 2, revision + 1, true);
+        installTargets({"t1"});
+    }
+    EXPECT_TRUE(isWatching);
+}
--- /dev/null
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -0,0 +1,154 @@
+// Runs the balancers of all nodes of a fleet under one simulated clock and delivers their messages
+// without delay.
+#pragma once
+
+#include "berylridge/Balancer/BalancerCore.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace berylridge::test {
+
+class SimulatedFleet
+{
+public:
+    struct Node
+    {
+        std::string zone;
+        Endpoint endpoint;
+        std::unique_ptr<BalancerCore> core;
+        Actions actions; ///< Actions of the last event, without messages to other nodes.
+        std::size_t messagesSent = 0;
+        std::size_t platformReads = 0; ///< Number of times that it began to read.
+        bool isReadingPlatform = false;
+    };
+
+    SimulatedFleet(std::size_t zones, std::size_t nodesPerZone)
+    {
+        for (std::size_t i = 0; i < nodesPerZone; ++i) {
+            for (std::size_t zone = 0; zone < zones; ++zone)
+                addNode("z" + std::to_string(zone), zone, i);
+        }
+        for (std::size_t i = 0; i < std::min<std::size_t>(seedCount, m_nodes.size()); ++i)
+            m_seeds.push_back(m_nodes[i].endpoint);
+    }
+
+    /// Starts all nodes, spread over one digest period.
+    void start()
+    {
+        constexpr Duration digestPeriod = std::chrono::milliseconds(100);
+        const auto step = digestPeriod / static_cast<std::int64_t>(m_nodes.size());
+        for (Node &node : m_nodes) {
+            startNode(node);
+            advance(step);
+        }
+    }
+
+    void advance(Duration time)
+    {
+        const TimePoint end = m_clock.now() + time;
+        while (true) {
+            Node *next = nextTimer();
+            if (!next || next->core->nextTimer() >= end)
+                break;
+            m_clock.advance(std::max(next->core->nextTimer() - m_clock.now(), Duration(0)));
+            handle(*next, TimerDue {});
+        }
+        m_clock.advance(end - m_clock.now());
+    }
+
+    /// Passes the event to the node, and the resulting messages to their receivers.
+    void handle(Node &node, const Event &event)
+    {
+        node.actions = takeActions(node, event);
+        while (!m_messages.empty()) {
+            auto [receiver, message] = std::move(m_messages.front());
+            m_messages.pop_front();
+            if (receiver->core)
+                takeActions(*receiver, message);
+        }
+    }
+
+    std::vector<Node> &nodes() { return m_nodes; }
+
+private:
+    static constexpr std::size_t seedCount = 3;
+
+    void addNode(const std::string &zone, std::size_t zoneNumber, std::size_t index)
+    {
+        Node &node = m_nodes.emplace_back();
+        node.zone = zone;
+        node.endpoint
+            = {"10." + std::to_string(zoneNumber) + "." + std::to_string(index) + ".1", 7400};
+        m_indexByAddress[node.endpoint.address] = m_nodes.size() - 1;
+    }
+
+    void startNode(Node &node)
+    {
+        BalancerOptions options;
+        options.node = NodeId(node.zone + "-" + node.endpoint.address);
+        options.zone = ZoneId(node.zone);
+        options.endpoint = node.endpoint;
+        options.incarnation = 1;
+        options.seeds = m_seeds;
+        options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+        auto created = BalancerCore::create(options, m_clock.now(), m_clock.wallNow());
+        if (!created)
+            throw std::runtime_error(created.failureReason());
+        node.core = *std::move(created);
+    }
+
+    Node *nextTimer()
+    {
+        Node *next = nullptr;
+        for (Node &node : m_nodes) {
+            if (node.core && (!next || node.core->nextTimer() < next->core->nextTimer()))
+                next = &node;
+        }
+        return next;
+    }
+
+    Actions takeActions(Node &node, const Event &event)
+    {
+        Actions actions;
+        Actions others;
+        node.core->handle(event, m_clock.now(), m_clock.wallNow(), actions);
+        for (Action &action : actions) {
+            if (auto *send = std::get_if<SendToNode>(&action)) {
+                ++node.messagesSent;
+                queueMessage(node, *send);
+                continue;
+            }
+            if (const auto *watch = std::get_if<WatchPlatform>(&action)) {
+                node.isReadingPlatform = watch->isOn;
+                node.platformReads += watch->isOn ? 1 : 0;
+            }
+            others.push_back(std::move(action));
+        }
+        return others;
+    }
+
+    void queueMessage(const Node &sender, const SendToNode &send)
+    {
+        const auto receiver = m_indexByAddress.find(send.endpoint.address);
+        if (receiver == m_indexByAddress.end())
+            return;
+        const NodeId from(sender.zone + "-" + sender.endpoint.address);
+        m_messages.emplace_back(&m_nodes[receiver->second], NodeMessage {from, 1, send.message});
+    }
+
+    ManualClock m_clock;
+    std::vector<Node> m_nodes;
+    std::unordered_map<std::string, std::size_t> m_indexByAddress;
+    std::vector<Endpoint> m_seeds;
+    std::deque<std::pair<Node *, NodeMessage>> m_messages;
+};
+
+} // namespace berylridge::test
--- a/unittests/Net/DatagramTest.cpp
+++ b/unittests/Net/DatagramTest.cpp
@@ -124,7 +124,7 @@
         "CrashNews",      "Goodbye",        "PoolHandover",     "KeyClaim",       "KeyVote",
         "KeyRelease",     "KeyQuery",       "KeyState",         "RosterNews",     "RosterProposal",
         "RosterConsent",  "RosterDecision", "LoadDigest",       "StateRequest",   "CatalogNews",
-        "DirectoryRelay", "PlacementNews"};
+        "DirectoryRelay", "PlacementNews",  "ZoneLoadSummary",  "ZoneFlowSummary"};
     std::vector<std::string_view> names;
     for (std::size_t kind = 0; kind < peerMessageKindCount; ++kind)
         names.push_back(peerMessageKindName(kind));
--- a/unittests/Policy/PlacementTest.cpp
+++ b/unittests/Policy/PlacementTest.cpp
@@ -266,3 +266,36 @@
     loads.end(first);
     EXPECT_EQ(loads.total(first).running, 0U);
 }
+
+// A summary replaces the loads of its range. A target that is missing there has no load any more,
+// and a target outside the range keeps its load.
+TEST(TargetLoads, ZoneSummaryReplacesItsRangeOfTargets)
+{
+    ManualClock clock;
+    TargetLoads loads;
+    const std::vector<TargetLoads::RemoteEntry> both {{10, {3, 900}}, {20, {2, 500}}};
+    loads.onZoneSummary("b", {0, 100}, both, clock.now());
+    loads.begin(10, 100);
+    EXPECT_EQ(loads.total(10).running, 4U);
+    EXPECT_EQ(loads.total(10).tokens, 1000U);
+    loads.onZoneSummary("b", {0, 15}, {}, clock.now());
+    EXPECT_EQ(loads.total(10).running, 1U);
+    EXPECT_EQ(loads.total(20).running, 2U);
+    clock.advance(TargetLoads::digestLifetime + 1ms);
+    loads.expire(clock.now());
+    EXPECT_EQ(loads.total(20).running, 0U);
+}
+
+// A node of another zone that is part of that zone's summary must not be counted twice.
+TEST(TargetLoads, ForgottenNodeHasNoLoad)
+{
+    ManualClock clock;
+    TargetLoads loads;
+    loads.onDigest(NodeId("b1"), {{10, {3, 900}}}, clock.now());
+    loads.onDigest(NodeId("b2"), {{10, {1, 100}}}, clock.now());
+    const auto sum = loads.sumOfNodes([](const NodeId &node) { return node == NodeId("b2"); });
+    EXPECT_EQ(sum.nodes, 2U);
+    EXPECT_EQ(sum.loads.at(10).running, 1U);
+    loads.forgetNode(NodeId("b1"));
+    EXPECT_EQ(loads.total(10).running, 1U);
+}
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -222,3 +222,24 @@
         before = after;
     }
 }
+
+// A summary stands for all nodes of its zone. If it counted as one node, the rates of the other
+// digests of a period would be multiplied by the number of nodes that were not heard.
+TEST(WorkspaceShares, ZoneSummariesAreNotExtrapolatedToOtherNodes)
+{
+    ManualClock clock;
+    WorkspaceShares shares;
+    constexpr WorkspaceKey workspace = 7;
+    shares.onRequested(workspace, 1000, clock.now());
+    const std::vector<WorkspaceShares::Flow> flows {{workspace, 1e6, 5e5}};
+    for (const char *zone : {"b", "c", "d"})
+        shares.onZoneSummary(zone, {flows, 5e5, 0, 40}, clock.now() + 1ms);
+    for (int i = 0; i < 39; ++i)
+        shares.onDigest(NodeId("a" + std::to_string(i)), {}, clock.now());
+    clock.advance(1ms);
+    shares.update(0, clock.now());
+    EXPECT_NEAR(shares.fleet().servedPerSecond, 1.5e6, 1e4);
+    const auto sum = shares.sumOfNodes([](const NodeId &) { return true; }, 1, clock.now());
+    EXPECT_EQ(sum.nodes, 40U);
+    EXPECT_EQ(sum.flows.size(), 1U);
+}
