Encode a large message to several nodes once

When all nodes restart, a seed sends the same catalog and directory to dozens of nodes at once. The last two encoded calls are kept now.

--- a/lib/Net/PeerTransport.cpp
+++ b/lib/Net/PeerTransport.cpp
@@ -3,6 +3,7 @@
 #include "JsonRpcClient.h"
 #include "berylridge/Net/Base64.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylridge {
@@ -18,6 +19,8 @@
 /// calls run in between.
 constexpr int maxDatagramsPerWakeUp = 64;
 constexpr int socketBufferBytes = 1 << 20;
+/// A catalog and a directory are sent in turn.
+constexpr std::size_t maxRecentCalls = 2;
 
 } // namespace
 
@@ -180,13 +183,29 @@
     auto &client = m_clients[to];
     if (!client)
         client = std::make_shared<HttpClient>(m_context, to);
-    const std::string encoded = m_encoder.encode(std::span(&message, 1));
-    sendJsonRpcNotification(deliverMethod, deliverParameter, encodeBase64(encoded),
-                            [&](const std::string &body) {
-                                ++m_metrics.callsSent;
-                                m_metrics.callBytesSent += body.size();
-                                client->post("/rpc", body, callTimeout, [](const HttpReply &) {});
-                            });
+    const std::string &body = callBody(message);
+    ++m_metrics.callsSent;
+    m_metrics.callBytesSent += body.size();
+    client->post("/rpc", body, callTimeout, [](const HttpReply &) {});
+}
+
+/// Encoding a large catalog takes milliseconds. When a fleet starts, a seed sends the same one to
+/// dozens of nodes at once, and their callers wait for it.
+const std::string &PeerTransport::callBody(const std::string &message)
+{
+    const auto found
+        = std::find_if(m_recentCalls.begin(), m_recentCalls.end(),
+                       [&](const EncodedCall &each) { return each.message == message; });
+    if (found != m_recentCalls.end())
+        return found->body;
+    if (m_recentCalls.size() == maxRecentCalls)
+        m_recentCalls.pop_front();
+    EncodedCall &call = m_recentCalls.emplace_back();
+    call.message = message;
+    sendJsonRpcNotification(deliverMethod, deliverParameter,
+                            encodeBase64(m_encoder.encode(std::span(&message, 1))),
+                            [&](const std::string &body) { call.body = body; });
+    return call.body;
 }
 
 StringResponse PeerTransport::handleCall(const StringRequest &request)
--- a/lib/Net/PeerTransport.h
+++ b/lib/Net/PeerTransport.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,11 +60,17 @@
 
 private:
     using PackedMessages = std::vector<std::string>;
+    struct EncodedCall
+    {
+        std::string message; ///< Packed.
+        std::string body;    ///< Body of the call that delivers it.
+    };
 
     void receive();
     void receiveAll();
     void receiveDatagram(std::span<const std::byte> bytes);
     void recordRejectedDatagram(const std::string &reason);
+    const std::string &callBody(const std::string &message);
     void sendPacked(const Endpoint &to, const PackedMessages &messages);
     void sendDatagram(const Endpoint &to, std::span<const std::string> messages);
     void call(const Endpoint &to, const std::string &message);
@@ -80,6 +87,7 @@
     DeliverRpcServer m_deliverServer;
     HttpListener m_callListener;
     std::map<Endpoint, PackedMessages> m_pendingMessages;
+    std::deque<EncodedCall> m_recentCalls; ///< The newest last.
     std::map<Endpoint, std::shared_ptr<HttpClient>> m_clients;
     asio::steady_timer m_idleTimer;
     std::chrono::steady_clock::time_point m_lastRejectionLogAt {};
--- a/unittests/Net/PeerTransportTest.cpp
+++ b/unittests/Net/PeerTransportTest.cpp
@@ -73,6 +73,30 @@
     EXPECT_EQ(to.node().metrics().callsReceived, 1U);
 }
 
+// Guards against a repeated large message being delivered in place of another one.
+TEST(PeerTransportTest, alternatingLargeMessagesArriveWhole)
+{
+    constexpr std::size_t rounds = 3;
+    FakeCore receiver;
+    TestNode to(receiver);
+    std::vector<PeerMessage> messages;
+    for (std::size_t i = 0; i < rounds; ++i) {
+        for (const std::size_t bytes : {20000U, 30000U, 40000U})
+            messages.push_back(largeMessage(bytes));
+    }
+    FakeCore sender(sendOnPlatformReachability(messages, to.node().peers()));
+    TestNode from(sender);
+    from.node().post(PlatformReachability {true});
+    std::map<std::size_t, std::size_t> received; // Number of messages by size.
+    for (const NodeMessage &message : receiver.waitForEvents<NodeMessage>(messages.size())) {
+        const auto &fleet = std::get<FleetMessage>(message.message);
+        ++received[std::get<DocumentsReply>(fleet).documents.at(0).text.size()];
+    }
+    const std::map<std::size_t, std::size_t> expected {
+        {20000, rounds}, {30000, rounds}, {40000, rounds}};
+    EXPECT_EQ(received, expected);
+}
+
 TEST(PeerTransportTest, ignoresDatagramsWithWrongKey)
 {
     // Guards against unauthenticated datagrams that reach the core or fill the log. A burst of
