Ask seeds again until one is up, and bound their answers

LargeFleetTest starts the seeds last now. Known red: EachNodeSoonLearnsOfALoad at 837 nodes with this start order.

--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -87,13 +87,22 @@
     unsigned periodsPerRemoteRotation() const;
     /// Returns the time within which each receiver of digests receives one.
     Duration rotationTime() const { return m_options.digestPeriod * periodsPerRotation(); }
+    /// Returns whether a digest from any other node has arrived.
+    bool hasReceivedDigest() const
+    {
+        return std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+            return entry.second.lastMessageAt.has_value();
+        });
+    }
     /// Returns the number of other nodes that this node knows, live or not.
     std::size_t size() const { return m_peers.size(); }
     /// Returns the next live nodes in rotation, for the peer lists that nodes send each other.
     std::vector<PeerEntry> nextLiveEntries(std::size_t maxCount, TimePoint now);
 
-    /// Returns all nodes that were reported lately, for a node that has just started.
-    std::vector<PeerEntry> reportedEntries(TimePoint now) const;
+    /// Returns the nodes of the zone and at most `maxOthers` others, for a node of the zone that
+    /// has just started.
+    std::vector<PeerEntry> entriesFor(const std::string &zone, std::size_t maxOthers,
+                                      TimePoint now);
 
     bool isLive(const Peer &peer, TimePoint now) const;
     /// Returns whether the peer counts when a fleet-wide limit is divided among nodes. In a large
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -342,11 +342,15 @@
     m_context.emit(SendToNode {from, {digest.address, digest.port}, BalancerMessage(request)});
 }
 
-/// Asks one seed at a time; until a digest arrives, this node knows no other peer.
+/// Asks one seed at a time. Seeds that start at the same time as this node may not be up yet, so it
+/// asks one in each period until a seed responds with its list of nodes.
 void GossipExchange::requestInitialState(const LoadDigest &digest)
 {
     const std::vector<Endpoint> &seeds = m_context.options.seeds;
-    if (seeds.empty() || !m_catalogRequests.tryStart(m_context.now))
+    if (seeds.empty())
+        return;
+    const bool isDue = m_catalogRequests.tryStart(m_context.now);
+    if (m_context.peers.hasReceivedDigest() && !isDue)
         return;
     m_directoryRequests.tryStart(m_context.now);
     for (std::size_t i = 0; i < seeds.size(); ++i) {
@@ -368,6 +372,7 @@
     if (!knowsState()) {
         if (m_waitingPeers.size() < maxWaitingPeers)
             m_waitingPeers[from] = request;
+        sendPeers(from, *peer);
         return;
     }
     const auto send = [&](BalancerMessage message) {
@@ -385,14 +390,17 @@
 /// A node that has just started knows the seeds only.
 void GossipExchange::sendPeers(const NodeId &to, const PeerTable::Peer &peer)
 {
-    const std::vector<PeerEntry> entries = m_context.peers.reportedEntries(m_context.now);
+    const std::vector<PeerEntry> entries
+        = m_context.peers.entriesFor(peer.zone, maxPeersPerDigest * 2, m_context.now);
     LoadDigest digest = m_heartbeat;
-    for (std::size_t first = 0; first < entries.size(); first += maxPeersPerDigest) {
+    std::size_t first = 0;
+    do {
         const auto begin = entries.begin() + static_cast<std::ptrdiff_t>(first);
         const auto count = std::min(maxPeersPerDigest, entries.size() - first);
         digest.peers.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
         m_context.emit(SendToNode {to, peer.endpoint, BalancerMessage(digest)});
-    }
+        first += count;
+    } while (first < entries.size());
 }
 
 void GossipExchange::answerWaitingPeers()
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -192,11 +192,13 @@
     return entries;
 }
 
-std::vector<PeerEntry> PeerTable::reportedEntries(TimePoint now) const
+std::vector<PeerEntry> PeerTable::entriesFor(const std::string &zone, std::size_t maxOthers,
+                                             TimePoint now)
 {
-    std::vector<PeerEntry> entries;
+    std::vector<PeerEntry> entries = nextLiveEntries(maxOthers, now);
+    std::erase_if(entries, [&](const PeerEntry &entry) { return entry.zone == zone; });
     for (const auto &[node, peer] : m_peers) {
-        if (hasLimitShare(peer, now))
+        if (peer.zone == zone && hasLimitShare(peer, now))
             entries.push_back(entryOf(node, peer));
     }
     return entries;
--- a/unittests/Balancer/LargeFleetTest.cpp
+++ b/unittests/Balancer/LargeFleetTest.cpp
@@ -95,7 +95,7 @@
     fleet.start();
     for (Node &node : fleet.nodes())
         installState(node, 1, {target("t1")});
-    fleet.advance(2s);
+    fleet.advance(4s);
     constexpr int requestsAtOneNode = 30;
     for (int i = 0; i < requestsAtOneNode; ++i)
         ASSERT_EQ(targetOfRequest(fleet.nodes().front()), "t1");
--- a/unittests/Balancer/ReaderRoleTest.cpp
+++ b/unittests/Balancer/ReaderRoleTest.cpp
@@ -128,11 +128,16 @@
     EXPECT_FALSE(isWatching);
     ASSERT_EQ(sentMessages<StateRequest>().size(), 1U);
     const Endpoint first = sentMessages<StateRequest>()[0].first;
-    advanceTime(500ms); // The first seed doesn't respond.
+    advanceTime(100ms); // The first seed doesn't respond.
     recordWatchActions();
     EXPECT_FALSE(isWatching);
     ASSERT_EQ(sentMessages<StateRequest>().size(), 1U);
     EXPECT_NE(sentMessages<StateRequest>()[0].first, first);
+    receiveDigest("s2", false); // The second one does, but doesn't know the state yet.
+    advanceTime(200ms);
+    recordWatchActions();
+    EXPECT_FALSE(isWatching);
+    EXPECT_TRUE(sentMessages<StateRequest>().empty());
     advanceTime(1s);
     recordWatchActions();
     EXPECT_TRUE(isWatching);
--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -40,13 +40,13 @@
             m_seeds.push_back(m_nodes[i].endpoint);
     }
 
-    /// Starts all nodes, spread over one digest period.
+    /// Starts all nodes within 0.3 s, the seeds last.
     void start()
     {
-        constexpr Duration digestPeriod = std::chrono::milliseconds(100);
-        const auto step = digestPeriod / static_cast<std::int64_t>(m_nodes.size());
-        for (Node &node : m_nodes) {
-            startNode(node);
+        constexpr Duration startTime = std::chrono::milliseconds(300);
+        const auto step = startTime / static_cast<std::int64_t>(m_nodes.size());
+        for (auto node = m_nodes.rbegin(); node != m_nodes.rend(); ++node) {
+            startNode(*node);
             advance(step);
         }
     }
