--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -249,6 +249,8 @@
 
 void GossipExchange::mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest)
 {
+    if (digest.interruptedRequests.empty())
+        return;
     // A node sends digests to few nodes of the other zones, so these relay the entries.
     const bool isRelay = m_context.peers.usesZoneSummaries() && !isInOwnZone(from);
     const unsigned periods = m_context.peers.periodsPerRotation();
