--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <ranges>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
@@ -45,8 +46,8 @@
     {
         constexpr Duration startTime = std::chrono::milliseconds(300);
         const auto step = startTime / static_cast<std::int64_t>(m_nodes.size());
-        for (auto node = m_nodes.rbegin(); node != m_nodes.rend(); ++node) {
-            startNode(*node);
+        for (Node &node : std::views::reverse(m_nodes)) {
+            startNode(node);
             advance(step);
         }
     }
--- a/unittests/Fleet/PeerTableTest.cpp
+++ b/unittests/Fleet/PeerTableTest.cpp
@@ -143,50 +143,60 @@
     EXPECT_EQ(listed.size(), 70U);
 }
 
+namespace {
+
+constexpr std::size_t zoneCount = 5;
+constexpr std::size_t nodesPerZone = 39;
+
+std::string zoneName(std::size_t zone)
+{
+    return "z" + std::to_string(zone);
+}
+
+NodeId nodeName(std::size_t zone, std::size_t index)
+{
+    return NodeId(zoneName(zone) + "-" + std::to_string(100 + index));
+}
+
+/// Returns the table of a node that knows all nodes of the fleet.
+PeerTable tableOfNode(std::size_t zone, std::size_t index, TimePoint now)
+{
+    PeerTable peers({nodeName(zone, index), ZoneId(zoneName(zone)), {"10.0.0.1", 1}, {}});
+    for (std::size_t i = 0; i < zoneCount * nodesPerZone; ++i) {
+        const std::size_t other = i / nodesPerZone;
+        peers.onMessageReceived(nodeName(other, i % nodesPerZone), 1,
+                                digestOf(zoneName(other), "10.0.0.2"), now);
+    }
+    return peers;
+}
+
+} // namespace
+
 // Each node of a zone sends its zone's summary to few nodes of the other zones. If they selected
 // the same receivers, the other nodes would place requests by loads that are seconds old.
-TEST(PeerTableFleet, EachNodeHearsOfEachOtherZoneFiveTimesASecond)
+TEST(PeerTableFleet, EachNodeHearsOfEachOtherZoneSeveralTimesASecond)
 {
-    constexpr int zones = 5;
-    constexpr int nodesPerZone = 39;
     constexpr int periods = 40;
     constexpr int maxPeriodsBetweenSummaries = 4;
     ManualClock clock;
-    const auto nodeName = [](int zone, int i) {
-        return "z" + std::to_string(zone) + "-" + std::to_string(100 + i);
-    };
-    std::map<std::pair<NodeId, int>, int> lastHeard; // By receiver and zone.
-    std::vector<std::pair<int, PeerTable>> tables;
-    for (int zone = 0; zone < zones; ++zone) {
-        for (int i = 0; i < nodesPerZone; ++i) {
-            const NodeId self(nodeName(zone, i));
-            PeerTable &peers
-                = tables
-                      .emplace_back(
-                          zone,
-                          PeerTable(
-                              {self, ZoneId("z" + std::to_string(zone)), {"10.0.0.1", 1}, {}}))
-                      .second;
-            for (int otherZone = 0; otherZone < zones; ++otherZone) {
-                for (int other = 0; other < nodesPerZone; ++other)
-                    peers.onMessageReceived(NodeId(nodeName(otherZone, other)), 1,
-                                            digestOf("z" + std::to_string(otherZone), "10.0.0.2"),
-                                            clock.now());
-            }
-        }
+    std::vector<std::pair<std::size_t, PeerTable>> tables; // With the zone of each.
+    for (std::size_t i = 0; i < zoneCount * nodesPerZone; ++i) {
+        const std::size_t zone = i / nodesPerZone;
+        tables.emplace_back(zone, tableOfNode(zone, i % nodesPerZone, clock.now()));
     }
+    std::map<std::pair<NodeId, std::size_t>, int> lastHeard; // By receiver and zone.
     int longestGap = 0;
     for (int period = 0; period < periods; ++period) {
         clock.advance(100ms);
-        for (auto &[zone, peers] : tables) {
+        for (const auto &[zone, peers] : tables) {
             for (const auto &[receiver, endpoint] : peers.remoteReceivers(clock.wallNow())) {
-                const auto [found, isFirst] = lastHeard.try_emplace({receiver, zone}, 0);
-                longestGap = std::max(longestGap, period - found->second);
-                found->second = period;
+                int &last = lastHeard.try_emplace({receiver, zone}, 0).first->second;
+                longestGap = std::max(longestGap, period - last);
+                last = period;
             }
         }
     }
-    EXPECT_EQ(lastHeard.size(), std::size_t {zones * nodesPerZone * (zones - 1)});
+    EXPECT_EQ(lastHeard.size(), zoneCount * nodesPerZone * (zoneCount - 1));
     EXPECT_LE(longestGap, maxPeriodsBetweenSummaries);
 }
 
