--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
-#include <ranges>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
@@ -46,8 +45,8 @@
     {
         constexpr Duration startTime = std::chrono::milliseconds(300);
         const auto step = startTime / static_cast<std::int64_t>(m_nodes.size());
-        for (Node &node : std::views::reverse(m_nodes)) {
-            startNode(node);
+        for (std::size_t i = m_nodes.size(); i > 0; --i) {
+            startNode(m_nodes[i - 1]);
             advance(step);
         }
     }
