--- a/lib/Balancer/ReaderRole.cpp
+++ b/lib/Balancer/ReaderRole.cpp
@@ -24,8 +24,8 @@
 /// the platform itself for at least minReadTime.
 constexpr Duration maxTimeBehind = std::chrono::milliseconds(500);
 constexpr Duration minReadTime = std::chrono::seconds(5);
-/// A reader whose digests have been missing for this long is not counted. In a fleet of 300 nodes,
-/// a node receives a digest from a given other node of its zone every 1.6 s.
+/// A reader whose digests have been missing for this long is not counted: ten digests in a zone of
+/// 42 nodes.
 constexpr Duration readerDigestTimeout = std::chrono::milliseconds(3000);
 /// Each further rank delays the start of reading by this much. An outage of the platform stops all
 /// readers at once; the delay keeps the other nodes from calling the platform simultaneously.
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -76,9 +76,9 @@
 PeerTable::Receivers PeerTable::nextReceivers(TimePoint now)
 {
     Receivers receivers;
-    // Receivers rotate instead of being chosen at random. With 73 peers, each peer receives a
-    // digest every 0.6 s and its knowledge of this node is 0.3 s old on average. With random choice
-    // the mean age is twice that, and one peer in fifteen takes this node for silent.
+    // Receivers rotate instead of being chosen at random. With 42 receivers, each one receives a
+    // digest every 0.3 s and its knowledge of this node is 0.15 s old on average. With random
+    // choice the mean age is twice that.
     const std::size_t count = std::min(fanOut, digestReceiverCount());
     auto next = m_peers.upper_bound(m_lastReceiver);
     while (receivers.size() < count) {
