Measure the error of the estimated time to the first event

Admission and placement rest on the expected wait and reading time at a target, and nothing showed how far these are off.

--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -80,6 +80,9 @@
     Counter controlEvents {0};
     LatencyHistogram firstByteLatency;
     LatencyHistogram requestLatency;
+    /// Errors of Dispatch::expectedFirstByte.
+    LatencyHistogram firstByteAfterEstimate;
+    LatencyHistogram firstByteBeforeEstimate;
 
     /// Counts a rejected request under its problem type.
     void countRejectedRequest(const std::string &type);
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -40,6 +40,8 @@
     std::uint32_t idleConnectionLimit = 64;
     /// Time until the caller's deadline, sent to the target. Zero if the caller set no deadline.
     Duration timeLeft {0};
+    /// Time to the response head that the core expects; zero if it has no estimate.
+    Duration expectedFirstByte {0};
 };
 
 /// Cancels an attempt. Nothing more of its response reaches the caller.
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -1,5 +1,6 @@
 #include "RequestLog.h"
 
+#include <cmath>
 #include <utility>
 
 namespace berylridge {
@@ -24,6 +25,15 @@
     return fields;
 }
 
+/// Adds what the time to the first event was estimated from.
+void addEstimate(const TargetChoice &choice, Json::Value &fields)
+{
+    fields["expectedMs"] = Json::Int64(std::llround(choice.waitMs + choice.readMs));
+    fields["readTokens"] = choice.tokens;
+    fields["aheadTokens"] = Json::UInt64(choice.aheadTokens);
+    fields["running"] = choice.running;
+}
+
 } // namespace
 
 RequestLog::RequestLog(BalancerContext &context)
@@ -97,8 +107,11 @@
         fields["target"] = request.choice.target.str();
     fields["attempts"] = request.attempts;
     fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
-    if (request.firstResponseDelay)
+    if (request.firstResponseDelay) {
         fields["firstMs"] = toMilliseconds(*request.firstResponseDelay);
+        if (request.chain)
+            addEstimate(request.choice, fields);
+    }
     if (request.isLate(m_context.now))
         fields["late"] = true;
     fields["catalog"] = Json::UInt64(request.routeTable->catalog().version);
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -245,6 +245,8 @@
     dispatch.notAfter = request.deadline;
     dispatch.attemptTimeout = left;
     dispatch.timeLeft = left;
+    if (request.chain)
+        dispatch.expectedFirstByte = fromSeconds((choice.waitMs + choice.readMs) / 1000);
     dispatch.connectTimeout = std::chrono::milliseconds(400);
     dispatch.firstByteTimeout = std::min(left, firstByteLimit(request));
     dispatch.idleTimeout = allowsAnotherAttempt(request)
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -63,6 +63,7 @@
     m_attempt.reset();
     m_heldResponse.reset();
     m_dispatch = command;
+    m_dispatchedAt = std::chrono::steady_clock::now();
     if (m_isResponseStarted && !m_stream) {
         // Only an event stream can resume at another target. Any other response would be joined
         // from two different ones.
@@ -144,6 +145,7 @@
             m_storedBody.emplace();
         buildResponseHead(head, hasBody);
     }
+    recordEstimateError();
     m_thread.report(AttemptHead {m_handle, m_dispatch.attempt, m_head.result_int(), m_bootId});
     return std::nullopt;
 }
@@ -425,6 +427,19 @@
         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_arrival));
 }
 
+void Exchange::recordEstimateError()
+{
+    if (m_dispatch.expectedFirstByte <= Duration(0))
+        return;
+    const auto since
+        = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_dispatchedAt);
+    const Duration error = since - m_dispatch.expectedFirstByte;
+    if (error >= Duration(0))
+        m_thread.metrics().firstByteAfterEstimate.add(error);
+    else
+        m_thread.metrics().firstByteBeforeEstimate.add(-error);
+}
+
 void Exchange::end(Verdict verdict)
 {
     if (verdict != Verdict::Ran && m_attempt)
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -68,6 +68,7 @@
     void storeBody(std::string_view bytes);
     void sendResponse(StringResponse response, Verdict verdict);
     void recordFirstByteLatency();
+    void recordEstimateError();
     void end(Verdict verdict);
     bool shouldKeepAlive() const;
 
@@ -85,6 +86,7 @@
     const std::chrono::steady_clock::time_point m_arrival;
     std::shared_ptr<TargetAttempt> m_attempt;
     Dispatch m_dispatch;
+    std::chrono::steady_clock::time_point m_dispatchedAt {}; ///< Start of the current attempt.
     http::response<http::empty_body> m_head; ///< The response head that the caller receives.
     std::string m_bootId;
     std::optional<EventStream> m_stream;
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -154,6 +154,10 @@
             connectionsReused);
     firstByteLatency.print("berylridge_first_byte_seconds", "from request to first byte", out);
     requestLatency.print("berylridge_request_seconds", "from request to end of answer", out);
+    firstByteAfterEstimate.print("berylridge_first_byte_after_estimate_seconds",
+                                 "how much later than estimated a target responded", out);
+    firstByteBeforeEstimate.print("berylridge_first_byte_before_estimate_seconds",
+                                  "how much earlier than estimated a target responded", out);
     printMessages("berylridge_control_sent", sent, out);
     printMessages("berylridge_control_received", received, out);
     counter("berylridge_datagrams_sent_total", "datagrams sent", datagramsSent);
--- a/unittests/Net/ForwardingTest.cpp
+++ b/unittests/Net/ForwardingTest.cpp
@@ -53,6 +53,36 @@
     EXPECT_EQ(response.find("X-Attempt-Id"), std::string::npos) << response;
 }
 
+// Without the error of the estimates, nobody sees that targets are busier than nodes believe.
+TEST(ForwardingTest, metricsContainTheErrorOfTheEstimate)
+{
+    FakeTarget target([](FakeTargetConnection &peer) {
+        while (!peer.readRequest().empty())
+            peer.send(okResponse("done"));
+    });
+    FakeCore core([&](const Event &event, Actions &actions) {
+        const auto *arrived = std::get_if<RequestArrived>(&event);
+        if (!arrived)
+            return;
+        Dispatch dispatch = makeDispatch(arrived->handle, target.endpoint());
+        dispatch.expectedFirstByte
+            = arrived->requestId == "r1" ? Duration(1) : Duration(std::chrono::minutes(10));
+        actions.emplace_back(std::move(dispatch));
+    });
+    TestNode node(core);
+    for (const char *id : {"r1", "r2"}) {
+        FakeCaller caller = node.caller();
+        caller.send(requestText("POST", path, std::string("X-Request-Id: ") + id + "\r\n", ""));
+        EXPECT_FALSE(caller.readUntil("done").empty());
+    }
+    const std::string metrics = node.node().metrics().print(0);
+    for (const char *name : {"after", "before"}) {
+        const std::string count
+            = std::string("berylridge_first_byte_") + name + "_estimate_seconds_count 1\n";
+        EXPECT_NE(metrics.find(count), std::string::npos) << metrics;
+    }
+}
+
 TEST(ForwardingTest, respondsToPipelinedRequestsInOrder)
 {
     FakeTarget target([](FakeTargetConnection &peer) {
