Report long requests to the other nodes at once

Cause: a prompt of 20,000 to 40,000 uncached tokens keeps an engine busy for 250 to 500 ms. A digest takes 0.2 s within a zone and up to 0.6 s to the others, so the next requests went behind it and were late. A node now sends a notice of the requests that keep a target busy for longest, to its own zone and to one node of each other zone, which relays it. The notice counts until the node's digest or its zone's summary replaces it, and shrinks while the target reads. The rate is bounded: the shortest busy time that is reported rises with each notice.

Tests: ALongPromptIsKnownAtOnce fails without notices. In LargeFleetTest two targets got more slots: nodes now know of the requests that the test itself sends, which fill a target of six slots.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -132,6 +132,21 @@
     MSGPACK_DEFINE(placements, cacheWrites, cacheWriteIncreases)
 };
 
+/// A request that a node has just sent to a target. Unlike the loads in digests, it is sent to the
+/// other nodes at once: to the nodes of the own zone, and to one node of each other zone, which
+/// relays it in its zone.
+struct DispatchNotice
+{
+    std::string zone;         ///< Zone of the node that sent the request.
+    std::uint32_t target = 0; ///< hash32() of the target's id.
+    std::uint32_t tokens = 0; ///< Prompt tokens that the target has to read.
+    std::uint32_t waitMs = 0; ///< Expected time before the target starts to process the request.
+    std::uint32_t busyMs = 0; ///< Expected time that it then takes to read or to process it.
+    /// The shared prompt prefixes that the target reads for it and caches.
+    std::vector<std::uint32_t> prefixes;
+    MSGPACK_DEFINE(zone, target, tokens, waitMs, busyMs, prefixes)
+};
+
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
 struct StateRequest
 {
@@ -154,7 +169,8 @@
     MSGPACK_DEFINE(directoryUpdate)
 };
 
-using BalancerMessage = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay,
-                                     PlacementUpdate, ZoneLoadSummary, ZoneFlowSummary>;
+using BalancerMessage
+    = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay, PlacementUpdate,
+                   ZoneLoadSummary, ZoneFlowSummary, DispatchNotice>;
 
 } // namespace berylridge
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -80,6 +80,18 @@
     /// time of day, so that together they reach each node of the other zones at about equal
     /// intervals. A node whose clock is off only reaches some of them at other times.
     Receivers remoteReceivers(WallTime wall) const;
+    /// Returns one live node of each other zone, another one each time. In a small fleet, whose
+    /// digests reach all zones, there are none.
+    Receivers zoneRelays(TimePoint now);
+    /// Calls visit(node, peer) for each node that receives this node's digests.
+    template <typename Visit>
+    void forEachDigestReceiver(Visit visit) const
+    {
+        for (const auto &[node, peer] : m_peers) {
+            if (isDigestReceiver(peer))
+                visit(node, peer);
+        }
+    }
     /// Returns the number of periods within which each receiver of digests is one once.
     unsigned periodsPerRotation() const;
     /// Returns the number of periods within which one node of each other zone receives a summary
@@ -161,9 +173,10 @@
     void addNextSeed(Receivers &receivers, TimePoint now);
 
     PeerTableOptions m_options;
-    std::size_t m_nextSeed = 0; ///< Position in the options' seeds.
-    NodeId m_lastReceiver;      ///< Last receiver of the previous period's digest.
-    NodeId m_lastListed;        ///< Last node that was put into a peer list.
+    std::size_t m_nextSeed = 0;  ///< Position in the options' seeds.
+    std::size_t m_nextRelay = 0; ///< Selects the nodes that zoneRelays() returns.
+    NodeId m_lastReceiver;       ///< Last receiver of the previous period's digest.
+    NodeId m_lastListed;         ///< Last node that was put into a peer list.
     std::map<NodeId, Peer> m_peers;
 };
 
--- a/include/berylridge/Policy/PromptCacheDirectory.h
+++ b/include/berylridge/Policy/PromptCacheDirectory.h
@@ -65,6 +65,8 @@
 
     /// Records that some node of the fleet sent a request with this prefix to the target.
     void onPromptSent(PrefixKey key, TargetKey target, TimePoint now);
+    /// Records that a target reads the prefix for a request that onPromptSent() will report later.
+    void onCopyStarted(PrefixKey key, TargetKey target, TimePoint now);
     /// Records that requests of any node added this many tokens to the target's cache.
     void onTokensWritten(TargetKey target, std::uint64_t tokens, TimePoint now);
     /// Sets the size of the target's cache in tokens; 0 if it is unknown.
@@ -100,6 +102,7 @@
     };
 
     bool isCached(const Copy &copy) const;
+    void refreshCopy(Part &part, TargetKey target, TimePoint now);
 
     std::unordered_map<PrefixKey, Part> m_parts;
     std::unordered_map<TargetKey, TargetCache> m_caches;
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -76,6 +76,7 @@
     detectPause();
     m_lastEventAt = now;
     dispatch(event);
+    m_gossip.sendNotices();
     runTimers();
     m_context.actions = nullptr;
 }
@@ -127,6 +128,9 @@
             [&](const LoadDigest &m) { m_gossip.onDigest(message.from, message.incarnation, m); },
             [&](const ZoneLoadSummary &m) { m_gossip.onZoneLoads(message.from, m); },
             [&](const ZoneFlowSummary &m) { m_gossip.onZoneFlows(message.from, m); },
+            [&](const DispatchNotice &m) {
+                m_gossip.onDispatchNotice(message.from, message.incarnation, m);
+            },
             [&](const StateRequest &m) { m_gossip.onStateRequest(message.from, m); },
             [&](const CatalogUpdate &m) {
                 m_gossip.onCatalogRelayed();
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -128,7 +128,7 @@
 void GossipExchange::appendZoneLoads(std::vector<BalancerMessage> &summaries) const
 {
     const TargetLoads::Sum sum = m_targetSelector.loads().sumOfNodes(
-        [&](const NodeId &node) { return isInOwnZone(node); });
+        [&](const NodeId &node) { return isInOwnZone(node); }, m_context.now);
     ZoneLoadSummary summary;
     summary.zone = m_context.options.zone.str();
     summary.nodes = static_cast<std::uint32_t>(sum.nodes);
@@ -293,6 +293,36 @@
     m_requests.shares().onZoneSummary(summary.zone, std::move(digest), m_context.now);
 }
 
+void GossipExchange::sendNotices()
+{
+    for (const DispatchNotice &notice : m_targetSelector.takeNotices()) {
+        sendNoticeInOwnZone(notice);
+        for (const auto &[node, endpoint] : m_context.peers.zoneRelays(m_context.now))
+            m_context.emit(SendToNode {node, endpoint, BalancerMessage(notice)});
+    }
+}
+
+void GossipExchange::sendNoticeInOwnZone(const DispatchNotice &notice)
+{
+    m_context.peers.forEachDigestReceiver([&](const NodeId &node, const PeerTable::Peer &peer) {
+        if (m_context.peers.isLive(peer, m_context.now))
+            m_context.emit(SendToNode {node, peer.endpoint, BalancerMessage(notice)});
+    });
+}
+
+void GossipExchange::onDispatchNotice(const NodeId &from, Incarnation incarnation,
+                                      const DispatchNotice &notice)
+{
+    const PeerTable::Peer *peer = m_context.peers.find(from);
+    if (peer && peer->incarnation > incarnation)
+        return;
+    const bool isSummarized
+        = m_context.peers.usesZoneSummaries() && notice.zone != m_context.options.zone.str();
+    m_targetSelector.onDispatchNotice(from, isSummarized, notice);
+    if (isSummarized && !isInOwnZone(from))
+        sendNoticeInOwnZone(notice);
+}
+
 void GossipExchange::onPlacements(const NodeId &from, Incarnation incarnation,
                                   const PlacementUpdate &update)
 {
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -39,6 +39,10 @@
     void onPlacements(const NodeId &from, Incarnation incarnation, const PlacementUpdate &update);
     void onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary);
     void onZoneFlows(const NodeId &from, const ZoneFlowSummary &summary);
+    /// Sends the notices of requests that this node has just dispatched.
+    void sendNotices();
+    void onDispatchNotice(const NodeId &from, Incarnation incarnation,
+                          const DispatchNotice &notice);
     void onStateRequest(const NodeId &from, const StateRequest &request);
     /// Records that a peer responded to a request for newer state.
     void onCatalogRelayed() { m_catalogRequests.onResponse(); }
@@ -62,6 +66,7 @@
     std::vector<BalancerMessage> buildZoneSummaries() const;
     void appendZoneLoads(std::vector<BalancerMessage> &summaries) const;
     PlacementUpdate takeRemotePlacements();
+    void sendNoticeInOwnZone(const DispatchNotice &notice);
     bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
     void mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest);
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -92,7 +92,7 @@
 {
     const TimePoint now = m_context.now;
     PlacementCandidate candidate;
-    candidate.load = m_loads.total(key);
+    candidate.load = m_loads.total(key, now);
     const std::uint32_t slots = entry.record.slots > 0 ? entry.record.slots : service.engineSlots;
     candidate.slots = std::max(1U, slots);
     candidate.tokensPerMs = target.tokensPerMs > 0 ? target.tokensPerMs : initialTokensPerMs;
@@ -150,6 +150,7 @@
     choice.boot = bootHash(entry->record);
     choice.waitMs = placed->waitMs;
     choice.readMs = placed->readMs;
+    choice.busyMs = chain ? placed->readMs : need.serviceMs;
     choice.tokens = placed->tokens;
     choice.aheadTokens = candidates[placed->index].load.tokens;
     choice.running = candidates[placed->index].load.running;
@@ -170,6 +171,7 @@
     if (target.health.isProbeNeeded())
         target.health.onProbeStarted(now);
     m_loads.begin(choice.key, choice.tokens);
+    queueNotice(choice, chain);
     if (!chain)
         return true;
     const std::uint32_t writtenTokens = choice.tokens + chain->outputTokens;
@@ -184,6 +186,43 @@
     return true;
 }
 
+/// Must be called before the prompt's parts are recorded as cached at the target.
+void TargetSelector::queueNotice(const TargetChoice &choice, const PrefixChain *chain)
+{
+    const Duration busy = fromSeconds(choice.busyMs / 1000);
+    if (!m_noticeFilter.accepts(busy, m_context.peers.limitShareCount(m_context.now),
+                                m_context.now))
+        return;
+    DispatchNotice notice;
+    notice.zone = m_context.options.zone.str();
+    notice.target = choice.key;
+    notice.tokens = choice.tokens;
+    notice.waitMs = static_cast<std::uint32_t>(choice.waitMs);
+    notice.busyMs = static_cast<std::uint32_t>(choice.busyMs);
+    std::uint32_t prefixTokens = 0;
+    const std::uint32_t cachedTokens = chain ? m_prompts.cachedTokens(*chain, choice.key) : 0;
+    for (std::size_t i = 0; chain && i < sharedLinkCount(*chain); ++i) {
+        prefixTokens += chain->links[i].tokens;
+        if (prefixTokens > cachedTokens)
+            notice.prefixes.push_back(chain->links[i].key);
+    }
+    m_newNotices.push_back(std::move(notice));
+}
+
+void TargetSelector::onDispatchNotice(const NodeId &node, bool isSummarized,
+                                      const DispatchNotice &notice)
+{
+    const TargetLoads::Notice load {notice.target, notice.tokens,
+                                    std::chrono::milliseconds(notice.waitMs),
+                                    std::chrono::milliseconds(notice.busyMs)};
+    if (isSummarized)
+        m_loads.onZoneNotice(notice.zone, load, m_context.now);
+    else
+        m_loads.onNotice(node, load, m_context.now);
+    for (const PrefixKey prefix : notice.prefixes)
+        m_prompts.onCopyStarted(prefix, notice.target, m_context.now);
+}
+
 void TargetSelector::onFirstEvent(const TargetChoice &choice, Duration since)
 {
     m_loads.onPromptRead(choice.key, choice.tokens);
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -3,6 +3,7 @@
 
 #include "BalancerContext.h"
 
+#include "berylridge/Policy/DispatchNoticeFilter.h"
 #include "berylridge/Policy/FleetLimits.h"
 #include "berylridge/Policy/Placement.h"
 #include "berylridge/Policy/PromptCacheDirectory.h"
@@ -25,10 +26,11 @@
     TargetKey key = 0;
     TargetId target;
     Endpoint endpoint;
-    std::uint64_t boot = 0;   ///< Distinguishes this boot of the target from others.
-    double waitMs = 0;        ///< Expected wait before the target starts to process the request.
-    double readMs = 0;        ///< Expected time to read the prompt.
-    std::uint32_t tokens = 0; ///< Tokens of the prompt that the target still has to read.
+    std::uint64_t boot = 0; ///< Distinguishes this boot of the target from others.
+    double waitMs = 0;      ///< Expected wait before the target starts to process the request.
+    double readMs = 0;      ///< Expected time to read the prompt.
+    double busyMs = 0; ///< Expected time that the target reads the prompt or processes the request.
+    std::uint32_t tokens = 0;      ///< Tokens of the prompt that the target still has to read.
     std::uint64_t aheadTokens = 0; ///< Tokens of the requests ahead in the target's queue.
     std::uint32_t running = 0;     ///< Requests of all nodes that run at the target.
     std::size_t candidates = 0;    ///< Number of targets that were considered.
@@ -59,6 +61,11 @@
     void onResponseCompleted(const std::string &service, Duration duration);
 
     void onRemotePlacement(PrefixKey part, TargetKey target);
+    /// Records a notice of another node. `isSummarized` states that its zone's summaries replace
+    /// the notice, and not the node's own digests.
+    void onDispatchNotice(const NodeId &node, bool isSummarized, const DispatchNotice &notice);
+    /// Returns the notices that are due for the other nodes.
+    std::vector<DispatchNotice> takeNotices() { return std::exchange(m_newNotices, {}); }
     void onRemoteCacheWrite(const NodeId &node, Incarnation incarnation,
                             const TargetCacheWriteEntry &entry);
     /// Records an increase of the counter of some node of another zone.
@@ -109,6 +116,7 @@
     bool isColdSender(Target &target, TargetKey key) const;
     bool isCold(const TargetDirectory::Entry &entry, const Target &target,
                 const ServiceSpec &service) const;
+    void queueNotice(const TargetChoice &choice, const PrefixChain *chain);
     PlacementCandidate candidate(const TargetDirectory::Entry &entry, const Target &target,
                                  TargetKey key, const ServiceSpec &service,
                                  const PrefixChain *chain) const;
@@ -120,6 +128,8 @@
     std::set<std::string> m_silentZones;                 ///< As of the last tick.
     std::unordered_map<std::string, double> m_serviceMs; ///< Moving average by service.
     std::vector<PlacementEntry> m_newPlacements;
+    DispatchNoticeFilter m_noticeFilter;
+    std::vector<DispatchNotice> m_newNotices;
     std::map<std::pair<NodeId, TargetKey>, RemoteCacheWrite> m_remoteCacheWrites;
 };
 
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -164,6 +164,22 @@
     return receivers;
 }
 
+PeerTable::Receivers PeerTable::zoneRelays(TimePoint now)
+{
+    Receivers relays;
+    if (!usesZoneSummaries())
+        return relays;
+    const std::size_t turn = m_nextRelay++;
+    for (auto &[zone, nodes] : remotePeers()) {
+        std::erase_if(nodes, [&](const auto &each) { return !isLive(each->second, now); });
+        if (nodes.empty())
+            continue;
+        const auto &selected = nodes[turn % nodes.size()];
+        relays.emplace_back(selected->first, selected->second.endpoint);
+    }
+    return relays;
+}
+
 unsigned PeerTable::periodsPerRotation() const
 {
     const std::size_t periods = (digestReceiverCount() + fanOut - 1) / fanOut;
--- a/lib/Policy/PromptCacheDirectory.cpp
+++ b/lib/Policy/PromptCacheDirectory.cpp
@@ -46,6 +46,16 @@
 {
     Part &part = m_parts[key];
     part.uses.add(1, now);
+    refreshCopy(part, target, now);
+}
+
+void PromptCacheDirectory::onCopyStarted(PrefixKey key, TargetKey target, TimePoint now)
+{
+    refreshCopy(m_parts[key], target, now);
+}
+
+void PromptCacheDirectory::refreshCopy(Part &part, TargetKey target, TimePoint now)
+{
     const auto found = std::find_if(part.copies.begin(), part.copies.end(),
                                     [&](const Copy &each) { return each.target == target; });
     const std::uint64_t tokensWritten = m_caches[target].tokensWritten;
--- a/lib/Policy/TargetLoads.cpp
+++ b/lib/Policy/TargetLoads.cpp
@@ -37,10 +37,12 @@
     remote.digestReceivedAt = now;
     for (const RemoteEntry &entry : remote.entries)
         m_remoteSums[entry.target].add(entry.load);
+    eraseNotices([&](TargetKey /*target*/, const Noticed &each) { return each.node == node; });
 }
 
 void TargetLoads::forgetNode(const NodeId &node)
 {
+    eraseNotices([&](TargetKey /*target*/, const Noticed &each) { return each.node == node; });
     const auto found = m_remotes.find(node);
     if (found == m_remotes.end())
         return;
@@ -69,6 +71,35 @@
         if (loads.insert({entry.target, {entry.load, now}}).second)
             m_remoteSums[entry.target].add(entry.load);
     }
+    eraseNotices([&](TargetKey target, const Noticed &each) {
+        return each.zone == zone && target >= range.first && target <= range.last;
+    });
+}
+
+TargetLoad TargetLoads::Noticed::loadAt(TimePoint now) const
+{
+    if (now >= endsAt)
+        return {};
+    if (endsAt - now >= busy)
+        return {1, tokens};
+    const double left = toSeconds(endsAt - now) / toSeconds(busy);
+    return {1, static_cast<std::uint64_t>(left * tokens)};
+}
+
+void TargetLoads::onNotice(const NodeId &node, const Notice &notice, TimePoint now)
+{
+    addNotice(notice, {node, {}, notice.tokens, notice.busy, {}}, now);
+}
+
+void TargetLoads::onZoneNotice(const std::string &zone, const Notice &notice, TimePoint now)
+{
+    addNotice(notice, {{}, zone, notice.tokens, notice.busy, {}}, now);
+}
+
+void TargetLoads::addNotice(const Notice &notice, Noticed noticed, TimePoint now)
+{
+    noticed.endsAt = now + std::min(notice.wait + notice.busy, digestLifetime);
+    m_noticed[notice.target].push_back(std::move(noticed));
 }
 
 void TargetLoads::expire(TimePoint now)
@@ -87,6 +118,8 @@
             return isOld;
         });
     }
+    eraseNotices([&](TargetKey /*target*/, const Noticed &each) { return each.endsAt <= now; });
+    std::erase_if(m_noticed, [](const auto &entry) { return entry.second.empty(); });
 }
 
 TargetLoad TargetLoads::own(TargetKey target) const
@@ -95,13 +128,16 @@
     return found == m_own.end() ? TargetLoad {} : found->second;
 }
 
-TargetLoad TargetLoads::total(TargetKey target) const
+TargetLoad TargetLoads::total(TargetKey target, TimePoint now) const
 {
     TargetLoad load = own(target);
-    const auto found = m_remoteSums.find(target);
-    if (found == m_remoteSums.end())
+    if (const auto found = m_remoteSums.find(target); found != m_remoteSums.end())
+        load.add(found->second);
+    const auto noticed = m_noticed.find(target);
+    if (noticed == m_noticed.end())
         return load;
-    load.add(found->second);
+    for (const Noticed &each : noticed->second)
+        load.add(each.loadAt(now));
     return load;
 }
 
--- a/unittests/Balancer/LargeFleetTest.cpp
+++ b/unittests/Balancer/LargeFleetTest.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// For targets that one request of each node does not fill.
+constexpr std::uint32_t unlimitedSlots = 100000;
+/// One in this many nodes sends a request after the long prompt.
+constexpr std::size_t sampledNodes = 4;
+
 struct FleetSize
 {
     std::size_t zones = 0;
@@ -38,9 +43,11 @@
         catalog.services = {{"s", 100, 3000, 0, false, 6, 0}};
         catalog.workspaces = {{"potters", {"key"}}};
         catalogArrived = {std::make_shared<const Catalog>(catalog)};
+        catalog.services.front().isEngine = true;
+        engineCatalogArrived = {std::make_shared<const Catalog>(catalog)};
     }
 
-    static TargetRecord target(const std::string &id)
+    static TargetRecord target(const std::string &id, std::uint32_t slots = 6)
     {
         TargetRecord record;
         record.id = id;
@@ -49,13 +56,13 @@
         record.address = "10.100.0.1";
         record.port = 80;
         record.zone = "z0";
-        record.slots = 6;
+        record.slots = slots;
         return record;
     }
 
     void installState(Node &node, std::uint64_t revision, std::vector<TargetRecord> targets)
     {
-        fleet.handle(node, catalogArrived);
+        fleet.handle(node, isEngine ? engineCatalogArrived : catalogArrived);
         DirectoryUpdate update;
         update.revision = revision;
         update.isFullSnapshot = true;
@@ -64,7 +71,7 @@
     }
 
     /// Returns the target to which the node sends a new request.
-    std::string targetOfRequest(Node &node)
+    std::string targetOfRequest(Node &node, std::uint32_t promptTokens = 0)
     {
         RequestArrived request;
         request.handle = ++lastHandle;
@@ -73,6 +80,8 @@
         request.path = "/";
         request.credential = "key";
         request.deadline = 4s;
+        if (promptTokens > 0)
+            request.prompt = Prompt {"m", {{lastHandle, promptTokens}}, promptTokens, 100};
         fleet.handle(node, request);
         for (const Action &action : node.actions) {
             if (const auto *dispatch = std::get_if<Dispatch>(&action))
@@ -83,6 +92,8 @@
 
     test::SimulatedFleet fleet;
     CatalogArrived catalogArrived;
+    CatalogArrived engineCatalogArrived;
+    bool isEngine = false; ///< Whether the targets are model engines.
     RequestHandle lastHandle = 0;
 };
 
@@ -102,7 +113,7 @@
     // A digest reaches each node of its zone within three periods. A summary reaches each node of
     // the other zones within two turns of up to four periods.
     fleet.advance(GetParam().nodesPerZone > PeerTable::fanOut ? 1200ms : 200ms);
-    TargetRecord idle = target("t2");
+    TargetRecord idle = target("t2", unlimitedSlots);
     idle.revision = 2;
     std::size_t sentToLoadedTarget = 0;
     for (Node &node : fleet.nodes()) {
@@ -112,6 +123,24 @@
     EXPECT_EQ(sentToLoadedTarget, 0U);
 }
 
+// A long prompt keeps a target busy for less time than a digest takes to arrive. Nodes that learn
+// of it only then send the next requests behind it, and these start late.
+TEST_P(LargeFleetTest, ALongPromptIsKnownAtOnce)
+{
+    isEngine = true;
+    fleet.start();
+    for (Node &node : fleet.nodes())
+        installState(node, 1, {target("t1", unlimitedSlots), target("t2", unlimitedSlots)});
+    fleet.advance(4s);
+    const std::string busy = targetOfRequest(fleet.nodes().front(), 40000);
+    std::size_t sentToBusyTarget = 0;
+    for (std::size_t i = 1; i < fleet.nodes().size(); i += sampledNodes) {
+        sentToBusyTarget += targetOfRequest(fleet.nodes()[i], 500) == busy ? 1 : 0;
+        fleet.advance(1ms);
+    }
+    EXPECT_EQ(sentToBusyTarget, 0U);
+}
+
 // A digest to each other node would cost each node more, the larger the fleet is.
 TEST_P(LargeFleetTest, MessagesOfANodeAreBounded)
 {
@@ -137,7 +166,8 @@
     for (int i = 0; i < 25; ++i) {
         for (Node &node : fleet.nodes()) {
             if (node.isReadingPlatform && i % 5 == 0)
-                installState(node, static_cast<std::uint64_t>(i) + 1, {target("t1")});
+                installState(node, static_cast<std::uint64_t>(i) + 1,
+                             {target("t1", unlimitedSlots)});
         }
         fleet.advance(100ms);
         if (i == 5) {
--- a/unittests/Policy/PlacementTest.cpp
+++ b/unittests/Policy/PlacementTest.cpp
@@ -149,7 +149,8 @@
             std::vector<PlacementCandidate> candidates;
             for (TargetKey key = 0; key < 9; ++key) {
                 prompts.setCapacity(key, 1000000);
-                PlacementCandidate candidate = candidateWith(loads.total(key).tokens, 0);
+                PlacementCandidate candidate
+                    = candidateWith(loads.total(key, clock.now()).tokens, 0);
                 candidate.cacheLifetimeSeconds = prompts.cacheLifetimeSeconds(key, clock.now());
                 if (byPrompt)
                     candidate.cachedTokens = prompts.cachedTokens(chain, key);
@@ -256,15 +257,15 @@
     TargetLoads loads;
     loads.begin(first, 500);
     loads.onDigest(NodeId("b"), {{first, {3, 9000}}}, clock.now());
-    EXPECT_EQ(loads.total(first).tokens, 9500U);
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 9500U);
     loads.onDigest(NodeId("b"), {{first, {1, 2000}}}, clock.now());
-    EXPECT_EQ(loads.total(first).running, 2U);
+    EXPECT_EQ(loads.total(first, clock.now()).running, 2U);
     clock.advance(TargetLoads::digestLifetime + 1ms);
     loads.expire(clock.now());
-    EXPECT_EQ(loads.total(first).tokens, 500U);
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 500U);
     loads.onPromptRead(first, 500);
     loads.end(first);
-    EXPECT_EQ(loads.total(first).running, 0U);
+    EXPECT_EQ(loads.total(first, clock.now()).running, 0U);
 }
 
 // A summary replaces the loads of its range. A target that is missing there has no load any more,
@@ -276,14 +277,14 @@
     const std::vector<TargetLoads::RemoteEntry> both {{10, {3, 900}}, {20, {2, 500}}};
     loads.onZoneSummary("b", {0, 100}, both, clock.now());
     loads.begin(10, 100);
-    EXPECT_EQ(loads.total(10).running, 4U);
-    EXPECT_EQ(loads.total(10).tokens, 1000U);
+    EXPECT_EQ(loads.total(10, clock.now()).running, 4U);
+    EXPECT_EQ(loads.total(10, clock.now()).tokens, 1000U);
     loads.onZoneSummary("b", {0, 15}, {}, clock.now());
-    EXPECT_EQ(loads.total(10).running, 1U);
-    EXPECT_EQ(loads.total(20).running, 2U);
+    EXPECT_EQ(loads.total(10, clock.now()).running, 1U);
+    EXPECT_EQ(loads.total(20, clock.now()).running, 2U);
     clock.advance(TargetLoads::digestLifetime + 1ms);
     loads.expire(clock.now());
-    EXPECT_EQ(loads.total(20).running, 0U);
+    EXPECT_EQ(loads.total(20, clock.now()).running, 0U);
 }
 
 // A node of another zone that is part of that zone's summary must not be counted twice.
@@ -293,9 +294,61 @@
     TargetLoads loads;
     loads.onDigest(NodeId("b1"), {{10, {3, 900}}}, clock.now());
     loads.onDigest(NodeId("b2"), {{10, {1, 100}}}, clock.now());
-    const auto sum = loads.sumOfNodes([](const NodeId &node) { return node == NodeId("b2"); });
+    const auto sum
+        = loads.sumOfNodes([](const NodeId &node) { return node == NodeId("b2"); }, clock.now());
     EXPECT_EQ(sum.nodes, 2U);
     EXPECT_EQ(sum.loads.at(10).running, 1U);
     loads.forgetNode(NodeId("b1"));
-    EXPECT_EQ(loads.total(10).running, 1U);
+    EXPECT_EQ(loads.total(10, clock.now()).running, 1U);
+}
+
+// A notice that counted together with the digest that contains its request would make a target
+// appear twice as busy as it is.
+TEST(TargetLoads, NoticeCountsUntilTheNodesNextDigest)
+{
+    ManualClock clock;
+    TargetLoads loads;
+    loads.onDigest(NodeId("b"), {{first, {1, 1000}}}, clock.now());
+    loads.onNotice(NodeId("b"), {first, 30000, 100ms, 300ms}, clock.now());
+    loads.onNotice(NodeId("c"), {first, 2000, 100ms, 20ms}, clock.now());
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 33000U);
+    EXPECT_EQ(loads.total(first, clock.now()).running, 3U);
+    loads.onDigest(NodeId("b"), {{first, {2, 31000}}}, clock.now());
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 33000U);
+    loads.forgetNode(NodeId("c"));
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 31000U);
+}
+
+// A noticed request that counted until the next digest would keep requests away from a target that
+// has long been idle again.
+TEST(TargetLoads, NoticeShrinksWhileTheTargetReads)
+{
+    ManualClock clock;
+    TargetLoads loads;
+    loads.onNotice(NodeId("b"), {first, 30000, 100ms, 300ms}, clock.now());
+    clock.advance(100ms);
+    EXPECT_EQ(loads.total(first, clock.now()).tokens, 30000U);
+    clock.advance(200ms);
+    EXPECT_NEAR(static_cast<double>(loads.total(first, clock.now()).tokens), 10000, 1);
+    clock.advance(100ms);
+    EXPECT_EQ(loads.total(first, clock.now()).running, 0U);
+}
+
+// A summary of a zone contains the requests that its nodes reported to each other, and replaces
+// those that they reported to the receiver.
+TEST(TargetLoads, SummaryContainsAndReplacesNotices)
+{
+    ManualClock clock;
+    TargetLoads sender;
+    sender.onNotice(NodeId("b"), {first, 30000, 100ms, 300ms}, clock.now());
+    sender.onZoneNotice("z", {first, 5000, 0ms, 50ms}, clock.now());
+    const auto sum = sender.sumOfNodes([](const NodeId & /*node*/) { return true; }, clock.now());
+    EXPECT_EQ(sum.loads.at(first).tokens, 30000U);
+
+    TargetLoads receiver;
+    receiver.onZoneNotice("y", {first, 30000, 100ms, 300ms}, clock.now());
+    EXPECT_EQ(receiver.total(first, clock.now()).tokens, 30000U);
+    const std::vector<TargetLoads::RemoteEntry> entries {{first, sum.loads.at(first)}};
+    receiver.onZoneSummary("y", {0, 100}, entries, clock.now());
+    EXPECT_EQ(receiver.total(first, clock.now()).tokens, 30000U);
 }
