Keep the configured capacity as lower bound while the fleet has it

Cause: while the fleet rejects requests, shares are of what it serves. After a fault few requests are admitted, so little is served, and the limit stays low while targets stand idle. The configured capacity is now the lower bound, scaled by how much the fleet misses: tokens of requests that start late or find no room at a target, which digests and summaries report. Rejections that only hold back a workspace over its share don't count as misses.

The rate of misses is compared with what could be served with the configured capacity.

The model of WorkspaceSharesFleetTest tells the two kinds of rejections apart and reports misses, as nodes do.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -90,9 +90,11 @@
     /// Whether the sender's loads and flows are missing here. Where the receiver is in another zone
     /// of a large fleet, the summaries of the sender's zone contain them.
     bool isSummarized = false;
+    /// Tokens of requests that started late, or that were rejected because no target had room.
+    std::uint32_t missedPerSecond = 0;
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads, flows,
                    interruptedRequests, peers, servedPerSecond, rejectedPerSecond,
-                   isReadingPlatform, isSummarized)
+                   isReadingPlatform, isSummarized, missedPerSecond)
 };
 
 /// The load that the requests of all nodes of the sender's zone put on targets. Each node of a zone
@@ -117,7 +119,8 @@
     std::vector<WorkspaceFlowEntry> flows; ///< Only the workspaces with the highest demand.
     std::uint32_t servedPerSecond = 0;
     std::uint32_t rejectedPerSecond = 0;
-    MSGPACK_DEFINE(zone, nodes, flows, servedPerSecond, rejectedPerSecond)
+    std::uint32_t missedPerSecond = 0;
+    MSGPACK_DEFINE(zone, nodes, flows, servedPerSecond, rejectedPerSecond, missedPerSecond)
 };
 
 /// The prompt prefixes that the sender's requests added to targets' caches. It is sent along with
--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -3,10 +3,12 @@
 //
 // Guards against a few large workspaces that request several times their usual load, so that small
 // ones find every target full. Each node knows its own callers' demand exactly and that of the
-// other nodes' callers from digests and from summaries of other zones. While the fleet rejects
-// requests, its capacity is the rate that it serves. A capacity configured by operators does not
-// account for how much of the prompts the targets have cached, and is off by a factor of two either
-// way. It counts only while next to nothing is rejected.
+// other nodes' callers from digests and from summaries of other zones. A capacity configured by
+// operators does not account for how much of the prompts the targets have cached, and is off by a
+// factor of two either way. While the fleet rejects requests, its capacity is therefore the rate
+// that it serves. A fault lowers that rate for a moment, and it rises slowly since few requests are
+// admitted. So the configured capacity remains the lower bound while admitted requests start in
+// time and targets have room for those within their shares.
 #pragma once
 
 #include "berylridge/Policy/Rate.h"
@@ -40,7 +42,17 @@
     void onAdmitted(WorkspaceKey workspace, double tokens, TimePoint now);
 
     /// Records that a request was rejected because no target had capacity for it.
-    void onRejected(double tokens, TimePoint now) { m_rejected.add(tokens, now); }
+    void onRejected(double tokens, TimePoint now)
+    {
+        m_rejected.add(tokens, now);
+        m_missed.add(tokens, now);
+    }
+
+    /// Records that a request was rejected only because its workspace is over its share.
+    void onHeldBack(double tokens, TimePoint now) { m_rejected.add(tokens, now); }
+
+    /// Records that an admitted request started late.
+    void onLate(double tokens, TimePoint now) { m_missed.add(tokens, now); }
 
     /// Rates of one workspace's callers at one node, in tokens per second.
     struct Flow
@@ -60,8 +72,9 @@
     {
         std::vector<Flow> flows;
         double servedPerSecond = 0;   ///< Tokens of requests that it admitted.
-        double rejectedPerSecond = 0; ///< Tokens of requests that it rejected for lack of capacity.
+        double rejectedPerSecond = 0; ///< Tokens of requests that it rejected.
         std::size_t nodes = 1;        ///< Number of nodes that it covers.
+        double missedPerSecond = 0; ///< Tokens of requests that started late or found no capacity.
     };
     void onDigest(const NodeId &node, RemoteDigest digest, TimePoint now);
     /// Drops what the node's last digest contained.
@@ -92,7 +105,8 @@
     template <typename IsIncluded>
     RemoteDigest sumOfNodes(IsIncluded isIncluded, std::size_t maxFlows, TimePoint now) const
     {
-        RemoteDigest sum {{}, servedPerSecond(now), rejectedPerSecond(now), 1};
+        RemoteDigest sum {
+            {}, servedPerSecond(now), rejectedPerSecond(now), 1, missedPerSecond(now)};
         FlowMap flows;
         for (const Flow &flow : ownFlows(now))
             flows[flow.workspace].add(flow);
@@ -102,6 +116,7 @@
             sum.nodes += remote.digest.nodes;
             sum.servedPerSecond += remote.digest.servedPerSecond;
             sum.rejectedPerSecond += remote.digest.rejectedPerSecond;
+            sum.missedPerSecond += remote.digest.missedPerSecond;
             for (const Flow &flow : remote.digest.flows)
                 flows[flow.workspace].add(flow);
         }
@@ -113,17 +128,18 @@
     std::vector<Flow> ownFlows(TimePoint now) const;
     double servedPerSecond(TimePoint now) const { return m_served.at(now); }
     double rejectedPerSecond(TimePoint now) const { return m_rejected.at(now); }
+    double missedPerSecond(TimePoint now) const { return m_missed.at(now); }
     /// Rates of the whole fleet as known to this node, in tokens per second.
     struct FleetView
     {
         double servedPerSecond = 0;
         double rejectedPerSecond = 0;
-        double capacity = 0; ///< The capacity that is shared.
+        double missedPerSecond = 0; ///< Tokens of requests that started late or found no capacity.
+        double capacity = 0;        ///< The capacity that is shared.
         double fairRate = 0; ///< Rate that each workspace with unmet demand gets; may be infinite.
     };
     const FleetView &fleet() const { return m_fleet; }
-    /// Returns whether the fleet rejects requests, so that shares are computed from the rate that
-    /// it serves.
+    /// Returns whether the fleet rejects more than a few requests.
     bool isOverloaded() const { return m_isOverloaded; }
 
 private:
@@ -144,6 +160,8 @@
     };
 
     double capacity(double configuredCapacity, TimePoint now);
+    /// Returns the fraction of the configured capacity that the fleet probably has.
+    double trustInConfiguredCapacity(double configuredCapacity) const;
     static void startLimiting(Own &own, TimePoint now);
     using FlowMap = std::unordered_map<WorkspaceKey, Flow>;
 
@@ -171,6 +189,7 @@
     std::map<std::string, Remote> m_zones; ///< Keyed by the zone's name.
     Rate m_served;
     Rate m_rejected;
+    Rate m_missed;
     FleetView m_fleet;
     TimePoint m_updatedAt {};
     bool m_isOverloaded = false;
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -115,6 +115,7 @@
     summary.nodes = static_cast<std::uint32_t>(flows.nodes);
     summary.servedPerSecond = clampToUint32(flows.servedPerSecond);
     summary.rejectedPerSecond = clampToUint32(flows.rejectedPerSecond);
+    summary.missedPerSecond = clampToUint32(flows.missedPerSecond);
     for (const WorkspaceShares::Flow &flow : flows.flows) {
         summary.flows.push_back(
             {flow.workspace, clampToUint32(flow.requested), clampToUint32(flow.admitted)});
@@ -203,6 +204,7 @@
             {flow.workspace, clampToUint32(flow.requested), clampToUint32(flow.admitted)});
     digest.servedPerSecond = clampToUint32(m_requests.shares().servedPerSecond(m_context.now));
     digest.rejectedPerSecond = clampToUint32(m_requests.shares().rejectedPerSecond(m_context.now));
+    digest.missedPerSecond = clampToUint32(m_requests.shares().missedPerSecond(m_context.now));
     digest.interruptedRequests = m_interruptedRequests.take(maxInterruptedRequestsPerDigest);
     const bool isStarting = m_digestsSent < startingDigests;
     if (m_digestsSent++ % digestsPerPeerList == 0 || isStarting)
@@ -244,6 +246,7 @@
     }
     update.servedPerSecond = digest.servedPerSecond;
     update.rejectedPerSecond = digest.rejectedPerSecond;
+    update.missedPerSecond = digest.missedPerSecond;
     m_requests.shares().onDigest(from, std::move(update), m_context.now);
 }
 
@@ -285,6 +288,7 @@
     digest.nodes = summary.nodes;
     digest.servedPerSecond = summary.servedPerSecond;
     digest.rejectedPerSecond = summary.rejectedPerSecond;
+    digest.missedPerSecond = summary.missedPerSecond;
     for (const WorkspaceFlowEntry &entry : summary.flows) {
         digest.flows.push_back({entry.workspace,
                                 static_cast<double>(entry.requestedTokensPerSecond),
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -210,7 +210,7 @@
 /// cost most of the time of a rejection, and a flood consists of such requests.
 Refusal RequestProcessor::rejectOverdrawn(BalancedRequest &request)
 {
-    m_shares.onRejected(demandOf(request), m_context.now);
+    m_shares.onHeldBack(demandOf(request), m_context.now);
     request.trace.add(m_context.now - request.arrivedAt,
                       OverdrawnStep {m_shares.shareStatus(request.workspaceKey(), m_context.now)});
     return {503, "beyond-share", "the workspace has had more than its share",
@@ -231,9 +231,12 @@
     step.allowedMs = allowed;
     if (choice.waitMs <= allowed)
         return std::nullopt;
-    m_shares.onRejected(demandOf(request), m_context.now);
-    if (!step.isWithinShare && choice.waitMs <= maxQueueWaitMs({target, choice.readMs, 0}))
+    if (choice.waitMs > maxQueueWaitMs({target, choice.readMs, 0})) {
+        m_shares.onRejected(demandOf(request), m_context.now);
+    } else {
+        m_shares.onHeldBack(demandOf(request), m_context.now);
         m_tally.heldBack(request);
+    }
     // The queue shrinks by the excess in this time, provided that callers don't retry earlier.
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
     return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
@@ -312,7 +315,10 @@
     request->trace.add(at, ResponseStartedStep {event.status});
     if (!request->firstResponseDelay) {
         request->firstResponseDelay = at;
-        m_tally.begun(*request, request->isLate(m_context.now));
+        const bool isLate = request->isLate(m_context.now);
+        m_tally.begun(*request, isLate);
+        if (isLate)
+            m_shares.onLate(demandOf(*request), m_context.now);
     }
     m_targetSelector.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
 }
--- a/lib/Balancer/WorkspaceTally.cpp
+++ b/lib/Balancer/WorkspaceTally.cpp
@@ -109,6 +109,7 @@
     fields["known"] = Json::UInt64(entries.size());
     fields["fleetServed"] = roundedTokens(fleet.servedPerSecond);
     fields["fleetTurnedAway"] = roundedTokens(fleet.rejectedPerSecond);
+    fields["fleetMissed"] = roundedTokens(fleet.missedPerSecond);
     fields["fleetCapacity"] = roundedTokens(fleet.capacity);
     if (std::isfinite(fleet.fairRate))
         fields["shareLevel"] = roundedTokens(fleet.fairRate);
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -20,6 +20,10 @@
 constexpr double capacityGrowth = 1.05;
 /// The fleet is overloaded if it rejects more than this fraction of what it serves.
 constexpr double overloadRejectFraction = 0.05;
+/// The fleet has its configured capacity if it misses at most this fraction of what it could serve
+/// then. From the second fraction on, what it serves is all the capacity that it has.
+constexpr double trustMissedFraction = 0.05;
+constexpr double distrustMissedFraction = 0.25;
 /// Minimum number of digests and summaries that contain a workspace for them to be extrapolated to
 /// the other nodes.
 constexpr std::size_t minSampledSources = 3;
@@ -78,21 +82,37 @@
 {
     double served = m_served.at(now);
     double rejected = m_rejected.at(now);
+    double missed = m_missed.at(now);
     forEachRemote([&](const Remote &remote) {
         served += remote.digest.servedPerSecond;
         rejected += remote.digest.rejectedPerSecond;
+        missed += remote.digest.missedPerSecond;
     });
     // Targets that have to read most parts anew have a third of the configured capacity. Shares of
     // the configured capacity would limit nobody then: a flood takes all free capacity, and other
-    // workspaces get a third of what it gets.
+    // workspaces get a third of what it gets. Many requests find no room or start late then.
     m_fleet.servedPerSecond = served;
     m_fleet.rejectedPerSecond = rejected;
+    m_fleet.missedPerSecond = missed;
     m_isOverloaded = rejected > overloadRejectFraction * served;
     if (m_isOverloaded)
-        return served * capacityGrowth;
+        return std::max(configuredCapacity * trustInConfiguredCapacity(configuredCapacity),
+                        served * capacityGrowth);
     return std::max(configuredCapacity, served * capacityGrowth);
 }
 
+double WorkspaceShares::trustInConfiguredCapacity(double configuredCapacity) const
+{
+    // What is held back would be served up to the configured capacity. Compared with what is served
+    // alone, the misses of a fault would count as long as the rate that they have lowered.
+    const double heldBack = std::max(m_fleet.rejectedPerSecond - m_fleet.missedPerSecond, 0.0);
+    const double possible = std::min(configuredCapacity, m_fleet.servedPerSecond + heldBack);
+    const double expected = std::max({m_fleet.servedPerSecond, possible, 1.0});
+    const double trust = (distrustMissedFraction - m_fleet.missedPerSecond / expected)
+        / (distrustMissedFraction - trustMissedFraction);
+    return std::clamp(trust, 0.0, 1.0);
+}
+
 WorkspaceShares::FlowMap WorkspaceShares::fleetFlows(TimePoint now) const
 {
     struct Sample
--- a/unittests/Policy/WorkspaceSharesFleetTest.cpp
+++ b/unittests/Policy/WorkspaceSharesFleetTest.cpp
@@ -56,8 +56,12 @@
             target = node.knownTokens(i) < node.knownTokens(target) ? i : target;
         const double ahead = node.shares.secondsOverShare(workspace, m_clock.now());
         const double allowed = maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, ahead});
-        if (node.knownTokens(target) / tokensPerMs > allowed) {
-            node.shares.onRejected(tokens, m_clock.now());
+        const double waitMs = node.knownTokens(target) / tokensPerMs;
+        if (waitMs > allowed) {
+            if (waitMs > maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, 0}))
+                node.shares.onRejected(tokens, m_clock.now());
+            else
+                node.shares.onHeldBack(tokens, m_clock.now());
             return;
         }
         node.shares.onAdmitted(workspace, tokens, m_clock.now());
@@ -127,7 +131,8 @@
             Node &node = m_nodes[i];
             node.shares.onDigest(NodeId("n" + std::to_string(sender)),
                                  {from.shares.ownFlows(now), from.shares.servedPerSecond(now),
-                                  from.shares.rejectedPerSecond(now)},
+                                  from.shares.rejectedPerSecond(now), 1,
+                                  from.shares.missedPerSecond(now)},
                                  now);
             for (std::size_t target = 0; target < targetCount; ++target)
                 node.remoteTokenSum[target]
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -167,6 +167,31 @@
     EXPECT_GT(floodRefused, 1500);
 }
 
+// Guards against targets that stand idle after a fault while callers are rejected. Most targets
+// were unreachable for three seconds. They are back with room for all, but a limit of what was
+// served lately would rise by a few percent a second.
+TEST(WorkspaceShares, SharesRecoverSoonAfterAFault)
+{
+    constexpr WorkspaceKey flood = 1;
+    constexpr double configuredCapacity = 700000; // In tokens per second.
+    ManualClock clock;
+    WorkspaceShares shares;
+    for (int ms = 0; ms < 8000; ++ms) {
+        if (ms % 100 == 0)
+            shares.update(configuredCapacity, clock.now());
+        shares.onRequested(flood, 1400, clock.now()); // Twice the configured capacity.
+        const bool isFault = ms < 3000;
+        if (isFault && ms % 10 != 0)
+            shares.onRejected(1400, clock.now());
+        else if (!isFault && shares.secondsOverShare(flood, clock.now()) > 0)
+            shares.onHeldBack(1400, clock.now());
+        else
+            shares.onAdmitted(flood, 1400, clock.now());
+        clock.advance(1ms);
+    }
+    EXPECT_GE(shares.fleet().capacity, 0.8 * configuredCapacity);
+}
+
 // Guards against the workspace that sends requests most often filling the queue whenever it looks
 // short, since a node's view of it is 100 ms old. Two large workspaces request more than their
 // shares, one six times as often as the other; the small one would be rejected for half of its
