--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -169,7 +169,7 @@
     demands.reserve(fleet.size());
     for (const auto &[workspace, flow] : fleet)
         demands.push_back(flow.requested);
-    m_fleet.capacity = capacity(configuredCapacity, now);
+    m_fleet.capacity = std::max(capacity(configuredCapacity, now), idleTokensPerSecond);
     m_fleet.fairRate = maxMinFairRate(std::move(demands), m_fleet.capacity);
     const double meanRatio = meanAdmittedRatio(fleet);
     for (auto &[workspace, own] : m_own) {
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -167,6 +167,24 @@
     EXPECT_GT(floodRefused, 1500);
 }
 
+// Guards against a node that aborts because it divides by a fair rate of zero: right after a common
+// start, all requests were rejected and none was served.
+TEST(WorkspaceShares, AFleetThatServesNothingHasNoInvalidShares)
+{
+    constexpr WorkspaceKey workspace = 1;
+    constexpr double configuredCapacity = 700000; // In tokens per second.
+    ManualClock clock;
+    WorkspaceShares shares;
+    for (int ms = 0; ms < 300; ++ms) {
+        if (ms % 100 == 0)
+            shares.update(configuredCapacity, clock.now());
+        shares.onRequested(workspace, 10000, clock.now());
+        ASSERT_GE(shares.secondsOverShare(workspace, clock.now()), 0) << "after " << ms << " ms";
+        shares.onRejected(10000, clock.now());
+        clock.advance(1ms);
+    }
+}
+
 // Guards against targets that stand idle after a fault while callers are rejected. Most targets
 // were unreachable for three seconds. They are back with room for all, but a limit of what was
 // served lately would rise by a few percent a second.
