--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -16,11 +16,6 @@
     double secondsOverShare = 0;
 };
 
-/// A workspace that is this far over its share is rejected in any case. A node's view of idle
-/// capacity is slightly outdated, and a flood at all nodes would get several times as much of it as
-/// others.
-inline constexpr double maxSecondsOverShare = 2.5;
-
 /// Returned by maxQueueWaitMs() to reject every request; it is below any possible wait.
 inline constexpr double refusedWaitMs = -1;
 
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -166,9 +166,6 @@
 std::optional<Refusal> RequestProcessor::placeRequest(BalancedRequest &request, bool isFirst)
 {
     const PrefixChain *chain = request.chain ? &*request.chain : nullptr;
-    const double secondsOver = isFirst && chain ? recordRequested(request) : 0;
-    if (secondsOver >= maxSecondsOverShare)
-        return rejectOverdrawn(request);
     const auto choice = m_targetSelector.choose(*request.service, chain, request.excludedTargets);
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
@@ -179,7 +176,7 @@
     PlacementStep step;
     step.choice = *choice;
     std::optional<Refusal> refusal
-        = isFirst ? checkAdmission(request, *choice, secondsOver, step) : std::nullopt;
+        = isFirst ? checkAdmission(request, *choice, step) : std::nullopt;
     if (!refusal && !m_targetSelector.reserve(*choice, *request.service, chain)) {
         refusal = Refusal {503, "target-cold", "the targets are cold",
                            addRetryJitter(noTargetRetryAfter, m_random)};
@@ -197,32 +194,17 @@
     return std::nullopt;
 }
 
-/// Counts the request's demand. Returns how far its workspace is over its share, in seconds of the
-/// share.
-double RequestProcessor::recordRequested(const BalancedRequest &request)
-{
-    const WorkspaceKey workspace = request.workspaceKey();
-    m_shares.onRequested(workspace, demandOf(request), m_context.now);
-    return m_shares.secondsOverShare(workspace, m_context.now);
-}
-
-/// Rejects a request of a workspace that no target may serve now. Selecting a target first would
-/// cost most of the time of a rejection, and a flood consists of such requests.
-Refusal RequestProcessor::rejectOverdrawn(BalancedRequest &request)
-{
-    m_shares.onHeldBack(demandOf(request), m_context.now);
-    request.trace.add(m_context.now - request.arrivedAt,
-                      OverdrawnStep {m_shares.shareStatus(request.workspaceKey(), m_context.now)});
-    return {503, "beyond-share", "the workspace has had more than its share",
-            addRetryJitter(fullRetryAfter, m_random)};
-}
-
 std::optional<Refusal> RequestProcessor::checkAdmission(BalancedRequest &request,
                                                         const TargetChoice &choice,
-                                                        double secondsOver, PlacementStep &step)
-{
-    if (request.chain)
-        step.shareStatus = m_shares.shareStatus(request.workspaceKey(), m_context.now);
+                                                        PlacementStep &step)
+{
+    double secondsOver = 0;
+    if (request.chain) {
+        const WorkspaceKey workspace = request.workspaceKey();
+        m_shares.onRequested(workspace, demandOf(request), m_context.now);
+        secondsOver = m_shares.secondsOverShare(workspace, m_context.now);
+        step.shareStatus = m_shares.shareStatus(workspace, m_context.now);
+    }
     step.isWithinShare = secondsOver <= 0;
     const double target = request.route->latencyTargetMs;
     if (target <= 0)
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -53,10 +53,8 @@
     std::optional<Refusal> resolveRequest(BalancedRequest &request, const RequestArrived &event);
     Refusal unknownRefusal(Refusal refusal) const;
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
-    double recordRequested(const BalancedRequest &request);
-    Refusal rejectOverdrawn(BalancedRequest &request);
     std::optional<Refusal> checkAdmission(BalancedRequest &request, const TargetChoice &choice,
-                                          double secondsOver, PlacementStep &step);
+                                          PlacementStep &step);
     void start(BalancedRequest &request, const TargetChoice &choice);
     Duration firstByteLimit(const BalancedRequest &request) const;
     bool allowsAnotherAttempt(const BalancedRequest &request) const;
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -14,13 +14,6 @@
     return Json::Int64(std::llround(value));
 }
 
-void describe(const WorkspaceShares::ShareStatus &status, Json::Value &out)
-{
-    out["shareDemand"] = rounded(status.demand);
-    out["shareAllowed"] = rounded(status.allowed);
-    out["shareCredit"] = rounded(status.credit);
-}
-
 void describe(const PlacementStep &step, Json::Value &out)
 {
     const TargetChoice &choice = step.choice;
@@ -37,8 +30,11 @@
         return;
     out["allowedMs"] = rounded(step.allowedMs);
     out["withinShare"] = step.isWithinShare;
-    if (step.shareStatus.isLimited)
-        describe(step.shareStatus, out);
+    if (!step.shareStatus.isLimited)
+        return;
+    out["shareDemand"] = rounded(step.shareStatus.demand);
+    out["shareAllowed"] = rounded(step.shareStatus.allowed);
+    out["shareCredit"] = rounded(step.shareStatus.credit);
 }
 
 void describe(const NoTargetStep & /*step*/, Json::Value &out)
@@ -46,13 +42,6 @@
     out["step"] = "no target";
 }
 
-void describe(const OverdrawnStep &step, Json::Value &out)
-{
-    out["step"] = "turned away";
-    out["withinShare"] = false;
-    describe(step.shareStatus, out);
-}
-
 void describe(const ResponseStartedStep &step, Json::Value &out)
 {
     out["step"] = "answer begun";
--- a/lib/Balancer/RequestTrace.h
+++ b/lib/Balancer/RequestTrace.h
@@ -29,12 +29,6 @@
 {
 };
 
-/// Records that the request was rejected because of its workspace's share alone.
-struct OverdrawnStep
-{
-    WorkspaceShares::ShareStatus shareStatus;
-};
-
 /// Records that the target started its response.
 struct ResponseStartedStep
 {
@@ -49,8 +43,8 @@
     bool isSent = false; ///< A byte of the request has left this node.
 };
 
-using RequestTraceStep = std::variant<PlacementStep, NoTargetStep, OverdrawnStep,
-                                      ResponseStartedStep, AttemptFailedStep>;
+using RequestTraceStep
+    = std::variant<PlacementStep, NoTargetStep, ResponseStartedStep, AttemptFailedStep>;
 
 class RequestTrace
 {
