--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -16,8 +16,10 @@
     double secondsOverShare = 0;
 };
 
-/// Returns the longest accepted wait in ms. It never becomes zero, so that a target without a queue
-/// serves a workspace however far it is over its share.
+/// Returned by maxQueueWaitMs() to reject every request; it is below any possible wait.
+inline constexpr double refusedWaitMs = -1;
+
+/// Returns the longest accepted wait in ms, or refusedWaitMs.
 double maxQueueWaitMs(const AdmissionInput &input);
 
 } // namespace berylridge
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -17,6 +17,9 @@
 /// seconds of the share. If all of them had the same limit, a workspace that sends requests six
 /// times as often as another would get three times as much of the remaining capacity.
 constexpr double waitHalvingSeconds = 0.5;
+/// A workspace this far over its share is rejected in any case. A node's view of idle capacity is
+/// slightly outdated, and a flood at all nodes would get several times as much of it as others.
+constexpr double maxSecondsOverShare = 2.5;
 /// Part of that wait which remains even where reading the prompt takes the whole latency target.
 constexpr double minWaitFraction = 0.25;
 
@@ -26,6 +29,8 @@
 {
     assert(input.secondsOverShare >= 0
            && "the excess of a workspace over its share must not be negative");
+    if (input.secondsOverShare >= maxSecondsOverShare)
+        return refusedWaitMs;
     const double fraction = input.secondsOverShare > 0
         ? maxWaitFractionOverShare * std::exp2(-input.secondsOverShare / waitHalvingSeconds)
         : maxWaitFraction;
