Report what targets' responses ask of further requests

The protocol decodes Retry-After of 503 and 429 and the platform's field of targets that leave into a typed TargetAdvice; the shell reports it when the head is read. A 421 comes from another target and carries none. No decision uses the advice yet.

--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "berylridge/Net/Datagram.h"
+#include "berylridge/Router/Events.h"
 #include "berylridge/Support/Time.h"
 #include "berylridge/Support/Verdict.h"
 
@@ -60,6 +61,9 @@
     Counter attemptsStarted {0};
     Counter attemptsFailed {0};
     Counter connectionsReused {0};
+    Counter targetPausesRequested {0};  ///< Responses with a valid Retry-After.
+    Counter targetPausesInvalid {0};    ///< Responses whose Retry-After can't be interpreted.
+    Counter targetLeavingResponses {0}; ///< Responses of targets that shut down.
     std::array<MessageCounter, peerMessageKindCount> sent {};
     std::array<MessageCounter, peerMessageKindCount> received {};
     Counter datagramsSent {0};
@@ -87,6 +91,8 @@
     /// Counts a rejected request under its problem type.
     void countRejectedRequest(const std::string &type);
 
+    void countTargetAdvice(const TargetAdvice &advice);
+
     /// Prints all metrics. controlCpuSeconds is the processor time of the control thread.
     std::string print(double controlCpuSeconds) const;
 
--- a/include/berylridge/Net/WireProtocol.h
+++ b/include/berylridge/Net/WireProtocol.h
@@ -43,6 +43,7 @@
     bool isRelayable = true; ///< Whether a TargetError may be relayed to the caller unchanged.
     std::string bootId;      ///< Boot id of the target; empty if it sends none.
     std::optional<Duration> coldFor {}; ///< How long the target reports that it stays cold.
+    TargetAdvice advice {};
 };
 
 /// Identity of a request's sender, from the request head.
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -25,6 +25,7 @@
     RequestHandle handle = 0;
     AttemptNumber attempt = 0;
     TargetId target;
+    std::uint64_t targetBoot = 0; ///< Boot of the target that the core chose.
     Endpoint endpoint;
     TimePoint notAfter {}; ///< The attempt fails as not sent if no byte has left by then.
     Duration attemptTimeout {0};
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -80,6 +80,28 @@
     TargetError,       ///< The target ran the request and responded with an error.
 };
 
+/// What a target's response says about further requests of this node.
+struct TargetAdvice
+{
+    /// The target wants no requests from this node for this time.
+    std::optional<Duration> retryAfter {};
+    /// Why the response's Retry-After can't be used; empty if it has none or a valid one.
+    std::string invalidRetryAfter {};
+    bool isLeaving = false; ///< The target shuts down and wants no new requests.
+
+    bool isEmpty() const { return !retryAfter && invalidRetryAfter.empty() && !isLeaving; }
+};
+
+/// Delivers the advice of a response as soon as its head was read. It concerns the target and not
+/// the request, which may have ended since.
+struct TargetAdviceArrived
+{
+    TargetId target;
+    std::uint64_t targetBoot = 0; ///< As in Dispatch.
+    unsigned status = 0;          ///< Status of the response.
+    TargetAdvice advice;
+};
+
 /// Reports that the head of the target's response arrived with the matching request id.
 struct AttemptHead
 {
@@ -113,6 +135,7 @@
     bool hasHeldResponse
         = false; ///< The shell holds the target's error response (RelayHeldResponse).
     std::optional<Duration> coldFor {}; ///< Time for which the target reports to stay cold.
+    unsigned status = 0;                ///< Status of the target's response; 0 if no head was read.
 };
 
 /// Delivers a target's own load report, the result of PollTarget.
@@ -215,9 +238,9 @@
 };
 
 using Event = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, AttemptDone,
-                           AttemptFailed, TargetLoadReport, TargetPollFailed, NodeMessage,
-                           ProbeEnded, DocumentArrived, VmListArrived, PlatformReachability,
-                           CatalogArrived, DirectoryArrived, SeedsChanged, LeaveOrdered,
-                           ReturnOrdered, TrafficThreadReport, TimerDue>;
+                           AttemptFailed, TargetAdviceArrived, TargetLoadReport, TargetPollFailed,
+                           NodeMessage, ProbeEnded, DocumentArrived, VmListArrived,
+                           PlatformReachability, CatalogArrived, DirectoryArrived, SeedsChanged,
+                           LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -244,6 +244,7 @@
     dispatch.handle = request.handle;
     dispatch.attempt = request.attempts;
     dispatch.target = choice.target;
+    dispatch.targetBoot = choice.boot;
     dispatch.endpoint = choice.endpoint;
     dispatch.notAfter = request.deadline;
     dispatch.attemptTimeout = left;
@@ -336,9 +337,9 @@
     request->isPartlyDelivered = request->isPartlyDelivered || event.answerBegun;
     request->excludedTargets.push_back(request->choice.key);
     m_tally.attemptFailed(*request, failureName(event.failure));
-    request->trace.add(
-        m_context.now - request->arrivedAt,
-        AttemptFailedStep {request->choice.target, failureName(event.failure), event.sentAny});
+    request->trace.add(m_context.now - request->arrivedAt,
+                       AttemptFailedStep {request->choice.target, failureName(event.failure),
+                                          event.status, event.sentAny});
     if (mayRetry(*request, event)) {
         step(*request, RequestSignal::Retried);
         if (!placeRequest(*request, false))
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -53,6 +53,8 @@
     out["step"] = "attempt failed";
     out["target"] = step.target.str();
     out["failure"] = step.failure;
+    if (step.status > 0)
+        out["status"] = step.status;
     out["sent"] = step.isSent;
 }
 
--- a/lib/Balancer/RequestTrace.h
+++ b/lib/Balancer/RequestTrace.h
@@ -40,6 +40,7 @@
 {
     TargetId target;
     const char *failure = "";
+    unsigned status = 0; ///< Status of the target's response; 0 if there was none.
     bool isSent = false; ///< A byte of the request has left this node.
 };
 
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -244,6 +244,31 @@
     m_loads.end(choice.key);
 }
 
+void TargetSelector::onAdvice(const TargetAdviceArrived &event)
+{
+    const TargetAdvice &advice = event.advice;
+    if (!advice.invalidRetryAfter.empty())
+        logAdvice(LogEventId::TargetAdviceInvalid, event);
+    if (advice.isLeaving)
+        logAdvice(LogEventId::TargetLeaving, event);
+    if (advice.retryAfter) {
+        Json::Value fields;
+        fields["retryAfterMs"] = toMilliseconds(*advice.retryAfter);
+        logAdvice(LogEventId::TargetPaused, event, std::move(fields));
+    }
+}
+
+void TargetSelector::logAdvice(LogEventId id, const TargetAdviceArrived &event, Json::Value fields)
+{
+    if (!m_adviceLines.tryTake(0, logEventInfo(id).level, m_context.now))
+        return;
+    fields["status"] = event.status;
+    std::string detail = event.target.str();
+    if (id == LogEventId::TargetAdviceInvalid)
+        detail += ": " + event.advice.invalidRetryAfter;
+    m_context.log(id, std::move(detail), std::move(fields));
+}
+
 void TargetSelector::onColdReported(TargetKey key, Duration coldFor)
 {
     m_targets[key].coldUntil = m_context.now + coldFor;
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -9,6 +9,8 @@
 #include "berylridge/Policy/PromptCacheDirectory.h"
 #include "berylridge/Policy/TargetHealth.h"
 #include "berylridge/Policy/TargetLoads.h"
+#include "berylridge/Router/Events.h"
+#include "berylridge/Support/LogRateLimiter.h"
 
 #include <map>
 #include <optional>
@@ -55,6 +57,8 @@
 
     void onFirstEvent(const TargetChoice &choice, Duration since);
     void onAttemptEnded(const TargetChoice &choice, bool hadResponseStarted);
+    /// Handles what a target's response says about further requests of this node.
+    void onAdvice(const TargetAdviceArrived &event);
     TargetHealth &health(TargetKey key) { return m_targets[key].health; }
     void onColdReported(TargetKey key, Duration coldFor);
     /// Records the duration of a request without a prompt whose response is complete.
@@ -91,6 +95,9 @@
     std::vector<CacheWrite> takeCacheWrites();
 
 private:
+    /// A target may repeat its advice in each response.
+    static constexpr double maxAdviceLinesPerSecond = 5;
+
     struct Target
     {
         TargetHealth health;
@@ -116,6 +123,7 @@
     bool isColdSender(Target &target, TargetKey key) const;
     bool isCold(const TargetDirectory::Entry &entry, const Target &target,
                 const ServiceSpec &service) const;
+    void logAdvice(LogEventId id, const TargetAdviceArrived &event, Json::Value fields = {});
     void queueNotice(const TargetChoice &choice, const PrefixChain *chain);
     PlacementCandidate candidate(const TargetDirectory::Entry &entry, const Target &target,
                                  TargetKey key, const ServiceSpec &service,
@@ -131,6 +139,7 @@
     DispatchNoticeFilter m_noticeFilter;
     std::vector<DispatchNotice> m_newNotices;
     std::map<std::pair<NodeId, TargetKey>, RemoteCacheWrite> m_remoteCacheWrites;
+    LogRateLimiter m_adviceLines {{.lines = maxAdviceLinesPerSecond}};
 };
 
 } // namespace berylridge
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -118,6 +118,12 @@
     return m_thread.protocol().readResponseHead(head, {m_requestId, id, {}});
 }
 
+void Exchange::onTargetAdvice(unsigned status, const TargetAdvice &advice)
+{
+    m_thread.metrics().countTargetAdvice(advice);
+    m_thread.report(TargetAdviceArrived {m_dispatch.target, m_dispatch.targetBoot, status, advice});
+}
+
 std::optional<AttemptFailure> Exchange::onResponseHead(const ResponseHead &head, bool hasBody)
 {
     ResponseInfo facts = inspect(head);
@@ -126,6 +132,7 @@
     const bool isStream = isEventStream(head, hasBody);
     if (facts.failure) {
         m_heldResponse.emplace().failure = facts.failure;
+        m_heldResponse->status = head.result_int();
         m_heldResponse->isRelayable = facts.isRelayable;
         if (!m_isResponseStarted)
             buildResponseHead(head, hasBody);
@@ -207,7 +214,8 @@
     const bool hasHeldResponse = m_heldResponse->isComplete && m_heldResponse->isRelayable
         && !m_isResponseStarted && m_heldResponse->body.size() <= maxStoredResponseBytes;
     m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, *m_heldResponse->failure, true,
-                                   m_isResponseStarted, hasHeldResponse, m_coldFor});
+                                   m_isResponseStarted, hasHeldResponse, m_coldFor,
+                                   m_heldResponse->status});
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -25,6 +25,7 @@
 struct HeldResponse
 {
     std::optional<AttemptFailure> failure;
+    unsigned status = 0;
     std::string body;
     bool isComplete = false;
     bool isRelayable = false; ///< Whether an error may be relayed to the caller unchanged.
@@ -50,6 +51,7 @@
     void onCallerDisconnected();
 
     ResponseInfo inspect(const ResponseHead &head) const override;
+    void onTargetAdvice(unsigned status, const TargetAdvice &advice) override;
     std::optional<AttemptFailure> onResponseHead(const ResponseHead &head, bool hasBody) override;
     std::optional<AttemptFailure> onResponseBody(std::string_view bytes, bool isEnd) override;
     void onAttemptFailed(AttemptFailure failure, bool sentAny) override;
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -116,6 +116,13 @@
     ++m_rejectedRequests[type];
 }
 
+void Metrics::countTargetAdvice(const TargetAdvice &advice)
+{
+    targetPausesRequested += advice.retryAfter ? 1 : 0;
+    targetPausesInvalid += advice.invalidRetryAfter.empty() ? 0 : 1;
+    targetLeavingResponses += advice.isLeaving ? 1 : 0;
+}
+
 std::string Metrics::print(double controlCpuSeconds) const
 {
     std::string out;
@@ -152,6 +159,12 @@
     counter("berylridge_attempts_failed_total", "attempts that failed", attemptsFailed);
     counter("berylridge_target_connections_reused_total", "attempts on a kept connection",
             connectionsReused);
+    counter("berylridge_target_pauses_requested_total",
+            "responses of targets that asked for a pause (Retry-After)", targetPausesRequested);
+    counter("berylridge_target_pauses_invalid_total",
+            "responses of targets with an invalid Retry-After", targetPausesInvalid);
+    counter("berylridge_target_leaving_responses_total", "responses of targets that shut down",
+            targetLeavingResponses);
     firstByteLatency.print("berylridge_first_byte_seconds", "from request to first byte", out);
     requestLatency.print("berylridge_request_seconds", "from request to end of answer", out);
     firstByteAfterEstimate.print("berylridge_first_byte_after_estimate_seconds",
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -169,6 +169,8 @@
         skipStrayResponse();
         return;
     }
+    if (facts.isForThisRequest && !facts.advice.isEmpty())
+        m_owner->onTargetAdvice(head.result_int(), facts.advice);
     if (!facts.isForThisRequest || !facts.isUsable || !hasSupportedFraming(head)) {
         fail(AttemptFailure::InvalidResponse);
         return;
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -29,6 +29,9 @@
     /// Interprets a response head. Called before onResponseHead().
     virtual ResponseInfo inspect(const ResponseHead &head) const = 0;
 
+    /// Called with the advice of a response to this request, whether it is usable or not.
+    virtual void onTargetAdvice(unsigned status, const TargetAdvice &advice) = 0;
+
     /// Called when the response head of this request has arrived. A returned failure ends the
     /// attempt.
     virtual std::optional<AttemptFailure> onResponseHead(const ResponseHead &head, bool hasBody)
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -103,6 +103,7 @@
             record.zone = "a";
             record.slots = 6;
             record.coldRemainingMs = coldRemainingMs;
+            record.startedAtMs = startedAtMs;
             update.targets.push_back(record);
         }
         handle(DirectoryArrived {update});
@@ -157,6 +158,19 @@
         return {dispatch.handle, dispatch.attempt, failureKind, sentAny, false};
     }
 
+    /// Delivers the advice of a response to the attempt.
+    void receiveAdvice(const Dispatch &dispatch, const TargetAdvice &advice, unsigned status = 503)
+    {
+        handle(TargetAdviceArrived {dispatch.target, dispatch.targetBoot, status, advice});
+    }
+
+    /// Lets the target reject the attempt and ask this node for a pause.
+    void rejectWithRetryAfter(const Dispatch &dispatch, Duration retryAfter)
+    {
+        receiveAdvice(dispatch, {.retryAfter = retryAfter});
+        handle(makeFailure(dispatch, AttemptFailure::NotRun));
+    }
+
     ManualClock clock;
     std::unique_ptr<BalancerCore> core;
     Actions actions;
@@ -165,6 +179,7 @@
     std::uint64_t requestBodyHash = 0;
     double coldRequestsPerSecond = 0;
     std::uint32_t coldRemainingMs = 0;
+    std::int64_t startedAtMs = 1;
     bool isEngine = false;
 };
 
--- a/unittests/Net/NodeFixture.cpp
+++ b/unittests/Net/NodeFixture.cpp
@@ -233,7 +233,8 @@
     ::shutdown(m_socket.native_handle(), SHUT_RDWR);
 }
 
-TestNode::TestNode(FakeCore &core, const std::function<void(Settings &)> &adjust, RpcHandler rpc)
+TestNode::TestNode(FakeCore &core, const std::function<void(Settings &)> &adjust, RpcHandler rpc,
+                   WireProtocolHandle protocol)
     : m_log(LogLevel::Info, [this](LogLevel, const std::string &line) {
         const std::lock_guard lock(m_mutex);
         m_lines.push_back(line);
@@ -245,6 +246,7 @@
     auto node = RouterNodeBuilder(settings, 7, m_log)
                     .core(CoreHandle::of(core))
                     .rpc(std::move(rpc))
+                    .protocol(std::move(protocol))
                     .build();
     EXPECT_TRUE(node) << node.failureReason();
     m_node = std::move(*node);
--- a/unittests/Net/NodeFixture.h
+++ b/unittests/Net/NodeFixture.h
@@ -168,7 +168,7 @@
 {
 public:
     explicit TestNode(FakeCore &core, const std::function<void(Settings &)> &adjust = {},
-                      RpcHandler rpc = {});
+                      RpcHandler rpc = {}, WireProtocolHandle protocol = nativeProtocol());
     ~TestNode();
     TestNode(const TestNode &) = delete;
     TestNode &operator=(const TestNode &) = delete;
--- a/unittests/Platform/ProtocolTest.cpp
+++ b/unittests/Platform/ProtocolTest.cpp
@@ -149,3 +149,36 @@
     EXPECT_EQ(response[http::field::retry_after], "0.060");
     EXPECT_EQ(response["Request-Id"], "9c41");
 }
+
+// Guards against a target's advice that is dropped at this boundary.
+TEST(PlatformProtocol, ReadsWhatTargetsAskForInAnyResponse)
+{
+    const auto adviceOf = [](unsigned status, auto... fields) {
+        return PlatformProtocol()
+            .readResponseHead(makeResponseHead(status, {{"Request-Id", "9c41"}, fields...}),
+                              attemptIds)
+            .advice;
+    };
+    using Field = std::pair<const char *, const char *>;
+    const Field leaving {"Server-Leaving", "1"};
+    EXPECT_TRUE(adviceOf(200, leaving, Field {"Replica-Seal", "a"}).isLeaving);
+    EXPECT_TRUE(adviceOf(500, leaving).isLeaving);
+    EXPECT_TRUE(adviceOf(503, leaving, Field {"Not-Run", "full"}).isLeaving);
+    EXPECT_FALSE(adviceOf(503, Field {"Server-Leaving", "0"}).isLeaving);
+    EXPECT_EQ(adviceOf(503, Field {"Retry-After", "3"}, Field {"Not-Run", "shed"}).retryAfter,
+              Duration(3s));
+    EXPECT_EQ(adviceOf(503, Field {"Retry-After", "1.5"}).retryAfter, Duration(1500ms));
+    EXPECT_TRUE(adviceOf(200, Field {"Replica-Seal", "a"}).isEmpty());
+}
+
+// Guards against a new target at the address of an earlier one, whose advice would pause the
+// earlier one.
+TEST(PlatformProtocol, AdviceOfAnotherTargetIsIgnored)
+{
+    const ResponseInfo info = PlatformProtocol().readResponseHead(
+        makeResponseHead(421,
+                         {{"Request-Id", "9c41"}, {"Server-Leaving", "1"}, {"Retry-After", "3"}}),
+        attemptIds);
+    EXPECT_EQ(info.failure, AttemptFailure::OtherTarget);
+    EXPECT_TRUE(info.advice.isEmpty());
+}
