Comply with pauses that targets ask for, and with targets that leave

Cause: a signal that a target sends in band was dropped at the boundary. Nothing read Retry-After or that a target leaves, and a rejection excluded the target for the one request only. An engine that rejects has no load, so it looked better than those that work.

The selector keeps a TargetPause for each target of this node: no request during the pause, a random extension of up to 0.5 s, then one request that tries the target. A target that says that it leaves gets no new request until it is listed with another boot. The state outlasts catalogs and listings. If all targets of a service pause, a request is refused at once with the time until the first of them returns. Attempts that the core dispatched before it learned of the response are checked against TargetHolds immediately before they are sent. The wish is one target's to one node, so no digest carries it.

--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -78,6 +78,7 @@
     NotRun,            ///< The target states that it did not and will not run the request.
     OtherTarget,       ///< Another target responds at this address; the request did not run.
     TargetError,       ///< The target ran the request and responded with an error.
+    Withheld,          ///< Not sent: the target has asked for no requests since it was selected.
 };
 
 /// What a target's response says about further requests of this node.
@@ -90,6 +91,11 @@
     bool isLeaving = false; ///< The target shuts down and wants no new requests.
 
     bool isEmpty() const { return !retryAfter && invalidRetryAfter.empty() && !isLeaving; }
+    /// Returns how long the target wants no requests from this node, if it wants none.
+    std::optional<Duration> holdTime() const
+    {
+        return isLeaving ? std::optional(Duration::max()) : retryAfter;
+    }
 };
 
 /// Delivers the advice of a response as soon as its head was read. It concerns the target and not
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -82,6 +82,8 @@
         return "other target";
     case AttemptFailure::TargetError:
         return "target error";
+    case AttemptFailure::Withheld:
+        return "withheld";
     }
     return "unknown";
 }
@@ -170,6 +172,9 @@
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
         request.trace.add(at, NoTargetStep {});
+        if (const auto pause = m_targetSelector.remainingPause(*request.service))
+            return Refusal {503, "targets-paused", "all targets asked for a pause",
+                            addRetryJitter(std::max(*pause, noTargetRetryAfter), m_random)};
         return Refusal {503, "no-target", "no target can take the request now",
                         addRetryJitter(noTargetRetryAfter, m_random)};
     }
@@ -376,6 +381,8 @@
     case AttemptFailure::NotRun:
         health.onFailedResponse(now);
         return;
+    case AttemptFailure::Withheld:
+        return;
     }
 }
 
@@ -406,9 +413,11 @@
         return;
     }
     if (request.verdict == Verdict::NotRun) {
-        refuse(request,
-               {503, "target-refused", "no target took the request",
-                addRetryJitter(fullRetryAfter, m_random)});
+        const auto pause = m_targetSelector.remainingPause(*request.service);
+        refuse(
+            request,
+            {503, "target-refused", "no target took the request",
+             addRetryJitter(std::max(pause.value_or(fullRetryAfter), fullRetryAfter), m_random)});
         return;
     }
     const bool isLate = m_context.now + std::chrono::milliseconds(5) >= request.deadline;
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -123,7 +123,7 @@
         Target &target = m_targets[key];
         if (target.boot == 0)
             target.boot = bootHash(entry.record);
-        if (!target.health.isReachable(now))
+        if (!isAvailable(target))
             continue;
         if (isCold(entry, target, service)
             && (!isColdSender(target, key)
@@ -159,6 +159,28 @@
     return choice;
 }
 
+std::optional<Duration> TargetSelector::remainingPause(const ServiceSpec &service) const
+{
+    const TimePoint now = m_context.now;
+    std::optional<TimePoint> firstEnd;
+    for (const auto &[id, entry] : m_context.directory.entries()) {
+        if (entry.record.service != service.name || !m_context.directory.isUsable(entry, now))
+            continue;
+        const auto found = m_targets.find(hash32(id));
+        if (found == m_targets.end())
+            return std::nullopt;
+        const Target &target = found->second;
+        if (target.isLeaving)
+            continue;
+        if (!target.pause.isPaused(now))
+            return std::nullopt;
+        firstEnd = std::min(firstEnd.value_or(TimePoint::max()), target.pause.endsAt());
+    }
+    if (!firstEnd)
+        return std::nullopt;
+    return *firstEnd - now;
+}
+
 bool TargetSelector::reserve(const TargetChoice &choice, const ServiceSpec &service,
                              const PrefixChain *chain)
 {
@@ -170,6 +192,7 @@
         return false;
     if (target.health.isProbeNeeded())
         target.health.onProbeStarted(now);
+    target.pause.onRequestSent(now);
     m_loads.begin(choice.key, choice.tokens);
     queueNotice(choice, chain);
     if (!chain)
@@ -225,6 +248,7 @@
 
 void TargetSelector::onFirstEvent(const TargetChoice &choice, Duration since)
 {
+    m_targets[choice.key].pause.onResponseStarted(m_context.now);
     m_loads.onPromptRead(choice.key, choice.tokens);
     const std::uint64_t tokens = choice.aheadTokens + choice.tokens;
     if (tokens < minSampleTokens)
@@ -247,13 +271,17 @@
 void TargetSelector::onAdvice(const TargetAdviceArrived &event)
 {
     const TargetAdvice &advice = event.advice;
+    Target &target = m_targets[hash32(event.target.str())];
+    if (target.boot != event.targetBoot)
+        return; // A new boot has asked for nothing.
     if (!advice.invalidRetryAfter.empty())
         logAdvice(LogEventId::TargetAdviceInvalid, event);
-    if (advice.isLeaving)
+    if (advice.isLeaving && !std::exchange(target.isLeaving, true))
         logAdvice(LogEventId::TargetLeaving, event);
-    if (advice.retryAfter) {
+    if (advice.retryAfter && target.pause.begin(*advice.retryAfter, m_random, m_context.now)) {
         Json::Value fields;
         fields["retryAfterMs"] = toMilliseconds(*advice.retryAfter);
+        fields["pauseMs"] = toMilliseconds(target.pause.endsAt() - m_context.now);
         logAdvice(LogEventId::TargetPaused, event, std::move(fields));
     }
 }
@@ -325,6 +353,10 @@
         const std::uint64_t boot = bootHash(entry.record);
         const bool isNewBoot = found->second.boot != 0 && found->second.boot != boot;
         found->second.boot = boot;
+        if (isNewBoot) {
+            found->second.pause = {};
+            found->second.isLeaving = false;
+        }
         if (isNewBoot || entry.record.isRemoved)
             m_prompts.forgetTarget(key);
     }
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -9,6 +9,7 @@
 #include "berylridge/Policy/PromptCacheDirectory.h"
 #include "berylridge/Policy/TargetHealth.h"
 #include "berylridge/Policy/TargetLoads.h"
+#include "berylridge/Policy/TargetPause.h"
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/LogRateLimiter.h"
 
@@ -44,6 +45,7 @@
 public:
     explicit TargetSelector(BalancerContext &context)
         : m_context(context)
+        , m_random(context.options.seed)
     {
     }
 
@@ -51,6 +53,9 @@
     /// capacity.
     std::optional<TargetChoice> choose(const ServiceSpec &service, const PrefixChain *chain,
                                        const std::vector<TargetKey> &excludedTargets);
+    /// Returns the time until the first target of the service accepts requests again, if all that
+    /// could be used asked this node for a pause.
+    std::optional<Duration> remainingPause(const ServiceSpec &service) const;
     /// Counts the request at the target. At a cold target it also consumes one request of this
     /// node's part of the rate; returns false if that part is used up.
     bool reserve(const TargetChoice &choice, const ServiceSpec &service, const PrefixChain *chain);
@@ -101,6 +106,8 @@
     struct Target
     {
         TargetHealth health;
+        TargetPause pause;
+        bool isLeaving = false; ///< A response of this boot stated that it shuts down.
         ColdTargetLimiter cold;
         TimePoint coldUntil {}; ///< End of the cold state as reported in the target's responses.
         /// This node is among those that may send to the target while it is cold.
@@ -118,6 +125,12 @@
         std::uint32_t writtenTokens = 0;
     };
 
+    /// Returns whether nothing that the target said keeps this node from sending it a request.
+    bool isAvailable(const Target &target) const
+    {
+        const TimePoint now = m_context.now;
+        return target.health.isReachable(now) && target.pause.isOpen(now) && !target.isLeaving;
+    }
     /// Returns the number of nodes that share a cold target's rate.
     std::size_t coldSenderCount() const;
     bool isColdSender(Target &target, TargetKey key) const;
@@ -139,6 +152,7 @@
     DispatchNoticeFilter m_noticeFilter;
     std::vector<DispatchNotice> m_newNotices;
     std::map<std::pair<NodeId, TargetKey>, RemoteCacheWrite> m_remoteCacheWrites;
+    RandomEngine m_random; ///< Varies the ends of targets' pauses.
     LogRateLimiter m_adviceLines {{.lines = maxAdviceLinesPerSecond}};
 };
 
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -118,9 +118,18 @@
     return m_thread.protocol().readResponseHead(head, {m_requestId, id, {}});
 }
 
+bool Exchange::isTargetHeld() const
+{
+    return m_thread.targetHolds().contains(m_dispatch.target, m_dispatch.targetBoot,
+                                           m_thread.options().now());
+}
+
 void Exchange::onTargetAdvice(unsigned status, const TargetAdvice &advice)
 {
     m_thread.metrics().countTargetAdvice(advice);
+    if (const auto hold = advice.holdTime())
+        m_thread.targetHolds().add(m_dispatch.target, m_dispatch.targetBoot, *hold,
+                                   m_thread.options().now());
     m_thread.report(TargetAdviceArrived {m_dispatch.target, m_dispatch.targetBoot, status, advice});
 }
 
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -50,6 +50,7 @@
     void relayHeldResponse(const RelayHeldResponse &command);
     void onCallerDisconnected();
 
+    bool isTargetHeld() const override;
     ResponseInfo inspect(const ResponseHead &head) const override;
     void onTargetAdvice(unsigned status, const TargetAdvice &advice) override;
     std::optional<AttemptFailure> onResponseHead(const ResponseHead &head, bool hasBody) override;
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -122,6 +122,7 @@
     AuditHandler m_audit;
     ControlLoop m_loop;
     TrafficOptions m_options;
+    TargetHolds m_targetHolds;
     std::vector<std::unique_ptr<TrafficThread>> m_threads;
     std::unique_ptr<CallerListener> m_listener;
     PeerTransport m_peers;
@@ -158,7 +159,8 @@
     m_options.protocol = std::move(protocol);
     m_options.report = [this](std::vector<Event> &events) { m_loop.postAll(events); };
     for (unsigned i = 0; i < settings.trafficThreads; ++i)
-        m_threads.push_back(std::make_unique<TrafficThread>(i, m_options, m_metrics));
+        m_threads.push_back(
+            std::make_unique<TrafficThread>(i, m_options, m_metrics, m_targetHolds));
     m_listener = std::make_unique<CallerListener>(
         m_threads, [this](const LogRecord &record) { m_log.add(record); });
 }
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -70,6 +70,8 @@
         if (const auto self = weak.lock())
             self->onTimeout();
     });
+    if (failIfHeld())
+        return;
     // A target may close a pooled connection as idle while the request is on its way; it is then
     // unknown whether the request ran. For a request that must not be resent, the pool therefore
     // returns only connections that the target keeps open for longer than the request needs to
@@ -109,10 +111,19 @@
         const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> limit(
             tcpUserTimeoutMs);
         self->m_socket.set_option(limit, ignored);
-        self->sendRequest();
+        if (!self->failIfHeld())
+            self->sendRequest();
     });
 }
 
+bool TargetAttempt::failIfHeld()
+{
+    if (!m_owner->isTargetHeld())
+        return false;
+    fail(AttemptFailure::Withheld);
+    return true;
+}
+
 void TargetAttempt::sendRequest()
 {
     // The thread may have been paused since the core's decision. The lease may belong to another
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -26,6 +26,9 @@
 public:
     virtual ~AttemptOwner() = default;
 
+    /// Returns whether the target has asked for no requests since the attempt was dispatched.
+    virtual bool isTargetHeld() const = 0;
+
     /// Interprets a response head. Called before onResponseHead().
     virtual ResponseInfo inspect(const ResponseHead &head) const = 0;
 
@@ -73,6 +76,7 @@
 private:
     using Clock = Deadline::Clock;
 
+    bool failIfHeld();
     void connect();
     void sendRequest();
     void readHead();
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -44,10 +44,12 @@
 
 } // namespace
 
-TrafficThread::TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics)
+TrafficThread::TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics,
+                             TargetHolds &targetHolds)
     : m_index(index)
     , m_options(options)
     , m_metrics(metrics)
+    , m_targetHolds(targetHolds)
     , m_workGuard(m_context.get_executor())
     , m_idleTimer(m_context)
     , m_drainTimer(m_context)
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -10,6 +10,7 @@
 #include "berylridge/Net/Metrics.h"
 #include "berylridge/Net/WireProtocol.h"
 #include "berylridge/Policy/LoadShedder.h"
+#include "berylridge/Policy/TargetHolds.h"
 #include "berylridge/Router/Actions.h"
 
 #include "berylridge/Support/Random.h"
@@ -58,7 +59,8 @@
 class TrafficThread
 {
 public:
-    TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics);
+    TrafficThread(unsigned index, const TrafficOptions &options, Metrics &metrics,
+                  TargetHolds &targetHolds);
     ~TrafficThread();
     TrafficThread(const TrafficThread &) = delete;
     TrafficThread &operator=(const TrafficThread &) = delete;
@@ -84,6 +86,7 @@
     const WireProtocolHandle &protocol() const { return m_options.protocol; }
     Metrics &metrics() { return m_metrics; }
     ConnectionPool &pool() { return m_pool; }
+    TargetHolds &targetHolds() { return m_targetHolds; }
     bool isLeaving() const { return m_isLeaving; }
     /// Returns whether callers may keep their connections after a response. Rejected callers open
     /// new connections and leave the old ones idle. A flood of them would use up the file
@@ -142,6 +145,7 @@
     const unsigned m_index;
     const TrafficOptions &m_options;
     Metrics &m_metrics;
+    TargetHolds &m_targetHolds;
     // Declared before the context: destroying the context destroys sessions, which remove
     // themselves from these containers.
     std::unordered_map<RequestHandle, std::shared_ptr<Exchange>> m_exchanges;
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -98,8 +98,8 @@
     if (!request)
         return;
     static constexpr const char *names[]
-        = {"refused connection", "connect timeout", "reset",        "timeout",     "bad answer",
-           "cut short",          "not run",         "other target", "target error"};
+        = {"refused connection", "connect timeout", "reset",        "timeout",      "bad answer",
+           "cut short",          "not run",         "other target", "target error", "withheld"};
     const char *name = names[static_cast<std::size_t>(event.failure)];
     addTrace(*request, "attempt failed:", name);
     m_context.log(LogEventId::AttemptFailed,
@@ -123,6 +123,7 @@
                                     request->bootId);
         break;
     // Only protocols of the balancer distinguish these failures.
+    case AttemptFailure::Withheld:
     case AttemptFailure::NotRun:
     case AttemptFailure::OtherTarget:
     case AttemptFailure::TargetError:
--- a/unittests/Balancer/SimulatedTargets.h
+++ b/unittests/Balancer/SimulatedTargets.h
@@ -5,6 +5,7 @@
 
 #include "SimulatedFleet.h"
 
+#include "berylridge/Policy/TargetHolds.h"
 #include "berylridge/Support/Random.h"
 
 #include <cstddef>
@@ -268,6 +269,10 @@
 
     void send(Node &node, const Dispatch &dispatch)
     {
+        if (m_holds[&node].contains(dispatch.target, dispatch.targetBoot, TimePoint(m_now))) {
+            fail(node, dispatch, AttemptFailure::Withheld, false);
+            return;
+        }
         schedule(linkDelay, [this, &node, dispatch] { arrive(node, dispatch); });
     }
 
@@ -351,6 +356,8 @@
     {
         if (advice.isEmpty())
             return;
+        if (const auto hold = advice.holdTime())
+            m_holds[&node].add(dispatch.target, dispatch.targetBoot, *hold, TimePoint(m_now));
         if (advice.isLeaving)
             target.toldLeavingAt.try_emplace(&node, m_now);
         // The control thread learns of it in its next iteration.
@@ -371,6 +378,7 @@
     RandomEngine m_random;
     SimulatedFleet m_fleet;
     std::vector<Target> m_targets;
+    std::map<const Node *, TargetHolds> m_holds;
     std::priority_queue<Step> m_steps;
     std::uint64_t m_lastStep = 0;
     Duration m_now {0};
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -27,7 +27,7 @@
         m_options.report = [this](std::vector<Event> &events) {
             reported.insert(reported.end(), events.begin(), events.end());
         };
-        m_threads.push_back(std::make_unique<TrafficThread>(0, m_options, metrics));
+        m_threads.push_back(std::make_unique<TrafficThread>(0, m_options, metrics, targetHolds));
         m_listener = std::make_unique<CallerListener>(m_threads, [](const LogRecord &) {});
         EXPECT_EQ(m_listener->listen({"127.0.0.1", 0}), "");
     }
@@ -38,6 +38,7 @@
 
     ManualClock clock;
     Metrics metrics;
+    TargetHolds targetHolds;
     std::vector<Event> reported;
 
 private:
