Report a target's cold time with its advice

A target says in any response how long it stays cold. Only attempts that failed carried it to the core, so a success dropped it: 40 requests in 2 s reached a target whose rate is 4 a second (ColdTargetThatAnswersGetsOnlyItsRate, failed before). And a 421, which another target at the address sends, applied its cold time to the selected target (AdviceOfAnotherTargetIsIgnored, failed before).

The cold time is a part of TargetAdvice now, which is read of all responses to the request except 421.

--- a/include/berylridge/Net/WireProtocol.h
+++ b/include/berylridge/Net/WireProtocol.h
@@ -42,7 +42,6 @@
     std::optional<AttemptFailure> failure;
     bool isRelayable = true; ///< Whether a TargetError may be relayed to the caller unchanged.
     std::string bootId;      ///< Boot id of the target; empty if it sends none.
-    std::optional<Duration> coldFor {}; ///< How long the target reports that it stays cold.
     TargetAdvice advice {};
 };
 
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -88,9 +88,13 @@
     std::optional<Duration> retryAfter {};
     /// Why the response's Retry-After can't be used; empty if it has none or a valid one.
     std::string invalidRetryAfter {};
-    bool isLeaving = false; ///< The target shuts down and wants no new requests.
+    bool isLeaving = false;             ///< The target shuts down and wants no new requests.
+    std::optional<Duration> coldFor {}; ///< Time for which the target reports to stay cold.
 
-    bool isEmpty() const { return !retryAfter && invalidRetryAfter.empty() && !isLeaving; }
+    bool isEmpty() const
+    {
+        return !retryAfter && invalidRetryAfter.empty() && !isLeaving && !coldFor;
+    }
     /// Returns how long the target wants no requests from this node, if it wants none.
     std::optional<Duration> holdTime() const
     {
@@ -139,9 +143,8 @@
     bool sentAny = true;      ///< A byte of the request may have been sent to the target.
     bool answerBegun = false; ///< Part of the response was already sent to the caller.
     bool hasHeldResponse
-        = false; ///< The shell holds the target's error response (RelayHeldResponse).
-    std::optional<Duration> coldFor {}; ///< Time for which the target reports to stay cold.
-    unsigned status = 0;                ///< Status of the target's response; 0 if no head was read.
+        = false;         ///< The shell holds the target's error response (RelayHeldResponse).
+    unsigned status = 0; ///< Status of the target's response; 0 if no head was read.
 };
 
 /// Delivers a target's own load report, the result of PollTarget.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -357,8 +357,6 @@
 {
     TargetHealth &health = m_targetSelector.health(request.choice.key);
     const TimePoint now = m_context.now;
-    if (event.coldFor)
-        m_targetSelector.onColdReported(request.choice.key, *event.coldFor);
     switch (event.failure) {
     case AttemptFailure::ConnectRefused:
     case AttemptFailure::ConnectTimeout:
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -274,6 +274,8 @@
     Target &target = m_targets[hash32(event.target.str())];
     if (target.boot != event.targetBoot)
         return; // A new boot has asked for nothing.
+    if (advice.coldFor)
+        target.coldUntil = m_context.now + *advice.coldFor;
     if (!advice.invalidRetryAfter.empty())
         logAdvice(LogEventId::TargetAdviceInvalid, event);
     if (advice.isLeaving && !std::exchange(target.isLeaving, true))
@@ -297,11 +299,6 @@
     m_context.log(id, std::move(detail), std::move(fields));
 }
 
-void TargetSelector::onColdReported(TargetKey key, Duration coldFor)
-{
-    m_targets[key].coldUntil = m_context.now + coldFor;
-}
-
 void TargetSelector::onResponseCompleted(const std::string &service, Duration duration)
 {
     const auto [found, isNew] = m_serviceMs.try_emplace(service, initialServiceMs);
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -65,7 +65,6 @@
     /// Handles what a target's response says about further requests of this node.
     void onAdvice(const TargetAdviceArrived &event);
     TargetHealth &health(TargetKey key) { return m_targets[key].health; }
-    void onColdReported(TargetKey key, Duration coldFor);
     /// Records the duration of a request without a prompt whose response is complete.
     void onResponseCompleted(const std::string &service, Duration duration);
 
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -137,7 +137,6 @@
 {
     ResponseInfo facts = inspect(head);
     m_bootId = std::move(facts.bootId);
-    m_coldFor = facts.coldFor;
     const bool isStream = isEventStream(head, hasBody);
     if (facts.failure) {
         m_heldResponse.emplace().failure = facts.failure;
@@ -223,8 +222,7 @@
     const bool hasHeldResponse = m_heldResponse->isComplete && m_heldResponse->isRelayable
         && !m_isResponseStarted && m_heldResponse->body.size() <= maxStoredResponseBytes;
     m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, *m_heldResponse->failure, true,
-                                   m_isResponseStarted, hasHeldResponse, m_coldFor,
-                                   m_heldResponse->status});
+                                   m_isResponseStarted, hasHeldResponse, m_heldResponse->status});
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -95,7 +95,6 @@
     std::optional<EventStream> m_stream;
     std::optional<std::string> m_storedBody;
     std::optional<HeldResponse> m_heldResponse;
-    std::optional<Duration> m_coldFor; ///< Remaining cold time that the last response reported.
     std::uint64_t m_bodyBytes = 0;
     bool m_isResponseStarted
         = false; ///< Whether part of a response was written to the caller's connection.
--- a/unittests/Balancer/TargetAdviceTest.cpp
+++ b/unittests/Balancer/TargetAdviceTest.cpp
@@ -185,3 +185,16 @@
     sendRequest("/read/1");
     EXPECT_TRUE(findAction<Dispatch>());
 }
+
+// Guards against a target that is cold again and says so in a success: its usual load would crash
+// it.
+TEST_F(TargetAdviceTest, ColdTargetThatAnswersGetsOnlyItsRate)
+{
+    coldRequestsPerSecond = 4;
+    installCatalog(2);
+    installTargets({"t1"});
+    const Dispatch answered = sendAndFindDispatch();
+    receiveAdvice(answered, {.coldFor = 10s}, 200);
+    complete(answered);
+    EXPECT_LE(sendRequestsFor(2s)["t1"], 9) << "four a second and one at once";
+}
--- a/unittests/Platform/ProtocolTest.cpp
+++ b/unittests/Platform/ProtocolTest.cpp
@@ -168,6 +168,7 @@
     EXPECT_EQ(adviceOf(503, Field {"Retry-After", "3"}, Field {"Not-Run", "shed"}).retryAfter,
               Duration(3s));
     EXPECT_EQ(adviceOf(503, Field {"Retry-After", "1.5"}).retryAfter, Duration(1500ms));
+    EXPECT_EQ(adviceOf(200, Field {"Cold-Ms", "900"}).coldFor, Duration(900ms));
     EXPECT_TRUE(adviceOf(200, Field {"Replica-Seal", "a"}).isEmpty());
 }
 
@@ -175,10 +176,13 @@
 // earlier one.
 TEST(PlatformProtocol, AdviceOfAnotherTargetIsIgnored)
 {
-    const ResponseInfo info = PlatformProtocol().readResponseHead(
-        makeResponseHead(421,
-                         {{"Request-Id", "9c41"}, {"Server-Leaving", "1"}, {"Retry-After", "3"}}),
-        attemptIds);
+    const ResponseInfo info
+        = PlatformProtocol().readResponseHead(makeResponseHead(421,
+                                                               {{"Request-Id", "9c41"},
+                                                                {"Server-Leaving", "1"},
+                                                                {"Retry-After", "3"},
+                                                                {"Cold-Ms", "900"}}),
+                                              attemptIds);
     EXPECT_EQ(info.failure, AttemptFailure::OtherTarget);
     EXPECT_TRUE(info.advice.isEmpty());
 }
