Vary the ends of targets' pauses by node

The random numbers came from the seed alone, which is the start of the process: nodes that start at the same moment ended their pauses at the same moment (NodesEndTheirPausesAtDifferentTimes: one end on six nodes before). The node's id is mixed in.

--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -11,6 +11,7 @@
 #include "berylridge/Policy/TargetLoads.h"
 #include "berylridge/Policy/TargetPause.h"
 #include "berylridge/Router/Events.h"
+#include "berylridge/Support/Hash.h"
 #include "berylridge/Support/LogRateLimiter.h"
 
 #include <map>
@@ -45,7 +46,7 @@
 public:
     explicit TargetSelector(BalancerContext &context)
         : m_context(context)
-        , m_random(context.options.seed)
+        , m_random(hash64(context.options.node.str(), context.options.seed))
     {
     }
 
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -22,7 +22,7 @@
     {
         BalancerOptions options;
         options.seeds = seeds;
-        options.node = NodeId("n1");
+        options.node = NodeId(nodeName);
         options.zone = ZoneId("a");
         options.endpoint = {"10.0.0.1", 7400};
         options.incarnation = 5;
@@ -172,6 +172,7 @@
     }
 
     ManualClock clock;
+    std::string nodeName = "n1";
     std::unique_ptr<BalancerCore> core;
     Actions actions;
     RequestHandle lastHandle = 0;
--- a/unittests/Balancer/TargetAdviceTest.cpp
+++ b/unittests/Balancer/TargetAdviceTest.cpp
@@ -2,6 +2,7 @@
 #include "BalancerFixture.h"
 
 #include <map>
+#include <set>
 
 using namespace berylridge;
 using namespace std::chrono_literals;
@@ -198,3 +199,21 @@
     complete(answered);
     EXPECT_LE(sendRequestsFor(2s)["t1"], 9) << "four a second and one at once";
 }
+
+// Guards against nodes that start at the same moment and end their pauses at the same moment.
+TEST_F(TargetAdviceTest, NodesEndTheirPausesAtDifferentTimes)
+{
+    std::set<TimePoint> ends;
+    for (const char *node : {"n1", "n2", "n3", "n4", "n5", "n6"}) {
+        nodeName = node;
+        createCore();
+        installCatalog();
+        installTargets({"t1"});
+        const TimePoint asked = clock.now();
+        rejectWithRetryAfter(sendAndFindDispatch(), 2s);
+        while (sendRequestsFor(10ms, 10ms).empty())
+            continue;
+        ends.insert(TimePoint(clock.now() - asked));
+    }
+    EXPECT_GT(ends.size(), 3U);
+}
