--- a/unittests/Balancer/TargetAdviceTest.cpp
+++ b/unittests/Balancer/TargetAdviceTest.cpp
@@ -22,15 +22,16 @@
         for (Duration passed {0}; passed < time; passed += step) {
             advanceTime(step);
             sendRequest("/read/" + std::to_string(lastHandle));
-            if (const auto *dispatch = findAction<Dispatch>()) {
-                ++sent[dispatch->target.str()];
-                complete(*dispatch);
-            }
+            if (!findAction<Dispatch>())
+                continue;
+            const Dispatch dispatch = *findAction<Dispatch>();
+            ++sent[dispatch.target.str()];
+            complete(dispatch);
         }
         return sent;
     }
 
-    void complete(Dispatch dispatch)
+    void complete(const Dispatch &dispatch)
     {
         handle(AttemptHead {dispatch.handle, dispatch.attempt, 200, {}});
         handle(AttemptDone {dispatch.handle, dispatch.attempt, 200, {}, 10, {}, {}});
