--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -125,7 +125,7 @@
         std::uint32_t writtenTokens = 0;
     };
 
-    /// Returns whether nothing that the target said keeps this node from sending it a request.
+    /// Returns whether the target is reachable, not paused and not leaving.
     bool isAvailable(const Target &target) const
     {
         const TimePoint now = m_context.now;
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -25,7 +25,7 @@
 struct HeldResponse
 {
     std::optional<AttemptFailure> failure;
-    unsigned status = 0;
+    unsigned status = 0; ///< Status of an error; 0 otherwise.
     std::string body;
     bool isComplete = false;
     bool isRelayable = false; ///< Whether an error may be relayed to the caller unchanged.
