Report software versions and streams that callers take up

Decoded now: the version of a target's record, bounded to 64 bytes, and the request that began a taken-up stream. Steps and ends of requests name the version, the line of a listed target too; two counters tell streams that callers take up from those that a node continues within a response. No decision uses them yet.

--- a/include/berylridge/Catalog/TargetRecord.h
+++ b/include/berylridge/Catalog/TargetRecord.h
@@ -27,8 +27,10 @@
     /// Time for which a target that was removed during a platform outage is still used, because it
     /// may be healthy.
     std::uint32_t usableForMs = 0;
+    /// Version of the target's software, compared for equality only. Empty if it is not known.
+    std::string softwareVersion {};
     MSGPACK_DEFINE(id, revision, isRemoved, service, address, port, zone, slots, isDraining,
-                   coldRemainingMs, startedAtMs, usableForMs)
+                   coldRemainingMs, startedAtMs, usableForMs, softwareVersion)
 };
 
 /// Records whether an operator has evacuated a zone, whose targets then receive no new requests.
--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -64,6 +64,8 @@
     Counter targetPausesRequested {0};  ///< Responses with a valid Retry-After.
     Counter targetPausesInvalid {0};    ///< Responses whose Retry-After can't be interpreted.
     Counter targetLeavingResponses {0}; ///< Responses of targets that shut down.
+    Counter streamsTakenUp {0};         ///< Requests that continue a stream of the caller.
+    Counter streamsContinued {0};       ///< Attempts that continue a stream within its response.
     std::array<MessageCounter, peerMessageKindCount> sent {};
     std::array<MessageCounter, peerMessageKindCount> received {};
     Counter datagramsSent {0};
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -29,6 +29,14 @@
 /// Numbers the attempts of one request, starting at 1.
 using AttemptNumber = std::uint32_t;
 
+/// States that a request continues a stream of which the caller already has events.
+struct StreamResumption
+{
+    /// Request id of the caller's attempt that brought the stream's first event; empty if the
+    /// caller names none.
+    std::string firstRequestId;
+};
+
 /// Reports that a caller's request was read completely.
 struct RequestArrived
 {
@@ -49,6 +57,7 @@
     std::string host;                 ///< Host header field without the port.
     std::optional<Duration> deadline; ///< Caller's limit for the complete response.
     std::optional<Prompt> prompt;
+    std::optional<StreamResumption> resumption {};
 };
 
 /// Requests a new idempotency key (POST /v1/idempotency-keys). Only this process admits requests
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -29,6 +29,7 @@
     WorkspaceId workspace;
     std::uint64_t fingerprint = 0;
     std::optional<PrefixChain> chain;
+    std::optional<StreamResumption> resumption;
     TimePoint arrivedAt;
     TimePoint deadline; ///< Earlier of the caller's deadline and the route's timeout.
     RequestState state = RequestState::Arrived;
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -13,6 +13,8 @@
 constexpr double maxLinesPerSecond = 200;
 /// Limit for the lines that include steps, which count towards maxLinesPerSecond too.
 constexpr double maxDetailedLinesPerSecond = 50;
+/// Callers choose their ids, and a line must not grow with them.
+constexpr std::size_t maxLoggedIdBytes = 64;
 constexpr Duration logPeriod = std::chrono::seconds(1);
 
 Json::Value refusalFields(const Refusal &refusal)
@@ -49,7 +51,8 @@
     Json::Value fields;
     fields["status"] = status;
     logEnded(request, LogEventId::RequestEnded, "answered", std::move(fields),
-             isSample || request.isLate(m_context.now) || request.attempts > 1);
+             isSample || request.isLate(m_context.now) || request.attempts > 1
+                 || request.resumption.has_value());
 }
 
 void RequestLog::refused(const BalancedRequest &request, const Refusal &refusal)
@@ -103,8 +106,12 @@
     fields["service"] = request.service->name;
     if (!request.workspace.str().empty())
         fields["workspace"] = request.workspace.str();
-    if (request.attempts > 0)
+    if (request.attempts > 0) {
         fields["target"] = request.choice.target.str();
+        fields["version"] = request.choice.softwareVersion;
+    }
+    if (request.resumption)
+        fields["resumes"] = request.resumption->firstRequestId.substr(0, maxLoggedIdBytes);
     fields["attempts"] = request.attempts;
     fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
     if (request.firstResponseDelay) {
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -107,6 +107,7 @@
     request.handle = event.handle;
     request.id = event.requestId;
     request.arrivedAt = m_context.now;
+    request.resumption = event.resumption;
     if (const auto refusal = resolveRequest(request, event)) {
         m_tally.refused(request, refusal->type);
         refuseEarly(event, *refusal);
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -19,6 +19,7 @@
     const TargetChoice &choice = step.choice;
     out["step"] = step.isAccepted ? "placed" : "turned away";
     out["target"] = choice.target.str();
+    out["version"] = choice.softwareVersion;
     out["candidates"] = Json::UInt64(choice.candidates);
     out["waitMs"] = rounded(choice.waitMs);
     out["readMs"] = rounded(choice.readMs);
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -148,6 +148,7 @@
     choice.target = TargetId(entry->record.id);
     choice.endpoint = {entry->record.address, entry->record.port};
     choice.boot = bootHash(entry->record);
+    choice.softwareVersion = entry->record.softwareVersion;
     choice.waitMs = placed->waitMs;
     choice.readMs = placed->readMs;
     choice.busyMs = chain ? placed->readMs : need.serviceMs;
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -31,8 +31,9 @@
     TargetId target;
     Endpoint endpoint;
     std::uint64_t boot = 0; ///< Distinguishes this boot of the target from others.
-    double waitMs = 0;      ///< Expected wait before the target starts to process the request.
-    double readMs = 0;      ///< Expected time to read the prompt.
+    std::string softwareVersion;
+    double waitMs = 0; ///< Expected wait before the target starts to process the request.
+    double readMs = 0; ///< Expected time to read the prompt.
     double busyMs = 0; ///< Expected time that the target reads the prompt or processes the request.
     std::uint32_t tokens = 0;      ///< Tokens of the prompt that the target still has to read.
     std::uint64_t aheadTokens = 0; ///< Tokens of the requests ahead in the target's queue.
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -6,6 +6,17 @@
 
 namespace berylridge {
 
+namespace {
+
+std::string describeListing(const TargetRecord &record)
+{
+    const std::string state = record.isDraining ? "draining" : "listed";
+    return record.softwareVersion.empty() ? state + " without a software version"
+                                          : state + " with version " + record.softwareVersion;
+}
+
+} // namespace
+
 bool TargetDirectory::apply(const DirectoryUpdate &update, TimePoint now)
 {
     bool isChanged = false;
@@ -38,13 +49,14 @@
     }
     const bool isReportedChange = isNew || entry.record.isRemoved
         || entry.record.isDraining != record.isDraining
-        || entry.record.startedAtMs != record.startedAtMs;
+        || entry.record.startedAtMs != record.startedAtMs
+        || entry.record.softwareVersion != record.softwareVersion;
     entry.record = record;
     entry.updatedAt = now;
     entry.coldUntil = now + fromMilliseconds(record.coldRemainingMs);
     entry.usableUntil.reset();
     if (isReportedChange)
-        recordChange(record.id, record.isDraining ? "draining" : "listed");
+        recordChange(record.id, describeListing(record));
     return true;
 }
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -318,6 +318,7 @@
     }
     auto arrived = std::get<RequestArrived>(std::move(read));
     arrived.handle = handle;
+    m_thread.metrics().streamsTakenUp += arrived.resumption ? 1 : 0;
     m_exchange
         = std::make_shared<Exchange>(m_thread, shared_from_this(), arrived, std::move(request));
     m_thread.addExchange(handle, m_exchange);
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -165,6 +165,10 @@
             "responses of targets with an invalid Retry-After", targetPausesInvalid);
     counter("berylridge_target_leaving_responses_total", "responses of targets that shut down",
             targetLeavingResponses);
+    counter("berylridge_streams_taken_up_total",
+            "requests that continue a stream of which the caller has events", streamsTakenUp);
+    counter("berylridge_streams_continued_total",
+            "attempts that continue a stream within its response", streamsContinued);
     firstByteLatency.print("berylridge_first_byte_seconds", "from request to first byte", out);
     requestLatency.print("berylridge_request_seconds", "from request to end of answer", out);
     firstByteAfterEstimate.print("berylridge_first_byte_after_estimate_seconds",
--- a/unittests/Platform/ProtocolTest.cpp
+++ b/unittests/Platform/ProtocolTest.cpp
@@ -55,6 +55,25 @@
     EXPECT_EQ(arrived->prompt->parts[2].tokens, 250U);
 }
 
+// Guards against a request that continues a stream and is handled as a new one.
+TEST(PlatformProtocol, ParsesTheStreamThatARequestContinues)
+{
+    const auto resumptionOf = [](const StringRequest &request) {
+        const auto parsed = PlatformProtocol().readRequest(request, "x");
+        return std::get<RequestArrived>(parsed).resumption;
+    };
+    StringRequest request = recordedStream();
+    ASSERT_TRUE(resumptionOf(request));
+    EXPECT_EQ(resumptionOf(request)->firstRequestId, "");
+    request.set("Resumes", "5d01");
+    ASSERT_TRUE(resumptionOf(request));
+    EXPECT_EQ(resumptionOf(request)->firstRequestId, "5d01");
+    request.erase("Last-Event-Id");
+    EXPECT_TRUE(resumptionOf(request));
+    request.set("Resumes", "");
+    EXPECT_FALSE(resumptionOf(request));
+}
+
 TEST(PlatformProtocol, RejectsRequestWithoutId)
 {
     StringRequest request = recordedStream();
--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -43,9 +43,28 @@
     EXPECT_EQ(record->port, 8080);
     EXPECT_EQ(record->coldRemainingMs, 250U);
     EXPECT_EQ(record->startedAtMs, 17645);
+    EXPECT_EQ(record->softwareVersion, "v1");
     EXPECT_FALSE(record->isDraining);
 }
 
+// Guards against records that grow with the text of a version, and against two long versions that
+// look the same.
+TEST(StoreDecoder, BoundsVersionsAndKeepsThemApart)
+{
+    const auto versionOf = [](const std::string &version) {
+        std::string text = recordedTarget;
+        text.replace(text.find("\"v1\""), 4, '"' + version + '"');
+        const auto record = parseTargetRecord("i-1", 9, text);
+        EXPECT_TRUE(record) << record.failureReason();
+        return record ? record->softwareVersion : std::string();
+    };
+    const std::string longText(1000, 'v');
+    EXPECT_LE(versionOf(longText + "1").size(), 64U);
+    EXPECT_NE(versionOf(longText + "1"), versionOf(longText + "2"));
+    EXPECT_EQ(versionOf(longText + "1"), versionOf(longText + "1"));
+    EXPECT_EQ(versionOf(""), "");
+}
+
 // Other writers store entries under the same prefix as the targets.
 TEST(StoreDecoder, RejectsEntriesThatAreNotTargets)
 {
