--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -104,14 +106,18 @@
             record.slots = 6;
             record.coldRemainingMs = coldRemainingMs;
             record.startedAtMs = startedAtMs;
+            const auto version = softwareVersions.find(id);
+            record.softwareVersion = version == softwareVersions.end() ? "v1" : version->second;
             update.targets.push_back(record);
         }
         handle(DirectoryArrived {update});
     }
 
-    void sendRequest(const std::string &path, const std::string &credential = "key")
+    void sendRequest(const std::string &path, const std::string &credential = "key",
+                     std::optional<StreamResumption> resumption = std::nullopt)
     {
         RequestArrived request;
+        request.resumption = std::move(resumption);
         request.handle = ++lastHandle;
         request.requestId = "r" + std::to_string(lastHandle);
         request.host = "h";
@@ -181,6 +187,7 @@
     double coldRequestsPerSecond = 0;
     std::uint32_t coldRemainingMs = 0;
     std::int64_t startedAtMs = 1;
+    std::map<std::string, std::string> softwareVersions; ///< By target; "v1" for the others.
     bool isEngine = false;
 };
 
--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -25,6 +25,8 @@
         Endpoint endpoint;
         std::unique_ptr<BalancerCore> core;
         Actions actions; ///< Actions of the last event, without messages to other nodes.
+        Actions pending; ///< The same of all events since the test took them; see keepActions().
+        Incarnation incarnation = 0;
         std::size_t messagesSent = 0;
         std::size_t platformReads = 0; ///< Number of times that it began to read.
         bool isReadingPlatform = false;
@@ -78,17 +80,8 @@
 
     std::vector<Node> &nodes() { return m_nodes; }
 
-private:
-    static constexpr std::size_t seedCount = 3;
-
-    void addNode(const std::string &zone, std::size_t zoneNumber, std::size_t index)
-    {
-        Node &node = m_nodes.emplace_back();
-        node.zone = zone;
-        node.endpoint
-            = {"10." + std::to_string(zoneNumber) + "." + std::to_string(index) + ".1", 7400};
-        m_indexByAddress[node.endpoint.address] = m_nodes.size() - 1;
-    }
+    /// Ends the node's process. Messages to it are lost until it starts again.
+    static void stopNode(Node &node) { node.core.reset(); }
 
     void startNode(Node &node)
     {
@@ -96,7 +89,7 @@
         options.node = NodeId(node.zone + "-" + node.endpoint.address);
         options.zone = ZoneId(node.zone);
         options.endpoint = node.endpoint;
-        options.incarnation = 1;
+        options.incarnation = ++node.incarnation;
         options.seeds = m_seeds;
         options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
         auto created = BalancerCore::create(options, m_clock.now(), m_clock.wallNow());
@@ -105,6 +98,24 @@
         node.core = *std::move(created);
     }
 
+    /// Keeps the actions of all events in Node::pending from now on.
+    void keepActions() { m_keepsActions = true; }
+
+    /// Separates the zone from all others, or ends the separation if it is empty.
+    void cutZone(std::string zone) { m_cutZone = std::move(zone); }
+
+private:
+    static constexpr std::size_t seedCount = 3;
+
+    void addNode(const std::string &zone, std::size_t zoneNumber, std::size_t index)
+    {
+        Node &node = m_nodes.emplace_back();
+        node.zone = zone;
+        node.endpoint
+            = {"10." + std::to_string(zoneNumber) + "." + std::to_string(index) + ".1", 7400};
+        m_indexByAddress[node.endpoint.address] = m_nodes.size() - 1;
+    }
+
     Node *nextTimer()
     {
         Node *next = nullptr;
@@ -130,6 +141,8 @@
                 node.isReadingPlatform = watch->isOn;
                 node.platformReads += watch->isOn ? 1 : 0;
             }
+            if (m_keepsActions)
+                node.pending.push_back(action);
             others.push_back(std::move(action));
         }
         return others;
@@ -140,14 +153,19 @@
         const auto receiver = m_indexByAddress.find(send.endpoint.address);
         if (receiver == m_indexByAddress.end())
             return;
+        Node &to = m_nodes[receiver->second];
+        if (to.zone != sender.zone && (to.zone == m_cutZone || sender.zone == m_cutZone))
+            return;
         const NodeId from(sender.zone + "-" + sender.endpoint.address);
-        m_messages.emplace_back(&m_nodes[receiver->second], NodeMessage {from, 1, send.message});
+        m_messages.emplace_back(&to, NodeMessage {from, sender.incarnation, send.message});
     }
 
     ManualClock m_clock;
     std::vector<Node> m_nodes;
     std::unordered_map<std::string, std::size_t> m_indexByAddress;
     std::vector<Endpoint> m_seeds;
+    std::string m_cutZone;
+    bool m_keepsActions = false;
     std::deque<std::pair<Node *, NodeMessage>> m_messages;
 };
 
--- a/unittests/Balancer/SimulatedTargets.h
+++ b/unittests/Balancer/SimulatedTargets.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "SimulatedFleet.h"
+#include "StepSchedule.h"
 
 #include "berylridge/Policy/TargetHolds.h"
 #include "berylridge/Support/Random.h"
@@ -12,7 +13,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -61,31 +61,13 @@
     {
         scheduleFaults();
         scheduleNextRequest();
-        while (!m_steps.empty() && m_steps.top().at <= m_options.time) {
-            const Step step = m_steps.top();
-            m_steps.pop();
-            m_fleet.advance(step.at - m_now);
-            m_now = step.at;
-            step.run();
-        }
+        m_schedule.runUntil(m_options.time);
         return m_result;
     }
 
 private:
     using Node = SimulatedFleet::Node;
 
-    struct Step
-    {
-        Duration at;
-        std::uint64_t number;
-        std::function<void()> run;
-
-        bool operator<(const Step &other) const
-        {
-            return std::tie(at, number) > std::tie(other.at, other.number);
-        }
-    };
-
     /// A pause that a target asked a node for.
     struct Pause
     {
@@ -122,7 +104,7 @@
 
     void schedule(Duration delay, std::function<void()> run)
     {
-        m_steps.push({m_now + delay, ++m_lastStep, std::move(run)});
+        m_schedule.add(delay, std::move(run));
     }
 
     Duration randomTime(Duration from, Duration to)
@@ -241,7 +223,7 @@
         if (m_options.isEngine)
             request.prompt = Prompt {"m", {{m_lastHandle, 2000}}, 2000, 100};
         ++m_result.requests;
-        m_callers[m_lastHandle] = {&node, m_now};
+        m_callers[m_lastHandle] = {&node, m_schedule.now()};
         handle(node, request);
     }
 
@@ -269,7 +251,8 @@
 
     void send(Node &node, const Dispatch &dispatch)
     {
-        if (m_holds[&node].contains(dispatch.target, dispatch.targetBoot, TimePoint(m_now))) {
+        if (m_holds[&node].contains(dispatch.target, dispatch.targetBoot,
+                                    TimePoint(m_schedule.now()))) {
             fail(node, dispatch, AttemptFailure::Withheld, false);
             return;
         }
@@ -291,7 +274,7 @@
             return;
         }
         recordArrival(node, target, dispatch);
-        const bool isPausing = m_now < target.rejectsUntil;
+        const bool isPausing = m_schedule.now() < target.rejectsUntil;
         if (isPausing || target.running >= 2 * m_options.slots) {
             reject(node, target, dispatch, isPausing);
             return;
@@ -310,7 +293,7 @@
     void recordArrival(const Node &node, Target &target, const Dispatch &dispatch)
     {
         for (Pause &pause : target.pauses[&node]) {
-            if (m_now < pause.begin + pauseSlack || m_now > pause.end)
+            if (m_schedule.now() < pause.begin + pauseSlack || m_schedule.now() > pause.end)
                 continue;
             ++pause.requests;
             m_result.mostDuringPause = std::max(m_result.mostDuringPause, pause.requests);
@@ -329,7 +312,7 @@
         if (isPausing) {
             ++m_result.rejectedWithPause;
             advice.retryAfter = pauseAskedFor;
-            target.pauses[&node].push_back({m_now, m_now + pauseAskedFor});
+            target.pauses[&node].push_back({m_schedule.now(), m_schedule.now() + pauseAskedFor});
         }
         schedule(linkDelay, [this, &node, &target, dispatch, advice] {
             passAdvice(node, target, dispatch, 503, advice);
@@ -342,7 +325,7 @@
     void complete(Node &node, Target &target, const Dispatch &dispatch)
     {
         --target.running;
-        const bool isInTime = m_now - m_callers[dispatch.handle].sentAt <= latencyTarget;
+        const bool isInTime = m_schedule.now() - m_callers[dispatch.handle].sentAt <= latencyTarget;
         m_result.servedInTime += isInTime ? 1 : 0;
         schedule(linkDelay, [this, &node, &target, dispatch, isLeaving = target.isLeaving] {
             passAdvice(node, target, dispatch, 200, {.isLeaving = isLeaving});
@@ -357,9 +340,10 @@
         if (advice.isEmpty())
             return;
         if (const auto hold = advice.holdTime())
-            m_holds[&node].add(dispatch.target, dispatch.targetBoot, *hold, TimePoint(m_now));
+            m_holds[&node].add(dispatch.target, dispatch.targetBoot, *hold,
+                               TimePoint(m_schedule.now()));
         if (advice.isLeaving)
-            target.toldLeavingAt.try_emplace(&node, m_now);
+            target.toldLeavingAt.try_emplace(&node, m_schedule.now());
         // The control thread learns of it in its next iteration.
         schedule(
             randomTime(Duration(0), std::chrono::milliseconds(20)),
@@ -379,9 +363,7 @@
     SimulatedFleet m_fleet;
     std::vector<Target> m_targets;
     std::map<const Node *, TargetHolds> m_holds;
-    std::priority_queue<Step> m_steps;
-    std::uint64_t m_lastStep = 0;
-    Duration m_now {0};
+    StepSchedule m_schedule {[this](Duration time) { m_fleet.advance(time); }};
     std::map<RequestHandle, Caller> m_callers;
     RequestHandle m_lastHandle = 0;
     std::uint64_t m_catalogVersion = 0;
--- /dev/null
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -0,0 +1,272 @@
+// Tests that streams go on only at the software version that began them.
+#include "BalancerFixture.h"
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longer than any stream, so that a version that was listed before can't have begun one.
+constexpr Duration longAgo = std::chrono::minutes(2);
+/// By then a lookup of the version that began a stream has ended.
+constexpr Duration lookupTime = std::chrono::milliseconds(400);
+
+class StreamVersionTest : public test::BalancerFixture
+{
+protected:
+    /// Installs targets of which only t1 and t2 have version v1.
+    void installTwoVersions()
+    {
+        for (const char *id : {"t3", "t4", "t5", "t6", "t7", "t8"})
+            softwareVersions[id] = "v2";
+        installCatalog();
+        installTargets({"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"});
+    }
+
+    std::string versionOf(const Dispatch &dispatch) const
+    {
+        const auto found = softwareVersions.find(dispatch.target.str());
+        return found == softwareVersions.end() ? "v1" : found->second;
+    }
+
+    /// Sends a request and returns its dispatch, if there is one.
+    std::optional<Dispatch> send(const std::string &path,
+                                 std::optional<StreamResumption> resumption = std::nullopt)
+    {
+        sendRequest(path, "key", std::move(resumption));
+        return dispatchOfLastEvent();
+    }
+
+    std::optional<Dispatch> dispatchOfLastEvent() const
+    {
+        const auto *dispatch = findAction<Dispatch>();
+        return dispatch ? std::optional(*dispatch) : std::nullopt;
+    }
+
+    /// Begins a stream at a target of the version. Streams that begin elsewhere end at once.
+    Dispatch beginStream(const std::string &version)
+    {
+        std::vector<Dispatch> others;
+        std::optional<Dispatch> begun;
+        for (int i = 0; i < 100 && !begun; ++i) {
+            const auto dispatch = send("/stream/" + std::to_string(lastHandle));
+            if (!dispatch)
+                break;
+            if (versionOf(*dispatch) == version)
+                begun = dispatch;
+            else
+                others.push_back(*dispatch);
+        }
+        for (const Dispatch &other : others)
+            handle(CallerGone {other.handle});
+        if (!begun) {
+            ADD_FAILURE() << "no stream began at version " << version;
+            return {};
+        }
+        handle(AttemptHead {begun->handle, begun->attempt, 200, {}});
+        return *begun;
+    }
+
+    /// Begins more streams at the version than run at the other targets, so that these would be
+    /// selected next.
+    void occupyTargets(const std::string &version)
+    {
+        for (int i = 0; i < 4; ++i)
+            beginStream(version);
+    }
+
+    /// Breaks the connection to the target. `hasEvents` states whether the caller has events.
+    std::optional<Dispatch> breakStream(const Dispatch &dispatch, bool hasEvents = true)
+    {
+        AttemptFailed failed = makeFailure(dispatch, AttemptFailure::Reset);
+        failed.answerBegun = hasEvents;
+        handle(failed);
+        return dispatchOfLastEvent();
+    }
+
+    static std::string requestIdOf(const Dispatch &dispatch)
+    {
+        return "r" + std::to_string(dispatch.handle);
+    }
+
+    /// Returns the refusal of the last request within the time of a lookup.
+    std::optional<Refuse> refusalWithinLookupTime()
+    {
+        if (!findAction<Refuse>())
+            advanceTime(lookupTime);
+        const auto *refuse = findAction<Refuse>();
+        return refuse ? std::optional(*refuse) : std::nullopt;
+    }
+};
+
+} // namespace
+
+// Guards against a stream that a node resumes within its response at another software version.
+TEST_F(StreamVersionTest, ResponseContinuesOnlyAtTheVersionThatBeganIt)
+{
+    installTwoVersions();
+    for (int i = 0; i < 20; ++i) {
+        const Dispatch first = beginStream("v1");
+        const auto second = breakStream(first);
+        ASSERT_TRUE(second);
+        EXPECT_EQ(versionOf(*second), "v1");
+        EXPECT_NE(second->target, first.target);
+        handle(AttemptHead {second->handle, second->attempt, 200, {}});
+        handle(AttemptDone {second->handle, second->attempt, 200, {}, 10, {}, {}});
+        advanceTime(3s);
+    }
+}
+
+// Guards against a stream that goes on at another version because the target that began it was
+// listed again with another version while it ran.
+TEST_F(StreamVersionTest, ResponseIsBoundToTheVersionThatTheTargetHadWhenItBegan)
+{
+    installTwoVersions();
+    const Dispatch first = beginStream("v1");
+    occupyTargets("v1");
+    softwareVersions[first.target.str()] = "v2";
+    ++startedAtMs;
+    installTargets({"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"});
+    const auto second = breakStream(first);
+    EXPECT_FALSE(second && versionOf(*second) == "v2");
+}
+
+// Guards against a retry that is bound although the caller has no events yet.
+TEST_F(StreamVersionTest, RetryBeforeTheFirstEventMayUseAnyVersion)
+{
+    installTwoVersions();
+    const Dispatch first = beginStream("v1");
+    softwareVersions["t1"] = softwareVersions["t2"] = "v2";
+    installTargets({"t3", "t4", "t5"});
+    EXPECT_TRUE(breakStream(first, false));
+}
+
+// Guards against a stream that a caller takes up and that goes on at another version.
+TEST_F(StreamVersionTest, TakenUpStreamGoesOnAtTheVersionThatBeganIt)
+{
+    installTwoVersions();
+    for (const char *version : {"v1", "v2", "v1", "v2", "v1", "v2"}) {
+        const Dispatch first = beginStream(version);
+        occupyTargets(version);
+        handle(CallerGone {first.handle});
+        const auto second = send("/stream/again", StreamResumption {requestIdOf(first)});
+        ASSERT_TRUE(second);
+        EXPECT_EQ(versionOf(*second), version);
+        handle(AttemptHead {second->handle, second->attempt, 200, {}});
+        handle(CallerGone {second->handle});
+        // The third attempt of the caller names the first one too.
+        const auto third = send("/stream/again", StreamResumption {requestIdOf(first)});
+        ASSERT_TRUE(third);
+        EXPECT_EQ(versionOf(*third), version);
+        handle(CallerGone {third->handle});
+        advanceTime(3s);
+    }
+}
+
+// Guards against a guess: the node can't learn which version began the stream, and two serve.
+TEST_F(StreamVersionTest, StreamOfUnknownVersionIsRefusedWhileTwoVersionsServe)
+{
+    installTwoVersions();
+    advanceTime(longAgo);
+    for (const char *firstRequestId : {"unknown", "", "r1"}) {
+        EXPECT_FALSE(send("/stream/again", StreamResumption {firstRequestId}));
+        const auto refuse = refusalWithinLookupTime();
+        EXPECT_FALSE(findAction<Dispatch>());
+        ASSERT_TRUE(refuse);
+        EXPECT_EQ(refuse->status, 503U);
+        EXPECT_EQ(refuse->verdict, Verdict::NotRun);
+    }
+}
+
+// Guards against a guess of a node that has just started and knows only the versions that serve
+// now: the version that began the stream may have ended since.
+TEST_F(StreamVersionTest, StreamOfUnknownVersionIsRefusedByANodeThatHasJustStarted)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    const auto refuse = refusalWithinLookupTime();
+    EXPECT_FALSE(findAction<Dispatch>());
+    ASSERT_TRUE(refuse);
+    EXPECT_EQ(refuse->verdict, Verdict::NotRun);
+}
+
+// Guards against a guess of a node that doesn't learn of new versions, since it is cut off.
+TEST_F(StreamVersionTest, StreamOfUnknownVersionIsRefusedWithoutAFreshDirectory)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    handle(PlatformReachability {false});
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    const auto refuse = refusalWithinLookupTime();
+    EXPECT_FALSE(findAction<Dispatch>());
+    ASSERT_TRUE(refuse);
+}
+
+// Guards against a refusal where only one version can have begun the stream.
+TEST_F(StreamVersionTest, StreamOfUnknownVersionGoesOnWhereOnlyOneVersionServed)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    send("/stream/again", StreamResumption {"unknown"});
+    if (!findAction<Dispatch>())
+        advanceTime(lookupTime);
+    EXPECT_TRUE(findAction<Dispatch>());
+}
+
+// Guards against a guess after an update: the version that began the stream serves no more, and
+// the only one that is listed is another.
+TEST_F(StreamVersionTest, VersionThatServedAMomentAgoIsNotForgotten)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    softwareVersions = {{"t3", "v2"}, {"t4", "v2"}};
+    installTargets({"t1", "t2", "t3", "t4"});
+    advanceTime(1s);
+    installTargets({"t3", "t4"});
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
+    EXPECT_FALSE(findAction<Dispatch>());
+}
+
+// Guards against a wait, or a promise, where no target can continue the stream any more.
+TEST_F(StreamVersionTest, StreamOfAVersionThatIsGoneIsRefusedAtOnce)
+{
+    installTwoVersions();
+    const Dispatch first = beginStream("v1");
+    handle(CallerGone {first.handle});
+    installTargets({"t3", "t4", "t5"});
+    EXPECT_FALSE(send("/stream/again", StreamResumption {requestIdOf(first)}));
+    ASSERT_TRUE(findAction<Refuse>());
+    EXPECT_EQ(findAction<Refuse>()->status, 503U);
+    EXPECT_EQ(findAction<Refuse>()->verdict, Verdict::NotRun);
+    EXPECT_FALSE(findAction<Refuse>()->retryAfter);
+}
+
+// Guards against a pause of the targets that can't serve the stream, and against one that isn't
+// seen because others could serve other requests.
+TEST_F(StreamVersionTest, PausesCountOnlyOverTargetsOfTheVersion)
+{
+    installTwoVersions();
+    const Dispatch first = beginStream("v1");
+    handle(CallerGone {first.handle});
+    for (const char *id : {"t1", "t2"}) {
+        Dispatch paused = first;
+        paused.target = TargetId(id);
+        const Dispatch probe = [&] {
+            while (true) {
+                const Dispatch other = beginStream("v1");
+                if (other.target.str() == id)
+                    return other;
+            }
+        }();
+        receiveAdvice(probe, {.retryAfter = 3s});
+        handle(CallerGone {probe.handle});
+    }
+    EXPECT_FALSE(send("/stream/again", StreamResumption {requestIdOf(first)}));
+    ASSERT_TRUE(findAction<Refuse>());
+    EXPECT_GE(findAction<Refuse>()->retryAfter, Duration(2s));
+}
