Continue streams only at the software version that began them

Cause: a target's version was dropped at the boundary, and so was the request that began a taken-up stream. A node that continued a stream within a response, and one through which a caller took it up, selected any usable target of the service.

Now a stream is bound to the version of the target whose events the caller has. Selection, pauses and the check for listed targets count the targets of that version alone. Nodes report the streams that begin at them to two nodes of their zone and one of another, selected by rendezvous hashing of the first request's id; a node that doesn't know a stream asks these. While a service has had one version for longer than a stream lasts, and the platform's changes arrive, nothing is reported or asked. A stream whose version can't be determined is refused.

--- a/include/berylridge/Catalog/RouteTable.h
+++ b/include/berylridge/Catalog/RouteTable.h
@@ -27,6 +27,8 @@
     /// Does the same for the credential's hash32().
     const WorkspaceSpec *workspaceForCredentialHash(std::uint32_t credentialHash) const;
     const ServiceSpec *service(const std::string &name) const;
+    /// Returns the longest timeout of the routes with streams; 0 if there are none.
+    Duration longestStreamTimeout() const { return m_longestStreamTimeout; }
     /// Returns whether callers of non-public routes need a credential.
     bool needsCredentials() const { return !m_catalog->workspaces.empty(); }
 
@@ -36,6 +38,7 @@
     std::unordered_map<std::string, const WorkspaceSpec *> m_workspaces; ///< Keyed by credential.
     std::unordered_map<std::uint32_t, const WorkspaceSpec *> m_workspacesByHash;
     std::unordered_map<std::string, const ServiceSpec *> m_services;
+    Duration m_longestStreamTimeout {0};
 };
 
 } // namespace berylridge
--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "berylridge/Catalog/TargetRecord.h"
+#include "berylridge/Catalog/VersionHistory.h"
 #include "berylridge/Support/Time.h"
 
 #include <cstdint>
@@ -29,6 +30,7 @@
     {
         /// Newest record; a removed target keeps the fields of its last record.
         TargetRecord record;
+        VersionKey version = unknownVersion;
         TimePoint updatedAt; ///< Time at which the newest record was received.
         TimePoint coldUntil; ///< End of the cold state as the target reported it.
         /// Time until which an entry that lapsed during a platform outage is still used. If the
@@ -62,6 +64,9 @@
     /// Returns the changes that a node with the given revision is missing.
     DirectoryUpdate updateSince(std::uint64_t revision, TimePoint now) const;
 
+    /// Returns the software versions that the services' targets have and had.
+    const VersionHistory &versions() const { return m_versions; }
+
     std::vector<DirectoryChange> takeChanges() { return std::exchange(m_changes, {}); }
 
 private:
@@ -74,6 +79,7 @@
     /// Includes removed entries, so that older revisions of them are ignored.
     std::map<std::string, Entry> m_entries;
     std::map<std::string, ZoneRecord> m_zones;
+    VersionHistory m_versions;
     std::vector<DirectoryChange> m_changes;
     std::uint64_t m_revision = 0;
     std::uint64_t m_removalsKnownSince = 0; ///< Removals before this revision are unknown.
--- a/include/berylridge/Catalog/TargetRecord.h
+++ b/include/berylridge/Catalog/TargetRecord.h
@@ -2,6 +2,8 @@
 // of its last change; a newer revision always replaces an older one, whichever node relays it.
 #pragma once
 
+#include "berylridge/Support/VersionKey.h"
+
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
@@ -33,6 +35,10 @@
                    coldRemainingMs, startedAtMs, usableForMs, softwareVersion)
 };
 
+/// Returns the key of the target's software version. Where the version is not known, each boot of a
+/// target has a key of its own.
+VersionKey versionKeyOf(const TargetRecord &record);
+
 /// Records whether an operator has evacuated a zone, whose targets then receive no new requests.
 struct ZoneRecord
 {
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -150,6 +150,40 @@
     MSGPACK_DEFINE(zone, target, tokens, waitMs, busyMs, prefixes)
 };
 
+/// The software version that began a stream.
+struct StreamOriginEntry
+{
+    /// hash64() of the request id of the attempt that brought the stream's first event.
+    std::uint64_t stream = 0;
+    std::uint32_t service = 0; ///< hash32() of the service's name.
+    std::uint64_t version = 0; ///< VersionKey.
+    std::uint32_t attempt
+        = 0; ///< Of two entries of a stream, the one with the higher number holds.
+    MSGPACK_DEFINE(stream, service, version, attempt)
+};
+
+/// Streams that began at the sender, for a node that keeps them in case the sender fails.
+struct StreamOriginUpdate
+{
+    std::vector<StreamOriginEntry> streams;
+    MSGPACK_DEFINE(streams)
+};
+
+/// Asks which software version began a stream.
+struct StreamOriginQuery
+{
+    std::uint64_t stream = 0; ///< As in StreamOriginEntry.
+    std::string service;      ///< Service of the stream, as far as the sender can tell.
+    MSGPACK_DEFINE(stream, service)
+};
+
+struct StreamOriginAnswer
+{
+    StreamOriginEntry origin;
+    bool isKnown = false; ///< Whether the fields of `origin` other than `stream` are set.
+    MSGPACK_DEFINE(origin, isKnown)
+};
+
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
 struct StateRequest
 {
@@ -174,6 +208,7 @@
 
 using BalancerMessage
     = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay, PlacementUpdate,
-                   ZoneLoadSummary, ZoneFlowSummary, DispatchNotice>;
+                   ZoneLoadSummary, ZoneFlowSummary, DispatchNotice, StreamOriginUpdate,
+                   StreamOriginQuery, StreamOriginAnswer>;
 
 } // namespace berylridge
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -83,6 +83,11 @@
     /// Returns one live node of each other zone, another one each time. In a small fleet, whose
     /// digests reach all zones, there are none.
     Receivers zoneRelays(TimePoint now);
+    /// Returns the nodes that keep a record for this node, by rendezvous hashing of the record's
+    /// key: usually two of the own zone and one of another.
+    Receivers recordHolders(std::uint64_t key, TimePoint now) const;
+    /// Returns the nodes that probably keep a record with this key, of whichever node.
+    Receivers recordHoldersToAsk(std::uint64_t key, TimePoint now) const;
     /// Calls visit(node, peer) for each node that receives this node's digests.
     template <typename Visit>
     void forEachDigestReceiver(Visit visit) const
@@ -138,6 +143,8 @@
     std::size_t limitShareCount(TimePoint now) const;
     /// Returns the number of live nodes, including this one.
     std::size_t liveCount(TimePoint now) const;
+    /// Returns whether some live node reads the platform's state successfully.
+    bool hasLiveReader(TimePoint now) const;
     /// Returns whether digests from another zone arrived before and have now stopped from all of
     /// its nodes.
     bool isZoneSilent(const std::string &zone, TimePoint now) const;
@@ -162,6 +169,9 @@
     {
         return !usesZoneSummaries() || peer.zone == m_options.zone.str();
     }
+    std::vector<std::string> rankedOtherZones(std::uint64_t key) const;
+    void addRankedNodes(const std::string &zone, std::uint64_t key, std::size_t count,
+                        bool includesLeaving, TimePoint now, Receivers &receivers) const;
     std::size_t digestReceiverCount() const;
     OwnZone ownZone() const;
     ZonePeers remotePeers() const;
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -6,6 +6,7 @@
 
 #include "berylridge/Catalog/RouteTable.h"
 #include "berylridge/Chart/RequestStateMachine.h"
+#include "berylridge/Policy/StreamOrigins.h"
 #include "berylridge/Policy/WorkspaceShares.h"
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/Hash.h"
@@ -30,6 +31,8 @@
     std::uint64_t fingerprint = 0;
     std::optional<PrefixChain> chain;
     std::optional<StreamResumption> resumption;
+    /// Software version that began the stream of which the caller has events; empty if it has none.
+    std::optional<VersionKey> version;
     TimePoint arrivedAt;
     TimePoint deadline; ///< Earlier of the caller's deadline and the route's timeout.
     RequestState state = RequestState::Arrived;
@@ -46,11 +49,22 @@
     TimePoint dispatchedAt;
     Verdict verdictBeforeAttempt = Verdict::NotRun;
     bool hasResponseStarted = false; ///< The target has started its response.
+    TimePoint originRecordedAt {};   ///< When the origin of the stream was last recorded.
 
     RequestTrace trace;
     /// Time from the request's arrival to the start of the response.
     std::optional<Duration> firstResponseDelay;
 
+    TargetNeeds targetNeeds() const { return {*service, chain ? &*chain : nullptr, version}; }
+    /// Returns the key under which the origin of the request's stream is recorded, or nothing if
+    /// the caller can't take the stream up.
+    std::optional<StreamKey> streamKey() const
+    {
+        if (route->requestKind() != RequestKind::Stream || !route->isResumable)
+            return std::nullopt;
+        const std::string &first = resumption ? resumption->firstRequestId : id;
+        return first.empty() ? std::nullopt : std::optional(hash64(first));
+    }
     WorkspaceKey workspaceKey() const { return hash32(workspace.str()); }
     /// Returns whether the response started, or has still not started, after the route's latency
     /// target.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -4,6 +4,7 @@
 #include "GossipExchange.h"
 #include "ReaderRole.h"
 #include "RequestProcessor.h"
+#include "StreamOriginExchange.h"
 #include "TargetSelector.h"
 
 #include "berylridge/Support/Overloaded.h"
@@ -29,7 +30,8 @@
     Impl(BalancerOptions options, BalancerStateMachines stateMachines, TimePoint now, WallTime wall)
         : m_context(std::move(options), std::move(stateMachines), now, wall)
         , m_targetSelector(m_context)
-        , m_requests(m_context, m_targetSelector)
+        , m_streamOrigins(m_context)
+        , m_requests(m_context, m_targetSelector, m_streamOrigins)
         , m_reader(m_context)
         , m_gossip(m_context, m_targetSelector, m_requests, m_reader)
         , m_state(m_context.stateMachines.node.initial())
@@ -57,6 +59,7 @@
 
     BalancerContext m_context;
     TargetSelector m_targetSelector;
+    StreamOriginExchange m_streamOrigins;
     RequestProcessor m_requests;
     ReaderRole m_reader;
     GossipExchange m_gossip;
@@ -76,6 +79,7 @@
     detectPause();
     m_lastEventAt = now;
     dispatch(event);
+    m_requests.handleStreamOrigins();
     m_gossip.sendNotices();
     runTimers();
     m_context.actions = nullptr;
@@ -140,6 +144,9 @@
             [&](const PlacementUpdate &m) {
                 m_gossip.onPlacements(message.from, message.incarnation, m);
             },
+            [&](const StreamOriginUpdate &m) { m_streamOrigins.onUpdate(m); },
+            [&](const StreamOriginQuery &m) { m_streamOrigins.onQuery(message.from, m); },
+            [&](const StreamOriginAnswer &m) { m_streamOrigins.onAnswer(m); },
             [&](const DirectoryRelay &m) {
                 m_gossip.onDirectoryRelayed();
                 onDirectory(m.directoryUpdate, message.from.str());
@@ -211,6 +218,8 @@
     m_requests.tick();
     updateReaderRole();
     const bool isPlatformStateCurrent = m_reader.isReadingPlatform() && m_isPlatformReachable;
+    m_streamOrigins.tick(isPlatformStateCurrent || m_context.peers.hasLiveReader(m_context.now));
+    m_requests.handleStreamOrigins();
     m_gossip.sendDigests(m_state == NodeState::Leaving, isPlatformStateCurrent);
     checkPlannedStop();
 }
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -27,6 +27,17 @@
 /// Cost of a generated token relative to a token that is read.
 constexpr double generatedTokenCost = 2;
 
+/// Retry-After if another node may know what this one couldn't learn in time.
+constexpr Duration unknownOriginRetryAfter = std::chrono::milliseconds(200);
+/// A running stream is recorded again after this time, because nodes that keep records restart.
+constexpr Duration originRecordPeriod = std::chrono::seconds(2);
+
+Refusal unknownOriginRefusal(std::optional<Duration> retryAfter)
+{
+    return {503, "stream-origin-unknown", "it is not known which software version began the stream",
+            retryAfter};
+}
+
 std::uint64_t fingerprintOf(const RequestArrived &event, const WorkspaceId &workspace)
 {
     return hash64(event.path, hash64(workspace.str(), event.bodyHash));
@@ -90,9 +101,11 @@
 
 } // namespace
 
-RequestProcessor::RequestProcessor(BalancerContext &context, TargetSelector &targetSelector)
+RequestProcessor::RequestProcessor(BalancerContext &context, TargetSelector &targetSelector,
+                                   StreamOriginExchange &streamOrigins)
     : m_context(context)
     , m_targetSelector(targetSelector)
+    , m_streamOrigins(streamOrigins)
     , m_log(context)
     , m_tally(context)
     , m_overloadLog(context)
@@ -107,7 +120,6 @@
     request.handle = event.handle;
     request.id = event.requestId;
     request.arrivedAt = m_context.now;
-    request.resumption = event.resumption;
     if (const auto refusal = resolveRequest(request, event)) {
         m_tally.refused(request, refusal->type);
         refuseEarly(event, *refusal);
@@ -116,9 +128,84 @@
     BalancedRequest &added = m_requests.emplace(event.handle, std::move(request)).first->second;
     step(added, RequestSignal::Enqueued);
     m_tally.requested(added, demandOf(added));
-    m_retries[added.service->name].onFirstAttempt(m_context.now);
-    if (const auto refusal = placeRequest(added, true))
-        refuse(added, *refusal);
+    if (added.resumption)
+        takeUpStream(added);
+    else
+        admit(added);
+}
+
+void RequestProcessor::admit(BalancedRequest &request)
+{
+    m_retries[request.service->name].onFirstAttempt(m_context.now);
+    if (const auto refusal = placeRequest(request, true))
+        refuse(request, *refusal);
+}
+
+/// Finds out which software version began the stream, before a target is selected.
+void RequestProcessor::takeUpStream(BalancedRequest &request)
+{
+    // Without the stream's own key, a key of this request selects the nodes to ask.
+    const StreamKey stream = request.streamKey().value_or(hash64(request.id));
+    if (const auto origin = m_streamOrigins.find(stream, request.service->name))
+        continueStream(request, *origin);
+    else
+        m_streamOrigins.ask({request.handle, stream, request.service->name});
+}
+
+void RequestProcessor::handleStreamOrigins()
+{
+    for (const StreamOriginExchange::Result &result : m_streamOrigins.takeResults()) {
+        const auto found = m_requests.find(result.request);
+        if (found == m_requests.end())
+            continue;
+        if (result.origin) {
+            continueStream(found->second, *result.origin);
+            continue;
+        }
+        // Another node may know the stream if some of those that were asked have not answered.
+        const auto retryAfter
+            = result.hasAllAnswers ? std::nullopt : std::optional(unknownOriginRetryAfter);
+        refuse(found->second, unknownOriginRefusal(retryAfter));
+    }
+}
+
+void RequestProcessor::continueStream(BalancedRequest &request, const StreamOrigin &origin)
+{
+    if (origin.version == unknownVersion) {
+        refuse(request, unknownOriginRefusal({}));
+        return;
+    }
+    request.version = origin.version;
+    // The route may have been split between services otherwise since the stream began.
+    const std::vector<WeightedService> &services = request.route->services;
+    const auto service = std::find_if(services.begin(), services.end(), [&](const auto &each) {
+        return hash32(each.service) == origin.service;
+    });
+    if (service != services.end())
+        request.service = request.routeTable->service(service->service);
+    const bool isServed = service != services.end() && request.service
+        && m_targetSelector.hasListedTarget(request.targetNeeds());
+    if (!isServed) {
+        refuse(request,
+               {503,
+                "stream-version-gone",
+                "no target runs the software version that began the stream",
+                {}});
+        return;
+    }
+    admit(request);
+}
+
+/// Records which software version runs the stream, for callers who take it up.
+void RequestProcessor::recordStreamOrigin(BalancedRequest &request)
+{
+    const auto stream = request.streamKey();
+    if (!stream)
+        return;
+    request.originRecordedAt = m_context.now;
+    const VersionKey version = m_targetSelector.versionOf(request.choice);
+    m_streamOrigins.record(*stream, request.service->name,
+                           {hash32(request.service->name), version, request.attempts});
 }
 
 std::optional<Refusal> RequestProcessor::resolveRequest(BalancedRequest &request,
@@ -144,7 +231,11 @@
     request.fingerprint = fingerprintOf(event, request.workspace);
     if (m_crashes.remainingBlockTime(request.fingerprint, m_context.now))
         return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
-    const std::string *service = selectService(*request.route, event.requestId);
+    if (request.route->requestKind() == RequestKind::Stream)
+        request.resumption = event.resumption;
+    const bool namesFirstRequest = event.resumption && !event.resumption->firstRequestId.empty();
+    const std::string *service = selectService(
+        *request.route, namesFirstRequest ? event.resumption->firstRequestId : event.requestId);
     request.service = service ? request.routeTable->service(*service) : nullptr;
     if (!request.service)
         return Refusal {503, "no-service", "the route's service is not known", noTargetRetryAfter};
@@ -168,12 +259,12 @@
 
 std::optional<Refusal> RequestProcessor::placeRequest(BalancedRequest &request, bool isFirst)
 {
-    const PrefixChain *chain = request.chain ? &*request.chain : nullptr;
-    const auto choice = m_targetSelector.choose(*request.service, chain, request.excludedTargets);
+    const TargetNeeds needs = request.targetNeeds();
+    const auto choice = m_targetSelector.choose(needs, request.excludedTargets);
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
         request.trace.add(at, NoTargetStep {});
-        if (const auto pause = m_targetSelector.remainingPause(*request.service))
+        if (const auto pause = m_targetSelector.remainingPause(needs))
             return Refusal {503, "targets-paused", "all targets asked for a pause",
                             addRetryJitter(std::max(*pause, noTargetRetryAfter), m_random)};
         return Refusal {503, "no-target", "no target can take the request now",
@@ -183,7 +274,7 @@
     step.choice = *choice;
     std::optional<Refusal> refusal
         = isFirst ? checkAdmission(request, *choice, step) : std::nullopt;
-    if (!refusal && !m_targetSelector.reserve(*choice, *request.service, chain)) {
+    if (!refusal && !m_targetSelector.reserve(*choice, needs)) {
         refusal = Refusal {503, "target-cold", "the targets are cold",
                            addRetryJitter(noTargetRetryAfter, m_random)};
     }
@@ -310,6 +401,8 @@
             m_shares.onLate(demandOf(*request), m_context.now);
     }
     m_targetSelector.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
+    if (event.status == 200)
+        recordStreamOrigin(*request);
 }
 
 void RequestProcessor::onDone(const AttemptDone &event)
@@ -341,6 +434,8 @@
     if (event.sentAny && event.failure != AttemptFailure::OtherTarget)
         ++request->sentAttempts;
     request->isPartlyDelivered = request->isPartlyDelivered || event.answerBegun;
+    if (event.answerBegun && !request->version)
+        request->version = m_targetSelector.versionOf(request->choice);
     request->excludedTargets.push_back(request->choice.key);
     m_tally.attemptFailed(*request, failureName(event.failure));
     request->trace.add(m_context.now - request->arrivedAt,
@@ -412,7 +507,7 @@
         return;
     }
     if (request.verdict == Verdict::NotRun) {
-        const auto pause = m_targetSelector.remainingPause(*request.service);
+        const auto pause = m_targetSelector.remainingPause(request.targetNeeds());
         refuse(
             request,
             {503, "target-refused", "no target took the request",
@@ -464,6 +559,11 @@
     m_crashes.expire(m_context.now);
     m_log.tick();
     m_overloadLog.tick(m_requests.size());
+    for (auto &[handle, request] : m_requests) {
+        if (request.isRunning && request.hasResponseStarted
+            && m_context.now - request.originRecordedAt > originRecordPeriod)
+            recordStreamOrigin(request);
+    }
     const double configuredTokensPerSecond
         = m_context.routeTable ? m_context.routeTable->catalog().tokensPerSecond : 0;
     m_shares.update(configuredTokensPerSecond, m_context.now);
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -5,6 +5,7 @@
 #include "BalancerContext.h"
 #include "OverloadLog.h"
 #include "RequestLog.h"
+#include "StreamOriginExchange.h"
 #include "TargetSelector.h"
 #include "WorkspaceTally.h"
 
@@ -22,7 +23,8 @@
 class RequestProcessor
 {
 public:
-    RequestProcessor(BalancerContext &context, TargetSelector &targetSelector);
+    RequestProcessor(BalancerContext &context, TargetSelector &targetSelector,
+                     StreamOriginExchange &streamOrigins);
 
     void onArrived(const RequestArrived &event);
     /// Records how late a traffic thread is.
@@ -35,6 +37,9 @@
     /// fingerprint. Returns whether it was not known yet.
     bool onRemoteInterruptedRequest(const InterruptedRequestEntry &entry);
 
+    /// Continues the requests whose lookups of their streams' origins have ended.
+    void handleStreamOrigins();
+
     /// Does the periodic work: updates shares and logs, and removes expired entries.
     void tick();
     /// Rejects all new requests from now on, because a planned stop could not wait for their
@@ -52,6 +57,10 @@
 private:
     std::optional<Refusal> resolveRequest(BalancedRequest &request, const RequestArrived &event);
     Refusal unknownRefusal(Refusal refusal) const;
+    void admit(BalancedRequest &request);
+    void takeUpStream(BalancedRequest &request);
+    void continueStream(BalancedRequest &request, const StreamOrigin &origin);
+    void recordStreamOrigin(BalancedRequest &request);
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
     std::optional<Refusal> checkAdmission(BalancedRequest &request, const TargetChoice &choice,
                                           PlacementStep &step);
@@ -71,6 +80,7 @@
 
     BalancerContext &m_context;
     TargetSelector &m_targetSelector;
+    StreamOriginExchange &m_streamOrigins;
     RequestLog m_log;
     WorkspaceTally m_tally;
     OverloadLog m_overloadLog;
--- /dev/null
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -0,0 +1,146 @@
+#include "StreamOriginExchange.h"
+
+#include "berylridge/Support/Hash.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+void StreamOriginExchange::record(StreamKey stream, const std::string &service,
+                                  const StreamOrigin &origin)
+{
+    m_origins.record(stream, origin, streamLifetime(), m_context.now);
+    m_unreported.push_back(
+        {{stream, origin.service, origin.version, origin.attempt}, service, m_context.now});
+}
+
+std::optional<StreamOrigin> StreamOriginExchange::find(StreamKey stream,
+                                                       const std::string &service) const
+{
+    if (const StreamOrigin *origin = m_origins.find(stream))
+        return *origin;
+    if (const auto version = onlyVersion(service))
+        return StreamOrigin {hash32(service), *version, 0};
+    return std::nullopt;
+}
+
+std::optional<VersionKey> StreamOriginExchange::onlyVersion(const std::string &service) const
+{
+    if (!m_isDirectoryFresh)
+        return std::nullopt;
+    return m_context.directory.versions().onlyVersion(service, streamLifetime(), m_context.now);
+}
+
+Duration StreamOriginExchange::streamLifetime() const
+{
+    if (!m_context.routeTable)
+        return maxStreamLifetime;
+    // Callers may send several requests for a stream, each of them bounded by the route's timeout.
+    constexpr int maxRequests = 2;
+    return std::clamp(m_context.routeTable->longestStreamTimeout() * maxRequests, minStreamLifetime,
+                      maxStreamLifetime);
+}
+
+void StreamOriginExchange::ask(Lookup lookup)
+{
+    const StreamOriginQuery query {lookup.stream, lookup.service};
+    const PeerTable::Receivers receivers
+        = m_context.peers.recordHoldersToAsk(lookup.stream, m_context.now);
+    for (const auto &[node, endpoint] : receivers)
+        m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
+    if (receivers.empty()) {
+        m_results.push_back({lookup.request, std::nullopt, true});
+        return;
+    }
+    const StreamKey stream = lookup.stream;
+    m_pending.emplace(stream, PendingLookup {std::move(lookup), receivers.size(), m_context.now});
+}
+
+void StreamOriginExchange::onUpdate(const StreamOriginUpdate &update)
+{
+    for (const StreamOriginEntry &entry : update.streams) {
+        m_origins.record(entry.stream, {entry.service, entry.version, entry.attempt},
+                         streamLifetime(), m_context.now);
+    }
+}
+
+void StreamOriginExchange::onQuery(const NodeId &from, const StreamOriginQuery &query)
+{
+    const PeerTable::Peer *peer = m_context.peers.find(from);
+    if (!peer)
+        return;
+    StreamOriginAnswer answer;
+    answer.origin.stream = query.stream;
+    if (const auto origin = find(query.stream, query.service)) {
+        answer.isKnown = true;
+        answer.origin = {query.stream, origin->service, origin->version, origin->attempt};
+    }
+    m_context.emit(SendToNode {from, peer->endpoint, BalancerMessage(answer)});
+}
+
+void StreamOriginExchange::onAnswer(const StreamOriginAnswer &answer)
+{
+    const StreamOriginEntry &entry = answer.origin;
+    auto [next, end] = m_pending.equal_range(entry.stream);
+    while (next != end) {
+        PendingLookup &pending = next->second;
+        const bool isLastAnswer = --pending.answersMissing == 0;
+        if (!answer.isKnown && !isLastAnswer) {
+            ++next;
+            continue;
+        }
+        Result result {pending.lookup.request, std::nullopt, isLastAnswer};
+        if (answer.isKnown)
+            result.origin = StreamOrigin {entry.service, entry.version, entry.attempt};
+        m_results.push_back(result);
+        next = m_pending.erase(next);
+    }
+}
+
+void StreamOriginExchange::tick(bool isDirectoryFresh)
+{
+    m_isDirectoryFresh = isDirectoryFresh;
+    m_origins.expire(m_context.now);
+    reportStreams();
+    std::erase_if(m_pending, [&](const auto &entry) {
+        const PendingLookup &pending = entry.second;
+        if (m_context.now - pending.startedAt < lookupTimeout)
+            return false;
+        m_results.push_back({pending.lookup.request, std::nullopt, false});
+        return true;
+    });
+}
+
+/// Reports the streams that began here to the nodes that keep them. Where the service has only one
+/// version, the streams wait until it gets another one.
+void StreamOriginExchange::reportStreams()
+{
+    std::map<std::string, bool> needsRecords;
+    std::map<Endpoint, std::pair<NodeId, StreamOriginUpdate>> updates;
+    const auto isReported = [&](const UnreportedStream &stream) {
+        const auto [needed, isNew] = needsRecords.try_emplace(stream.service);
+        if (isNew)
+            needed->second = !onlyVersion(stream.service);
+        if (!needed->second)
+            return m_context.now - stream.recordedAt > streamLifetime();
+        for (const auto &[node, endpoint] :
+             m_context.peers.recordHolders(stream.entry.stream, m_context.now)) {
+            auto &[receiver, update] = updates[endpoint];
+            receiver = node;
+            update.streams.push_back(stream.entry);
+            if (update.streams.size() < maxEntriesPerMessage)
+                continue;
+            m_context.emit(
+                SendToNode {receiver, endpoint, BalancerMessage(std::exchange(update, {}))});
+        }
+        return true;
+    };
+    std::erase_if(m_unreported, isReported);
+    for (auto &[endpoint, receiver] : updates) {
+        if (!receiver.second.streams.empty())
+            m_context.emit(
+                SendToNode {receiver.first, endpoint, BalancerMessage(std::move(receiver.second))});
+    }
+}
+
+} // namespace berylridge
--- /dev/null
+++ b/lib/Balancer/StreamOriginExchange.h
@@ -0,0 +1,100 @@
+// Finds out which software version began a stream that a caller takes up, wherever it began.
+//
+// Callers come back through any node, mostly because the one that they used is gone. So each node
+// reports the streams that begin at it to a few nodes that rendezvous hashing selects by the
+// stream's key, and a node that doesn't know a stream asks those. While a service has had only one
+// version for longer than a stream lasts, nothing is reported or asked.
+#pragma once
+
+#include "BalancerContext.h"
+
+#include "berylridge/Policy/StreamOrigins.h"
+#include "berylridge/Router/Events.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace berylridge {
+
+class StreamOriginExchange
+{
+public:
+    /// The stream that a request takes up.
+    struct Lookup
+    {
+        RequestHandle request = 0;
+        StreamKey stream = 0;
+        std::string service; ///< Service to which the request goes if the stream isn't known.
+    };
+    /// The end of a lookup.
+    struct Result
+    {
+        RequestHandle request = 0;
+        std::optional<StreamOrigin> origin;
+        bool hasAllAnswers = false; ///< Whether all nodes that were asked have answered.
+    };
+
+    explicit StreamOriginExchange(BalancerContext &context)
+        : m_context(context)
+    {
+    }
+
+    /// Records a stream that began, or goes on, at this node.
+    void record(StreamKey stream, const std::string &service, const StreamOrigin &origin);
+    /// Returns what this node itself knows.
+    std::optional<StreamOrigin> find(StreamKey stream, const std::string &service) const;
+    /// Asks other nodes. The result follows by takeResults().
+    void ask(Lookup lookup);
+
+    void onUpdate(const StreamOriginUpdate &update);
+    void onQuery(const NodeId &from, const StreamOriginQuery &query);
+    void onAnswer(const StreamOriginAnswer &answer);
+
+    /// Returns the lookups that have ended since the last call.
+    std::vector<Result> takeResults() { return std::exchange(m_results, {}); }
+    /// Does the periodic work: reports streams, ends lookups without answer. `isDirectoryFresh`
+    /// states that the platform's changes reach this node.
+    void tick(bool isDirectoryFresh);
+
+private:
+    /// A few round trips between zones; callers wait for it.
+    static constexpr Duration lookupTimeout = std::chrono::milliseconds(150);
+    /// Bounds of the time for which a stream may be taken up.
+    static constexpr Duration minStreamLifetime = std::chrono::seconds(10);
+    static constexpr Duration maxStreamLifetime = VersionHistory::maxWindow;
+    /// Entries of one message, so that it fits into a datagram.
+    static constexpr std::size_t maxEntriesPerMessage = 40;
+
+    struct PendingLookup
+    {
+        Lookup lookup;
+        std::size_t answersMissing = 0;
+        TimePoint startedAt;
+    };
+    /// A stream that began here and was not reported to other nodes.
+    struct UnreportedStream
+    {
+        StreamOriginEntry entry;
+        std::string service;
+        TimePoint recordedAt;
+    };
+
+    std::optional<VersionKey> onlyVersion(const std::string &service) const;
+    /// Returns the time for which a stream may be taken up after it has begun.
+    Duration streamLifetime() const;
+    void reportStreams();
+
+    BalancerContext &m_context;
+    StreamOrigins m_origins;
+    std::deque<UnreportedStream> m_unreported;
+    std::multimap<StreamKey, PendingLookup> m_pending;
+    std::vector<Result> m_results;
+    bool m_isDirectoryFresh = false;
+};
+
+} // namespace berylridge
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -107,15 +107,16 @@
     return candidate;
 }
 
-std::optional<TargetChoice> TargetSelector::choose(const ServiceSpec &service,
-                                                   const PrefixChain *chain,
+std::optional<TargetChoice> TargetSelector::choose(const TargetNeeds &needs,
                                                    const std::vector<TargetKey> &excludedTargets)
 {
     const TimePoint now = m_context.now;
+    const ServiceSpec &service = needs.service;
+    const PrefixChain *chain = needs.chain;
     std::vector<PlacementCandidate> candidates;
     std::vector<std::pair<const TargetDirectory::Entry *, TargetKey>> entries;
     for (const auto &[id, entry] : m_context.directory.entries()) {
-        if (entry.record.service != service.name || !m_context.directory.isUsable(entry, now))
+        if (!needs.areMetBy(entry) || !m_context.directory.isUsable(entry, now))
             continue;
         const TargetKey key = hash32(id);
         if (std::find(excludedTargets.begin(), excludedTargets.end(), key) != excludedTargets.end())
@@ -149,6 +150,7 @@
     choice.endpoint = {entry->record.address, entry->record.port};
     choice.boot = bootHash(entry->record);
     choice.softwareVersion = entry->record.softwareVersion;
+    choice.version = entry->version;
     choice.waitMs = placed->waitMs;
     choice.readMs = placed->readMs;
     choice.busyMs = chain ? placed->readMs : need.serviceMs;
@@ -160,12 +162,30 @@
     return choice;
 }
 
-std::optional<Duration> TargetSelector::remainingPause(const ServiceSpec &service) const
+VersionKey TargetSelector::versionOf(const TargetChoice &choice) const
+{
+    const TargetDirectory::Entry *entry = m_context.directory.find(choice.target.str());
+    return entry && entry->version != choice.version ? unknownVersion : choice.version;
+}
+
+bool TargetSelector::hasListedTarget(const TargetNeeds &needs) const
+{
+    const auto &entries = m_context.directory.entries();
+    return std::any_of(entries.begin(), entries.end(), [&](const auto &each) {
+        const TargetDirectory::Entry &entry = each.second;
+        const auto target = m_targets.find(hash32(each.first));
+        const bool isLeaving = target != m_targets.end() && target->second.isLeaving;
+        return needs.areMetBy(entry) && !isLeaving && !entry.record.isDraining
+            && m_context.directory.isUsable(entry, m_context.now);
+    });
+}
+
+std::optional<Duration> TargetSelector::remainingPause(const TargetNeeds &needs) const
 {
     const TimePoint now = m_context.now;
     std::optional<TimePoint> firstEnd;
     for (const auto &[id, entry] : m_context.directory.entries()) {
-        if (entry.record.service != service.name || !m_context.directory.isUsable(entry, now))
+        if (!needs.areMetBy(entry) || !m_context.directory.isUsable(entry, now))
             continue;
         const auto found = m_targets.find(hash32(id));
         if (found == m_targets.end())
@@ -182,10 +202,11 @@
     return *firstEnd - now;
 }
 
-bool TargetSelector::reserve(const TargetChoice &choice, const ServiceSpec &service,
-                             const PrefixChain *chain)
+bool TargetSelector::reserve(const TargetChoice &choice, const TargetNeeds &needs)
 {
     const TimePoint now = m_context.now;
+    const ServiceSpec &service = needs.service;
+    const PrefixChain *chain = needs.chain;
     Target &target = m_targets[choice.key];
     const TargetDirectory::Entry *entry = m_context.directory.find(choice.target.str());
     if (entry && isCold(*entry, target, service)
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -32,6 +32,7 @@
     Endpoint endpoint;
     std::uint64_t boot = 0; ///< Distinguishes this boot of the target from others.
     std::string softwareVersion;
+    VersionKey version = unknownVersion;
     double waitMs = 0; ///< Expected wait before the target starts to process the request.
     double readMs = 0; ///< Expected time to read the prompt.
     double busyMs = 0; ///< Expected time that the target reads the prompt or processes the request.
@@ -42,6 +43,20 @@
     Duration recordAge {0};        ///< Time since the platform last reported the target.
 };
 
+/// What a request needs of its target.
+struct TargetNeeds
+{
+    const ServiceSpec &service;
+    const PrefixChain *chain = nullptr; ///< Null if the request has no prompt.
+    /// The only software version that may run the request; empty if any may.
+    std::optional<VersionKey> version {};
+
+    bool areMetBy(const TargetDirectory::Entry &entry) const
+    {
+        return entry.record.service == service.name && (!version || entry.version == *version);
+    }
+};
+
 class TargetSelector
 {
 public:
@@ -51,16 +66,21 @@
     {
     }
 
-    /// Returns the best target of the service that can accept the request now, without reserving
-    /// capacity.
-    std::optional<TargetChoice> choose(const ServiceSpec &service, const PrefixChain *chain,
+    /// Returns the best target that meets the needs and can accept the request now, without
+    /// reserving capacity.
+    std::optional<TargetChoice> choose(const TargetNeeds &needs,
                                        const std::vector<TargetKey> &excludedTargets);
-    /// Returns the time until the first target of the service accepts requests again, if all that
-    /// could be used asked this node for a pause.
-    std::optional<Duration> remainingPause(const ServiceSpec &service) const;
+    /// Returns the time until the first target that meets the needs accepts requests again, if all
+    /// that could be used asked this node for a pause.
+    std::optional<Duration> remainingPause(const TargetNeeds &needs) const;
+    /// Returns whether a target that meets the needs is listed and not about to leave.
+    bool hasListedTarget(const TargetNeeds &needs) const;
     /// Counts the request at the target. At a cold target it also consumes one request of this
     /// node's part of the rate; returns false if that part is used up.
-    bool reserve(const TargetChoice &choice, const ServiceSpec &service, const PrefixChain *chain);
+    bool reserve(const TargetChoice &choice, const TargetNeeds &needs);
+    /// Returns the software version that runs an attempt: the selected one, or unknownVersion if
+    /// the target has been listed with another since.
+    VersionKey versionOf(const TargetChoice &choice) const;
 
     void onFirstEvent(const TargetChoice &choice, Duration since);
     void onAttemptEnded(const TargetChoice &choice, bool hadResponseStarted);
--- a/lib/Catalog/RouteTable.cpp
+++ b/lib/Catalog/RouteTable.cpp
@@ -29,8 +29,12 @@
 RouteTable::RouteTable(std::shared_ptr<const Catalog> catalog)
     : m_catalog(std::move(catalog))
 {
-    for (const RouteSpec &route : m_catalog->routes)
+    for (const RouteSpec &route : m_catalog->routes) {
         m_routes.emplace(lowerCase(route.host) + route.pathPrefix, &route);
+        if (route.requestKind() == RequestKind::Stream)
+            m_longestStreamTimeout
+                = std::max(m_longestStreamTimeout, fromMilliseconds(route.timeoutMs));
+    }
     for (const ServiceSpec &service : m_catalog->services)
         m_services.emplace(service.name, &service);
     for (const WorkspaceSpec &workspace : m_catalog->workspaces) {
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -1,5 +1,7 @@
 #include "berylridge/Catalog/TargetDirectory.h"
 
+#include "berylridge/Support/Hash.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -17,6 +19,16 @@
 
 } // namespace
 
+VersionKey versionKeyOf(const TargetRecord &record)
+{
+    const bool isKnown = !record.softwareVersion.empty();
+    const std::uint64_t seed = isKnown
+        ? hash64(record.service)
+        : hash64(record.id, static_cast<std::uint64_t>(record.startedAtMs));
+    const VersionKey key = hash64(record.softwareVersion, seed);
+    return key == unknownVersion ? unknownVersion + 1 : key;
+}
+
 bool TargetDirectory::apply(const DirectoryUpdate &update, TimePoint now)
 {
     bool isChanged = false;
@@ -26,8 +38,10 @@
         isChanged |= mergeZone(record);
     if (update.isFullSnapshot)
         isChanged |= removeUnlisted(update, now);
-    if (update.isComplete)
+    if (update.isComplete) {
         m_revision = std::max(m_revision, update.revision);
+        m_versions.onComplete(now);
+    }
     return isChanged;
 }
 
@@ -38,8 +52,13 @@
     if (!isNew && record.revision <= entry.record.revision)
         return false;
     if (record.isRemoved) {
-        if (isNew)
+        if (isNew) {
             entry.record = record;
+            entry.version = versionKeyOf(record);
+            // It may have been removed just now.
+            if (!record.service.empty())
+                m_versions.onUnlisted(record.service, entry.version, now);
+        }
         markRemoved(entry, record.revision, now);
         // A node that detected the outage relays the grace period, because this node may not read
         // from the platform itself.
@@ -51,7 +70,11 @@
         || entry.record.isDraining != record.isDraining
         || entry.record.startedAtMs != record.startedAtMs
         || entry.record.softwareVersion != record.softwareVersion;
+    if (!isNew && !entry.record.isRemoved)
+        m_versions.onUnlisted(entry.record.service, entry.version, now);
     entry.record = record;
+    entry.version = versionKeyOf(record);
+    m_versions.onListed(record.service, entry.version, now);
     entry.updatedAt = now;
     entry.coldUntil = now + fromMilliseconds(record.coldRemainingMs);
     entry.usableUntil.reset();
@@ -67,6 +90,7 @@
     entry.record.revision = revision;
     if (wasRemoved)
         return;
+    m_versions.onUnlisted(entry.record.service, entry.version, now);
     // A draining target is gone; an entry that lapsed during the outage may belong to a healthy
     // target.
     if (!wasDraining && now < m_lapseGraceEnd)
--- /dev/null
+++ b/lib/Catalog/VersionHistory.cpp
@@ -0,0 +1,48 @@
+#include "berylridge/Catalog/VersionHistory.h"
+
+#include <algorithm>
+
+namespace berylridge {
+
+void VersionHistory::onComplete(TimePoint now)
+{
+    if (!m_completeSince)
+        m_completeSince = now;
+}
+
+void VersionHistory::onListed(const std::string &service, VersionKey version, TimePoint now)
+{
+    std::map<VersionKey, Version> &versions = m_services[service];
+    std::erase_if(versions, [now](const auto &entry) {
+        return entry.second.targets == 0 && now - entry.second.lastListedAt > maxWindow;
+    });
+    Version &listed = versions[version];
+    ++listed.targets;
+    listed.lastListedAt = now;
+}
+
+void VersionHistory::onUnlisted(const std::string &service, VersionKey version, TimePoint now)
+{
+    Version &unlisted = m_services[service][version];
+    unlisted.targets -= std::min<std::size_t>(unlisted.targets, 1);
+    unlisted.lastListedAt = now;
+}
+
+std::optional<VersionKey> VersionHistory::onlyVersion(std::string_view service, Duration window,
+                                                      TimePoint now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || !m_completeSince || now - *m_completeSince < window)
+        return std::nullopt;
+    std::optional<VersionKey> only;
+    for (const auto &[version, listed] : found->second) {
+        if (listed.targets == 0 && now - listed.lastListedAt > window)
+            continue;
+        if (only)
+            return std::nullopt;
+        only = version;
+    }
+    return only;
+}
+
+} // namespace berylridge
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -1,8 +1,11 @@
 #include "berylridge/Fleet/PeerTable.h"
 
+#include "berylridge/Support/Hash.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace berylridge {
@@ -17,6 +20,9 @@
 /// A seed counts as known for this long after a digest from it or a peer list that contains it.
 constexpr Duration seedReportTimeout = std::chrono::seconds(5);
 constexpr std::size_t minLimitShareCount = 2;
+/// Number of nodes that keep a record, and how many of them are in the zone of its sender.
+constexpr std::size_t recordCopies = 3;
+constexpr std::size_t recordCopiesInOwnZone = 2;
 
 } // namespace
 
@@ -180,6 +186,65 @@
     return relays;
 }
 
+/// Appends the zone's live nodes with the highest weights for the key.
+void PeerTable::addRankedNodes(const std::string &zone, std::uint64_t key, std::size_t count,
+                               bool includesLeaving, TimePoint now, Receivers &receivers) const
+{
+    std::vector<std::pair<std::uint64_t, std::map<NodeId, Peer>::const_iterator>> ranked;
+    for (auto each = m_peers.begin(); each != m_peers.end(); ++each) {
+        const Peer &peer = each->second;
+        const bool isUsed
+            = peer.zone == zone && isLive(peer, now) && (includesLeaving || !peer.isLeaving);
+        if (isUsed)
+            ranked.emplace_back(hash64(each->first.str(), key), each);
+    }
+    count = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    for (std::size_t i = 0; i < count; ++i)
+        receivers.emplace_back(ranked[i].second->first, ranked[i].second->second.endpoint);
+}
+
+/// Returns the other zones, those with the highest weights for the key first.
+std::vector<std::string> PeerTable::rankedOtherZones(std::uint64_t key) const
+{
+    std::set<std::string> zones;
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.zone != m_options.zone.str())
+            zones.insert(peer.zone);
+    }
+    std::vector<std::string> ranked(zones.begin(), zones.end());
+    std::sort(ranked.begin(), ranked.end(), [key](const std::string &a, const std::string &b) {
+        return hash64(a, key) > hash64(b, key);
+    });
+    return ranked;
+}
+
+PeerTable::Receivers PeerTable::recordHolders(std::uint64_t key, TimePoint now) const
+{
+    Receivers holders;
+    addRankedNodes(m_options.zone.str(), key, recordCopiesInOwnZone, false, now, holders);
+    for (const std::string &zone : rankedOtherZones(key)) {
+        if (holders.size() >= recordCopies)
+            break;
+        addRankedNodes(zone, key, 1, false, now, holders);
+    }
+    return holders;
+}
+
+/// The sender of the record may be in any zone. Its first copy elsewhere is in the first zone of
+/// the ranking, or in the second one if the sender is in the first.
+PeerTable::Receivers PeerTable::recordHoldersToAsk(std::uint64_t key, TimePoint now) const
+{
+    constexpr std::size_t askedZones = 2;
+    Receivers holders;
+    addRankedNodes(m_options.zone.str(), key, recordCopiesInOwnZone, true, now, holders);
+    const std::vector<std::string> zones = rankedOtherZones(key);
+    for (std::size_t i = 0; i < std::min(askedZones, zones.size()); ++i)
+        addRankedNodes(zones[i], key, recordCopiesInOwnZone, true, now, holders);
+    return holders;
+}
+
 unsigned PeerTable::periodsPerRotation() const
 {
     const std::size_t periods = (digestReceiverCount() + fanOut - 1) / fanOut;
@@ -248,6 +313,13 @@
     return static_cast<std::size_t>(peerCount) + 1;
 }
 
+bool PeerTable::hasLiveReader(TimePoint now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return entry.second.isReadingPlatform && isLive(entry.second, now);
+    });
+}
+
 Duration PeerTable::zoneSilenceTimeout() const
 {
     if (!usesZoneSummaries())
