--- /dev/null
+++ b/unittests/Catalog/VersionHistoryTest.cpp
@@ -0,0 +1,88 @@
+#include "berylridge/Catalog/TargetDirectory.h"
+
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration window = 10s;
+
+class VersionHistoryTest : public testing::Test
+{
+protected:
+    static TargetRecord target(const std::string &id, const std::string &version)
+    {
+        TargetRecord record;
+        record.id = id;
+        record.service = "s";
+        record.softwareVersion = version;
+        return record;
+    }
+
+    void list(std::vector<TargetRecord> targets)
+    {
+        DirectoryUpdate update;
+        update.revision = ++revision;
+        update.isFullSnapshot = true;
+        for (TargetRecord &record : targets)
+            record.revision = revision;
+        update.targets = std::move(targets);
+        directory.apply(update, clock.now());
+    }
+
+    std::optional<VersionKey> onlyVersion() const
+    {
+        return directory.versions().onlyVersion("s", window, clock.now());
+    }
+
+    ManualClock clock;
+    TargetDirectory directory;
+    std::uint64_t revision = 0;
+};
+
+} // namespace
+
+// Guards against a directory that has just been loaded and doesn't tell which versions served
+// before.
+TEST_F(VersionHistoryTest, OnlyVersionIsKnownAfterTheWindow)
+{
+    list({target("t1", "v1"), target("t2", "v1")});
+    EXPECT_FALSE(onlyVersion());
+    clock.advance(window);
+    EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v1")));
+}
+
+TEST_F(VersionHistoryTest, VersionCountsUntilTheWindowAfterItsLastTarget)
+{
+    list({target("t1", "v1"), target("t2", "v2")});
+    clock.advance(2 * window);
+    EXPECT_FALSE(onlyVersion());
+    list({target("t2", "v2")});
+    clock.advance(window);
+    EXPECT_FALSE(onlyVersion());
+    clock.advance(1s);
+    EXPECT_EQ(onlyVersion(), versionKeyOf(target("t2", "v2")));
+}
+
+// Guards against a target that restarts under its id with another version.
+TEST_F(VersionHistoryTest, RestartWithAnotherVersionIsCounted)
+{
+    list({target("t1", "v1")});
+    clock.advance(2 * window);
+    list({target("t1", "v2")});
+    EXPECT_FALSE(onlyVersion());
+    clock.advance(window + 1s);
+    EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v2")));
+}
+
+// Guards against two targets without a version that count as equal.
+TEST_F(VersionHistoryTest, UnknownVersionsDiffer)
+{
+    TargetRecord restarted = target("t1", "");
+    restarted.startedAtMs = 1;
+    EXPECT_NE(versionKeyOf(target("t1", "")), versionKeyOf(target("t2", "")));
+    EXPECT_NE(versionKeyOf(target("t1", "")), versionKeyOf(restarted));
+    EXPECT_EQ(versionKeyOf(target("t1", "v1")), versionKeyOf(target("t2", "v1")));
+}
--- a/unittests/Fleet/PeerTableTest.cpp
+++ b/unittests/Fleet/PeerTableTest.cpp
@@ -209,3 +209,40 @@
     peers.onMessageReceived(NodeId("n9"), 1, digest, clock.now());
     EXPECT_EQ(peers.limitShareCount(clock.now()), 4U);
 }
+
+// Guards against records that a node of another zone doesn't find, wherever they were sent from.
+TEST(PeerTableRecords, NodesOfAllZonesAskTheNodesThatKeepARecord)
+{
+    constexpr int nodesPerZone = 3;
+    ManualClock clock;
+    std::map<std::string, PeerTable> tables;
+    const std::vector<std::string> zones {"a", "b", "c", "d"};
+    std::vector<std::pair<std::string, std::string>> nodes;
+    for (const std::string &zone : zones) {
+        for (int i = 0; i < nodesPerZone; ++i)
+            nodes.emplace_back(zone + std::to_string(i), zone);
+    }
+    for (const auto &[node, zone] : nodes) {
+        PeerTable &table
+            = tables.emplace(node, PeerTable({NodeId(node), ZoneId(zone), {node, 7400}, {}, 100ms}))
+                  .first->second;
+        for (const auto &[other, otherZone] : nodes)
+            table.onMessageReceived(NodeId(other), 1, digestOf(otherZone, other), clock.now());
+    }
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        for (const auto &[sender, zone] : nodes) {
+            const auto holders = tables.at(sender).recordHolders(key, clock.now());
+            ASSERT_EQ(holders.size(), 3U);
+            for (const auto &[reader, readerZone] : nodes) {
+                const auto asked = tables.at(reader).recordHoldersToAsk(key, clock.now());
+                EXPECT_LE(asked.size(), 6U);
+                const bool isFound
+                    = std::any_of(holders.begin(), holders.end(), [&](const auto &holder) {
+                          return holder.first == NodeId(reader)
+                              || std::find(asked.begin(), asked.end(), holder) != asked.end();
+                      });
+                EXPECT_TRUE(isFound) << sender << " to " << reader << ", key " << key;
+            }
+        }
+    }
+}
