Keep unreported streams until a node can keep them

A stream that began while no other node was live was dropped from the reports, so only this node knew it. Found by the test for reports that begin with a second version (StreamsAreReportedOnceAServiceHasTwoVersions). Streams wait by service now, bounded in number and age, and a service with one version costs nothing per period. Further tests: lookups with, without and after answers.

--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -10,8 +10,10 @@
                                   const StreamOrigin &origin)
 {
     m_origins.record(stream, origin, streamLifetime(), m_context.now);
-    m_unreported.push_back(
-        {{stream, origin.service, origin.version, origin.attempt}, service, m_context.now});
+    std::deque<UnreportedStream> &unreported = m_unreported[service];
+    unreported.push_back({{stream, origin.service, origin.version, origin.attempt}, m_context.now});
+    if (unreported.size() > StreamOrigins::maxStreams)
+        unreported.pop_front();
 }
 
 std::optional<StreamOrigin> StreamOriginExchange::find(StreamKey stream,
@@ -111,36 +113,43 @@
     });
 }
 
-/// Reports the streams that began here to the nodes that keep them. Where the service has only one
-/// version, the streams wait until it gets another one.
+/// Reports the streams that began here to the nodes that keep them. While a service has only one
+/// version, or no other node is live, its streams wait.
 void StreamOriginExchange::reportStreams()
 {
-    std::map<std::string, bool> needsRecords;
-    std::map<Endpoint, std::pair<NodeId, StreamOriginUpdate>> updates;
-    const auto isReported = [&](const UnreportedStream &stream) {
-        const auto [needed, isNew] = needsRecords.try_emplace(stream.service);
-        if (isNew)
-            needed->second = !onlyVersion(stream.service);
-        if (!needed->second)
-            return m_context.now - stream.recordedAt > streamLifetime();
-        for (const auto &[node, endpoint] :
-             m_context.peers.recordHolders(stream.entry.stream, m_context.now)) {
-            auto &[receiver, update] = updates[endpoint];
-            receiver = node;
-            update.streams.push_back(stream.entry);
-            if (update.streams.size() < maxEntriesPerMessage)
-                continue;
-            m_context.emit(
-                SendToNode {receiver, endpoint, BalancerMessage(std::exchange(update, {}))});
+    Updates updates;
+    for (auto &[service, streams] : m_unreported) {
+        while (!streams.empty() && m_context.now - streams.front().recordedAt > streamLifetime())
+            streams.pop_front();
+        if (!onlyVersion(service)) {
+            std::erase_if(streams, [&](const UnreportedStream &stream) {
+                return addToUpdates(stream.entry, updates);
+            });
         }
-        return true;
-    };
-    std::erase_if(m_unreported, isReported);
-    for (auto &[endpoint, receiver] : updates) {
-        if (!receiver.second.streams.empty())
-            m_context.emit(
-                SendToNode {receiver.first, endpoint, BalancerMessage(std::move(receiver.second))});
     }
+    for (auto &[endpoint, receiver] : updates)
+        sendUpdate(endpoint, receiver);
+}
+
+/// Returns false if no node can keep the entry.
+bool StreamOriginExchange::addToUpdates(const StreamOriginEntry &entry, Updates &updates)
+{
+    const PeerTable::Receivers holders = m_context.peers.recordHolders(entry.stream, m_context.now);
+    for (const auto &[node, endpoint] : holders) {
+        Receiver &receiver = updates[endpoint];
+        receiver.node = node;
+        receiver.update.streams.push_back(entry);
+        if (receiver.update.streams.size() == maxEntriesPerMessage)
+            sendUpdate(endpoint, receiver);
+    }
+    return !holders.empty();
+}
+
+void StreamOriginExchange::sendUpdate(const Endpoint &endpoint, Receiver &receiver)
+{
+    if (!receiver.update.streams.empty())
+        m_context.emit(SendToNode {receiver.node, endpoint,
+                                   BalancerMessage(std::exchange(receiver.update, {}))});
 }
 
 } // namespace berylridge
--- a/lib/Balancer/StreamOriginExchange.h
+++ b/lib/Balancer/StreamOriginExchange.h
@@ -15,7 +15,7 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <string_view>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -80,18 +80,26 @@
     struct UnreportedStream
     {
         StreamOriginEntry entry;
-        std::string service;
         TimePoint recordedAt;
     };
+    /// Collects a node's entries for one message.
+    struct Receiver
+    {
+        NodeId node;
+        StreamOriginUpdate update;
+    };
+    using Updates = std::map<Endpoint, Receiver>;
 
     std::optional<VersionKey> onlyVersion(const std::string &service) const;
     /// Returns the time for which a stream may be taken up after it has begun.
     Duration streamLifetime() const;
     void reportStreams();
+    bool addToUpdates(const StreamOriginEntry &entry, Updates &updates);
+    void sendUpdate(const Endpoint &endpoint, Receiver &receiver);
 
     BalancerContext &m_context;
     StreamOrigins m_origins;
-    std::deque<UnreportedStream> m_unreported;
+    std::map<std::string, std::deque<UnreportedStream>> m_unreported; ///< Keyed by service.
     std::multimap<StreamKey, PendingLookup> m_pending;
     std::vector<Result> m_results;
     bool m_isDirectoryFresh = false;
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -1,6 +1,8 @@
 // Tests that streams go on only at the software version that began them.
 #include "BalancerFixture.h"
 
+#include "berylridge/Support/Hash.h"
+
 using namespace berylridge;
 using namespace std::chrono_literals;
 
@@ -246,6 +248,74 @@
     EXPECT_FALSE(findAction<Refuse>()->retryAfter);
 }
 
+// Guards against messages for each stream where one version began all of them, and against streams
+// that other nodes don't know once there are two: those that run already have to be reported.
+TEST_F(StreamVersionTest, StreamsAreReportedOnceAServiceHasTwoVersions)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    for (Duration passed {0}; passed < longAgo; passed += 500ms) {
+        advanceTime(500ms);
+        receiveDigest("n2", "a", 1, revision, true);
+    }
+    const Dispatch running = beginStream("v1");
+    advanceTime(500ms);
+    EXPECT_TRUE(sentMessages<StreamOriginUpdate>().empty());
+    softwareVersions["t2"] = "v2";
+    installTargets({"t1", "t2"});
+    if (sentMessages<StreamOriginUpdate>().empty())
+        advanceTime(200ms);
+    const auto sent = sentMessages<StreamOriginUpdate>();
+    ASSERT_FALSE(sent.empty());
+    ASSERT_EQ(sent[0].second.streams.size(), 1U);
+    EXPECT_EQ(sent[0].second.streams[0].stream, hash64(requestIdOf(running)));
+}
+
+// Guards against a stream that goes on only at the node that began it.
+TEST_F(StreamVersionTest, NodeThatDoesNotKnowAStreamAsksOthers)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    const auto queries = sentMessages<StreamOriginQuery>();
+    ASSERT_EQ(queries.size(), 1U);
+    StreamOriginAnswer answer;
+    answer.origin.stream = queries[0].second.stream;
+    answer.isKnown = true;
+    TargetRecord first;
+    first.service = "s";
+    first.softwareVersion = "v1";
+    answer.origin.service = hash32(first.service);
+    answer.origin.version = versionKeyOf(first);
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(answer)});
+    const auto dispatch = dispatchOfLastEvent();
+    ASSERT_TRUE(dispatch);
+    EXPECT_EQ(versionOf(*dispatch), "v1");
+}
+
+// Guards against a request that waits for the answers of nodes that fail.
+TEST_F(StreamVersionTest, LookupWithoutAnswerEndsWithATemporaryRefusal)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    EXPECT_FALSE(findAction<Refuse>());
+    const auto refuse = refusalWithinLookupTime();
+    ASSERT_TRUE(refuse);
+    EXPECT_EQ(refuse->verdict, Verdict::NotRun);
+    EXPECT_TRUE(refuse->retryAfter);
+}
+
+// Guards against a lookup that outlives its caller.
+TEST_F(StreamVersionTest, CallerMayLeaveDuringALookup)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    handle(CallerGone {lastHandle});
+    EXPECT_FALSE(refusalWithinLookupTime());
+}
+
 // Guards against a pause of the targets that can't serve the stream, and against one that isn't
 // seen because others could serve other requests.
 TEST_F(StreamVersionTest, PausesCountOnlyOverTargetsOfTheVersion)
