--- a/unittests/Balancer/SimulatedStreams.h
+++ b/unittests/Balancer/SimulatedStreams.h
@@ -443,15 +443,24 @@
         schedule(wait, [this, dispatch, target] { beginEvents(dispatch, target); });
     }
 
-    void beginEvents(const Dispatch &dispatch, const TargetHandle &target)
+    /// Returns the request that the target runs. Ends the run if the caller's node or the target is
+    /// gone.
+    Request *findRunningRequest(const Dispatch &dispatch, const TargetHandle &target)
     {
         Request *request = findRequest(dispatch);
-        if (!request || target->isGone) {
-            --target->running;
-            if (request)
-                fail(dispatch, AttemptFailure::Reset, true);
+        if (request && !target->isGone)
+            return request;
+        --target->running;
+        if (request)
+            fail(dispatch, AttemptFailure::Reset, true);
+        return nullptr;
+    }
+
+    void beginEvents(const Dispatch &dispatch, const TargetHandle &target)
+    {
+        Request *request = findRunningRequest(dispatch, target);
+        if (!request)
             return;
-        }
         Stream &stream = *request->stream;
         if (!stream.version.empty() && stream.version != target->version
             && !std::exchange(stream.isJoined, true))
@@ -477,13 +486,9 @@
     {
         constexpr Duration eventInterval = std::chrono::milliseconds(50);
         takeActions();
-        Request *request = findRequest(dispatch);
-        if (!request || target->isGone) {
-            --target->running;
-            if (request)
-                fail(dispatch, AttemptFailure::Reset, true);
+        Request *request = findRunningRequest(dispatch, target);
+        if (!request)
             return;
-        }
         if (m_schedule.now() < end) {
             schedule(eventInterval,
                      [this, dispatch, target, end] { continueEvents(dispatch, target, end); });
