--- a/unittests/Balancer/SimulatedStreams.h
+++ b/unittests/Balancer/SimulatedStreams.h
@@ -192,7 +192,7 @@
 
     TargetHandle addTarget(const std::string &version)
     {
-        const auto target = std::make_shared<Target>();
+        auto target = std::make_shared<Target>();
         target->id = "t" + std::to_string(++m_lastTarget);
         target->version = version;
         target->zone = "z" + std::to_string(m_lastTarget % m_options.zones);
@@ -503,10 +503,11 @@
     void fail(const Dispatch &dispatch, AttemptFailure failure, bool sentAny)
     {
         const Request *request = findRequest(dispatch);
-        if (request)
-            handle(*request->node,
-                   AttemptFailed {dispatch.handle, dispatch.attempt, failure, sentAny,
-                                  request->hasEvents});
+        if (!request)
+            return;
+        handle(*request->node,
+               AttemptFailed {dispatch.handle, dispatch.attempt, failure, sentAny,
+                              request->hasEvents});
     }
 
     const SimulatedStreamsOptions m_options;
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -3,6 +3,8 @@
 
 #include "berylridge/Support/Hash.h"
 
+#include <set>
+
 using namespace berylridge;
 using namespace std::chrono_literals;
 
@@ -323,19 +325,18 @@
     installTwoVersions();
     const Dispatch first = beginStream("v1");
     handle(CallerGone {first.handle});
-    for (const char *id : {"t1", "t2"}) {
-        Dispatch paused = first;
-        paused.target = TargetId(id);
-        const Dispatch probe = [&] {
-            while (true) {
-                const Dispatch other = beginStream("v1");
-                if (other.target.str() == id)
-                    return other;
-            }
-        }();
-        receiveAdvice(probe, {.retryAfter = 3s});
-        handle(CallerGone {probe.handle});
+    constexpr std::size_t streamCount = 8;
+    std::vector<Dispatch> streams;
+    streams.reserve(streamCount);
+    while (streams.size() < streamCount)
+        streams.push_back(beginStream("v1"));
+    std::set<std::string> paused;
+    for (const Dispatch &stream : streams) {
+        receiveAdvice(stream, {.retryAfter = 3s});
+        handle(CallerGone {stream.handle});
+        paused.insert(stream.target.str());
     }
+    ASSERT_EQ(paused.size(), 2U);
     EXPECT_FALSE(send("/stream/again", StreamResumption {requestIdOf(first)}));
     ASSERT_TRUE(findAction<Refuse>());
     EXPECT_GE(findAction<Refuse>()->retryAfter, Duration(2s));
--- a/unittests/Fleet/PeerTableTest.cpp
+++ b/unittests/Fleet/PeerTableTest.cpp
@@ -213,35 +213,33 @@
 // Guards against records that a node of another zone doesn't find, wherever they were sent from.
 TEST(PeerTableRecords, NodesOfAllZonesAskTheNodesThatKeepARecord)
 {
-    constexpr int nodesPerZone = 3;
+    constexpr std::uint64_t keys = 50;
     ManualClock clock;
-    std::map<std::string, PeerTable> tables;
-    const std::vector<std::string> zones {"a", "b", "c", "d"};
-    std::vector<std::pair<std::string, std::string>> nodes;
-    for (const std::string &zone : zones) {
-        for (int i = 0; i < nodesPerZone; ++i)
-            nodes.emplace_back(zone + std::to_string(i), zone);
+    std::map<NodeId, PeerTable> tables;
+    for (const std::string zone : {"a", "b", "c", "d"}) {
+        for (const std::string index : {"1", "2", "3"}) {
+            const NodeId node(zone + index);
+            const Endpoint endpoint {node.str(), 7400};
+            tables.emplace(node, PeerTable({node, ZoneId(zone), endpoint, {}, 100ms}));
+        }
     }
-    for (const auto &[node, zone] : nodes) {
-        PeerTable &table
-            = tables.emplace(node, PeerTable({NodeId(node), ZoneId(zone), {node, 7400}, {}, 100ms}))
-                  .first->second;
-        for (const auto &[other, otherZone] : nodes)
-            table.onMessageReceived(NodeId(other), 1, digestOf(otherZone, other), clock.now());
+    for (auto &[node, table] : tables) {
+        for (const auto &[other, otherTable] : tables)
+            table.onMessageReceived(other, 1, digestOf(other.str().substr(0, 1), other.str()),
+                                    clock.now());
     }
-    for (std::uint64_t key = 0; key < 50; ++key) {
-        for (const auto &[sender, zone] : nodes) {
-            const auto holders = tables.at(sender).recordHolders(key, clock.now());
+    for (std::uint64_t key = 0; key < keys; ++key) {
+        for (const auto &[sender, senderTable] : tables) {
+            const auto holders = senderTable.recordHolders(key, clock.now());
             ASSERT_EQ(holders.size(), 3U);
-            for (const auto &[reader, readerZone] : nodes) {
-                const auto asked = tables.at(reader).recordHoldersToAsk(key, clock.now());
-                EXPECT_LE(asked.size(), 6U);
-                const bool isFound
-                    = std::any_of(holders.begin(), holders.end(), [&](const auto &holder) {
-                          return holder.first == NodeId(reader)
-                              || std::find(asked.begin(), asked.end(), holder) != asked.end();
-                      });
-                EXPECT_TRUE(isFound) << sender << " to " << reader << ", key " << key;
+            for (const auto &[reader, readerTable] : tables) {
+                auto known = readerTable.recordHoldersToAsk(key, clock.now());
+                EXPECT_LE(known.size(), 6U);
+                known.emplace_back(reader, Endpoint {reader.str(), 7400});
+                const auto found = std::find_first_of(holders.begin(), holders.end(), known.begin(),
+                                                      known.end());
+                EXPECT_NE(found, holders.end())
+                    << sender.str() << " to " << reader.str() << ", key " << key;
             }
         }
     }
