--- a/unittests/Net/DatagramTest.cpp
+++ b/unittests/Net/DatagramTest.cpp
@@ -119,14 +119,17 @@
 TEST(DatagramTest, kindNamesInMetricsAreStable)
 {
     const std::vector<std::string_view> expected
-        = {"Heartbeat",       "ZoneView",       "DocumentsRequest", "DocumentsReply",
-           "VmListMessage",   "PoolDemand",     "PoolGrant",        "PoolReturn",
-           "TargetNews",      "PoolService",    "CrashNews",        "Goodbye",
-           "PoolHandover",    "KeyClaim",       "KeyVote",          "KeyRelease",
-           "KeyQuery",        "KeyState",       "RosterNews",       "RosterProposal",
-           "RosterConsent",   "RosterDecision", "LoadDigest",       "StateRequest",
-           "CatalogNews",     "DirectoryRelay", "PlacementNews",    "ZoneLoadSummary",
-           "ZoneFlowSummary", "DispatchNotice"};
+        = {"Heartbeat",          "ZoneView",          "DocumentsRequest",
+           "DocumentsReply",     "VmListMessage",     "PoolDemand",
+           "PoolGrant",          "PoolReturn",        "TargetNews",
+           "PoolService",        "CrashNews",         "Goodbye",
+           "PoolHandover",       "KeyClaim",          "KeyVote",
+           "KeyRelease",         "KeyQuery",          "KeyState",
+           "RosterNews",         "RosterProposal",    "RosterConsent",
+           "RosterDecision",     "LoadDigest",        "StateRequest",
+           "CatalogNews",        "DirectoryRelay",    "PlacementNews",
+           "ZoneLoadSummary",    "ZoneFlowSummary",   "DispatchNotice",
+           "StreamOriginUpdate", "StreamOriginQuery", "StreamOriginAnswer"};
     std::vector<std::string_view> names;
     for (std::size_t kind = 0; kind < peerMessageKindCount; ++kind)
         names.push_back(peerMessageKindName(kind));
