Log interrupted requests with the parts of their prompts

The logs could not tell whether nodes lacked the identity of what crashed targets, or other nodes' reports.

Change: event 5011 for each interrupted request with its target's boot, the time since its answer began, its fingerprint and the shared parts of its prompt; 5012 for reports of other nodes; a mark and a counter for responses that end with their connection. No decision changes.

--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -66,6 +66,8 @@
     Counter targetLeavingResponses {0}; ///< Responses of targets that shut down.
     Counter streamsTakenUp {0};         ///< Requests that continue a stream of the caller.
     Counter streamsContinued {0};       ///< Attempts that continue a stream within its response.
+    /// Complete responses with neither a length nor chunks.
+    Counter responsesEndedWithConnection {0};
     std::array<MessageCounter, peerMessageKindCount> sent {};
     std::array<MessageCounter, peerMessageKindCount> received {};
     Counter datagramsSent {0};
--- a/include/berylridge/Policy/PromptCacheDirectory.h
+++ b/include/berylridge/Policy/PromptCacheDirectory.h
@@ -42,6 +42,9 @@
 
 PrefixChain prefixChainOf(const Prompt &prompt);
 
+/// Returns the ids of the parts that the prompt may share with others, each once: all but the last.
+std::vector<std::uint64_t> sharedPartIds(const Prompt &prompt);
+
 /// Returns how many of the chain's links are shared. The last link is unique to the request, unless
 /// it is the only one.
 std::size_t sharedLinkCount(const PrefixChain &chain);
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -142,6 +142,9 @@
     /// store.
     std::vector<KeyHeader> storedHeaders;
     std::optional<std::string> storedBody;
+    /// The response had neither a length nor chunks and ended with its connection. It is the same
+    /// if the target ended between two writes.
+    bool endedWithConnection = false;
 };
 
 struct AttemptFailed
--- a/include/berylridge/Support/Hash.h
+++ b/include/berylridge/Support/Hash.h
@@ -18,6 +18,9 @@
 /// harm.
 std::uint32_t hash32(std::string_view text);
 
+/// Returns the hash in hex, as log lines show it.
+std::string hexText(std::uint64_t hash);
+
 /// Returns the weight of a node for a subject in rendezvous hashing. The node with the highest
 /// weight is chosen.
 std::uint64_t rendezvousWeight(std::string_view subject, std::string_view node);
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -30,6 +30,8 @@
     WorkspaceId workspace;
     std::uint64_t fingerprint = 0;
     std::optional<PrefixChain> chain;
+    /// Ids of the prompt's parts that other requests may share.
+    std::vector<std::uint64_t> sharedParts;
     std::optional<StreamResumption> resumption;
     /// Software version that began the stream of which the caller has events; empty if it has none.
     std::optional<VersionKey> version;
@@ -49,6 +51,7 @@
     TimePoint dispatchedAt;
     Verdict verdictBeforeAttempt = Verdict::NotRun;
     bool hasResponseStarted = false; ///< The target has started its response.
+    TimePoint responseStartedAt {};  ///< When it did; valid if `hasResponseStarted`.
     TimePoint originRecordedAt {};   ///< When the origin of the stream was last recorded.
 
     RequestTrace trace;
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -257,11 +257,26 @@
     // A node sends digests to few nodes of the other zones, so these relay the entries.
     const bool isRelay = m_context.peers.usesZoneSummaries() && !isInOwnZone(from);
     const unsigned periods = m_context.peers.periodsPerRotation();
+    std::size_t newEntries = 0;
     for (const InterruptedRequestEntry &entry : digest.interruptedRequests) {
         const bool isNew = m_requests.onRemoteInterruptedRequest(entry);
+        newEntries += isNew ? 1 : 0;
         if (isNew && isRelay)
             m_interruptedRequests.add(entry, periods);
     }
+    logInterruptions(from, digest.interruptedRequests.size(), newEntries);
+}
+
+void GossipExchange::logInterruptions(const NodeId &from, std::size_t entries,
+                                      std::size_t newEntries)
+{
+    const LogEventId id = LogEventId::InterruptionsReported;
+    if (newEntries == 0 || !m_interruptionLines.tryTake(0, logEventInfo(id).level, m_context.now))
+        return;
+    Json::Value fields;
+    fields["reported"] = Json::UInt64(entries);
+    fields["new"] = Json::UInt64(newEntries);
+    m_context.log(id, from.str(), std::move(fields));
 }
 
 void GossipExchange::onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary)
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -10,6 +10,8 @@
 #include "TransmitLimitedQueue.h"
 #include "ZoneSummaryFilter.h"
 
+#include "berylridge/Support/LogRateLimiter.h"
+
 #include <map>
 #include <string>
 #include <vector>
@@ -58,6 +60,9 @@
     /// Targets' entries change all the time; one response carries all changes of a digest period.
     static constexpr Duration minDirectoryInterval = std::chrono::milliseconds(100);
 
+    /// A target that ends interrupts requests of many nodes.
+    static constexpr double maxInterruptionLinesPerSecond = 10;
+
     LoadDigest buildHeartbeat() const;
     LoadDigest buildDigest();
     std::vector<PlacementUpdate> takePlacementMessages();
@@ -70,6 +75,7 @@
     bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
     void mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest);
+    void logInterruptions(const NodeId &from, std::size_t entries, std::size_t newEntries);
     void relayInOwnZone(const PlacementUpdate &update);
     void requestNewerState(const NodeId &from, const LoadDigest &digest);
     void sendPeers(const NodeId &to, const PeerTable::Peer &peer);
@@ -93,6 +99,7 @@
     ZoneSummaryFilter m_zoneSummaries;
     StateRequestPacer m_catalogRequests;
     StateRequestPacer m_directoryRequests;
+    LogRateLimiter m_interruptionLines {{.lines = maxInterruptionLinesPerSecond}};
     std::size_t m_nextSeed = 0; ///< Position in the options' seeds.
     std::map<NodeId, StateRequest> m_waitingPeers;
 };
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -13,6 +13,8 @@
 constexpr double maxLinesPerSecond = 200;
 /// Limit for the lines that include steps, which count towards maxLinesPerSecond too.
 constexpr double maxDetailedLinesPerSecond = 50;
+/// All requests of a target are interrupted at once when it ends.
+constexpr double maxInterruptionLinesPerSecond = 50;
 /// Callers choose their ids, and a line must not grow with them.
 constexpr std::size_t maxLoggedIdBytes = 64;
 constexpr Duration logPeriod = std::chrono::seconds(1);
@@ -42,14 +44,17 @@
     : m_context(context)
     , m_lineBudget({.lines = maxLinesPerSecond})
     , m_detailBudget({.lines = maxDetailedLinesPerSecond})
+    , m_interruptionBudget({.lines = maxInterruptionLinesPerSecond})
 {
 }
 
-void RequestLog::answered(const BalancedRequest &request, unsigned status)
+void RequestLog::answered(const BalancedRequest &request, const AttemptDone &event)
 {
     const bool isSample = m_answered++ % requestsPerSample == 0;
     Json::Value fields;
-    fields["status"] = status;
+    fields["status"] = event.status;
+    if (event.endedWithConnection)
+        fields["endedWithConnection"] = true;
     logEnded(request, LogEventId::RequestEnded, "answered", std::move(fields),
              isSample || request.isLate(m_context.now) || request.attempts > 1
                  || request.resumption.has_value());
@@ -65,6 +70,24 @@
     logEnded(request, LogEventId::RequestEnded, "caller gone", {}, true);
 }
 
+void RequestLog::interrupted(const BalancedRequest &request, const char *failure)
+{
+    const LogEventId id = LogEventId::RequestInterrupted;
+    if (!m_interruptionBudget.tryTake(0, logEventInfo(id).level, m_context.now))
+        return;
+    Json::Value fields;
+    fields["target"] = request.choice.target.str();
+    fields["boot"] = hexText(request.choice.boot);
+    fields["failure"] = failure;
+    fields["sentMs"] = toMilliseconds(m_context.now - request.dispatchedAt);
+    if (request.hasResponseStarted)
+        fields["begunMs"] = toMilliseconds(m_context.now - request.responseStartedAt);
+    fields["fingerprint"] = hexText(request.fingerprint);
+    for (const std::uint64_t part : request.sharedParts)
+        fields["parts"].append(hexText(part));
+    m_context.emit(Log {{id, {}, request.id, std::move(fields)}});
+}
+
 void RequestLog::refusedEarly(const RequestArrived &event, const Refusal &refusal)
 {
     if (!consumeLineBudget())
--- a/lib/Balancer/RequestLog.h
+++ b/lib/Balancer/RequestLog.h
@@ -19,9 +19,11 @@
 public:
     explicit RequestLog(BalancerContext &context);
 
-    void answered(const BalancedRequest &request, unsigned status);
+    void answered(const BalancedRequest &request, const AttemptDone &event);
     void refused(const BalancedRequest &request, const Refusal &refusal);
     void callerGone(const BalancedRequest &request);
+    /// Logs that a target's connection broke while it ran the request.
+    void interrupted(const BalancedRequest &request, const char *failure);
     /// Logs a request that was refused before its route and service were resolved.
     void refusedEarly(const RequestArrived &event, const Refusal &refusal);
 
@@ -36,6 +38,7 @@
     BalancerContext &m_context;
     LogRateLimiter m_lineBudget;
     LogRateLimiter m_detailBudget;
+    LogRateLimiter m_interruptionBudget;
     std::uint64_t m_answered = 0;
     std::uint64_t m_unlogged = 0; ///< Requests without a line since the last report.
     TimePoint m_lastLoggedAt {};
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -243,8 +243,10 @@
     if (request.route->timeoutMs > 0)
         limit = std::min(limit, fromMilliseconds(request.route->timeoutMs));
     request.deadline = m_context.now + limit;
-    if (event.prompt && request.service->isEngine)
+    if (event.prompt && request.service->isEngine) {
         request.chain = prefixChainOf(*event.prompt);
+        request.sharedParts = sharedPartIds(*event.prompt);
+    }
     return std::nullopt;
 }
 
@@ -391,6 +393,7 @@
     step(*request, RequestSignal::HeadCame);
     if (std::exchange(request->hasResponseStarted, true))
         return;
+    request->responseStartedAt = m_context.now;
     const Duration at = m_context.now - request->arrivedAt;
     request->trace.add(at, ResponseStartedStep {event.status});
     if (!request->firstResponseDelay) {
@@ -418,7 +421,7 @@
                                              m_context.now - request->dispatchedAt);
     endAttempt(*request);
     step(*request, RequestSignal::AnswerEnded);
-    m_log.answered(*request, event.status);
+    m_log.answered(*request, event);
     finish(event.handle);
 }
 
@@ -467,6 +470,7 @@
     case AttemptFailure::TruncatedResponse:
         if (event.sentAny) {
             health.onConnectionBroken(now);
+            m_log.interrupted(request, failureName(event.failure));
             recordInterruptedRequest(request);
         }
         return;
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -33,6 +33,12 @@
     return length->value().size() < std::to_string(Exchange::maxStoredResponseBytes).size();
 }
 
+bool isUnframed(const ResponseHead &head, bool hasBody)
+{
+    return hasBody && head.count(http::field::content_length) == 0
+        && head.count(http::field::transfer_encoding) == 0;
+}
+
 template <typename Buffers>
 void appendBuffers(const Buffers &buffers, std::string &out)
 {
@@ -138,6 +144,7 @@
 {
     ResponseInfo facts = inspect(head);
     m_bootId = std::move(facts.bootId);
+    m_endsWithConnection = isUnframed(head, hasBody);
     const bool isStream = isEventStream(head, hasBody);
     if (facts.failure) {
         m_heldResponse.emplace().failure = facts.failure;
@@ -350,6 +357,8 @@
         done.storedBody = std::move(m_storedBody);
         m_storedBody.reset();
     }
+    done.endedWithConnection = m_endsWithConnection;
+    m_thread.metrics().responsesEndedWithConnection += m_endsWithConnection ? 1 : 0;
     m_thread.report(std::move(done));
 }
 
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -169,6 +169,9 @@
             "requests that continue a stream of which the caller has events", streamsTakenUp);
     counter("berylridge_streams_continued_total",
             "attempts that continue a stream within its response", streamsContinued);
+    counter("berylridge_responses_ended_with_connection_total",
+            "complete responses of targets with neither a length nor chunks",
+            responsesEndedWithConnection);
     firstByteLatency.print("berylridge_first_byte_seconds", "from request to first byte", out);
     requestLatency.print("berylridge_request_seconds", "from request to end of answer", out);
     firstByteAfterEstimate.print("berylridge_first_byte_after_estimate_seconds",
--- a/lib/Policy/PromptCacheDirectory.cpp
+++ b/lib/Policy/PromptCacheDirectory.cpp
@@ -37,6 +37,17 @@
     return chain;
 }
 
+std::vector<std::uint64_t> sharedPartIds(const Prompt &prompt)
+{
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        const std::uint64_t id = prompt.parts[i].id;
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::size_t sharedLinkCount(const PrefixChain &chain)
 {
     return chain.links.empty() ? 0 : std::max<std::size_t>(chain.links.size() - 1, 1);
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cassert>
+#include <charconv>
 #include <sodium.h>
 #include <xxhash.h>
 
@@ -31,6 +32,13 @@
     return hash64(subject, hash64(node));
 }
 
+std::string hexText(std::uint64_t hash)
+{
+    std::array<char, 16> digits {};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), hash, 16);
+    return {digits.data(), end};
+}
+
 std::string credentialDigest(std::string_view credential)
 {
     std::array<unsigned char, crypto_generichash_BYTES> digest {};
