--- a/unittests/Balancer/SimulatedStreams.h
+++ b/unittests/Balancer/SimulatedStreams.h
@@ -3,10 +3,7 @@
 // through other nodes.
 #pragma once
 
-#include "SimulatedFleet.h"
-#include "StepSchedule.h"
-
-#include "berylridge/Support/Random.h"
+#include "SimulatedSite.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -21,17 +18,13 @@
 
 struct SimulatedStreamsOptions
 {
-    std::uint64_t seed = 1;
-    std::size_t zones = 3;
-    std::size_t nodesPerZone = 3;
-    std::size_t targets = 9;
-    std::uint32_t slots = 8;
+    SimulatedSiteOptions site;
     Duration time = std::chrono::seconds(40);
     double streamsPerSecond = 60;
     bool hasVersions = true; ///< Whether replaced targets get other versions.
 };
 
-class SimulatedStreams
+class SimulatedStreams : private SimulatedSite
 {
 public:
     struct Result
@@ -55,16 +48,9 @@
     };
 
     explicit SimulatedStreams(const SimulatedStreamsOptions &options)
-        : m_options(options)
-        , m_random(options.seed)
-        , m_fleet(options.zones, options.nodesPerZone)
+        : SimulatedSite(options.site)
+        , m_options(options)
     {
-        m_fleet.keepActions();
-        m_fleet.start();
-        for (std::size_t i = 0; i < options.targets; ++i)
-            addTarget("v1");
-        for (Node &node : m_fleet.nodes())
-            installState(node);
     }
 
     Result run()
@@ -78,20 +64,6 @@
     }
 
 private:
-    using Node = SimulatedFleet::Node;
-
-    struct Target
-    {
-        std::string id;
-        std::string version;
-        std::string zone;
-        std::uint64_t revision = 0;
-        std::uint32_t running = 0;
-        bool isDraining = false;
-        bool isGone = false;
-    };
-    using TargetHandle = std::shared_ptr<Target>;
-
     /// A stream as its caller sees it, over all of the caller's requests.
     struct Stream
     {
@@ -115,103 +87,19 @@
         bool hasEvents = false;  ///< This request has brought events.
     };
 
-    static constexpr Duration linkDelay = std::chrono::microseconds(1400);
     static constexpr Duration callerTime = std::chrono::seconds(8);
-    static constexpr Duration maxListingDelay = std::chrono::milliseconds(300);
     static constexpr Duration drainTime = std::chrono::milliseconds(2000);
 
-    void schedule(Duration delay, std::function<void()> run)
-    {
-        m_schedule.add(delay, std::move(run));
-    }
-
-    Duration randomTime(Duration from, Duration to)
-    {
-        return from + fromSeconds(toSeconds(to - from) * uniform(m_random));
-    }
-
-    std::size_t randomIndex(std::size_t size)
-    {
-        return static_cast<std::size_t>(uniform(m_random) * static_cast<double>(size));
-    }
-
-    // The platform: catalog, listed targets, and nodes that learn of changes one after the other.
-
-    void installState(Node &node)
-    {
-        Catalog catalog;
-        catalog.version = 1;
-        RouteSpec route;
-        route.host = "h";
-        route.pathPrefix = "/";
-        route.kind = static_cast<std::uint8_t>(RequestKind::Stream);
-        route.timeoutMs = 8000;
-        route.latencyTargetMs = 400;
-        route.attempts = 2;
-        route.isResumable = true;
-        route.services = {{"s", 1}};
-        catalog.routes = {route};
-        catalog.services = {{"s", 100, 3000, 0, true, m_options.slots, 1000000}};
-        catalog.workspaces = {{"potters", {"key"}}};
-        m_fleet.handle(node, CatalogArrived {std::make_shared<const Catalog>(catalog)});
-        listTargets(node);
-    }
-
-    void listTargets(Node &node)
-    {
-        if (!node.core || node.zone == m_cutZone)
-            return;
-        DirectoryUpdate update;
-        update.revision = m_revision;
-        update.isFullSnapshot = true;
-        for (const TargetHandle &target : m_targets) {
-            if (target->isGone)
-                continue;
-            TargetRecord record;
-            record.id = target->id;
-            record.revision = target->revision;
-            record.service = "s";
-            record.address = "10.1.0.1";
-            record.port = 80;
-            record.zone = target->zone;
-            record.slots = m_options.slots;
-            record.isDraining = target->isDraining;
-            record.startedAtMs = 1;
-            record.softwareVersion = target->version;
-            update.targets.push_back(record);
-        }
-        m_fleet.handle(node, DirectoryArrived {update});
-    }
-
-    void listTargetsSoon()
-    {
-        for (Node &node : m_fleet.nodes())
-            schedule(randomTime(Duration(0), maxListingDelay),
-                     [this, &node] { listTargets(node); });
-    }
-
-    TargetHandle addTarget(const std::string &version)
-    {
-        auto target = std::make_shared<Target>();
-        target->id = "t" + std::to_string(++m_lastTarget);
-        target->version = version;
-        target->zone = "z" + std::to_string(m_lastTarget % m_options.zones);
-        target->revision = ++m_revision;
-        m_targets.push_back(target);
-        listTargetsSoon();
-        return target;
-    }
-
     // Faults.
 
     void scheduleFaults()
     {
         const Duration end = m_options.time;
-        scheduleRelease(end / 10, m_options.targets / 2, "v2");
-        scheduleRelease(end / 2, m_options.targets / 2, "v3");
-        scheduleRelease(end * 8 / 10, m_options.targets, "v2");
+        scheduleRelease(end / 10, m_site.targets / 2, "v2");
+        scheduleRelease(end / 2, m_site.targets / 2, "v3");
+        scheduleRelease(end * 8 / 10, m_site.targets, "v2");
         for (Duration at = end / 8; at < end; at += end / 16)
-            schedule(at, [this] { crashTarget(); });
+            schedule(at, [this] { crashAnyTarget(); });
         for (Duration at = end / 6; at < end; at += end / 8)
             schedule(at,
                      [this] { killNode(m_fleet.nodes()[randomIndex(m_fleet.nodes().size())]); });
@@ -234,17 +122,6 @@
         }
     }
 
-    template <typename Matches>
-    TargetHandle findTarget(Matches matches)
-    {
-        std::vector<TargetHandle> found;
-        for (const TargetHandle &target : m_targets) {
-            if (!target->isGone && matches(*target))
-                found.push_back(target);
-        }
-        return found.empty() ? nullptr : found[randomIndex(found.size())];
-    }
-
     void drain(const TargetHandle &target)
     {
         target->isDraining = true;
@@ -253,32 +130,14 @@
         schedule(drainTime, [this, target] { endTarget(target); });
     }
 
-    void endTarget(const TargetHandle &target)
+    void crashAnyTarget()
     {
-        target->isGone = true;
-        ++m_revision;
-        listTargetsSoon();
+        if (const TargetHandle target = findTarget([](const Target &) { return true; }))
+            crashTarget(target);
     }
 
-    /// Ends a target without notice. Another one with the same version takes its place.
-    void crashTarget()
+    void onNodeKilled(Node &node) override
     {
-        const TargetHandle target = findTarget([](const Target &) { return true; });
-        if (!target)
-            return;
-        target->isGone = true;
-        schedule(std::chrono::milliseconds(900), [this] {
-            ++m_revision;
-            listTargetsSoon();
-        });
-        schedule(std::chrono::milliseconds(500), [this, target] { addTarget(target->version); });
-    }
-
-    void killNode(Node &node)
-    {
-        if (!node.core)
-            return;
-        SimulatedFleet::stopNode(node);
         for (auto entry = m_requests.begin(); entry != m_requests.end();) {
             if (entry->second.node != &node) {
                 ++entry;
@@ -288,31 +147,6 @@
             entry = m_requests.erase(entry);
             comeBack(request, randomTime(linkDelay, std::chrono::milliseconds(50)));
         }
-        schedule(std::chrono::milliseconds(700), [this, &node] {
-            m_fleet.startNode(node);
-            installState(node);
-        });
-    }
-
-    void cutZone()
-    {
-        m_cutZone = "z" + std::to_string(randomIndex(m_options.zones));
-        m_fleet.cutZone(m_cutZone);
-        schedule(std::chrono::seconds(1), [this] { setPlatformReachable(m_cutZone, false); });
-        schedule(std::chrono::seconds(5), [this] {
-            const std::string zone = std::exchange(m_cutZone, {});
-            m_fleet.cutZone({});
-            setPlatformReachable(zone, true);
-            listTargetsSoon();
-        });
-    }
-
-    void setPlatformReachable(const std::string &zone, bool isReachable)
-    {
-        for (Node &node : m_fleet.nodes()) {
-            if (node.core && node.zone == zone)
-                m_fleet.handle(node, PlatformReachability {isReachable});
-        }
     }
 
     // Callers.
@@ -321,28 +155,13 @@
     {
         schedule(fromSeconds(2 * uniform(m_random) / m_options.streamsPerSecond), [this] {
             const auto stream = std::make_shared<Stream>();
-            stream->zone = randomIndex(m_options.zones);
+            stream->zone = randomIndex(m_site.zones);
             stream->endsBy = m_schedule.now() + callerTime;
             send(stream);
             scheduleNextStream();
         });
     }
 
-    /// Returns a node of the caller's zone, or of any zone if all nodes of it are down.
-    Node *selectNode(std::size_t zone)
-    {
-        std::vector<Node *> nodes;
-        for (const bool isAnyZone : {false, true}) {
-            for (Node &node : m_fleet.nodes()) {
-                if (node.core && (isAnyZone || node.zone == "z" + std::to_string(zone)))
-                    nodes.push_back(&node);
-            }
-            if (!nodes.empty())
-                return nodes[randomIndex(nodes.size())];
-        }
-        return nullptr;
-    }
-
     void send(const StreamHandle &stream)
     {
         Node *node = selectNode(stream->zone);
@@ -355,7 +174,7 @@
         event.requestId = "r" + std::to_string(m_lastHandle);
         event.host = "h";
         event.path = "/" + std::to_string(m_lastHandle);
-        event.credential = "key";
+        event.credential = credentialOf(0);
         event.deadline = left;
         event.prompt = Prompt {"m", {{m_lastHandle, 2000}}, 2000, 100};
         Request &request = m_requests[m_lastHandle];
@@ -433,12 +252,12 @@
             fail(dispatch, AttemptFailure::ConnectRefused, false);
             return;
         }
-        if (target->running >= 2 * m_options.slots) {
+        if (target->running >= 2 * m_site.slots) {
             fail(dispatch, AttemptFailure::NotRun, true);
             return;
         }
         ++target->running;
-        const double load = static_cast<double>(target->running) / m_options.slots;
+        const double load = static_cast<double>(target->running) / m_site.slots;
         const Duration wait = fromSeconds(0.03 + 0.03 * std::max(0.0, load - 1));
         schedule(wait, [this, dispatch, target] { beginEvents(dispatch, target); });
     }
@@ -511,13 +330,6 @@
     }
 
     const SimulatedStreamsOptions m_options;
-    RandomEngine m_random;
-    SimulatedFleet m_fleet;
-    StepSchedule m_schedule {[this](Duration time) { m_fleet.advance(time); }};
-    std::vector<TargetHandle> m_targets; ///< Includes those that are gone.
-    std::size_t m_lastTarget = 0;
-    std::uint64_t m_revision = 0;
-    std::string m_cutZone;
     std::map<RequestHandle, Request> m_requests;
     RequestHandle m_lastHandle = 0;
     Result m_result;
--- a/unittests/Balancer/StreamVersionFleetTest.cpp
+++ b/unittests/Balancer/StreamVersionFleetTest.cpp
@@ -47,9 +47,9 @@
         if (found != results.end())
             return found->second;
         SimulatedStreamsOptions options;
-        options.seed = seed;
-        options.nodesPerZone = GetParam().nodesPerZone;
-        options.targets = GetParam().targets;
+        options.site.seed = seed;
+        options.site.nodesPerZone = GetParam().nodesPerZone;
+        options.site.targets = GetParam().targets;
         options.streamsPerSecond = GetParam().streamsPerSecond;
         return results[key] = SimulatedStreams(options).run();
     }
