--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -125,8 +125,12 @@
         request.credential = credential;
         request.deadline = 4s;
         request.bodyHash = requestBodyHash;
-        if (isEngine)
-            request.prompt = Prompt {"m", {{1, 10000}, {lastHandle + 100, 4000}}, 14000, 100};
+        if (isEngine) {
+            request.prompt = Prompt {"m", sharedParts, 4000, 100};
+            for (const PromptPart &part : sharedParts)
+                request.prompt->inputTokens += part.tokens;
+            request.prompt->parts.push_back({lastHandle + 100, 4000});
+        }
         handle(request);
     }
 
@@ -189,6 +193,7 @@
     std::int64_t startedAtMs = 1;
     std::map<std::string, std::string> softwareVersions; ///< By target; "v1" for the others.
     bool isEngine = false;
+    std::vector<PromptPart> sharedParts {{1, 10000}}; ///< Of the prompts of engine requests.
 };
 
 } // namespace berylridge::test
--- /dev/null
+++ b/unittests/Balancer/CrashingPartFleetTest.cpp
@@ -0,0 +1,106 @@
+// Tests fleets to which requests come with a prompt part that ends targets, for several seeds.
+// BERYLRIDGE_CRASH_SEEDS sets their number for longer runs.
+#include "SimulatedCrashes.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace berylridge::test {
+namespace {
+
+constexpr std::uint64_t defaultSeeds = 6;
+/// The users' bounds: requests with the part that nodes in touch may still send, and how often
+/// sound requests beside them must begin compared with before.
+constexpr std::uint64_t maxSentTooLate = 3;
+constexpr double minBegunRatio = 0.5;
+
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("BERYLRIDGE_CRASH_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : defaultSeeds;
+}
+
+struct FleetSize
+{
+    std::size_t nodesPerZone;
+    std::size_t targets;
+    double requestsPerSecond;
+    std::uint64_t seedDivisor; ///< Large fleets are simulated with fewer seeds.
+};
+
+class CrashingPartFleetTest : public testing::TestWithParam<FleetSize>
+{
+protected:
+    static std::uint64_t seeds()
+    {
+        return std::max<std::uint64_t>(1, seedCount() / GetParam().seedDivisor);
+    }
+
+    /// Returns the result of the simulation, which the tests of a size share.
+    static const SimulatedCrashes::Result &resultOf(std::uint64_t seed)
+    {
+        static std::map<std::pair<std::size_t, std::uint64_t>, SimulatedCrashes::Result> results;
+        const auto key = std::pair(GetParam().nodesPerZone, seed);
+        const auto found = results.find(key);
+        if (found != results.end())
+            return found->second;
+        constexpr CrashingPartPosition positions[]
+            = {CrashingPartPosition::Between, CrashingPartPosition::First,
+               CrashingPartPosition::Twice};
+        SimulatedCrashesOptions options;
+        options.site.seed = seed;
+        options.site.nodesPerZone = GetParam().nodesPerZone;
+        options.site.targets = GetParam().targets;
+        options.requestsPerSecond = GetParam().requestsPerSecond;
+        options.position = positions[seed % 3];
+        options.unframedShare = seed % 2 == 0 ? 0.3 : 0;
+        options.hasRareCompany = seed % 4 == 1;
+        return results[key] = SimulatedCrashes(options).run();
+    }
+};
+
+} // namespace
+
+// Guards against a prompt part that ends one target after the other although no two requests with
+// it are alike.
+TEST_P(CrashingPartFleetTest, RequestsWithACrashingPartAreStopped)
+{
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        const SimulatedCrashes::Result &result = resultOf(seed);
+        EXPECT_GT(result.crashes, 0U) << "seed " << seed;
+        EXPECT_LE(result.sentTooLate, maxSentTooLate) << "seed " << seed;
+        RecordProperty("seed_" + std::to_string(seed),
+                       "ended " + std::to_string(result.crashes) + ", sent too late "
+                           + std::to_string(result.sentTooLate) + ", messages "
+                           + std::to_string(result.messages));
+    }
+}
+
+// Guards against sound requests that are refused, or lose their targets, because requests of their
+// caller or with the same first part crash targets.
+TEST_P(CrashingPartFleetTest, SoundRequestsBesideThemBegin)
+{
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        const SimulatedCrashes::Result &result = resultOf(seed);
+        EXPECT_GE(result.leastRatio, minBegunRatio) << "seed " << seed;
+        RecordProperty("seed_" + std::to_string(seed),
+                       "begun before " + std::to_string(result.begunBefore) + ", after "
+                           + std::to_string(result.begunAfter) + ", least ratio "
+                           + std::to_string(result.leastRatio) + ", refused as crashing "
+                           + std::to_string(result.refusedSound) + " of "
+                           + std::to_string(result.soundRequests));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, CrashingPartFleetTest,
+                         testing::Values(FleetSize {2, 9, 55, 1}, FleetSize {3, 18, 110, 1},
+                                         FleetSize {10, 30, 190, 3}),
+                         [](const auto &parameters) {
+                             return std::to_string(3 * parameters.param.nodesPerZone) + "Nodes";
+                         });
+
+} // namespace berylridge::test
--- /dev/null
+++ b/unittests/Net/UnframedResponseTest.cpp
@@ -0,0 +1,99 @@
+// Tests responses that have neither a length nor chunks and end with their connection.
+#include "NodeFixture.h"
+
+namespace berylridge::test {
+namespace {
+
+constexpr const char *streamHead
+    = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+constexpr const char *plainHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+constexpr const char *twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// The native protocol where such responses are accepted.
+WireProtocolHandle protocolWithUnframedResponses()
+{
+    WireProtocolHandle protocol = nativeProtocol();
+    protocol.traits.streamsEndWithDoneEvent = false;
+    protocol.traits.acceptsUnframedResponses = true;
+    return protocol;
+}
+
+/// Serves one request with a target that sends the text and then ends the connection.
+class UnframedResponseTest : public testing::Test
+{
+protected:
+    void serve(const std::string &text, bool isReset = false)
+    {
+        FakeTarget target([&](FakeTargetConnection &peer) {
+            peer.readRequest();
+            peer.send(text);
+            if (isReset)
+                peer.reset();
+        });
+        FakeCore core(forwardTo(target.endpoint()));
+        {
+            TestNode node(core, {}, {}, protocolWithUnframedResponses());
+            FakeCaller caller = node.caller();
+            caller.send(requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n",
+                                    "prompt"));
+            response = caller.readAll();
+        }
+        done = core.receivedEvents<AttemptDone>();
+        failed = core.receivedEvents<AttemptFailed>();
+    }
+
+    void expectBrokenOff(AttemptFailure failure)
+    {
+        EXPECT_TRUE(done.empty());
+        ASSERT_EQ(failed.size(), 1U);
+        EXPECT_EQ(failed[0].failure, failure);
+        EXPECT_EQ(response.find("\r\n0\r\n\r\n"), std::string::npos) << response;
+    }
+
+    std::string response;
+    std::vector<AttemptDone> done;
+    std::vector<AttemptFailed> failed;
+};
+
+} // namespace
+
+TEST_F(UnframedResponseTest, CompleteStreamIsRelayed)
+{
+    serve(std::string(streamHead) + twoEvents);
+    ASSERT_EQ(done.size(), 1U);
+    EXPECT_TRUE(done[0].endedWithConnection);
+    EXPECT_NE(response.find("data: b\n\n"), std::string::npos) << response;
+    EXPECT_TRUE(response.ends_with("0\r\n\r\n")) << response;
+}
+
+TEST_F(UnframedResponseTest, CompleteBodyIsRelayed)
+{
+    serve(std::string(plainHead) + "clay");
+    ASSERT_EQ(done.size(), 1U);
+    EXPECT_TRUE(done[0].endedWithConnection);
+    EXPECT_NE(response.find("clay"), std::string::npos) << response;
+}
+
+// Guards against a partial event that looks like the end of the stream.
+TEST_F(UnframedResponseTest, StreamThatEndsInsideAnEventIsBrokenOff)
+{
+    serve(std::string(streamHead) + twoEvents + "id: 3\ndata: c");
+    expectBrokenOff(AttemptFailure::TruncatedResponse);
+}
+
+// Guards against the stream of a target that ended before its first event being taken for a
+// complete one.
+TEST_F(UnframedResponseTest, StreamThatEndsBeforeItsFirstEventIsBrokenOff)
+{
+    serve(streamHead);
+    expectBrokenOff(AttemptFailure::TruncatedResponse);
+}
+
+// Guards against a reset that looks like the end of the response.
+TEST_F(UnframedResponseTest, ResetStreamIsBrokenOff)
+{
+    serve(std::string(streamHead) + twoEvents, true);
+    expectBrokenOff(AttemptFailure::Reset);
+}
+
+} // namespace berylridge::test
