Treat a stream without a length that ends before its first event as cut

What callers saw: a target that ends after the head of such a stream left them a complete stream without events. Cause: without a length, the end of the connection was taken for the end of the stream unless it came inside an event. Why this works: a stream has events, so none at all means that the target ended. The attempt fails as cut and may be retried within the response.

--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -103,6 +103,7 @@
         return true;
     if (m_isDone)
         return false;
+    m_hasEvents = m_hasEvents || id || !data.empty();
     const std::optional<std::uint64_t> number = id ? parseEventNumber(*id) : std::nullopt;
     // A target that resumes a stream may repeat events. Event numbers increase, so an event without
     // a higher number was already forwarded.
--- a/lib/Net/EventStream.h
+++ b/lib/Net/EventStream.h
@@ -32,7 +32,11 @@
 
     /// Starts another attempt, which continues after lastId(). Discards the incomplete event of the
     /// previous attempt.
-    void beginAttempt() { m_pending.clear(); }
+    void beginAttempt()
+    {
+        m_pending.clear();
+        m_hasEvents = false;
+    }
 
     /// Sets the id of the last event that the caller received on an earlier connection.
     void setLastId(std::string_view id);
@@ -40,6 +44,9 @@
     /// Returns the id of the last forwarded event; empty if no event had an id.
     const std::string &lastId() const { return m_lastId; }
 
+    /// Returns whether the current attempt has brought a complete event.
+    bool hasEvents() const { return m_hasEvents; }
+
     /// Returns whether the stream is complete if the response ends here.
     bool isDone() const { return m_endsWithDoneEvent ? m_isDone : m_pending.empty(); }
 
@@ -51,6 +58,7 @@
     std::string m_lastId;
     std::optional<std::uint64_t> m_lastEventNumber;
     bool m_isDone = false;
+    bool m_hasEvents = false;
 };
 
 } // namespace berylridge
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -257,7 +257,9 @@
     }
     std::string events;
     const bool isUsable = m_stream->feed(bytes, events);
-    const bool isCut = isEnd && !m_stream->isDone();
+    // Without a length, the end of a target before its first event looks like an empty stream.
+    const bool isMissingEvents = m_endsWithConnection && !m_stream->hasEvents();
+    const bool isCut = isEnd && (!m_stream->isDone() || isMissingEvents);
     if (isUsable && !isCut) {
         relayBody(events, isEnd);
         return std::nullopt;
