Blame parts of prompts for targets that end

Cause: a crash was recorded under path, workspace and body. Requests of which no two are alike never shared a record, so nothing was learnt; and an answer that ended with its connection cleared the record of a request whose target had ended. Change: CrashBlame keeps two records of the same kind, of requests and of the parts of their prompts that others may share. Acquittals and reports are exchanged by node and outweigh each other in any order; blamed parts are repeated to nodes that restart or were cut off. A blamed part is rerun by one request at one node at a time, rarer with each target that it ended, and at once where other blamed parts explain its record. Requests that wait at a target with a part that is blamed are aborted. An answer that ends with its connection acquits only if its target hasn't ended.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -50,12 +50,15 @@
     MSGPACK_DEFINE(workspace, requestedTokensPerSecond, admittedTokensPerSecond)
 };
 
-/// A request that was running at a target when the target's connections broke.
-struct InterruptedRequestEntry
+/// A request that was running at a target when the target's connections broke, or a part of its
+/// prompt.
+struct InterruptionEntry
 {
-    std::uint64_t fingerprint = 0;
-    std::uint64_t boot = 0; ///< Boot of the target whose connections broke.
-    MSGPACK_DEFINE(fingerprint, boot)
+    std::uint64_t subject = 0; ///< The request's fingerprint, or the part's id.
+    std::uint64_t boot = 0;    ///< Boot of the target whose connections broke.
+    /// The subject has got a complete response since, or the target has not ended.
+    bool isAcquitted = false;
+    MSGPACK_DEFINE(subject, boot, isAcquitted)
 };
 
 struct PeerEntry
@@ -79,7 +82,7 @@
     std::uint64_t directoryRevision = 0;
     std::vector<TargetLoadEntry> loads;
     std::vector<WorkspaceFlowEntry> flows;
-    std::vector<InterruptedRequestEntry> interruptedRequests;
+    std::vector<InterruptionEntry> interruptedRequests;
     /// Included in some digests only: some of the nodes that the sender received messages from
     /// lately.
     std::vector<PeerEntry> peers;
@@ -184,6 +187,14 @@
     MSGPACK_DEFINE(origin, isKnown)
 };
 
+/// Parts of prompts that targets were running when their connections broke. It is sent along with
+/// digests until each peer has received it; entries of the parts that are blamed are repeated.
+struct InterruptedPartsUpdate
+{
+    std::vector<InterruptionEntry> parts;
+    MSGPACK_DEFINE(parts)
+};
+
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
 struct StateRequest
 {
@@ -209,6 +220,6 @@
 using BalancerMessage
     = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay, PlacementUpdate,
                    ZoneLoadSummary, ZoneFlowSummary, DispatchNotice, StreamOriginUpdate,
-                   StreamOriginQuery, StreamOriginAnswer>;
+                   StreamOriginQuery, StreamOriginAnswer, InterruptedPartsUpdate>;
 
 } // namespace berylridge
--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -1,44 +1,89 @@
-// Records which requests crash the targets that run them. A crash is identified by the boot that it
-// ended, so that it counts once however many nodes report it.
+// Records what targets were running when they ended: requests by their fingerprints, or parts of
+// prompts by their ids. A subject that was at several of these ends, and has not got a complete
+// response since, is blamed for them.
+//
+// An end is identified by the target's boot, so that it counts once however many nodes report it.
+// Nodes exchange their entries. An acquittal outweighs the report of the same subject and boot, in
+// whichever order the two arrive.
 #pragma once
 
 #include "berylridge/Support/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <span>
+#include <vector>
 
 namespace berylridge {
 
+struct CrashRecordOptions
+{
+    /// The number of targets that a subject may end before it is blamed.
+    std::size_t maxCrashes = 2;
+    /// Beyond this number, the subjects that were reported the longest ago are forgotten.
+    std::size_t maxSubjects = 4096;
+};
+
+/// Not thread-safe.
 class CrashRecord
 {
 public:
-    /// The number of targets that requests with one fingerprint may crash before they are rejected.
-    static constexpr std::size_t maxCrashes = 2;
+    using Subject = std::uint64_t;
+    using Boot = std::uint64_t;
+
+    explicit CrashRecord(CrashRecordOptions options = {})
+        : m_options(options)
+    {
+    }
+
+    /// Records that a boot ended while it ran the subject. Returns whether this was unknown before.
+    bool add(Subject subject, Boot boot, TimePoint now);
 
-    /// Records that a boot ended while it ran the request. Returns whether the crash was unknown
-    /// before.
-    bool add(std::uint64_t fingerprint, std::uint64_t boot, TimePoint now);
+    /// Records a complete response: the subject ended none of the targets that it was at. Returns
+    /// the boots for which this is new.
+    std::vector<Boot> acquit(Subject subject, TimePoint now);
+    /// Records another node's acquittal. Returns whether it was unknown before.
+    bool acquit(Subject subject, Boot boot, TimePoint now);
+    /// Records that the boot has not ended. Returns the subjects that were reported with it.
+    std::vector<Subject> acquitAll(Boot boot, TimePoint now);
+    bool isAcquitted(Subject subject, Boot boot) const;
 
     /// Returns whether a request that has not run yet has to wait: another one with its fingerprint
     /// crashed a target a moment ago, and its rerun shows whether it caused the crash.
-    bool isHeld(std::uint64_t fingerprint, TimePoint now) const;
-    /// Forgets the fingerprint: a request with it got a complete response, so it does not crash
-    /// the targets that run it.
-    void clear(std::uint64_t fingerprint) { m_entries.erase(fingerprint); }
+    bool isHeld(Subject subject, TimePoint now) const;
+
+    /// Returns the number of targets that the subject may have ended.
+    std::size_t crashes(Subject subject) const;
+    bool isBlamed(Subject subject) const { return crashes(subject) >= m_options.maxCrashes; }
+    /// Returns how long the subject is still rejected, or nothing if it may run.
+    std::optional<Duration> remainingBlockTime(Subject subject, TimePoint now) const;
 
-    std::size_t crashes(std::uint64_t fingerprint) const;
-    /// Returns how long the request is still rejected, or nothing if it may run.
-    std::optional<Duration> remainingBlockTime(std::uint64_t fingerprint, TimePoint now) const;
+    /// Returns whether one request with a blamed subject may run now, to find out whether it ends
+    /// targets. The time between such reruns grows with the number of targets that it ended. If
+    /// blamed subjects that the request doesn't hold were at all of these ends too, the first rerun
+    /// is due at once. Nodes have different delays, so that each learns of the result of the one
+    /// before it. `subjects` are those of the request.
+    bool tryRerun(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
+                  TimePoint now);
 
-    /// Calls visit(fingerprint, boot) for each recorded crash.
+    /// Calls visit(subject, boot) for each report that stands.
     template <typename Visit>
     void forEach(Visit visit) const
     {
-        for (const auto &[fingerprint, entry] : m_entries) {
-            for (const std::uint64_t boot : entry.boots)
-                visit(fingerprint, boot);
+        for (const auto &[subject, entry] : m_entries)
+            visitBoots(subject, entry, visit);
+    }
+
+    /// The same for the blamed subjects that ended a target, or that this node was asked to run,
+    /// within the last minutes. Other nodes may not know of these.
+    template <typename Visit>
+    void forEachBlamed(TimePoint now, Visit visit) const
+    {
+        for (const auto &[subject, entry] : m_entries) {
+            if (entry.crashes() >= m_options.maxCrashes && isCurrent(entry, now))
+                visitBoots(subject, entry, visit);
         }
     }
 
@@ -47,11 +92,31 @@
 private:
     struct Entry
     {
-        std::set<std::uint64_t> boots;
-        TimePoint lastAt;
+        std::map<Boot, bool> isAcquittedByBoot;
+        TimePoint lastAt;                 ///< When the last end became known.
+        TimePoint lastReportAt;           ///< When any report was last received, a known one too.
+        TimePoint lastUseAt {};           ///< When this node last considered a request with it.
+        std::optional<TimePoint> rerunAt; ///< When the last rerun was permitted.
+
+        std::size_t crashes() const;
+        bool isExpired(TimePoint now) const;
     };
 
-    std::map<std::uint64_t, Entry> m_entries;
+    template <typename Visit>
+    static void visitBoots(Subject subject, const Entry &entry, Visit visit)
+    {
+        for (const auto &[boot, isAcquitted] : entry.isAcquittedByBoot) {
+            if (!isAcquitted)
+                visit(subject, boot);
+        }
+    }
+
+    static bool isCurrent(const Entry &entry, TimePoint now);
+    Entry &entryOf(Subject subject);
+    bool isExplainedByOthers(const Entry &entry, std::span<const Subject> subjects) const;
+
+    CrashRecordOptions m_options;
+    std::map<Subject, Entry> m_entries;
 };
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -80,6 +80,7 @@
     m_lastEventAt = now;
     dispatch(event);
     m_requests.handleStreamOrigins();
+    m_requests.abortBlamed();
     m_gossip.sendNotices();
     runTimers();
     m_context.actions = nullptr;
@@ -144,6 +145,7 @@
             [&](const PlacementUpdate &m) {
                 m_gossip.onPlacements(message.from, message.incarnation, m);
             },
+            [&](const InterruptedPartsUpdate &m) { m_gossip.onInterruptedParts(message.from, m); },
             [&](const StreamOriginUpdate &m) { m_streamOrigins.onUpdate(m); },
             [&](const StreamOriginQuery &m) { m_streamOrigins.onQuery(message.from, m); },
             [&](const StreamOriginAnswer &m) { m_streamOrigins.onAnswer(m); },
--- /dev/null
+++ b/lib/Balancer/CrashBlame.h
@@ -0,0 +1,98 @@
+// Finds out which requests, and which parts of their prompts, end the targets that run them, and
+// keeps these from further targets.
+//
+// A target that ends interrupts everything that it runs, and most of that is sound. A part of a
+// prompt is blamed only after several targets have ended soon after they had begun to answer it,
+// and no request with it has got a complete response since, at any node. Parts in use are acquitted
+// within a second.
+#pragma once
+
+#include "BalancedRequest.h"
+#include "BalancerContext.h"
+
+#include "berylridge/Fleet/BalancerMessages.h"
+#include "berylridge/Policy/CrashRecord.h"
+#include "berylridge/Support/LogRateLimiter.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace berylridge {
+
+class CrashBlame
+{
+public:
+    /// What a record is about: a request by its fingerprint, or a part of prompts by its id.
+    enum class Kind : std::uint8_t { Request, Part };
+
+    explicit CrashBlame(BalancerContext &context);
+
+    /// Returns why the request must not be sent to any target, or nothing. A request with a blamed
+    /// part may be let through from time to time, to find out whether the part still ends targets.
+    std::optional<Refusal> checkFirstAttempt(const BalancedRequest &request);
+    /// Returns the refusal of a request with a blamed part.
+    static Refusal partRefusal();
+    /// Returns whether the request itself or a part of its prompt is blamed.
+    bool isBlamed(const BalancedRequest &request) const;
+
+    /// Records that the target's connection broke while it ran the request.
+    void onInterrupted(const BalancedRequest &request);
+    /// Records that the request's target doesn't accept connections.
+    void onConnectionRefused(const BalancedRequest &request);
+    void onResponseStarted(const BalancedRequest &request);
+    /// Records a complete response with a success status. If it `endedWithConnection`, its target
+    /// may have ended instead.
+    void onCompleted(const BalancedRequest &request, bool endedWithConnection);
+
+    /// Records another node's entry. Returns whether it was unknown before.
+    bool onReport(Kind kind, const InterruptionEntry &entry);
+    /// Returns the entries for the other nodes since the last call.
+    std::vector<InterruptionEntry> takeReports(Kind kind);
+    /// Returns the next entries in rotation of the parts that are blamed, for nodes that have
+    /// restarted or were cut off.
+    std::vector<InterruptionEntry> nextBlamedParts(std::size_t maxCount);
+
+    /// Returns whether a part was blamed since the last call.
+    bool takeNewBlame() { return std::exchange(m_hasNewBlame, false); }
+    void tick();
+
+private:
+    /// A response that ended with its connection. It counts as complete unless its target turns out
+    /// to have ended.
+    struct UnprovenResponse
+    {
+        std::uint64_t boot = 0;
+        TimePoint endedAt;
+        std::uint64_t fingerprint = 0;
+        std::vector<std::uint64_t> parts;
+        bool isPartSuspect = false;
+    };
+
+    static constexpr double maxLinesPerSecond = 10;
+
+    CrashRecord &record(Kind kind) { return m_records[static_cast<std::size_t>(kind)]; }
+    const CrashRecord &record(Kind kind) const { return m_records[static_cast<std::size_t>(kind)]; }
+    void add(Kind kind, std::uint64_t subject, std::uint64_t boot);
+    bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
+    void acquit(Kind kind, std::uint64_t subject);
+    void report(Kind kind, const InterruptionEntry &entry);
+    void addUnprovenResponses(std::uint64_t boot);
+    bool isPartSuspect(const BalancedRequest &request) const;
+    Duration rerunDelayOfNode(std::uint64_t part) const;
+    void logBlame(Kind kind, std::uint64_t subject);
+
+    BalancerContext &m_context;
+    std::array<CrashRecord, 2> m_records;                    ///< By Kind.
+    std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
+    /// When the last interruption at a boot became known.
+    std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
+    std::vector<UnprovenResponse> m_unprovenResponses;
+    std::size_t m_nextBlamed = 0; ///< Position in the rotation of nextBlamedParts().
+    bool m_hasNewBlame = false;
+    LogRateLimiter m_lines {{.lines = maxLinesPerSecond}};
+};
+
+} // namespace berylridge
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using CrashKind = CrashBlame::Kind;
+
 /// Every fifth digest carries a list of live nodes, and each of the first digests, because a node
 /// that has just started is usually not the only one. The others need few lists.
 constexpr std::uint64_t digestsPerPeerList = 5;
@@ -24,9 +26,11 @@
 constexpr std::size_t maxFlowsPerSummary = 60;
 /// Placement messages that are sent per period; the rest are sent in later periods.
 constexpr int maxPlacementMessagesPerPeriod = 2;
-/// Each peer receives an interrupted request twice, because a peer that misses it lets the request
-/// crash one more target.
-constexpr unsigned interruptedRequestRounds = 2;
+constexpr std::size_t maxInterruptedPartsPerMessage = 36;
+constexpr std::size_t maxBlamedPartsPerMessage = 12;
+/// Each peer receives an interruption twice, because a peer that misses it lets one more target
+/// crash.
+constexpr unsigned interruptionRounds = 2;
 /// In a StateRequest, asks for the directory alone.
 constexpr std::uint64_t noCatalogWanted = std::numeric_limits<std::uint64_t>::max();
 /// Maximum number of peers that are remembered until this node knows the state.
@@ -47,13 +51,16 @@
     m_heartbeat.isLeaving = isLeaving;
     m_heartbeat.isReadingPlatform = isReadingPlatform;
     const LoadDigest digest = buildDigest();
+    const InterruptedPartsUpdate interruptedParts = takeInterruptedParts();
     if (m_context.peers.usesZoneSummaries())
-        sendZoneSummaries(digest);
+        sendZoneSummaries(digest, interruptedParts);
     const std::vector<PlacementUpdate> updates = takePlacementMessages();
     for (auto &[node, endpoint] : m_context.peers.nextReceivers(m_context.now)) {
         m_context.emit(SendToNode {node, endpoint, BalancerMessage(digest)});
         for (const PlacementUpdate &update : updates)
             m_context.emit(SendToNode {node, endpoint, BalancerMessage(update)});
+        if (!interruptedParts.parts.empty())
+            m_context.emit(SendToNode {node, endpoint, BalancerMessage(interruptedParts)});
     }
     if (!knowsState() && !m_reader.isStateKnownToPeers())
         requestInitialState(digest);
@@ -75,12 +82,15 @@
         if (hasRemoteReceivers)
             m_remoteCacheWrites.add({write.target, write.increase}, remotePeriods);
     }
-    for (const InterruptedRequestEntry &entry : m_requests.takeInterruptedRequests())
-        m_interruptedRequests.add(entry,
-                                  std::max(periods, remotePeriods) * interruptedRequestRounds);
+    const unsigned interruptionPeriods = std::max(periods, remotePeriods) * interruptionRounds;
+    for (const InterruptionEntry &entry : m_requests.crashBlame().takeReports(CrashKind::Request))
+        m_interruptedRequests.add(entry, interruptionPeriods);
+    for (const InterruptionEntry &entry : m_requests.crashBlame().takeReports(CrashKind::Part))
+        m_interruptedParts.add(entry, interruptionPeriods);
 }
 
-void GossipExchange::sendZoneSummaries(const LoadDigest &digest)
+void GossipExchange::sendZoneSummaries(const LoadDigest &digest,
+                                       const InterruptedPartsUpdate &interruptedParts)
 {
     LoadDigest heartbeat = m_heartbeat;
     heartbeat.interruptedRequests = digest.interruptedRequests;
@@ -89,6 +99,8 @@
     PlacementUpdate placements = takeRemotePlacements();
     if (!placements.placements.empty() || !placements.cacheWriteIncreases.empty())
         messages.emplace_back(std::move(placements));
+    if (!interruptedParts.parts.empty())
+        messages.emplace_back(interruptedParts);
     for (BalancerMessage &summary : buildZoneSummaries())
         messages.push_back(std::move(summary));
     for (const auto &[node, endpoint] : m_context.peers.remoteReceivers(m_context.wallNow)) {
@@ -149,6 +161,15 @@
     summaries.emplace_back(std::move(summary));
 }
 
+InterruptedPartsUpdate GossipExchange::takeInterruptedParts()
+{
+    InterruptedPartsUpdate update {
+        m_requests.crashBlame().nextBlamedParts(maxBlamedPartsPerMessage)};
+    for (const InterruptionEntry &entry : m_interruptedParts.take(maxInterruptedPartsPerMessage))
+        update.parts.push_back(entry);
+    return update;
+}
+
 PlacementUpdate GossipExchange::takeRemotePlacements()
 {
     return {m_remotePlacements.take(maxPlacementsPerMessage),
@@ -220,7 +241,7 @@
     if (!wasKnown)
         m_context.log(LogEventId::MemberJoined, from.str() + " zone " + digest.zone);
     mergeLoads(from, digest);
-    mergeInterruptedRequests(from, digest);
+    mergeInterruptions(from, CrashKind::Request, digest.interruptedRequests, m_interruptedRequests);
     m_reader.onPeerState(digest.catalogVersion, digest.directoryRevision);
     requestNewerState(from, digest);
 }
@@ -250,21 +271,28 @@
     m_requests.shares().onDigest(from, std::move(update), m_context.now);
 }
 
-void GossipExchange::mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest)
+void GossipExchange::onInterruptedParts(const NodeId &from, const InterruptedPartsUpdate &update)
+{
+    mergeInterruptions(from, CrashKind::Part, update.parts, m_interruptedParts);
+}
+
+void GossipExchange::mergeInterruptions(const NodeId &from, CrashKind kind,
+                                        std::span<const InterruptionEntry> entries,
+                                        TransmitLimitedQueue<InterruptionEntry> &relayed)
 {
-    if (digest.interruptedRequests.empty())
+    if (entries.empty())
         return;
-    // A node sends digests to few nodes of the other zones, so these relay the entries.
+    // A node sends its entries to few nodes of the other zones, so these relay them.
     const bool isRelay = m_context.peers.usesZoneSummaries() && !isInOwnZone(from);
     const unsigned periods = m_context.peers.periodsPerRotation();
     std::size_t newEntries = 0;
-    for (const InterruptedRequestEntry &entry : digest.interruptedRequests) {
-        const bool isNew = m_requests.onRemoteInterruptedRequest(entry);
+    for (const InterruptionEntry &entry : entries) {
+        const bool isNew = m_requests.crashBlame().onReport(kind, entry);
         newEntries += isNew ? 1 : 0;
         if (isNew && isRelay)
-            m_interruptedRequests.add(entry, periods);
+            relayed.add(entry, periods);
     }
-    logInterruptions(from, digest.interruptedRequests.size(), newEntries);
+    logInterruptions(from, entries.size(), newEntries);
 }
 
 void GossipExchange::logInterruptions(const NodeId &from, std::size_t entries,
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -13,6 +13,7 @@
 #include "berylridge/Support/LogRateLimiter.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
     void onPlacements(const NodeId &from, Incarnation incarnation, const PlacementUpdate &update);
     void onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary);
     void onZoneFlows(const NodeId &from, const ZoneFlowSummary &summary);
+    void onInterruptedParts(const NodeId &from, const InterruptedPartsUpdate &update);
     /// Sends the notices of requests that this node has just dispatched.
     void sendNotices();
     void onDispatchNotice(const NodeId &from, Incarnation incarnation,
@@ -67,14 +69,18 @@
     LoadDigest buildDigest();
     std::vector<PlacementUpdate> takePlacementMessages();
     void queueUpdates();
-    void sendZoneSummaries(const LoadDigest &digest);
+    void sendZoneSummaries(const LoadDigest &digest,
+                           const InterruptedPartsUpdate &interruptedParts);
     std::vector<BalancerMessage> buildZoneSummaries() const;
     void appendZoneLoads(std::vector<BalancerMessage> &summaries) const;
     PlacementUpdate takeRemotePlacements();
     void sendNoticeInOwnZone(const DispatchNotice &notice);
     bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
-    void mergeInterruptedRequests(const NodeId &from, const LoadDigest &digest);
+    void mergeInterruptions(const NodeId &from, CrashBlame::Kind kind,
+                            std::span<const InterruptionEntry> entries,
+                            TransmitLimitedQueue<InterruptionEntry> &relayed);
+    InterruptedPartsUpdate takeInterruptedParts();
     void logInterruptions(const NodeId &from, std::size_t entries, std::size_t newEntries);
     void relayInOwnZone(const PlacementUpdate &update);
     void requestNewerState(const NodeId &from, const LoadDigest &digest);
@@ -92,7 +98,8 @@
     TransmitLimitedQueue<PlacementEntry> m_placements;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWrites;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWriteIncreases;
-    TransmitLimitedQueue<InterruptedRequestEntry> m_interruptedRequests;
+    TransmitLimitedQueue<InterruptionEntry> m_interruptedRequests;
+    TransmitLimitedQueue<InterruptionEntry> m_interruptedParts;
     // Updates for one node of each other zone, which relays them in its zone.
     TransmitLimitedQueue<PlacementEntry> m_remotePlacements;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_remoteCacheWrites;
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -109,6 +109,7 @@
     , m_log(context)
     , m_tally(context)
     , m_overloadLog(context)
+    , m_crashBlame(context)
     , m_random(context.options.seed)
 {
 }
@@ -136,6 +137,10 @@
 
 void RequestProcessor::admit(BalancedRequest &request)
 {
+    if (const auto refusal = m_crashBlame.checkFirstAttempt(request)) {
+        refuse(request, *refusal);
+        return;
+    }
     m_retries[request.service->name].onFirstAttempt(m_context.now);
     if (const auto refusal = placeRequest(request, true))
         refuse(request, *refusal);
@@ -229,8 +234,6 @@
             request.workspace = WorkspaceId(workspace->name);
     }
     request.fingerprint = fingerprintOf(event, request.workspace);
-    if (m_crashes.remainingBlockTime(request.fingerprint, m_context.now))
-        return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
     if (request.route->requestKind() == RequestKind::Stream)
         request.resumption = event.resumption;
     const bool namesFirstRequest = event.resumption && !event.resumption->firstRequestId.empty();
@@ -404,6 +407,7 @@
             m_shares.onLate(demandOf(*request), m_context.now);
     }
     m_targetSelector.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
+    m_crashBlame.onResponseStarted(*request);
     if (event.status == 200)
         recordStreamOrigin(*request);
 }
@@ -414,7 +418,7 @@
     if (!request)
         return;
     request->verdict = Verdict::Ran;
-    m_crashes.clear(request->fingerprint);
+    m_crashBlame.onCompleted(*request, event.endedWithConnection);
     m_targetSelector.health(request->choice.key).onCompleteResponse(m_context.now);
     if (!request->chain)
         m_targetSelector.onResponseCompleted(request->service->name,
@@ -458,6 +462,9 @@
     const TimePoint now = m_context.now;
     switch (event.failure) {
     case AttemptFailure::ConnectRefused:
+        m_crashBlame.onConnectionRefused(request);
+        health.onConnectFailed(now);
+        return;
     case AttemptFailure::ConnectTimeout:
     case AttemptFailure::OtherTarget: // The listed target is no longer at this address.
         health.onConnectFailed(now);
@@ -471,7 +478,7 @@
         if (event.sentAny) {
             health.onConnectionBroken(now);
             m_log.interrupted(request, failureName(event.failure));
-            recordInterruptedRequest(request);
+            m_crashBlame.onInterrupted(request);
         }
         return;
     case AttemptFailure::InvalidResponse:
@@ -494,7 +501,7 @@
         return false;
     if (request.sentAttempts >= request.route->attempts)
         return false;
-    if (m_crashes.remainingBlockTime(request.fingerprint, m_context.now))
+    if (m_crashBlame.isBlamed(request))
         return false;
     if (!event.sentAny)
         return true; // Nothing reached a target, so a retry repeats nothing.
@@ -526,15 +533,21 @@
             {}});
 }
 
-void RequestProcessor::recordInterruptedRequest(const BalancedRequest &request)
-{
-    if (m_crashes.add(request.fingerprint, request.choice.boot, m_context.now))
-        m_interruptedRequests.push_back({request.fingerprint, request.choice.boot});
-}
-
-bool RequestProcessor::onRemoteInterruptedRequest(const InterruptedRequestEntry &entry)
+void RequestProcessor::abortBlamed()
 {
-    return m_crashes.add(entry.fingerprint, entry.boot, m_context.now);
+    if (!m_crashBlame.takeNewBlame())
+        return;
+    std::vector<RequestHandle> blamed;
+    for (const auto &[handle, request] : m_requests) {
+        if (request.isRunning && !request.hasResponseStarted && m_crashBlame.isBlamed(request))
+            blamed.push_back(handle);
+    }
+    for (const RequestHandle handle : blamed) {
+        BalancedRequest &request = m_requests.at(handle);
+        m_context.emit(AbortAttempt {handle, request.attempts});
+        endAttempt(request);
+        refuse(request, CrashBlame::partRefusal());
+    }
 }
 
 void RequestProcessor::onLag(const TrafficThreadReport &event)
@@ -560,7 +573,7 @@
 
 void RequestProcessor::tick()
 {
-    m_crashes.expire(m_context.now);
+    m_crashBlame.tick();
     m_log.tick();
     m_overloadLog.tick(m_requests.size());
     for (auto &[handle, request] : m_requests) {
@@ -597,11 +610,6 @@
     }
 }
 
-std::vector<InterruptedRequestEntry> RequestProcessor::takeInterruptedRequests()
-{
-    return std::exchange(m_interruptedRequests, {});
-}
-
 BalancedRequest *RequestProcessor::find(RequestHandle handle, AttemptNumber attempt)
 {
     const auto found = m_requests.find(handle);
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -3,13 +3,13 @@
 
 #include "BalancedRequest.h"
 #include "BalancerContext.h"
+#include "CrashBlame.h"
 #include "OverloadLog.h"
 #include "RequestLog.h"
 #include "StreamOriginExchange.h"
 #include "TargetSelector.h"
 #include "WorkspaceTally.h"
 
-#include "berylridge/Policy/CrashRecord.h"
 #include "berylridge/Support/Random.h"
 
 #include <map>
@@ -33,9 +33,10 @@
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
-    /// Records that another node lost a target while the target ran a request with this
-    /// fingerprint. Returns whether it was not known yet.
-    bool onRemoteInterruptedRequest(const InterruptedRequestEntry &entry);
+    CrashBlame &crashBlame() { return m_crashBlame; }
+    /// Aborts the requests that wait at targets and have a part of their prompts that was just
+    /// blamed for targets that ended.
+    void abortBlamed();
 
     /// Continues the requests whose lookups of their streams' origins have ended.
     void handleStreamOrigins();
@@ -50,7 +51,6 @@
 
     WorkspaceShares &shares() { return m_shares; }
     const WorkspaceShares &shares() const { return m_shares; }
-    std::vector<InterruptedRequestEntry> takeInterruptedRequests();
     std::size_t size() const { return m_requests.size(); }
     TimePoint lastArrival() const { return m_lastArrival; }
 
@@ -70,7 +70,6 @@
     void updateTargetHealth(BalancedRequest &request, const AttemptFailed &event);
     bool mayRetry(BalancedRequest &request, const AttemptFailed &event);
     void finishFailed(BalancedRequest &request, const AttemptFailed &event);
-    void recordInterruptedRequest(const BalancedRequest &request);
     BalancedRequest *find(RequestHandle handle, AttemptNumber attempt);
     void step(BalancedRequest &request, RequestSignal signal);
     void endAttempt(BalancedRequest &request);
@@ -85,11 +84,9 @@
     WorkspaceTally m_tally;
     OverloadLog m_overloadLog;
     WorkspaceShares m_shares;
-    CrashRecord m_crashes;
+    CrashBlame m_crashBlame;
     std::map<std::string, FleetRetryBudget> m_retries; ///< Keyed by service.
     std::unordered_map<RequestHandle, BalancedRequest> m_requests;
-    std::vector<InterruptedRequestEntry>
-        m_interruptedRequests; ///< Entries to be sent with the next digest.
     RandomEngine m_random;
     TimePoint m_lastArrival {};
     bool m_wasOverloaded = false;
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -1,54 +1,188 @@
 #include "berylridge/Policy/CrashRecord.h"
 
+#include <algorithm>
+#include <set>
+#include <utility>
+
 namespace berylridge {
 
 namespace {
 
-/// Counts from the last crash. Callers who resend for longer reach the limit again after two
-/// further crashes.
+/// Counts from the last crash. Callers who resend for longer reach the limit again after further
+/// crashes.
 constexpr Duration blockTime = std::chrono::minutes(10);
+/// Reports of an end may still arrive this long after its acquittal.
+constexpr Duration acquittalTime = std::chrono::seconds(60);
 
 /// Time for the rerun on a second target: the check of the first target, and a wait in the queue.
 constexpr Duration rerunHoldTime = std::chrono::seconds(4);
+/// Time for a rerun's wait at the target, its result, and the report to the other nodes.
+constexpr Duration rerunTime = std::chrono::seconds(5);
+
+/// Returns the time from the last end to the next rerun. Few ends may be a coincidence.
+Duration rerunDelay(std::size_t crashesBeyondLimit)
+{
+    switch (crashesBeyondLimit) {
+    case 0:
+        return std::chrono::seconds(15);
+    case 1:
+        return std::chrono::minutes(1);
+    default:
+        return blockTime;
+    }
+}
 
 } // namespace
 
-bool CrashRecord::isHeld(std::uint64_t fingerprint, TimePoint now) const
+std::size_t CrashRecord::Entry::crashes() const
+{
+    return static_cast<std::size_t>(std::count_if(isAcquittedByBoot.begin(),
+                                                  isAcquittedByBoot.end(),
+                                                  [](const auto &each) { return !each.second; }));
+}
+
+bool CrashRecord::Entry::isExpired(TimePoint now) const
+{
+    const TimePoint last = std::max({lastAt, lastReportAt, lastUseAt});
+    return last + (crashes() > 0 ? blockTime : acquittalTime) < now;
+}
+
+bool CrashRecord::isCurrent(const Entry &entry, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    return found != m_entries.end() && found->second.boots.size() < maxCrashes
-        && now - found->second.lastAt < rerunHoldTime;
+    return std::max(entry.lastAt, entry.lastUseAt) + blockTime > now;
 }
 
-bool CrashRecord::add(std::uint64_t fingerprint, std::uint64_t boot, TimePoint now)
+CrashRecord::Entry &CrashRecord::entryOf(Subject subject)
 {
-    Entry &entry = m_entries[fingerprint];
-    if (!entry.boots.insert(boot).second)
+    const auto found = m_entries.find(subject);
+    if (found != m_entries.end())
+        return found->second;
+    if (m_entries.size() >= m_options.maxSubjects) {
+        const auto oldest = std::min_element(
+            m_entries.begin(), m_entries.end(), [](const auto &left, const auto &right) {
+                return left.second.lastReportAt < right.second.lastReportAt;
+            });
+        m_entries.erase(oldest);
+    }
+    return m_entries[subject];
+}
+
+bool CrashRecord::add(Subject subject, Boot boot, TimePoint now)
+{
+    Entry &entry = entryOf(subject);
+    entry.lastReportAt = now;
+    if (!entry.isAcquittedByBoot.try_emplace(boot, false).second)
         return false;
     entry.lastAt = now;
     return true;
 }
 
-std::size_t CrashRecord::crashes(std::uint64_t fingerprint) const
+std::vector<CrashRecord::Boot> CrashRecord::acquit(Subject subject, TimePoint now)
+{
+    std::vector<Boot> boots;
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end())
+        return boots;
+    for (auto &[boot, isAcquitted] : found->second.isAcquittedByBoot) {
+        if (!std::exchange(isAcquitted, true))
+            boots.push_back(boot);
+    }
+    found->second.lastReportAt = now;
+    return boots;
+}
+
+bool CrashRecord::acquit(Subject subject, Boot boot, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? 0 : found->second.boots.size();
+    Entry &entry = entryOf(subject);
+    entry.lastReportAt = now;
+    return !std::exchange(entry.isAcquittedByBoot[boot], true);
 }
 
-std::optional<Duration> CrashRecord::remainingBlockTime(std::uint64_t fingerprint,
-                                                        TimePoint now) const
+std::vector<CrashRecord::Subject> CrashRecord::acquitAll(Boot boot, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.boots.size() < maxCrashes)
+    std::vector<Subject> subjects;
+    for (auto &[subject, entry] : m_entries) {
+        const auto found = entry.isAcquittedByBoot.find(boot);
+        if (found == entry.isAcquittedByBoot.end() || std::exchange(found->second, true))
+            continue;
+        entry.lastReportAt = now;
+        subjects.push_back(subject);
+    }
+    return subjects;
+}
+
+bool CrashRecord::isAcquitted(Subject subject, Boot boot) const
+{
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end())
+        return false;
+    const auto state = found->second.isAcquittedByBoot.find(boot);
+    return state != found->second.isAcquittedByBoot.end() && state->second;
+}
+
+bool CrashRecord::isHeld(Subject subject, TimePoint now) const
+{
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end())
+        return false;
+    const std::size_t count = found->second.crashes();
+    return count > 0 && count < m_options.maxCrashes && now - found->second.lastAt < rerunHoldTime;
+}
+
+std::size_t CrashRecord::crashes(Subject subject) const
+{
+    const auto found = m_entries.find(subject);
+    return found == m_entries.end() ? 0 : found->second.crashes();
+}
+
+std::optional<Duration> CrashRecord::remainingBlockTime(Subject subject, TimePoint now) const
+{
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end() || found->second.crashes() < m_options.maxCrashes)
         return std::nullopt;
     const Duration left = found->second.lastAt + blockTime - now;
     return left > Duration(0) ? std::optional(left) : std::nullopt;
 }
 
+bool CrashRecord::tryRerun(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
+                           TimePoint now)
+{
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end())
+        return true;
+    Entry &entry = found->second;
+    entry.lastUseAt = now;
+    const std::size_t count = entry.crashes();
+    if (count < m_options.maxCrashes)
+        return true;
+    const bool isRerunning = entry.rerunAt && now < *entry.rerunAt + rerunTime;
+    if (isRerunning || now < entry.lastAt + nodeDelay)
+        return false;
+    const TimePoint due = entry.lastAt + rerunDelay(count - m_options.maxCrashes) + nodeDelay;
+    if (now < due && !isExplainedByOthers(entry, subjects))
+        return false;
+    entry.rerunAt = now;
+    return true;
+}
+
+/// Returns whether each end that the entry is blamed for may have been caused by blamed subjects
+/// that are not among the given ones.
+bool CrashRecord::isExplainedByOthers(const Entry &entry, std::span<const Subject> subjects) const
+{
+    std::set<Boot> unexplained;
+    visitBoots(0, entry, [&](Subject, Boot boot) { unexplained.insert(boot); });
+    for (const auto &[other, otherEntry] : m_entries) {
+        const bool isInRequest
+            = std::find(subjects.begin(), subjects.end(), other) != subjects.end();
+        if (!isInRequest && otherEntry.crashes() >= m_options.maxCrashes)
+            visitBoots(other, otherEntry, [&](Subject, Boot boot) { unexplained.erase(boot); });
+    }
+    return unexplained.empty();
+}
+
 void CrashRecord::expire(TimePoint now)
 {
-    std::erase_if(m_entries,
-                  [&](const auto &entry) { return entry.second.lastAt + blockTime < now; });
+    std::erase_if(m_entries, [&](const auto &each) { return each.second.isExpired(now); });
 }
 
 } // namespace berylridge
--- a/unittests/Net/DatagramTest.cpp
+++ b/unittests/Net/DatagramTest.cpp
@@ -118,18 +118,40 @@
 // Guards against a renamed message type that changes the values of the metrics' label `kind`.
 TEST(DatagramTest, kindNamesInMetricsAreStable)
 {
-    const std::vector<std::string_view> expected
-        = {"Heartbeat",          "ZoneView",          "DocumentsRequest",
-           "DocumentsReply",     "VmListMessage",     "PoolDemand",
-           "PoolGrant",          "PoolReturn",        "TargetNews",
-           "PoolService",        "CrashNews",         "Goodbye",
-           "PoolHandover",       "KeyClaim",          "KeyVote",
-           "KeyRelease",         "KeyQuery",          "KeyState",
-           "RosterNews",         "RosterProposal",    "RosterConsent",
-           "RosterDecision",     "LoadDigest",        "StateRequest",
-           "CatalogNews",        "DirectoryRelay",    "PlacementNews",
-           "ZoneLoadSummary",    "ZoneFlowSummary",   "DispatchNotice",
-           "StreamOriginUpdate", "StreamOriginQuery", "StreamOriginAnswer"};
+    const std::vector<std::string_view> expected = {"Heartbeat",
+                                                    "ZoneView",
+                                                    "DocumentsRequest",
+                                                    "DocumentsReply",
+                                                    "VmListMessage",
+                                                    "PoolDemand",
+                                                    "PoolGrant",
+                                                    "PoolReturn",
+                                                    "TargetNews",
+                                                    "PoolService",
+                                                    "CrashNews",
+                                                    "Goodbye",
+                                                    "PoolHandover",
+                                                    "KeyClaim",
+                                                    "KeyVote",
+                                                    "KeyRelease",
+                                                    "KeyQuery",
+                                                    "KeyState",
+                                                    "RosterNews",
+                                                    "RosterProposal",
+                                                    "RosterConsent",
+                                                    "RosterDecision",
+                                                    "LoadDigest",
+                                                    "StateRequest",
+                                                    "CatalogNews",
+                                                    "DirectoryRelay",
+                                                    "PlacementNews",
+                                                    "ZoneLoadSummary",
+                                                    "ZoneFlowSummary",
+                                                    "DispatchNotice",
+                                                    "StreamOriginUpdate",
+                                                    "StreamOriginQuery",
+                                                    "StreamOriginAnswer",
+                                                    "InterruptedPartsUpdate"};
     std::vector<std::string_view> names;
     for (std::size_t kind = 0; kind < peerMessageKindCount; ++kind)
         names.push_back(peerMessageKindName(kind));
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -55,7 +55,123 @@
     record.add(1, 100, clock.now());
     record.add(1, 200, clock.now());
     EXPECT_TRUE(record.remainingBlockTime(1, clock.now()));
-    record.clear(1);
+    record.acquit(1, clock.now());
     EXPECT_FALSE(record.remainingBlockTime(1, clock.now()));
     EXPECT_FALSE(record.isHeld(1, clock.now()));
 }
+
+// Guards against a crash that counts again because its report took a longer way than the acquittal.
+TEST(CrashRecord, AcquittalOutweighsReportsInAnyOrder)
+{
+    ManualClock clock;
+    CrashRecord record;
+    EXPECT_TRUE(record.acquit(1, 100, clock.now()));
+    EXPECT_FALSE(record.add(1, 100, clock.now()));
+    record.add(1, 200, clock.now());
+    EXPECT_EQ(record.acquit(1, clock.now()), std::vector<std::uint64_t>({200}));
+    EXPECT_FALSE(record.acquit(1, 200, clock.now()));
+    EXPECT_FALSE(record.add(1, 200, clock.now()));
+    EXPECT_EQ(record.crashes(1), 0U);
+}
+
+TEST(CrashRecord, TargetThatStillRespondsAcquitsAllThatRanThere)
+{
+    ManualClock clock;
+    CrashRecord record;
+    record.add(1, 100, clock.now());
+    record.add(2, 100, clock.now());
+    record.add(2, 200, clock.now());
+    EXPECT_EQ(record.acquitAll(100, clock.now()), std::vector<std::uint64_t>({1, 2}));
+    EXPECT_EQ(record.crashes(1), 0U);
+    EXPECT_EQ(record.crashes(2), 1U);
+}
+
+namespace {
+
+/// Returns the time until a rerun of the subject is permitted at a node without delay.
+Duration timeToRerun(CrashRecord &record, std::uint64_t subject, ManualClock &clock)
+{
+    const TimePoint begin = clock.now();
+    const std::vector<std::uint64_t> subjects {subject};
+    while (!record.tryRerun(subject, subjects, Duration(0), clock.now()))
+        clock.advance(1s);
+    return clock.now() - begin;
+}
+
+} // namespace
+
+// Guards against a subject that keeps ending targets because it is tried again and again, and
+// against one that is never tried again.
+TEST(CrashRecord, RerunsOfABlamedSubjectGetRarer)
+{
+    ManualClock clock;
+    CrashRecord record({.maxCrashes = 3});
+    for (std::uint64_t boot = 1; boot <= 3; ++boot) {
+        EXPECT_EQ(timeToRerun(record, 1, clock), Duration(0));
+        record.add(1, boot, clock.now());
+    }
+    EXPECT_EQ(timeToRerun(record, 1, clock), Duration(15s));
+    record.add(1, 4, clock.now());
+    EXPECT_EQ(timeToRerun(record, 1, clock), Duration(60s));
+    record.add(1, 5, clock.now());
+    EXPECT_EQ(timeToRerun(record, 1, clock), Duration(10min));
+    // Another request of this node waits for the result.
+    EXPECT_GE(timeToRerun(record, 1, clock), Duration(5s));
+}
+
+// Guards against a sound subject that stays refused because only requests with the crashing one use
+// it at the moment.
+TEST(CrashRecord, SubjectThatAnotherOneExplainsIsRerunAtOnce)
+{
+    ManualClock clock;
+    CrashRecord record;
+    for (const std::uint64_t boot : {100, 200}) {
+        record.add(1, boot, clock.now());
+        record.add(2, boot, clock.now());
+    }
+    const std::vector<std::uint64_t> both {1, 2};
+    EXPECT_FALSE(record.tryRerun(1, both, Duration(0), clock.now()));
+    const std::vector<std::uint64_t> alone {1};
+    EXPECT_FALSE(record.tryRerun(1, alone, 1s, clock.now())) << "another node comes first";
+    EXPECT_TRUE(record.tryRerun(1, alone, Duration(0), clock.now()));
+    record.add(1, 300, clock.now());
+    clock.advance(6s);
+    EXPECT_FALSE(record.tryRerun(1, alone, Duration(0), clock.now()));
+}
+
+TEST(CrashRecord, SubjectsBeyondTheLimitAreForgotten)
+{
+    ManualClock clock;
+    CrashRecord record({.maxSubjects = 2});
+    for (std::uint64_t subject = 1; subject <= 3; ++subject) {
+        record.add(subject, 100, clock.now());
+        clock.advance(1s);
+    }
+    EXPECT_EQ(record.crashes(1), 0U);
+    EXPECT_EQ(record.crashes(2), 1U);
+    EXPECT_EQ(record.crashes(3), 1U);
+}
+
+// Guards against a verdict that nodes keep alive by repeating it to each other.
+TEST(CrashRecord, KnownReportsDoNotKeepAVerdictCurrent)
+{
+    ManualClock clock;
+    CrashRecord record;
+    record.add(1, 100, clock.now());
+    record.add(1, 200, clock.now());
+    const auto blamedCount = [&] {
+        int count = 0;
+        record.forEachBlamed(clock.now(), [&](std::uint64_t, std::uint64_t) { ++count; });
+        return count;
+    };
+    EXPECT_EQ(blamedCount(), 2);
+    clock.advance(9min);
+    record.add(1, 200, clock.now());
+    clock.advance(2min);
+    record.expire(clock.now());
+    EXPECT_TRUE(record.isBlamed(1));
+    EXPECT_EQ(blamedCount(), 0);
+    clock.advance(9min);
+    record.expire(clock.now());
+    EXPECT_FALSE(record.isBlamed(1));
+}
