Rerun blamed parts by what else explains their record; acquit only what ended before

Cause: found by more variants of the simulated fleets (all answers without a length, a part in use that begins to crash targets, a restart of all nodes). Change: a rerun that was not sent may be sent to another target, and is permitted again if it wasn't sent at all; the time to the next rerun depends on the ends that other blamed parts don't explain; an answer acquits of the ends before its start; an answer that ended with its connection is judged after 0.5 s.

--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -41,9 +41,9 @@
     /// Records that a boot ended while it ran the subject. Returns whether this was unknown before.
     bool add(Subject subject, Boot boot, TimePoint now);
 
-    /// Records a complete response: the subject ended none of the targets that it was at. Returns
-    /// the boots for which this is new.
-    std::vector<Boot> acquit(Subject subject, TimePoint now);
+    /// Records a complete response that began at `begunAt`: the subject ended none of the targets
+    /// that had ended before. Returns the boots for which this is new.
+    std::vector<Boot> acquit(Subject subject, TimePoint begunAt, TimePoint now);
     /// Records another node's acquittal. Returns whether it was unknown before.
     bool acquit(Subject subject, Boot boot, TimePoint now);
     /// Records that the boot has not ended. Returns the subjects that were reported with it.
@@ -61,13 +61,16 @@
     std::optional<Duration> remainingBlockTime(Subject subject, TimePoint now) const;
 
     /// Returns whether one request with a blamed subject may run now, to find out whether it ends
-    /// targets. The time between such reruns grows with the number of targets that it ended. If
-    /// blamed subjects that the request doesn't hold were at all of these ends too, the first rerun
-    /// is due at once. Nodes have different delays, so that each learns of the result of the one
-    /// before it. `subjects` are those of the request.
+    /// targets. The time between such reruns grows with the number of targets that it ended. Where
+    /// blamed subjects that the request doesn't hold were at these ends too, a rerun is due sooner.
+    /// Nodes have different delays, so that each learns of the result of the one before it.
+    /// `subjects` are those of the request.
     bool tryRerun(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
                   TimePoint now);
 
+    /// Permits a rerun of the subject although one was permitted a moment ago.
+    void cancelRerun(Subject subject);
+
     /// Calls visit(subject, boot) for each report that stands.
     template <typename Visit>
     void forEach(Visit visit) const
@@ -92,7 +95,13 @@
 private:
     struct Entry
     {
-        std::map<Boot, bool> isAcquittedByBoot;
+        struct Report
+        {
+            TimePoint at; ///< When it became known.
+            bool isAcquitted = false;
+        };
+
+        std::map<Boot, Report> reports;
         TimePoint lastAt;                 ///< When the last end became known.
         TimePoint lastReportAt;           ///< When any report was last received, a known one too.
         TimePoint lastUseAt {};           ///< When this node last considered a request with it.
@@ -105,15 +114,15 @@
     template <typename Visit>
     static void visitBoots(Subject subject, const Entry &entry, Visit visit)
     {
-        for (const auto &[boot, isAcquitted] : entry.isAcquittedByBoot) {
-            if (!isAcquitted)
+        for (const auto &[boot, report] : entry.reports) {
+            if (!report.isAcquitted)
                 visit(subject, boot);
         }
     }
 
     static bool isCurrent(const Entry &entry, TimePoint now);
     Entry &entryOf(Subject subject);
-    bool isExplainedByOthers(const Entry &entry, std::span<const Subject> subjects) const;
+    std::size_t countUnexplained(const Entry &entry, std::span<const Subject> subjects) const;
 
     CrashRecordOptions m_options;
     std::map<Subject, Entry> m_entries;
--- a/lib/Balancer/CrashBlame.cpp
+++ b/lib/Balancer/CrashBlame.cpp
@@ -19,6 +19,8 @@
 constexpr Duration maxRefutationTime = std::chrono::milliseconds(1000);
 /// Time by which another request shows that a target has ended.
 constexpr Duration proofTime = std::chrono::milliseconds(500);
+/// Maximum time between the ends of a target's connections when it ends.
+constexpr Duration maxSignDelay = std::chrono::milliseconds(100);
 /// Difference between the times at which two nodes rerun a blamed part.
 constexpr Duration rerunInterval = std::chrono::seconds(1);
 
@@ -30,15 +32,17 @@
 {
 }
 
-std::optional<Refusal> CrashBlame::checkFirstAttempt(const BalancedRequest &request)
+std::optional<Refusal> CrashBlame::checkFirstAttempt(BalancedRequest &request)
 {
     if (record(Kind::Request).remainingBlockTime(request.fingerprint, m_context.now))
         return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
+    CrashRecord &parts = record(Kind::Part);
     for (const std::uint64_t part : request.sharedParts) {
-        if (record(Kind::Part).isBlamed(part)
-            && !record(Kind::Part)
-                    .tryRerun(part, request.sharedParts, rerunDelayOfNode(part), m_context.now))
+        if (!parts.isBlamed(part))
+            continue;
+        if (!parts.tryRerun(part, request.sharedParts, rerunDelayOfNode(part), m_context.now))
             return partRefusal();
+        request.isRerun = true;
     }
     return std::nullopt;
 }
@@ -58,10 +62,16 @@
                        [&](std::uint64_t part) { return record(Kind::Part).isBlamed(part); });
 }
 
+void CrashBlame::cancelRerun(const BalancedRequest &request)
+{
+    for (const std::uint64_t part : request.sharedParts)
+        record(Kind::Part).cancelRerun(part);
+}
+
 void CrashBlame::onInterrupted(const BalancedRequest &request)
 {
     const std::uint64_t boot = request.choice.boot;
-    addUnprovenResponses(boot);
+    m_interruptedAt[boot] = m_context.now;
     add(Kind::Request, request.fingerprint, boot);
     if (!isPartSuspect(request))
         return;
@@ -71,7 +81,12 @@
 
 void CrashBlame::onConnectionRefused(const BalancedRequest &request)
 {
-    addUnprovenResponses(request.choice.boot);
+    const std::uint64_t boot = request.choice.boot;
+    const bool isInQuestion
+        = std::any_of(m_unprovenResponses.begin(), m_unprovenResponses.end(),
+                      [&](const UnprovenResponse &response) { return response.boot == boot; });
+    if (isInQuestion)
+        m_interruptedAt[boot] = m_context.now;
 }
 
 void CrashBlame::onResponseStarted(const BalancedRequest &request)
@@ -91,13 +106,14 @@
 void CrashBlame::onCompleted(const BalancedRequest &request, bool endedWithConnection)
 {
     if (endedWithConnection) {
-        m_unprovenResponses.push_back({request.choice.boot, m_context.now, request.fingerprint,
-                                       request.sharedParts, isPartSuspect(request)});
+        m_unprovenResponses.push_back({request.choice.boot, request.responseStartedAt,
+                                       m_context.now, request.fingerprint, request.sharedParts,
+                                       isPartSuspect(request)});
         return;
     }
-    acquit(Kind::Request, request.fingerprint);
+    acquit(Kind::Request, request.fingerprint, request.responseStartedAt);
     for (const std::uint64_t part : request.sharedParts)
-        acquit(Kind::Part, part);
+        acquit(Kind::Part, part, request.responseStartedAt);
 }
 
 bool CrashBlame::onReport(Kind kind, const InterruptionEntry &entry)
@@ -109,10 +125,7 @@
         report(kind, {entry.subject, entry.boot, true});
         return false;
     }
-    if (!addToRecord(kind, entry.subject, entry.boot))
-        return false;
-    addUnprovenResponses(entry.boot);
-    return true;
+    return addToRecord(kind, entry.subject, entry.boot);
 }
 
 std::vector<InterruptionEntry> CrashBlame::takeReports(Kind kind)
@@ -137,18 +150,35 @@
     const TimePoint now = m_context.now;
     for (CrashRecord &each : m_records)
         each.expire(now);
+    resolveUnprovenResponses();
     std::erase_if(m_interruptedAt,
                   [&](const auto &each) { return each.second + maxRefutationTime < now; });
-    const auto isProven
-        = [&](const UnprovenResponse &response) { return response.endedAt + proofTime < now; };
-    for (const UnprovenResponse &response : m_unprovenResponses) {
-        if (!isProven(response))
-            continue;
-        acquit(Kind::Request, response.fingerprint);
-        for (const std::uint64_t part : response.parts)
-            acquit(Kind::Part, part);
+}
+
+void CrashBlame::resolveUnprovenResponses()
+{
+    std::vector<UnprovenResponse> due;
+    std::erase_if(m_unprovenResponses, [&](UnprovenResponse &response) {
+        if (m_context.now < response.endedAt + proofTime)
+            return false;
+        due.push_back(std::move(response));
+        return true;
+    });
+    for (const UnprovenResponse &response : due) {
+        const auto interrupted = m_interruptedAt.find(response.boot);
+        const bool isComplete = interrupted == m_interruptedAt.end()
+            || interrupted->second + maxSignDelay < response.endedAt;
+        if (isComplete)
+            acquit(Kind::Request, response.fingerprint, response.begunAt);
+        else
+            add(Kind::Request, response.fingerprint, response.boot);
+        for (const std::uint64_t part : response.parts) {
+            if (isComplete)
+                acquit(Kind::Part, part, response.begunAt);
+            else if (response.isPartSuspect)
+                add(Kind::Part, part, response.boot);
+        }
     }
-    std::erase_if(m_unprovenResponses, isProven);
 }
 
 /// Records an interruption that this node observed.
@@ -171,9 +201,9 @@
     return true;
 }
 
-void CrashBlame::acquit(Kind kind, std::uint64_t subject)
+void CrashBlame::acquit(Kind kind, std::uint64_t subject, TimePoint begunAt)
 {
-    for (const std::uint64_t boot : record(kind).acquit(subject, m_context.now))
+    for (const std::uint64_t boot : record(kind).acquit(subject, begunAt, m_context.now))
         report(kind, {subject, boot, true});
 }
 
@@ -182,26 +212,6 @@
     m_reports[static_cast<std::size_t>(kind)].push_back(entry);
 }
 
-/// Records the responses that ended with their connections to this boot as interrupted, now that
-/// the boot has ended.
-void CrashBlame::addUnprovenResponses(std::uint64_t boot)
-{
-    std::vector<UnprovenResponse> interrupted;
-    std::erase_if(m_unprovenResponses, [&](UnprovenResponse &response) {
-        if (response.boot != boot)
-            return false;
-        interrupted.push_back(std::move(response));
-        return true;
-    });
-    for (const UnprovenResponse &response : interrupted) {
-        add(Kind::Request, response.fingerprint, boot);
-        if (!response.isPartSuspect)
-            continue;
-        for (const std::uint64_t part : response.parts)
-            add(Kind::Part, part, boot);
-    }
-}
-
 /// Returns whether the request's target would end about now if a part of the prompt ended it.
 bool CrashBlame::isPartSuspect(const BalancedRequest &request) const
 {
--- a/lib/Balancer/CrashBlame.h
+++ b/lib/Balancer/CrashBlame.h
@@ -31,13 +31,17 @@
     explicit CrashBlame(BalancerContext &context);
 
     /// Returns why the request must not be sent to any target, or nothing. A request with a blamed
-    /// part may be let through from time to time, to find out whether the part still ends targets.
-    std::optional<Refusal> checkFirstAttempt(const BalancedRequest &request);
+    /// part may be let through from time to time, to find out whether the part still ends targets;
+    /// it is then marked as a rerun.
+    std::optional<Refusal> checkFirstAttempt(BalancedRequest &request);
     /// Returns the refusal of a request with a blamed part.
     static Refusal partRefusal();
     /// Returns whether the request itself or a part of its prompt is blamed.
     bool isBlamed(const BalancedRequest &request) const;
 
+    /// Permits another rerun, since this one has not been sent to a target.
+    void cancelRerun(const BalancedRequest &request);
+
     /// Records that the target's connection broke while it ran the request.
     void onInterrupted(const BalancedRequest &request);
     /// Records that the request's target doesn't accept connections.
@@ -65,6 +69,7 @@
     struct UnprovenResponse
     {
         std::uint64_t boot = 0;
+        TimePoint begunAt;
         TimePoint endedAt;
         std::uint64_t fingerprint = 0;
         std::vector<std::uint64_t> parts;
@@ -77,9 +82,9 @@
     const CrashRecord &record(Kind kind) const { return m_records[static_cast<std::size_t>(kind)]; }
     void add(Kind kind, std::uint64_t subject, std::uint64_t boot);
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
-    void acquit(Kind kind, std::uint64_t subject);
+    void acquit(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
-    void addUnprovenResponses(std::uint64_t boot);
+    void resolveUnprovenResponses();
     bool isPartSuspect(const BalancedRequest &request) const;
     Duration rerunDelayOfNode(std::uint64_t part) const;
     void logBlame(Kind kind, std::uint64_t subject);
@@ -87,7 +92,7 @@
     BalancerContext &m_context;
     std::array<CrashRecord, 2> m_records;                    ///< By Kind.
     std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
-    /// When the last interruption at a boot became known.
+    /// When the last sign that a boot has ended became known, unless it has responded since.
     std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
     std::vector<UnprovenResponse> m_unprovenResponses;
     std::size_t m_nextBlamed = 0; ///< Position in the rotation of nextBlamedParts().
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -501,7 +501,8 @@
         return false;
     if (request.sentAttempts >= request.route->attempts)
         return false;
-    if (m_crashBlame.isBlamed(request))
+    const bool isUnfinishedRerun = request.isRerun && request.verdict == Verdict::NotRun;
+    if (!isUnfinishedRerun && m_crashBlame.isBlamed(request))
         return false;
     if (!event.sentAny)
         return true; // Nothing reached a target, so a retry repeats nothing.
@@ -632,6 +633,8 @@
 
 void RequestProcessor::refuse(BalancedRequest &request, const Refusal &refusal)
 {
+    if (request.isRerun && request.verdict == Verdict::NotRun)
+        m_crashBlame.cancelRerun(request);
     m_log.refused(request, refusal);
     m_tally.refused(request, refusal.type);
     m_context.emit(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -19,9 +19,14 @@
 /// Time for a rerun's wait at the target, its result, and the report to the other nodes.
 constexpr Duration rerunTime = std::chrono::seconds(5);
 
-/// Returns the time from the last end to the next rerun. Few ends may be a coincidence.
-Duration rerunDelay(std::size_t crashesBeyondLimit)
-{
+/// Returns the time from the last end to the next rerun. Few ends may be a coincidence, and so may
+/// one that nothing else explains.
+Duration rerunDelay(std::size_t crashesBeyondLimit, std::size_t unexplainedCrashes)
+{
+    if (unexplainedCrashes == 0)
+        return Duration(0);
+    if (unexplainedCrashes == 1)
+        return std::chrono::seconds(10);
     switch (crashesBeyondLimit) {
     case 0:
         return std::chrono::seconds(15);
@@ -36,9 +41,8 @@
 
 std::size_t CrashRecord::Entry::crashes() const
 {
-    return static_cast<std::size_t>(std::count_if(isAcquittedByBoot.begin(),
-                                                  isAcquittedByBoot.end(),
-                                                  [](const auto &each) { return !each.second; }));
+    return static_cast<std::size_t>(std::count_if(
+        reports.begin(), reports.end(), [](const auto &each) { return !each.second.isAcquitted; }));
 }
 
 bool CrashRecord::Entry::isExpired(TimePoint now) const
@@ -71,20 +75,21 @@
 {
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
-    if (!entry.isAcquittedByBoot.try_emplace(boot, false).second)
+    if (!entry.reports.try_emplace(boot, Entry::Report {now}).second)
         return false;
     entry.lastAt = now;
     return true;
 }
 
-std::vector<CrashRecord::Boot> CrashRecord::acquit(Subject subject, TimePoint now)
+std::vector<CrashRecord::Boot> CrashRecord::acquit(Subject subject, TimePoint begunAt,
+                                                   TimePoint now)
 {
     std::vector<Boot> boots;
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return boots;
-    for (auto &[boot, isAcquitted] : found->second.isAcquittedByBoot) {
-        if (!std::exchange(isAcquitted, true))
+    for (auto &[boot, report] : found->second.reports) {
+        if (report.at < begunAt && !std::exchange(report.isAcquitted, true))
             boots.push_back(boot);
     }
     found->second.lastReportAt = now;
@@ -95,15 +100,16 @@
 {
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
-    return !std::exchange(entry.isAcquittedByBoot[boot], true);
+    Entry::Report &report = entry.reports.try_emplace(boot, Entry::Report {now}).first->second;
+    return !std::exchange(report.isAcquitted, true);
 }
 
 std::vector<CrashRecord::Subject> CrashRecord::acquitAll(Boot boot, TimePoint now)
 {
     std::vector<Subject> subjects;
     for (auto &[subject, entry] : m_entries) {
-        const auto found = entry.isAcquittedByBoot.find(boot);
-        if (found == entry.isAcquittedByBoot.end() || std::exchange(found->second, true))
+        const auto found = entry.reports.find(boot);
+        if (found == entry.reports.end() || std::exchange(found->second.isAcquitted, true))
             continue;
         entry.lastReportAt = now;
         subjects.push_back(subject);
@@ -116,8 +122,8 @@
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return false;
-    const auto state = found->second.isAcquittedByBoot.find(boot);
-    return state != found->second.isAcquittedByBoot.end() && state->second;
+    const auto report = found->second.reports.find(boot);
+    return report != found->second.reports.end() && report->second.isAcquitted;
 }
 
 bool CrashRecord::isHeld(Subject subject, TimePoint now) const
@@ -158,16 +164,24 @@
     const bool isRerunning = entry.rerunAt && now < *entry.rerunAt + rerunTime;
     if (isRerunning || now < entry.lastAt + nodeDelay)
         return false;
-    const TimePoint due = entry.lastAt + rerunDelay(count - m_options.maxCrashes) + nodeDelay;
-    if (now < due && !isExplainedByOthers(entry, subjects))
+    const std::size_t unexplained = countUnexplained(entry, subjects);
+    if (now < entry.lastAt + rerunDelay(count - m_options.maxCrashes, unexplained) + nodeDelay)
         return false;
     entry.rerunAt = now;
     return true;
 }
 
-/// Returns whether each end that the entry is blamed for may have been caused by blamed subjects
-/// that are not among the given ones.
-bool CrashRecord::isExplainedByOthers(const Entry &entry, std::span<const Subject> subjects) const
+void CrashRecord::cancelRerun(Subject subject)
+{
+    const auto found = m_entries.find(subject);
+    if (found != m_entries.end())
+        found->second.rerunAt.reset();
+}
+
+/// Returns the number of ends that the entry is blamed for and that no blamed subject besides the
+/// given ones may have caused.
+std::size_t CrashRecord::countUnexplained(const Entry &entry,
+                                          std::span<const Subject> subjects) const
 {
     std::set<Boot> unexplained;
     visitBoots(0, entry, [&](Subject, Boot boot) { unexplained.insert(boot); });
@@ -177,7 +191,7 @@
         if (!isInRequest && otherEntry.crashes() >= m_options.maxCrashes)
             visitBoots(other, otherEntry, [&](Subject, Boot boot) { unexplained.erase(boot); });
     }
-    return unexplained.empty();
+    return unexplained.size();
 }
 
 void CrashRecord::expire(TimePoint now)
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -83,7 +83,7 @@
         return;
     recordBoot(*request, event.bootId);
     request->verdict = Verdict::Ran;
-    m_crashes.acquit(request->fingerprint, m_context.now);
+    m_crashes.acquit(request->fingerprint, request->dispatchedAt, m_context.now);
     addTrace(*request, "answered", std::to_string(event.status));
     if (!request->key.empty())
         m_keys.finished(request->key, event.status, event.storedHeaders, event.storedBody);
--- a/unittests/Balancer/CrashingPartFleetTest.cpp
+++ b/unittests/Balancer/CrashingPartFleetTest.cpp
@@ -57,8 +57,11 @@
         options.site.targets = GetParam().targets;
         options.requestsPerSecond = GetParam().requestsPerSecond;
         options.position = positions[seed % 3];
-        options.unframedShare = seed % 2 == 0 ? 0.3 : 0;
-        options.hasRareCompany = seed % 4 == 1;
+        options.unframedShare = seed % 4 == 0 ? 0.3 : seed % 4 == 2 ? 1 : 0;
+        options.hasRareCompany = seed % 5 == 1;
+        options.wasInUse = seed % 5 == 3;
+        options.isFleetRestarted = seed % 7 == 4;
+        options.crashingPerSecond = seed % 6 == 5 ? 12 : 4;
         return results[key] = SimulatedCrashes(options).run();
     }
 };
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -130,6 +130,7 @@
     ASSERT_TRUE(beside);
     complete(*second, true);
     handle(makeFailure(*beside, AttemptFailure::Reset));
+    advanceTime(1s);
     requestBodyHash = 77;
     sharedParts = {commonPart};
     sendRequest("/read/1");
@@ -145,6 +146,7 @@
 TEST_F(CrashingPartTest, CompleteAnswerAcquitsAPart)
 {
     EXPECT_EQ(crashTargets({otherPart}, 2), 2);
+    advanceTime(10ms);
     const auto sound = send({commonPart, otherPart});
     ASSERT_TRUE(sound);
     complete(*sound);
--- a/unittests/Balancer/SimulatedCrashes.h
+++ b/unittests/Balancer/SimulatedCrashes.h
@@ -25,9 +25,12 @@
     CrashingPartPosition position = CrashingPartPosition::Between;
     /// Few other requests use the first part of the crashing prompts.
     bool hasRareCompany = false;
-    double cutShare = 0.02;     ///< Share of the answers that are cut while the target goes on.
-    double unframedShare = 0;   ///< Share of the answers that end with their connection.
-    bool hasOtherFaults = true; ///< Targets end, nodes are killed and a zone is cut off.
+    /// The part is one that many sound requests had before it began to crash targets.
+    bool wasInUse = false;
+    bool isFleetRestarted = false; ///< All nodes are killed at once after the part is known.
+    double cutShare = 0.02;        ///< Share of the answers that are cut while the target goes on.
+    double unframedShare = 0;      ///< Share of the answers that end with their connection.
+    bool hasOtherFaults = true;    ///< Targets end, nodes are killed and a zone is cut off.
 };
 
 class SimulatedCrashes : private SimulatedSite
@@ -56,7 +59,14 @@
     {
         scheduleFaults();
         scheduleNextCall(m_options.requestsPerSecond, false);
-        schedule(firstCrashingAt, [this] { scheduleNextCall(m_options.crashingPerSecond, true); });
+        if (!m_options.wasInUse)
+            schedule(firstCrashingAt,
+                     [this] { scheduleNextCall(m_options.crashingPerSecond, true); });
+        if (m_options.isFleetRestarted)
+            schedule(m_options.time * 2 / 3, [this] {
+                for (Node &node : m_fleet.nodes())
+                    killNode(node);
+            });
         m_schedule.runUntil(m_options.time);
         summarize();
         return m_result;
@@ -71,7 +81,8 @@
     static constexpr std::uint64_t minGroupCalls = 20;
     static constexpr std::size_t firstPartCount = 10;
     static constexpr std::size_t secondPartCount = 8; ///< For each first part.
-    static constexpr std::uint64_t crashingPart = 0xbad;
+    static constexpr std::uint64_t newCrashingPart = 0xbad;
+    static constexpr std::uint64_t firstSecondPart = 100; ///< Id of the first of all second parts.
 
     /// What a caller wants, over all of its requests.
     struct Call
@@ -233,9 +244,12 @@
                                                                  : skewedIndex(firstPartCount);
         call->isCrashing = isCrashing;
         const PromptPart first {1 + call->firstPart, 1000};
-        const PromptPart second {
-            100 + call->firstPart * secondPartCount + skewedIndex(secondPartCount), 500};
-        const PromptPart crashing {crashingPart, 400};
+        const PromptPart second {firstSecondPart + call->firstPart * secondPartCount
+                                     + skewedIndex(secondPartCount),
+                                 500};
+        const PromptPart crashing {newCrashingPart, 400};
+        if (m_options.wasInUse && m_schedule.now() >= firstCrashingAt)
+            call->isCrashing = second.id == firstSecondPart;
         if (!isCrashing)
             call->sharedParts = {first, second};
         else if (m_options.position == CrashingPartPosition::First)
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -55,7 +55,8 @@
     record.add(1, 100, clock.now());
     record.add(1, 200, clock.now());
     EXPECT_TRUE(record.remainingBlockTime(1, clock.now()));
-    record.acquit(1, clock.now());
+    clock.advance(1ms);
+    record.acquit(1, clock.now(), clock.now());
     EXPECT_FALSE(record.remainingBlockTime(1, clock.now()));
     EXPECT_FALSE(record.isHeld(1, clock.now()));
 }
@@ -68,7 +69,10 @@
     EXPECT_TRUE(record.acquit(1, 100, clock.now()));
     EXPECT_FALSE(record.add(1, 100, clock.now()));
     record.add(1, 200, clock.now());
-    EXPECT_EQ(record.acquit(1, clock.now()), std::vector<std::uint64_t>({200}));
+    const TimePoint before = clock.now();
+    clock.advance(1ms);
+    EXPECT_TRUE(record.acquit(1, before, clock.now()).empty()) << "it began before the end";
+    EXPECT_EQ(record.acquit(1, clock.now(), clock.now()), std::vector<std::uint64_t>({200}));
     EXPECT_FALSE(record.acquit(1, 200, clock.now()));
     EXPECT_FALSE(record.add(1, 200, clock.now()));
     EXPECT_EQ(record.crashes(1), 0U);
