Permit reruns of all blamed parts of a request or of none

Cause: review. A request with two blamed parts of which one was not due for a rerun ended the rerun of the other that was under way, so a crashing part could be tried twice at once. Change: all parts are checked before any rerun begins. Only responses with a success status acquit parts. The log marks reruns.

--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -65,11 +65,13 @@
     /// blamed subjects that the request doesn't hold were at these ends too, a rerun is due sooner.
     /// Nodes have different delays, so that each learns of the result of the one before it.
     /// `subjects` are those of the request.
-    bool tryRerun(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
-                  TimePoint now);
-
-    /// Permits a rerun of the subject although one was permitted a moment ago.
+    bool isRerunDue(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
+                    TimePoint now) const;
+    void beginRerun(Subject subject, TimePoint now);
+    /// Records that the last rerun was not sent to any target.
     void cancelRerun(Subject subject);
+    /// Records that this node was asked to run the subject.
+    void recordUse(Subject subject, TimePoint now);
 
     /// Calls visit(subject, boot) for each report that stands.
     template <typename Visit>
--- a/lib/Balancer/CrashBlame.cpp
+++ b/lib/Balancer/CrashBlame.cpp
@@ -36,14 +36,24 @@
 {
     if (record(Kind::Request).remainingBlockTime(request.fingerprint, m_context.now))
         return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
-    CrashRecord &parts = record(Kind::Part);
+    CrashRecord &partRecord = record(Kind::Part);
+    std::vector<std::uint64_t> blamedParts;
     for (const std::uint64_t part : request.sharedParts) {
-        if (!parts.isBlamed(part))
+        if (!partRecord.isBlamed(part))
             continue;
-        if (!parts.tryRerun(part, request.sharedParts, rerunDelayOfNode(part), m_context.now))
-            return partRefusal();
-        request.isRerun = true;
+        blamedParts.push_back(part);
+        partRecord.recordUse(part, m_context.now);
     }
+    const bool mayRun
+        = std::all_of(blamedParts.begin(), blamedParts.end(), [&](std::uint64_t part) {
+              return partRecord.isRerunDue(part, request.sharedParts, rerunDelayOfNode(part),
+                                           m_context.now);
+          });
+    if (!mayRun)
+        return partRefusal();
+    for (const std::uint64_t part : blamedParts)
+        partRecord.beginRerun(part, m_context.now);
+    request.isRerun = !blamedParts.empty();
     return std::nullopt;
 }
 
@@ -84,7 +94,7 @@
     const std::uint64_t boot = request.choice.boot;
     const bool isInQuestion
         = std::any_of(m_unprovenResponses.begin(), m_unprovenResponses.end(),
-                      [&](const UnprovenResponse &response) { return response.boot == boot; });
+                      [&](const CompletedResponse &response) { return response.boot == boot; });
     if (isInQuestion)
         m_interruptedAt[boot] = m_context.now;
 }
@@ -103,17 +113,22 @@
     }
 }
 
-void CrashBlame::onCompleted(const BalancedRequest &request, bool endedWithConnection)
+void CrashBlame::onCompleted(const BalancedRequest &request, const AttemptDone &event)
 {
-    if (endedWithConnection) {
-        m_unprovenResponses.push_back({request.choice.boot, request.responseStartedAt,
-                                       m_context.now, request.fingerprint, request.sharedParts,
-                                       isPartSuspect(request)});
-        return;
-    }
-    acquit(Kind::Request, request.fingerprint, request.responseStartedAt);
-    for (const std::uint64_t part : request.sharedParts)
-        acquit(Kind::Part, part, request.responseStartedAt);
+    // A target that rejects a request has not begun to answer its prompt.
+    const bool isSuccess = event.status >= 200 && event.status < 300;
+    CompletedResponse response;
+    response.boot = request.choice.boot;
+    response.begunAt = request.responseStartedAt;
+    response.endedAt = m_context.now;
+    response.fingerprint = request.fingerprint;
+    response.isPartSuspect = isPartSuspect(request);
+    if (isSuccess)
+        response.parts = request.sharedParts;
+    if (event.endedWithConnection)
+        m_unprovenResponses.push_back(std::move(response));
+    else
+        acquitAll(response);
 }
 
 bool CrashBlame::onReport(Kind kind, const InterruptionEntry &entry)
@@ -157,30 +172,40 @@
 
 void CrashBlame::resolveUnprovenResponses()
 {
-    std::vector<UnprovenResponse> due;
-    std::erase_if(m_unprovenResponses, [&](UnprovenResponse &response) {
+    std::vector<CompletedResponse> due;
+    std::erase_if(m_unprovenResponses, [&](CompletedResponse &response) {
         if (m_context.now < response.endedAt + proofTime)
             return false;
         due.push_back(std::move(response));
         return true;
     });
-    for (const UnprovenResponse &response : due) {
+    for (const CompletedResponse &response : due) {
         const auto interrupted = m_interruptedAt.find(response.boot);
         const bool isComplete = interrupted == m_interruptedAt.end()
             || interrupted->second + maxSignDelay < response.endedAt;
         if (isComplete)
-            acquit(Kind::Request, response.fingerprint, response.begunAt);
+            acquitAll(response);
         else
-            add(Kind::Request, response.fingerprint, response.boot);
-        for (const std::uint64_t part : response.parts) {
-            if (isComplete)
-                acquit(Kind::Part, part, response.begunAt);
-            else if (response.isPartSuspect)
-                add(Kind::Part, part, response.boot);
-        }
+            addAll(response);
     }
 }
 
+void CrashBlame::acquitAll(const CompletedResponse &response)
+{
+    acquit(Kind::Request, response.fingerprint, response.begunAt);
+    for (const std::uint64_t part : response.parts)
+        acquit(Kind::Part, part, response.begunAt);
+}
+
+void CrashBlame::addAll(const CompletedResponse &response)
+{
+    add(Kind::Request, response.fingerprint, response.boot);
+    if (!response.isPartSuspect)
+        return;
+    for (const std::uint64_t part : response.parts)
+        add(Kind::Part, part, response.boot);
+}
+
 /// Records an interruption that this node observed.
 void CrashBlame::add(Kind kind, std::uint64_t subject, std::uint64_t boot)
 {
--- a/lib/Balancer/CrashBlame.h
+++ b/lib/Balancer/CrashBlame.h
@@ -47,9 +47,9 @@
     /// Records that the request's target doesn't accept connections.
     void onConnectionRefused(const BalancedRequest &request);
     void onResponseStarted(const BalancedRequest &request);
-    /// Records a complete response with a success status. If it `endedWithConnection`, its target
-    /// may have ended instead.
-    void onCompleted(const BalancedRequest &request, bool endedWithConnection);
+    /// Records a complete response. If it ended with its connection, its target may have ended
+    /// instead, which other requests show soon.
+    void onCompleted(const BalancedRequest &request, const AttemptDone &event);
 
     /// Records another node's entry. Returns whether it was unknown before.
     bool onReport(Kind kind, const InterruptionEntry &entry);
@@ -64,16 +64,15 @@
     void tick();
 
 private:
-    /// A response that ended with its connection. It counts as complete unless its target turns out
-    /// to have ended.
-    struct UnprovenResponse
+    /// What a response that seems complete says about its request.
+    struct CompletedResponse
     {
         std::uint64_t boot = 0;
         TimePoint begunAt;
         TimePoint endedAt;
         std::uint64_t fingerprint = 0;
         std::vector<std::uint64_t> parts;
-        bool isPartSuspect = false;
+        bool isPartSuspect = false; ///< If the target ended, a part may have ended it.
     };
 
     static constexpr double maxLinesPerSecond = 10;
@@ -84,6 +83,8 @@
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
     void acquit(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
+    void acquitAll(const CompletedResponse &response);
+    void addAll(const CompletedResponse &response);
     void resolveUnprovenResponses();
     bool isPartSuspect(const BalancedRequest &request) const;
     Duration rerunDelayOfNode(std::uint64_t part) const;
@@ -94,7 +95,8 @@
     std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
     /// When the last sign that a boot has ended became known, unless it has responded since.
     std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
-    std::vector<UnprovenResponse> m_unprovenResponses;
+    std::vector<CompletedResponse>
+        m_unprovenResponses;      ///< Those that ended with their connections.
     std::size_t m_nextBlamed = 0; ///< Position in the rotation of nextBlamedParts().
     bool m_hasNewBlame = false;
     LogRateLimiter m_lines {{.lines = maxLinesPerSecond}};
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -135,6 +135,8 @@
     }
     if (request.resumption)
         fields["resumes"] = request.resumption->firstRequestId.substr(0, maxLoggedIdBytes);
+    if (request.isRerun)
+        fields["rerun"] = true;
     fields["attempts"] = request.attempts;
     fields["totalMs"] = toMilliseconds(m_context.now - request.arrivedAt);
     if (request.firstResponseDelay) {
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -418,7 +418,7 @@
     if (!request)
         return;
     request->verdict = Verdict::Ran;
-    m_crashBlame.onCompleted(*request, event.endedWithConnection);
+    m_crashBlame.onCompleted(*request, event);
     m_targetSelector.health(request->choice.key).onCompleteResponse(m_context.now);
     if (!request->chain)
         m_targetSelector.onResponseCompleted(request->service->name,
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -150,14 +150,13 @@
     return left > Duration(0) ? std::optional(left) : std::nullopt;
 }
 
-bool CrashRecord::tryRerun(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
-                           TimePoint now)
+bool CrashRecord::isRerunDue(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
+                             TimePoint now) const
 {
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return true;
-    Entry &entry = found->second;
-    entry.lastUseAt = now;
+    const Entry &entry = found->second;
     const std::size_t count = entry.crashes();
     if (count < m_options.maxCrashes)
         return true;
@@ -165,10 +164,14 @@
     if (isRerunning || now < entry.lastAt + nodeDelay)
         return false;
     const std::size_t unexplained = countUnexplained(entry, subjects);
-    if (now < entry.lastAt + rerunDelay(count - m_options.maxCrashes, unexplained) + nodeDelay)
-        return false;
-    entry.rerunAt = now;
-    return true;
+    return now >= entry.lastAt + rerunDelay(count - m_options.maxCrashes, unexplained) + nodeDelay;
+}
+
+void CrashRecord::beginRerun(Subject subject, TimePoint now)
+{
+    const auto found = m_entries.find(subject);
+    if (found != m_entries.end())
+        found->second.rerunAt = now;
 }
 
 void CrashRecord::cancelRerun(Subject subject)
@@ -178,6 +181,13 @@
         found->second.rerunAt.reset();
 }
 
+void CrashRecord::recordUse(Subject subject, TimePoint now)
+{
+    const auto found = m_entries.find(subject);
+    if (found != m_entries.end())
+        found->second.lastUseAt = now;
+}
+
 /// Returns the number of ends that the entry is blamed for and that no blamed subject besides the
 /// given ones may have caused.
 std::size_t CrashRecord::countUnexplained(const Entry &entry,
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -258,6 +258,24 @@
     EXPECT_TRUE(updates.front().second.parts.front().isAcquitted);
 }
 
+// Guards against a sound part that stays refused because its rerun met a target that had ended.
+TEST_F(CrashingPartTest, RerunThatIsNotSentIsTriedAgain)
+{
+    crashTargets({commonPart, crashingPart}, 3);
+    const auto first = send({commonPart});
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(send({commonPart})) << "one rerun at a time";
+    handle(makeFailure(*first, AttemptFailure::ConnectRefused, false));
+    const auto second = dispatchOfLastEvent();
+    ASSERT_TRUE(second);
+    for (auto next = second; next; next = dispatchOfLastEvent())
+        handle(makeFailure(*next, AttemptFailure::ConnectRefused, false));
+    EXPECT_TRUE(findAction<Refuse>());
+    advanceTime(3s); // The targets can be reached again.
+    EXPECT_TRUE(send({commonPart}));
+    EXPECT_FALSE(send({commonPart}));
+}
+
 // Guards against sessions that end because a target crashed while it ran one of their requests: the
 // last part belongs to the request or its session.
 TEST_F(CrashingPartTest, LastPartIsNotBlamed)
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -97,8 +97,9 @@
 {
     const TimePoint begin = clock.now();
     const std::vector<std::uint64_t> subjects {subject};
-    while (!record.tryRerun(subject, subjects, Duration(0), clock.now()))
+    while (!record.isRerunDue(subject, subjects, Duration(0), clock.now()))
         clock.advance(1s);
+    record.beginRerun(subject, clock.now());
     return clock.now() - begin;
 }
 
@@ -134,13 +135,13 @@
         record.add(2, boot, clock.now());
     }
     const std::vector<std::uint64_t> both {1, 2};
-    EXPECT_FALSE(record.tryRerun(1, both, Duration(0), clock.now()));
+    EXPECT_FALSE(record.isRerunDue(1, both, Duration(0), clock.now()));
     const std::vector<std::uint64_t> alone {1};
-    EXPECT_FALSE(record.tryRerun(1, alone, 1s, clock.now())) << "another node comes first";
-    EXPECT_TRUE(record.tryRerun(1, alone, Duration(0), clock.now()));
+    EXPECT_FALSE(record.isRerunDue(1, alone, 1s, clock.now())) << "another node comes first";
+    EXPECT_TRUE(record.isRerunDue(1, alone, Duration(0), clock.now()));
     record.add(1, 300, clock.now());
     clock.advance(6s);
-    EXPECT_FALSE(record.tryRerun(1, alone, Duration(0), clock.now()));
+    EXPECT_FALSE(record.isRerunDue(1, alone, Duration(0), clock.now()));
 }
 
 TEST(CrashRecord, SubjectsBeyondTheLimitAreForgotten)
