--- a/unittests/Balancer/CrashingPartFleetTest.cpp
+++ b/unittests/Balancer/CrashingPartFleetTest.cpp
@@ -101,7 +101,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Sizes, CrashingPartFleetTest,
                          testing::Values(FleetSize {2, 9, 55, 1}, FleetSize {3, 18, 110, 1},
-                                         FleetSize {10, 30, 190, 3}),
+                                         FleetSize {10, 30, 190, 3}, FleetSize {25, 90, 550, 6}),
                          [](const auto &parameters) {
                              return std::to_string(3 * parameters.param.nodesPerZone) + "Nodes";
                          });
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -54,7 +54,7 @@
         begin(dispatch);
         advanceTime(100ms);
         handle(makeFailure(dispatch, AttemptFailure::TruncatedResponse));
-        const auto next = dispatchOfLastEvent();
+        auto next = dispatchOfLastEvent();
         std::erase(targets, dispatch.target.str());
         installTargets(targets);
         return next;
@@ -75,7 +75,7 @@
     std::optional<Dispatch> sendTo(const TargetId &target)
     {
         for (int i = 0; i < 40; ++i) {
-            const auto dispatch = send({otherPart});
+            auto dispatch = send({otherPart});
             if (dispatch && dispatch->target == target)
                 return dispatch;
         }
--- a/unittests/Balancer/SimulatedCrashes.h
+++ b/unittests/Balancer/SimulatedCrashes.h
@@ -59,14 +59,16 @@
     {
         scheduleFaults();
         scheduleNextCall(m_options.requestsPerSecond, false);
-        if (!m_options.wasInUse)
+        if (!m_options.wasInUse) {
             schedule(firstCrashingAt,
                      [this] { scheduleNextCall(m_options.crashingPerSecond, true); });
-        if (m_options.isFleetRestarted)
+        }
+        if (m_options.isFleetRestarted) {
             schedule(m_options.time * 2 / 3, [this] {
                 for (Node &node : m_fleet.nodes())
                     killNode(node);
             });
+        }
         m_schedule.runUntil(m_options.time);
         summarize();
         return m_result;
@@ -196,10 +198,13 @@
         if (target->isGone)
             return;
         crashTarget(target, randomTime(std::chrono::seconds(1), std::chrono::seconds(3)));
-        for (const auto &[handle, run] : m_runs) {
-            if (run.target == target)
-                schedule(linkDelay + randomTime(Duration(0), linkDelay),
-                         [this, handle, attempt = run.attempt] { breakOff(handle, attempt); });
+        for (const auto &entry : m_runs) {
+            if (entry.second.target != target)
+                continue;
+            schedule(linkDelay + randomTime(Duration(0), linkDelay),
+                     [this, handle = entry.first, attempt = entry.second.attempt] {
+                         breakOff(handle, attempt);
+                     });
         }
     }
 
@@ -209,12 +214,12 @@
         const Run *run = findRun(handle, attempt);
         if (!run)
             return;
-        if (run->hasBegun && run->isUnframed && uniform(m_random) < 0.5)
+        if (run->hasBegun && run->isUnframed && uniform(m_random) < 0.5) {
             complete(handle, attempt);
-        else
-            fail(handle, attempt,
-                 uniform(m_random) < 0.2 ? AttemptFailure::Reset
-                                         : AttemptFailure::TruncatedResponse);
+            return;
+        }
+        const bool isReset = uniform(m_random) < 0.2;
+        fail(handle, attempt, isReset ? AttemptFailure::Reset : AttemptFailure::TruncatedResponse);
     }
 
     // Callers.
