Bound the record of ends and the queue of reports

Cause: review. Acquitted reports of parts in use were kept for as long as they were in use, so each target that ended added an entry to each of them; the queue of reports had no bound. Change: acquitted reports expire after a minute; the queue drops its oldest entries beyond 8192.

--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -56,7 +56,11 @@
 
     /// Returns the number of targets that the subject may have ended.
     std::size_t crashes(Subject subject) const;
-    bool isBlamed(Subject subject) const { return crashes(subject) >= m_options.maxCrashes; }
+    bool isBlamed(Subject subject) const
+    {
+        const auto found = m_entries.find(subject);
+        return found != m_entries.end() && isBlamed(found->second);
+    }
     /// Returns how long the subject is still rejected, or nothing if it may run.
     std::optional<Duration> remainingBlockTime(Subject subject, TimePoint now) const;
 
@@ -87,7 +91,7 @@
     void forEachBlamed(TimePoint now, Visit visit) const
     {
         for (const auto &[subject, entry] : m_entries) {
-            if (entry.crashes() >= m_options.maxCrashes && isCurrent(entry, now))
+            if (isBlamed(entry) && isCurrent(entry, now))
                 visitBoots(subject, entry, visit);
         }
     }
@@ -122,6 +126,11 @@
         }
     }
 
+    bool isBlamed(const Entry &entry) const
+    {
+        return entry.reports.size() >= m_options.maxCrashes
+            && entry.crashes() >= m_options.maxCrashes;
+    }
     static bool isCurrent(const Entry &entry, TimePoint now);
     Entry &entryOf(Subject subject);
     std::size_t countUnexplained(const Entry &entry, std::span<const Subject> subjects) const;
--- a/lib/Balancer/CrashBlame.cpp
+++ b/lib/Balancer/CrashBlame.cpp
@@ -128,7 +128,7 @@
     if (event.endedWithConnection)
         m_unprovenResponses.push_back(std::move(response));
     else
-        acquitAll(response);
+        acquitSubjectsOf(response);
 }
 
 bool CrashBlame::onReport(Kind kind, const InterruptionEntry &entry)
@@ -184,20 +184,20 @@
         const bool isComplete = interrupted == m_interruptedAt.end()
             || interrupted->second + maxSignDelay < response.endedAt;
         if (isComplete)
-            acquitAll(response);
+            acquitSubjectsOf(response);
         else
-            addAll(response);
+            addSubjectsOf(response);
     }
 }
 
-void CrashBlame::acquitAll(const CompletedResponse &response)
+void CrashBlame::acquitSubjectsOf(const CompletedResponse &response)
 {
     acquit(Kind::Request, response.fingerprint, response.begunAt);
     for (const std::uint64_t part : response.parts)
         acquit(Kind::Part, part, response.begunAt);
 }
 
-void CrashBlame::addAll(const CompletedResponse &response)
+void CrashBlame::addSubjectsOf(const CompletedResponse &response)
 {
     add(Kind::Request, response.fingerprint, response.boot);
     if (!response.isPartSuspect)
--- a/lib/Balancer/CrashBlame.h
+++ b/lib/Balancer/CrashBlame.h
@@ -83,8 +83,8 @@
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
     void acquit(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
-    void acquitAll(const CompletedResponse &response);
-    void addAll(const CompletedResponse &response);
+    void acquitSubjectsOf(const CompletedResponse &response);
+    void addSubjectsOf(const CompletedResponse &response);
     void resolveUnprovenResponses();
     bool isPartSuspect(const BalancedRequest &request) const;
     Duration rerunDelayOfNode(std::uint64_t part) const;
--- a/lib/Balancer/TransmitLimitedQueue.h
+++ b/lib/Balancer/TransmitLimitedQueue.h
@@ -17,17 +17,22 @@
 class TransmitLimitedQueue
 {
 public:
+    /// Beyond this number, the oldest entries are dropped: they have been sent most often.
+    static constexpr std::size_t maxEntries = 8192;
+
     /// Queues the entry to be sent `transmissions` times.
     void add(Entry entry, unsigned transmissions)
     {
+        if (m_items.size() == maxEntries)
+            m_items.pop_front();
         m_items.push_back({std::move(entry), transmissions});
     }
 
-    /// Returns the entries to send in this period, the oldest first and at most `maxEntries`.
-    std::vector<Entry> take(std::size_t maxEntries)
+    /// Returns the entries to send in this period, the oldest first and at most `maxCount`.
+    std::vector<Entry> take(std::size_t maxCount)
     {
         std::vector<Entry> taken;
-        const std::size_t count = std::min(maxEntries, m_items.size());
+        const std::size_t count = std::min(maxCount, m_items.size());
         for (std::size_t i = 0; i < count; ++i) {
             taken.push_back(m_items[i].entry);
             --m_items[i].transmissionsLeft;
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -92,7 +92,8 @@
         if (report.at < begunAt && !std::exchange(report.isAcquitted, true))
             boots.push_back(boot);
     }
-    found->second.lastReportAt = now;
+    if (!boots.empty())
+        found->second.lastReportAt = now;
     return boots;
 }
 
@@ -144,7 +145,7 @@
 std::optional<Duration> CrashRecord::remainingBlockTime(Subject subject, TimePoint now) const
 {
     const auto found = m_entries.find(subject);
-    if (found == m_entries.end() || found->second.crashes() < m_options.maxCrashes)
+    if (found == m_entries.end() || !isBlamed(found->second))
         return std::nullopt;
     const Duration left = found->second.lastAt + blockTime - now;
     return left > Duration(0) ? std::optional(left) : std::nullopt;
@@ -157,14 +158,14 @@
     if (found == m_entries.end())
         return true;
     const Entry &entry = found->second;
-    const std::size_t count = entry.crashes();
-    if (count < m_options.maxCrashes)
+    if (!isBlamed(entry))
         return true;
     const bool isRerunning = entry.rerunAt && now < *entry.rerunAt + rerunTime;
     if (isRerunning || now < entry.lastAt + nodeDelay)
         return false;
     const std::size_t unexplained = countUnexplained(entry, subjects);
-    return now >= entry.lastAt + rerunDelay(count - m_options.maxCrashes, unexplained) + nodeDelay;
+    const std::size_t beyondLimit = entry.crashes() - m_options.maxCrashes;
+    return now >= entry.lastAt + rerunDelay(beyondLimit, unexplained) + nodeDelay;
 }
 
 void CrashRecord::beginRerun(Subject subject, TimePoint now)
@@ -198,7 +199,7 @@
     for (const auto &[other, otherEntry] : m_entries) {
         const bool isInRequest
             = std::find(subjects.begin(), subjects.end(), other) != subjects.end();
-        if (!isInRequest && otherEntry.crashes() >= m_options.maxCrashes)
+        if (!isInRequest && isBlamed(otherEntry))
             visitBoots(other, otherEntry, [&](Subject, Boot boot) { unexplained.erase(boot); });
     }
     return unexplained.size();
@@ -206,6 +207,11 @@
 
 void CrashRecord::expire(TimePoint now)
 {
+    for (auto &[subject, entry] : m_entries) {
+        std::erase_if(entry.reports, [&](const auto &each) {
+            return each.second.isAcquitted && each.second.at + acquittalTime < now;
+        });
+    }
     std::erase_if(m_entries, [&](const auto &each) { return each.second.isExpired(now); });
 }
 
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -180,3 +180,20 @@
     record.expire(clock.now());
     EXPECT_FALSE(record.isBlamed(1));
 }
+
+// Guards against a record of a subject in use that grows with each target that ends.
+TEST(CrashRecord, AcquittedReportsExpireWhileTheSubjectIsInUse)
+{
+    ManualClock clock;
+    CrashRecord record;
+    record.add(1, 100, clock.now());
+    clock.advance(1ms);
+    record.acquit(1, clock.now(), clock.now());
+    for (int i = 0; i < 90; ++i) {
+        clock.advance(1s);
+        record.add(1, 200, clock.now());
+        record.acquit(1, clock.now(), clock.now());
+        record.expire(clock.now());
+    }
+    EXPECT_TRUE(record.add(1, 100, clock.now())) << "the acquittal is forgotten";
+}
