Names of the field: crash detector, quarantined parts, clearances

No behaviour changes: CrashBlame is CrashDetector, blamed is quarantined, acquitted is cleared; comments, titles of refusals and docs follow.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -57,8 +57,8 @@
     std::uint64_t subject = 0; ///< The request's fingerprint, or the part's id.
     std::uint64_t boot = 0;    ///< Boot of the target whose connections broke.
     /// The subject has got a complete response since, or the target has not ended.
-    bool isAcquitted = false;
-    MSGPACK_DEFINE(subject, boot, isAcquitted)
+    bool isCleared = false;
+    MSGPACK_DEFINE(subject, boot, isCleared)
 };
 
 struct PeerEntry
@@ -188,7 +188,7 @@
 };
 
 /// Parts of prompts that targets were running when their connections broke. It is sent along with
-/// digests until each peer has received it; entries of the parts that are blamed are repeated.
+/// digests until each peer has received it; entries of the parts that are quarantined are repeated.
 struct InterruptedPartsUpdate
 {
     std::vector<InterruptionEntry> parts;
--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -1,9 +1,9 @@
-// Records what targets were running when they ended: requests by their fingerprints, or parts of
-// prompts by their ids. A subject that was at several of these ends, and has not got a complete
-// response since, is blamed for them.
+// Records what targets were running when they crashed: requests by their fingerprints, or parts of
+// prompts by their ids. A subject that was at several crashes, and has not got a complete response
+// since, is quarantined.
 //
-// An end is identified by the target's boot, so that it counts once however many nodes report it.
-// Nodes exchange their entries. An acquittal outweighs the report of the same subject and boot, in
+// A crash is identified by the target's boot, so that it counts once however many nodes report it.
+// Nodes exchange their entries. A clearance outweighs the report of the same subject and boot, in
 // whichever order the two arrive.
 #pragma once
 
@@ -20,7 +20,7 @@
 
 struct CrashRecordOptions
 {
-    /// The number of targets that a subject may end before it is blamed.
+    /// The number of targets that a subject may crash before it is quarantined.
     std::size_t maxCrashes = 2;
     /// Beyond this number, the subjects that were reported the longest ago are forgotten.
     std::size_t maxSubjects = 4096;
@@ -38,36 +38,37 @@
     {
     }
 
-    /// Records that a boot ended while it ran the subject. Returns whether this was unknown before.
+    /// Records that a boot crashed while it ran the subject. Returns whether this was unknown
+    /// before.
     bool add(Subject subject, Boot boot, TimePoint now);
 
-    /// Records a complete response that began at `begunAt`: the subject ended none of the targets
-    /// that had ended before. Returns the boots for which this is new.
-    std::vector<Boot> acquit(Subject subject, TimePoint begunAt, TimePoint now);
-    /// Records another node's acquittal. Returns whether it was unknown before.
-    bool acquit(Subject subject, Boot boot, TimePoint now);
-    /// Records that the boot has not ended. Returns the subjects that were reported with it.
-    std::vector<Subject> acquitAll(Boot boot, TimePoint now);
-    bool isAcquitted(Subject subject, Boot boot) const;
+    /// Records a complete response that began at `begunAt`: the subject caused none of the crashes
+    /// before. Returns the boots for which this is new.
+    std::vector<Boot> clear(Subject subject, TimePoint begunAt, TimePoint now);
+    /// Records another node's clearance. Returns whether it was unknown before.
+    bool clear(Subject subject, Boot boot, TimePoint now);
+    /// Records that the boot has not crashed. Returns the subjects that were reported with it.
+    std::vector<Subject> clearBoot(Boot boot, TimePoint now);
+    bool isCleared(Subject subject, Boot boot) const;
 
     /// Returns whether a request that has not run yet has to wait: another one with its fingerprint
     /// crashed a target a moment ago, and its rerun shows whether it caused the crash.
     bool isHeld(Subject subject, TimePoint now) const;
 
-    /// Returns the number of targets that the subject may have ended.
+    /// Returns the number of targets that the subject may have crashed.
     std::size_t crashes(Subject subject) const;
-    bool isBlamed(Subject subject) const
+    bool isQuarantined(Subject subject) const
     {
         const auto found = m_entries.find(subject);
-        return found != m_entries.end() && isBlamed(found->second);
+        return found != m_entries.end() && isQuarantined(found->second);
     }
     /// Returns how long the subject is still rejected, or nothing if it may run.
     std::optional<Duration> remainingBlockTime(Subject subject, TimePoint now) const;
 
-    /// Returns whether one request with a blamed subject may run now, to find out whether it ends
-    /// targets. The time between such reruns grows with the number of targets that it ended. Where
-    /// blamed subjects that the request doesn't hold were at these ends too, a rerun is due sooner.
-    /// Nodes have different delays, so that each learns of the result of the one before it.
+    /// Returns whether one request with a quarantined subject may run now, to find out whether it
+    /// still crashes targets. The time between such reruns grows with the number of crashes. Where
+    /// quarantined subjects that the request doesn't hold were at these crashes too, a rerun is due
+    /// sooner. Nodes have different delays, so that each learns of the result of the one before it.
     /// `subjects` are those of the request.
     bool isRerunDue(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
                     TimePoint now) const;
@@ -85,13 +86,13 @@
             visitBoots(subject, entry, visit);
     }
 
-    /// The same for the blamed subjects that ended a target, or that this node was asked to run,
-    /// within the last minutes. Other nodes may not know of these.
+    /// The same for the quarantined subjects that crashed a target, or that this node was asked to
+    /// run, within the last minutes. Other nodes may not know of these.
     template <typename Visit>
-    void forEachBlamed(TimePoint now, Visit visit) const
+    void forEachQuarantined(TimePoint now, Visit visit) const
     {
         for (const auto &[subject, entry] : m_entries) {
-            if (isBlamed(entry) && isCurrent(entry, now))
+            if (isQuarantined(entry) && isCurrent(entry, now))
                 visitBoots(subject, entry, visit);
         }
     }
@@ -104,11 +105,11 @@
         struct Report
         {
             TimePoint at; ///< When it became known.
-            bool isAcquitted = false;
+            bool isCleared = false;
         };
 
         std::map<Boot, Report> reports;
-        TimePoint lastAt;                 ///< When the last end became known.
+        TimePoint lastAt;                 ///< When the last crash became known.
         TimePoint lastReportAt;           ///< When any report was last received, a known one too.
         TimePoint lastUseAt {};           ///< When this node last considered a request with it.
         std::optional<TimePoint> rerunAt; ///< When the last rerun was permitted.
@@ -121,12 +122,12 @@
     static void visitBoots(Subject subject, const Entry &entry, Visit visit)
     {
         for (const auto &[boot, report] : entry.reports) {
-            if (!report.isAcquitted)
+            if (!report.isCleared)
                 visit(subject, boot);
         }
     }
 
-    bool isBlamed(const Entry &entry) const
+    bool isQuarantined(const Entry &entry) const
     {
         return entry.reports.size() >= m_options.maxCrashes
             && entry.crashes() >= m_options.maxCrashes;
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -32,7 +32,7 @@
     std::optional<PrefixChain> chain;
     /// Ids of the prompt's parts that other requests may share.
     std::vector<std::uint64_t> sharedParts;
-    /// It is sent to find out whether a blamed part of its prompt still ends targets.
+    /// It is sent to find out whether a quarantined part of its prompt still crashes targets.
     bool isRerun = false;
     std::optional<StreamResumption> resumption;
     /// Software version that began the stream of which the caller has events; empty if it has none.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -80,7 +80,7 @@
     m_lastEventAt = now;
     dispatch(event);
     m_requests.handleStreamOrigins();
-    m_requests.abortBlamed();
+    m_requests.abortQuarantined();
     m_gossip.sendNotices();
     runTimers();
     m_context.actions = nullptr;
--- a/lib/Balancer/CrashBlame.cpp
+++ b/lib/Balancer/CrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "CrashBlame.h"
+#include "CrashDetector.h"
 
 #include "berylridge/Support/Hash.h"
 
@@ -9,76 +9,77 @@
 
 namespace {
 
-/// The number of targets that a part may end before it is blamed. Requests that run beside it are
-/// interrupted too, and may be sent to the target that it ends next.
+/// The number of targets that a part may crash before it is quarantined. Requests that run beside
+/// it are interrupted too, and may be sent to the target that it crashes next.
 constexpr std::size_t maxPartCrashes = 3;
-/// Maximum time from the start of a response to the end of a target that it causes.
+/// Maximum time from the start of a response to the crash that it causes.
 constexpr Duration maxCrashDelay = std::chrono::milliseconds(500);
-/// A target that responds within this time after an interruption has not ended. Later, another boot
-/// may respond that is not listed yet.
+/// A target that responds within this time after an interruption has not crashed. Later, another
+/// boot may respond that is not listed yet.
 constexpr Duration maxRefutationTime = std::chrono::milliseconds(1000);
-/// Time by which another request shows that a target has ended.
+/// Time by which another request shows that a target has crashed.
 constexpr Duration proofTime = std::chrono::milliseconds(500);
-/// Maximum time between the ends of a target's connections when it ends.
+/// Maximum time between the ends of a target's connections when it crashes.
 constexpr Duration maxSignDelay = std::chrono::milliseconds(100);
-/// Difference between the times at which two nodes rerun a blamed part.
+/// Difference between the times at which two nodes rerun a quarantined part.
 constexpr Duration rerunInterval = std::chrono::seconds(1);
 
 } // namespace
 
-CrashBlame::CrashBlame(BalancerContext &context)
+CrashDetector::CrashDetector(BalancerContext &context)
     : m_context(context)
     , m_records {CrashRecord(), CrashRecord({.maxCrashes = maxPartCrashes})}
 {
 }
 
-std::optional<Refusal> CrashBlame::checkFirstAttempt(BalancedRequest &request)
+std::optional<Refusal> CrashDetector::checkFirstAttempt(BalancedRequest &request)
 {
     if (record(Kind::Request).remainingBlockTime(request.fingerprint, m_context.now))
-        return Refusal {502, "crashing-request", "the request ended the targets that ran it", {}};
+        return Refusal {502, "crashing-request", "the request crashed the targets that ran it", {}};
     CrashRecord &partRecord = record(Kind::Part);
-    std::vector<std::uint64_t> blamedParts;
+    std::vector<std::uint64_t> quarantinedParts;
     for (const std::uint64_t part : request.sharedParts) {
-        if (!partRecord.isBlamed(part))
+        if (!partRecord.isQuarantined(part))
             continue;
-        blamedParts.push_back(part);
+        quarantinedParts.push_back(part);
         partRecord.recordUse(part, m_context.now);
     }
     const bool mayRun
-        = std::all_of(blamedParts.begin(), blamedParts.end(), [&](std::uint64_t part) {
+        = std::all_of(quarantinedParts.begin(), quarantinedParts.end(), [&](std::uint64_t part) {
               return partRecord.isRerunDue(part, request.sharedParts, rerunDelayOfNode(part),
                                            m_context.now);
           });
     if (!mayRun)
         return partRefusal();
-    for (const std::uint64_t part : blamedParts)
+    for (const std::uint64_t part : quarantinedParts)
         partRecord.beginRerun(part, m_context.now);
-    request.isRerun = !blamedParts.empty();
+    request.isRerun = !quarantinedParts.empty();
     return std::nullopt;
 }
 
-Refusal CrashBlame::partRefusal()
+Refusal CrashDetector::partRefusal()
 {
-    return {502,
-            "crashing-part",
-            "targets ended when they began to answer prompts with a part of this request's prompt",
-            {}};
+    return {
+        502,
+        "crashing-part",
+        "targets crashed when they began to answer prompts with a part of this request's prompt",
+        {}};
 }
 
-bool CrashBlame::isBlamed(const BalancedRequest &request) const
+bool CrashDetector::isQuarantined(const BalancedRequest &request) const
 {
     return record(Kind::Request).remainingBlockTime(request.fingerprint, m_context.now)
         || std::any_of(request.sharedParts.begin(), request.sharedParts.end(),
-                       [&](std::uint64_t part) { return record(Kind::Part).isBlamed(part); });
+                       [&](std::uint64_t part) { return record(Kind::Part).isQuarantined(part); });
 }
 
-void CrashBlame::cancelRerun(const BalancedRequest &request)
+void CrashDetector::cancelRerun(const BalancedRequest &request)
 {
     for (const std::uint64_t part : request.sharedParts)
         record(Kind::Part).cancelRerun(part);
 }
 
-void CrashBlame::onInterrupted(const BalancedRequest &request)
+void CrashDetector::onInterrupted(const BalancedRequest &request)
 {
     const std::uint64_t boot = request.choice.boot;
     m_interruptedAt[boot] = m_context.now;
@@ -89,7 +90,7 @@
         add(Kind::Part, part, boot);
 }
 
-void CrashBlame::onConnectionRefused(const BalancedRequest &request)
+void CrashDetector::onConnectionRefused(const BalancedRequest &request)
 {
     const std::uint64_t boot = request.choice.boot;
     const bool isInQuestion
@@ -99,7 +100,7 @@
         m_interruptedAt[boot] = m_context.now;
 }
 
-void CrashBlame::onResponseStarted(const BalancedRequest &request)
+void CrashDetector::onResponseStarted(const BalancedRequest &request)
 {
     const std::uint64_t boot = request.choice.boot;
     const auto found = m_interruptedAt.find(boot);
@@ -108,12 +109,12 @@
         return;
     m_interruptedAt.erase(found);
     for (const Kind kind : {Kind::Request, Kind::Part}) {
-        for (const std::uint64_t subject : record(kind).acquitAll(boot, m_context.now))
+        for (const std::uint64_t subject : record(kind).clearBoot(boot, m_context.now))
             report(kind, {subject, boot, true});
     }
 }
 
-void CrashBlame::onCompleted(const BalancedRequest &request, const AttemptDone &event)
+void CrashDetector::onCompleted(const BalancedRequest &request, const AttemptDone &event)
 {
     // A target that rejects a request has not begun to answer its prompt.
     const bool isSuccess = event.status >= 200 && event.status < 300;
@@ -128,39 +129,40 @@
     if (event.endedWithConnection)
         m_unprovenResponses.push_back(std::move(response));
     else
-        acquitSubjectsOf(response);
+        clearSubjectsOf(response);
 }
 
-bool CrashBlame::onReport(Kind kind, const InterruptionEntry &entry)
+bool CrashDetector::onReport(Kind kind, const InterruptionEntry &entry)
 {
-    if (entry.isAcquitted)
-        return record(kind).acquit(entry.subject, entry.boot, m_context.now);
-    if (record(kind).isAcquitted(entry.subject, entry.boot)) {
-        // The sender has not heard of the acquittal.
+    if (entry.isCleared)
+        return record(kind).clear(entry.subject, entry.boot, m_context.now);
+    if (record(kind).isCleared(entry.subject, entry.boot)) {
+        // The sender has not heard of the clearance.
         report(kind, {entry.subject, entry.boot, true});
         return false;
     }
     return addToRecord(kind, entry.subject, entry.boot);
 }
 
-std::vector<InterruptionEntry> CrashBlame::takeReports(Kind kind)
+std::vector<InterruptionEntry> CrashDetector::takeReports(Kind kind)
 {
     return std::exchange(m_reports[static_cast<std::size_t>(kind)], {});
 }
 
-std::vector<InterruptionEntry> CrashBlame::nextBlamedParts(std::size_t maxCount)
+std::vector<InterruptionEntry> CrashDetector::nextQuarantinedParts(std::size_t maxCount)
 {
     std::vector<InterruptionEntry> all;
-    record(Kind::Part).forEachBlamed(m_context.now, [&](std::uint64_t part, std::uint64_t boot) {
-        all.push_back({part, boot, false});
-    });
+    record(Kind::Part)
+        .forEachQuarantined(m_context.now, [&](std::uint64_t part, std::uint64_t boot) {
+            all.push_back({part, boot, false});
+        });
     std::vector<InterruptionEntry> next;
     for (std::size_t i = 0; i < std::min(maxCount, all.size()); ++i)
-        next.push_back(all[m_nextBlamed++ % all.size()]);
+        next.push_back(all[m_nextQuarantined++ % all.size()]);
     return next;
 }
 
-void CrashBlame::tick()
+void CrashDetector::tick()
 {
     const TimePoint now = m_context.now;
     for (CrashRecord &each : m_records)
@@ -170,7 +172,7 @@
                   [&](const auto &each) { return each.second + maxRefutationTime < now; });
 }
 
-void CrashBlame::resolveUnprovenResponses()
+void CrashDetector::resolveUnprovenResponses()
 {
     std::vector<CompletedResponse> due;
     std::erase_if(m_unprovenResponses, [&](CompletedResponse &response) {
@@ -184,20 +186,20 @@
         const bool isComplete = interrupted == m_interruptedAt.end()
             || interrupted->second + maxSignDelay < response.endedAt;
         if (isComplete)
-            acquitSubjectsOf(response);
+            clearSubjectsOf(response);
         else
             addSubjectsOf(response);
     }
 }
 
-void CrashBlame::acquitSubjectsOf(const CompletedResponse &response)
+void CrashDetector::clearSubjectsOf(const CompletedResponse &response)
 {
-    acquit(Kind::Request, response.fingerprint, response.begunAt);
+    clear(Kind::Request, response.fingerprint, response.begunAt);
     for (const std::uint64_t part : response.parts)
-        acquit(Kind::Part, part, response.begunAt);
+        clear(Kind::Part, part, response.begunAt);
 }
 
-void CrashBlame::addSubjectsOf(const CompletedResponse &response)
+void CrashDetector::addSubjectsOf(const CompletedResponse &response)
 {
     add(Kind::Request, response.fingerprint, response.boot);
     if (!response.isPartSuspect)
@@ -207,44 +209,44 @@
 }
 
 /// Records an interruption that this node observed.
-void CrashBlame::add(Kind kind, std::uint64_t subject, std::uint64_t boot)
+void CrashDetector::add(Kind kind, std::uint64_t subject, std::uint64_t boot)
 {
     if (addToRecord(kind, subject, boot))
         report(kind, {subject, boot, false});
 }
 
-bool CrashBlame::addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot)
+bool CrashDetector::addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot)
 {
-    const bool wasBlamed = record(kind).isBlamed(subject);
+    const bool wasQuarantined = record(kind).isQuarantined(subject);
     if (!record(kind).add(subject, boot, m_context.now))
         return false;
     m_interruptedAt[boot] = m_context.now;
-    if (!wasBlamed && record(kind).isBlamed(subject)) {
-        m_hasNewBlame = m_hasNewBlame || kind == Kind::Part;
-        logBlame(kind, subject);
+    if (!wasQuarantined && record(kind).isQuarantined(subject)) {
+        m_hasNewQuarantine = m_hasNewQuarantine || kind == Kind::Part;
+        logQuarantine(kind, subject);
     }
     return true;
 }
 
-void CrashBlame::acquit(Kind kind, std::uint64_t subject, TimePoint begunAt)
+void CrashDetector::clear(Kind kind, std::uint64_t subject, TimePoint begunAt)
 {
-    for (const std::uint64_t boot : record(kind).acquit(subject, begunAt, m_context.now))
+    for (const std::uint64_t boot : record(kind).clear(subject, begunAt, m_context.now))
         report(kind, {subject, boot, true});
 }
 
-void CrashBlame::report(Kind kind, const InterruptionEntry &entry)
+void CrashDetector::report(Kind kind, const InterruptionEntry &entry)
 {
     m_reports[static_cast<std::size_t>(kind)].push_back(entry);
 }
 
-/// Returns whether the request's target would end about now if a part of the prompt ended it.
-bool CrashBlame::isPartSuspect(const BalancedRequest &request) const
+/// Returns whether the request's target would crash about now if a part of the prompt crashed it.
+bool CrashDetector::isPartSuspect(const BalancedRequest &request) const
 {
     return !request.hasResponseStarted
         || m_context.now - request.responseStartedAt <= maxCrashDelay;
 }
 
-Duration CrashBlame::rerunDelayOfNode(std::uint64_t part) const
+Duration CrashDetector::rerunDelayOfNode(std::uint64_t part) const
 {
     const std::uint64_t own = hash64(m_context.options.node.str(), part);
     std::int64_t precedingNodes = 0;
@@ -256,7 +258,7 @@
     return rerunInterval * precedingNodes;
 }
 
-void CrashBlame::logBlame(Kind kind, std::uint64_t subject)
+void CrashDetector::logQuarantine(Kind kind, std::uint64_t subject)
 {
     const LogEventId id
         = kind == Kind::Part ? LogEventId::CrashingPart : LogEventId::CrashingRequest;
--- a/lib/Balancer/CrashBlame.h
+++ b/lib/Balancer/CrashDetector.h
@@ -1,10 +1,10 @@
-// Finds out which requests, and which parts of their prompts, end the targets that run them, and
+// Finds out which requests, and which parts of their prompts, crash the targets that run them, and
 // keeps these from further targets.
 //
-// A target that ends interrupts everything that it runs, and most of that is sound. A part of a
-// prompt is blamed only after several targets have ended soon after they had begun to answer it,
-// and no request with it has got a complete response since, at any node. Parts in use are acquitted
-// within a second.
+// A target that crashes interrupts everything that it runs, and most of that is sound. A part of a
+// prompt is quarantined only after several targets have crashed soon after they had begun to answer
+// it, and no request with it has got a complete response since, at any node. Parts in use are
+// cleared within a second.
 #pragma once
 
 #include "BalancedRequest.h"
@@ -22,22 +22,22 @@
 
 namespace berylridge {
 
-class CrashBlame
+class CrashDetector
 {
 public:
     /// What a record is about: a request by its fingerprint, or a part of prompts by its id.
     enum class Kind : std::uint8_t { Request, Part };
 
-    explicit CrashBlame(BalancerContext &context);
+    explicit CrashDetector(BalancerContext &context);
 
-    /// Returns why the request must not be sent to any target, or nothing. A request with a blamed
-    /// part may be let through from time to time, to find out whether the part still ends targets;
-    /// it is then marked as a rerun.
+    /// Returns why the request must not be sent to any target, or nothing. A request with a
+    /// quarantined part may be let through from time to time, to find out whether the part still
+    /// crashes targets; it is then marked as a rerun.
     std::optional<Refusal> checkFirstAttempt(BalancedRequest &request);
-    /// Returns the refusal of a request with a blamed part.
+    /// Returns the refusal of a request with a quarantined part.
     static Refusal partRefusal();
-    /// Returns whether the request itself or a part of its prompt is blamed.
-    bool isBlamed(const BalancedRequest &request) const;
+    /// Returns whether the request itself or a part of its prompt is quarantined.
+    bool isQuarantined(const BalancedRequest &request) const;
 
     /// Permits another rerun, since this one has not been sent to a target.
     void cancelRerun(const BalancedRequest &request);
@@ -47,7 +47,7 @@
     /// Records that the request's target doesn't accept connections.
     void onConnectionRefused(const BalancedRequest &request);
     void onResponseStarted(const BalancedRequest &request);
-    /// Records a complete response. If it ended with its connection, its target may have ended
+    /// Records a complete response. If it ended with its connection, its target may have crashed
     /// instead, which other requests show soon.
     void onCompleted(const BalancedRequest &request, const AttemptDone &event);
 
@@ -55,12 +55,12 @@
     bool onReport(Kind kind, const InterruptionEntry &entry);
     /// Returns the entries for the other nodes since the last call.
     std::vector<InterruptionEntry> takeReports(Kind kind);
-    /// Returns the next entries in rotation of the parts that are blamed, for nodes that have
+    /// Returns the next entries in rotation of the parts that are quarantined, for nodes that have
     /// restarted or were cut off.
-    std::vector<InterruptionEntry> nextBlamedParts(std::size_t maxCount);
+    std::vector<InterruptionEntry> nextQuarantinedParts(std::size_t maxCount);
 
-    /// Returns whether a part was blamed since the last call.
-    bool takeNewBlame() { return std::exchange(m_hasNewBlame, false); }
+    /// Returns whether a part was quarantined since the last call.
+    bool takeNewQuarantine() { return std::exchange(m_hasNewQuarantine, false); }
     void tick();
 
 private:
@@ -72,7 +72,7 @@
         TimePoint endedAt;
         std::uint64_t fingerprint = 0;
         std::vector<std::uint64_t> parts;
-        bool isPartSuspect = false; ///< If the target ended, a part may have ended it.
+        bool isPartSuspect = false; ///< If the target crashed, a part may be the cause.
     };
 
     static constexpr double maxLinesPerSecond = 10;
@@ -81,24 +81,24 @@
     const CrashRecord &record(Kind kind) const { return m_records[static_cast<std::size_t>(kind)]; }
     void add(Kind kind, std::uint64_t subject, std::uint64_t boot);
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
-    void acquit(Kind kind, std::uint64_t subject, TimePoint begunAt);
+    void clear(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
-    void acquitSubjectsOf(const CompletedResponse &response);
+    void clearSubjectsOf(const CompletedResponse &response);
     void addSubjectsOf(const CompletedResponse &response);
     void resolveUnprovenResponses();
     bool isPartSuspect(const BalancedRequest &request) const;
     Duration rerunDelayOfNode(std::uint64_t part) const;
-    void logBlame(Kind kind, std::uint64_t subject);
+    void logQuarantine(Kind kind, std::uint64_t subject);
 
     BalancerContext &m_context;
     std::array<CrashRecord, 2> m_records;                    ///< By Kind.
     std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
-    /// When the last sign that a boot has ended became known, unless it has responded since.
+    /// When the last sign of a boot's crash became known, unless the boot has responded since.
     std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
     std::vector<CompletedResponse>
-        m_unprovenResponses;      ///< Those that ended with their connections.
-    std::size_t m_nextBlamed = 0; ///< Position in the rotation of nextBlamedParts().
-    bool m_hasNewBlame = false;
+        m_unprovenResponses;           ///< Those that ended with their connections.
+    std::size_t m_nextQuarantined = 0; ///< Position in the rotation of nextQuarantinedParts().
+    bool m_hasNewQuarantine = false;
     LogRateLimiter m_lines {{.lines = maxLinesPerSecond}};
 };
 
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using CrashKind = CrashBlame::Kind;
+using CrashKind = CrashDetector::Kind;
 
 /// Every fifth digest carries a list of live nodes, and each of the first digests, because a node
 /// that has just started is usually not the only one. The others need few lists.
@@ -27,7 +27,7 @@
 /// Placement messages that are sent per period; the rest are sent in later periods.
 constexpr int maxPlacementMessagesPerPeriod = 2;
 constexpr std::size_t maxInterruptedPartsPerMessage = 36;
-constexpr std::size_t maxBlamedPartsPerMessage = 12;
+constexpr std::size_t maxQuarantinedPartsPerMessage = 12;
 /// Each peer receives an interruption twice, because a peer that misses it lets one more target
 /// crash.
 constexpr unsigned interruptionRounds = 2;
@@ -83,9 +83,10 @@
             m_remoteCacheWrites.add({write.target, write.increase}, remotePeriods);
     }
     const unsigned interruptionPeriods = std::max(periods, remotePeriods) * interruptionRounds;
-    for (const InterruptionEntry &entry : m_requests.crashBlame().takeReports(CrashKind::Request))
+    for (const InterruptionEntry &entry :
+         m_requests.crashDetector().takeReports(CrashKind::Request))
         m_interruptedRequests.add(entry, interruptionPeriods);
-    for (const InterruptionEntry &entry : m_requests.crashBlame().takeReports(CrashKind::Part))
+    for (const InterruptionEntry &entry : m_requests.crashDetector().takeReports(CrashKind::Part))
         m_interruptedParts.add(entry, interruptionPeriods);
 }
 
@@ -164,7 +165,7 @@
 InterruptedPartsUpdate GossipExchange::takeInterruptedParts()
 {
     InterruptedPartsUpdate update {
-        m_requests.crashBlame().nextBlamedParts(maxBlamedPartsPerMessage)};
+        m_requests.crashDetector().nextQuarantinedParts(maxQuarantinedPartsPerMessage)};
     for (const InterruptionEntry &entry : m_interruptedParts.take(maxInterruptedPartsPerMessage))
         update.parts.push_back(entry);
     return update;
@@ -287,7 +288,7 @@
     const unsigned periods = m_context.peers.periodsPerRotation();
     std::size_t newEntries = 0;
     for (const InterruptionEntry &entry : entries) {
-        const bool isNew = m_requests.crashBlame().onReport(kind, entry);
+        const bool isNew = m_requests.crashDetector().onReport(kind, entry);
         newEntries += isNew ? 1 : 0;
         if (isNew && isRelay)
             relayed.add(entry, periods);
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -77,7 +77,7 @@
     void sendNoticeInOwnZone(const DispatchNotice &notice);
     bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
-    void mergeInterruptions(const NodeId &from, CrashBlame::Kind kind,
+    void mergeInterruptions(const NodeId &from, CrashDetector::Kind kind,
                             std::span<const InterruptionEntry> entries,
                             TransmitLimitedQueue<InterruptionEntry> &relayed);
     InterruptedPartsUpdate takeInterruptedParts();
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -109,7 +109,7 @@
     , m_log(context)
     , m_tally(context)
     , m_overloadLog(context)
-    , m_crashBlame(context)
+    , m_crashDetector(context)
     , m_random(context.options.seed)
 {
 }
@@ -137,7 +137,7 @@
 
 void RequestProcessor::admit(BalancedRequest &request)
 {
-    if (const auto refusal = m_crashBlame.checkFirstAttempt(request)) {
+    if (const auto refusal = m_crashDetector.checkFirstAttempt(request)) {
         refuse(request, *refusal);
         return;
     }
@@ -407,7 +407,7 @@
             m_shares.onLate(demandOf(*request), m_context.now);
     }
     m_targetSelector.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
-    m_crashBlame.onResponseStarted(*request);
+    m_crashDetector.onResponseStarted(*request);
     if (event.status == 200)
         recordStreamOrigin(*request);
 }
@@ -418,7 +418,7 @@
     if (!request)
         return;
     request->verdict = Verdict::Ran;
-    m_crashBlame.onCompleted(*request, event);
+    m_crashDetector.onCompleted(*request, event);
     m_targetSelector.health(request->choice.key).onCompleteResponse(m_context.now);
     if (!request->chain)
         m_targetSelector.onResponseCompleted(request->service->name,
@@ -462,7 +462,7 @@
     const TimePoint now = m_context.now;
     switch (event.failure) {
     case AttemptFailure::ConnectRefused:
-        m_crashBlame.onConnectionRefused(request);
+        m_crashDetector.onConnectionRefused(request);
         health.onConnectFailed(now);
         return;
     case AttemptFailure::ConnectTimeout:
@@ -478,7 +478,7 @@
         if (event.sentAny) {
             health.onConnectionBroken(now);
             m_log.interrupted(request, failureName(event.failure));
-            m_crashBlame.onInterrupted(request);
+            m_crashDetector.onInterrupted(request);
         }
         return;
     case AttemptFailure::InvalidResponse:
@@ -502,7 +502,7 @@
     if (request.sentAttempts >= request.route->attempts)
         return false;
     const bool isUnfinishedRerun = request.isRerun && request.verdict == Verdict::NotRun;
-    if (!isUnfinishedRerun && m_crashBlame.isBlamed(request))
+    if (!isUnfinishedRerun && m_crashDetector.isQuarantined(request))
         return false;
     if (!event.sentAny)
         return true; // Nothing reached a target, so a retry repeats nothing.
@@ -534,20 +534,21 @@
             {}});
 }
 
-void RequestProcessor::abortBlamed()
+void RequestProcessor::abortQuarantined()
 {
-    if (!m_crashBlame.takeNewBlame())
+    if (!m_crashDetector.takeNewQuarantine())
         return;
-    std::vector<RequestHandle> blamed;
+    std::vector<RequestHandle> quarantined;
     for (const auto &[handle, request] : m_requests) {
-        if (request.isRunning && !request.hasResponseStarted && m_crashBlame.isBlamed(request))
-            blamed.push_back(handle);
+        if (request.isRunning && !request.hasResponseStarted
+            && m_crashDetector.isQuarantined(request))
+            quarantined.push_back(handle);
     }
-    for (const RequestHandle handle : blamed) {
+    for (const RequestHandle handle : quarantined) {
         BalancedRequest &request = m_requests.at(handle);
         m_context.emit(AbortAttempt {handle, request.attempts});
         endAttempt(request);
-        refuse(request, CrashBlame::partRefusal());
+        refuse(request, CrashDetector::partRefusal());
     }
 }
 
@@ -574,7 +575,7 @@
 
 void RequestProcessor::tick()
 {
-    m_crashBlame.tick();
+    m_crashDetector.tick();
     m_log.tick();
     m_overloadLog.tick(m_requests.size());
     for (auto &[handle, request] : m_requests) {
@@ -634,7 +635,7 @@
 void RequestProcessor::refuse(BalancedRequest &request, const Refusal &refusal)
 {
     if (request.isRerun && request.verdict == Verdict::NotRun)
-        m_crashBlame.cancelRerun(request);
+        m_crashDetector.cancelRerun(request);
     m_log.refused(request, refusal);
     m_tally.refused(request, refusal.type);
     m_context.emit(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -3,7 +3,7 @@
 
 #include "BalancedRequest.h"
 #include "BalancerContext.h"
-#include "CrashBlame.h"
+#include "CrashDetector.h"
 #include "OverloadLog.h"
 #include "RequestLog.h"
 #include "StreamOriginExchange.h"
@@ -33,10 +33,9 @@
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
-    CrashBlame &crashBlame() { return m_crashBlame; }
-    /// Aborts the requests that wait at targets and have a part of their prompts that was just
-    /// blamed for targets that ended.
-    void abortBlamed();
+    CrashDetector &crashDetector() { return m_crashDetector; }
+    /// Aborts the requests that wait at targets and have a part that was just quarantined.
+    void abortQuarantined();
 
     /// Continues the requests whose lookups of their streams' origins have ended.
     void handleStreamOrigins();
@@ -84,7 +83,7 @@
     WorkspaceTally m_tally;
     OverloadLog m_overloadLog;
     WorkspaceShares m_shares;
-    CrashBlame m_crashBlame;
+    CrashDetector m_crashDetector;
     std::map<std::string, FleetRetryBudget> m_retries; ///< Keyed by service.
     std::unordered_map<RequestHandle, BalancedRequest> m_requests;
     RandomEngine m_random;
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -11,16 +11,16 @@
 /// Counts from the last crash. Callers who resend for longer reach the limit again after further
 /// crashes.
 constexpr Duration blockTime = std::chrono::minutes(10);
-/// Reports of an end may still arrive this long after its acquittal.
-constexpr Duration acquittalTime = std::chrono::seconds(60);
+/// Reports of a crash may still arrive this long after its clearance.
+constexpr Duration clearedReportTime = std::chrono::seconds(60);
 
 /// Time for the rerun on a second target: the check of the first target, and a wait in the queue.
 constexpr Duration rerunHoldTime = std::chrono::seconds(4);
 /// Time for a rerun's wait at the target, its result, and the report to the other nodes.
 constexpr Duration rerunTime = std::chrono::seconds(5);
 
-/// Returns the time from the last end to the next rerun. Few ends may be a coincidence, and so may
-/// one that nothing else explains.
+/// Returns the time from the last crash to the next rerun. Few crashes may be a coincidence, and so
+/// may one that nothing else explains.
 Duration rerunDelay(std::size_t crashesBeyondLimit, std::size_t unexplainedCrashes)
 {
     if (unexplainedCrashes == 0)
@@ -42,13 +42,13 @@
 std::size_t CrashRecord::Entry::crashes() const
 {
     return static_cast<std::size_t>(std::count_if(
-        reports.begin(), reports.end(), [](const auto &each) { return !each.second.isAcquitted; }));
+        reports.begin(), reports.end(), [](const auto &each) { return !each.second.isCleared; }));
 }
 
 bool CrashRecord::Entry::isExpired(TimePoint now) const
 {
     const TimePoint last = std::max({lastAt, lastReportAt, lastUseAt});
-    return last + (crashes() > 0 ? blockTime : acquittalTime) < now;
+    return last + (crashes() > 0 ? blockTime : clearedReportTime) < now;
 }
 
 bool CrashRecord::isCurrent(const Entry &entry, TimePoint now)
@@ -81,15 +81,14 @@
     return true;
 }
 
-std::vector<CrashRecord::Boot> CrashRecord::acquit(Subject subject, TimePoint begunAt,
-                                                   TimePoint now)
+std::vector<CrashRecord::Boot> CrashRecord::clear(Subject subject, TimePoint begunAt, TimePoint now)
 {
     std::vector<Boot> boots;
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return boots;
     for (auto &[boot, report] : found->second.reports) {
-        if (report.at < begunAt && !std::exchange(report.isAcquitted, true))
+        if (report.at < begunAt && !std::exchange(report.isCleared, true))
             boots.push_back(boot);
     }
     if (!boots.empty())
@@ -97,20 +96,20 @@
     return boots;
 }
 
-bool CrashRecord::acquit(Subject subject, Boot boot, TimePoint now)
+bool CrashRecord::clear(Subject subject, Boot boot, TimePoint now)
 {
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
     Entry::Report &report = entry.reports.try_emplace(boot, Entry::Report {now}).first->second;
-    return !std::exchange(report.isAcquitted, true);
+    return !std::exchange(report.isCleared, true);
 }
 
-std::vector<CrashRecord::Subject> CrashRecord::acquitAll(Boot boot, TimePoint now)
+std::vector<CrashRecord::Subject> CrashRecord::clearBoot(Boot boot, TimePoint now)
 {
     std::vector<Subject> subjects;
     for (auto &[subject, entry] : m_entries) {
         const auto found = entry.reports.find(boot);
-        if (found == entry.reports.end() || std::exchange(found->second.isAcquitted, true))
+        if (found == entry.reports.end() || std::exchange(found->second.isCleared, true))
             continue;
         entry.lastReportAt = now;
         subjects.push_back(subject);
@@ -118,13 +117,13 @@
     return subjects;
 }
 
-bool CrashRecord::isAcquitted(Subject subject, Boot boot) const
+bool CrashRecord::isCleared(Subject subject, Boot boot) const
 {
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return false;
     const auto report = found->second.reports.find(boot);
-    return report != found->second.reports.end() && report->second.isAcquitted;
+    return report != found->second.reports.end() && report->second.isCleared;
 }
 
 bool CrashRecord::isHeld(Subject subject, TimePoint now) const
@@ -145,7 +144,7 @@
 std::optional<Duration> CrashRecord::remainingBlockTime(Subject subject, TimePoint now) const
 {
     const auto found = m_entries.find(subject);
-    if (found == m_entries.end() || !isBlamed(found->second))
+    if (found == m_entries.end() || !isQuarantined(found->second))
         return std::nullopt;
     const Duration left = found->second.lastAt + blockTime - now;
     return left > Duration(0) ? std::optional(left) : std::nullopt;
@@ -158,7 +157,7 @@
     if (found == m_entries.end())
         return true;
     const Entry &entry = found->second;
-    if (!isBlamed(entry))
+    if (!isQuarantined(entry))
         return true;
     const bool isRerunning = entry.rerunAt && now < *entry.rerunAt + rerunTime;
     if (isRerunning || now < entry.lastAt + nodeDelay)
@@ -189,8 +188,8 @@
         found->second.lastUseAt = now;
 }
 
-/// Returns the number of ends that the entry is blamed for and that no blamed subject besides the
-/// given ones may have caused.
+/// Returns the number of crashes of the entry that no quarantined subject besides the given ones
+/// may have caused.
 std::size_t CrashRecord::countUnexplained(const Entry &entry,
                                           std::span<const Subject> subjects) const
 {
@@ -199,7 +198,7 @@
     for (const auto &[other, otherEntry] : m_entries) {
         const bool isInRequest
             = std::find(subjects.begin(), subjects.end(), other) != subjects.end();
-        if (!isInRequest && isBlamed(otherEntry))
+        if (!isInRequest && isQuarantined(otherEntry))
             visitBoots(other, otherEntry, [&](Subject, Boot boot) { unexplained.erase(boot); });
     }
     return unexplained.size();
@@ -209,7 +208,7 @@
 {
     for (auto &[subject, entry] : m_entries) {
         std::erase_if(entry.reports, [&](const auto &each) {
-            return each.second.isAcquitted && each.second.at + acquittalTime < now;
+            return each.second.isCleared && each.second.at + clearedReportTime < now;
         });
     }
     std::erase_if(m_entries, [&](const auto &each) { return each.second.isExpired(now); });
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -83,7 +83,7 @@
         return;
     recordBoot(*request, event.bootId);
     request->verdict = Verdict::Ran;
-    m_crashes.acquit(request->fingerprint, request->dispatchedAt, m_context.now);
+    m_crashes.clear(request->fingerprint, request->dispatchedAt, m_context.now);
     addTrace(*request, "answered", std::to_string(event.status));
     if (!request->key.empty())
         m_keys.finished(request->key, event.status, event.storedHeaders, event.storedBody);
@@ -190,7 +190,7 @@
     const bool canResume = service->second.document->kind == ServiceKind::ModelEngine;
     if (request.isResumed && !canResume)
         return false;
-    if (m_crashes.isBlamed(request.fingerprint))
+    if (m_crashes.isQuarantined(request.fingerprint))
         return false;
     return service->second.budget.tryTake();
 }
--- a/lib/Router/RequestCrashes.cpp
+++ b/lib/Router/RequestCrashes.cpp
@@ -116,7 +116,7 @@
         return;
     }
     Request &request = found->second;
-    if (!m_crashes.isBlamed(request.fingerprint)) {
+    if (!m_crashes.isQuarantined(request.fingerprint)) {
         retry(request);
         return;
     }
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -1,4 +1,4 @@
-// Tests which requests a node blames for the targets that end, and what acquits them.
+// Tests which parts of prompts a node quarantines when targets crash, and what clears them.
 #include "BalancerFixture.h"
 
 using namespace berylridge;
@@ -61,11 +61,11 @@
     }
 
     /// Delivers another node's entries about the crashing part, one for each boot.
-    void receiveReports(const std::vector<std::uint64_t> &boots, bool isAcquitted = false)
+    void receiveReports(const std::vector<std::uint64_t> &boots, bool isCleared = false)
     {
         InterruptedPartsUpdate update;
         for (const std::uint64_t boot : boots)
-            update.parts.push_back({crashingPart.id, boot, isAcquitted});
+            update.parts.push_back({crashingPart.id, boot, isCleared});
         handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(update)});
     }
 
@@ -119,7 +119,7 @@
 
 // Guards against a request's record being cleared by an answer that only looks complete: a target
 // that ends between two writes ends an answer without a length, too.
-TEST_F(CrashingPartTest, AnswerThatEndsWithItsTargetAcquitsNothing)
+TEST_F(CrashingPartTest, AnswerThatEndsWithItsTargetClearsNothing)
 {
     requestBodyHash = 77;
     sharedParts = {commonPart};
@@ -141,9 +141,9 @@
     EXPECT_FALSE(findAction<Dispatch>());
 }
 
-// Guards against a part that is blamed because requests with it were interrupted beside the ones
-// that end targets.
-TEST_F(CrashingPartTest, CompleteAnswerAcquitsAPart)
+// Guards against a part that is quarantined because requests with it were interrupted beside the
+// ones that end targets.
+TEST_F(CrashingPartTest, CompleteAnswerClearsAPart)
 {
     EXPECT_EQ(crashTargets({otherPart}, 2), 2);
     advanceTime(10ms);
@@ -155,7 +155,7 @@
 }
 
 // Guards against a part that ends as many targets at each node as one node allows.
-TEST_F(CrashingPartTest, ReportsOfOtherNodesBlameAPart)
+TEST_F(CrashingPartTest, ReportsOfOtherNodesQuarantineAPart)
 {
     receiveReports({101, 102});
     EXPECT_TRUE(send({crashingPart}));
@@ -165,8 +165,8 @@
     EXPECT_TRUE(send({crashingPart}));
 }
 
-// Guards against parts in use being blamed for answers that are cut while their targets go on.
-TEST_F(CrashingPartTest, AnswersCutByTargetsThatGoOnBlameNothing)
+// Guards against parts in use being quarantined for answers that are cut while their targets go on.
+TEST_F(CrashingPartTest, AnswersCutByTargetsThatGoOnQuarantineNothing)
 {
     for (int i = 0; i < 20; ++i) {
         const auto cut = send({otherPart});
@@ -184,8 +184,8 @@
     EXPECT_TRUE(send({otherPart}));
 }
 
-// Guards against blaming what has run for long when a target ends.
-TEST_F(CrashingPartTest, PartThatRanForLongIsNotBlamed)
+// Guards against quarantining what has run for long when a target ends.
+TEST_F(CrashingPartTest, PartThatRanForLongIsNotQuarantined)
 {
     for (int i = 0; i < 4; ++i) {
         const auto running = send({otherPart});
@@ -204,7 +204,7 @@
 }
 
 // Guards against a request that ends one more target because it was already waiting there.
-TEST_F(CrashingPartTest, WaitingRequestsWithABlamedPartAreAborted)
+TEST_F(CrashingPartTest, WaitingRequestsWithAQuarantinedPartAreAborted)
 {
     const auto waiting = send({crashingPart});
     ASSERT_TRUE(waiting);
@@ -219,7 +219,7 @@
 }
 
 // Guards against the second attempt of the request that ended the last target before the verdict.
-TEST_F(CrashingPartTest, InterruptedRequestWithABlamedPartIsNotRetried)
+TEST_F(CrashingPartTest, InterruptedRequestWithAQuarantinedPartIsNotRetried)
 {
     const auto first = send({crashingPart});
     ASSERT_TRUE(first);
@@ -228,8 +228,9 @@
     EXPECT_FALSE(crash(*first));
 }
 
-// Guards against a node that has restarted, or was cut off, and doesn't know what the others blame.
-TEST_F(CrashingPartTest, BlamedPartsAreRepeatedToTheOtherNodes)
+// Guards against a node that has restarted, or was cut off, and doesn't know what the others have
+// quarantined.
+TEST_F(CrashingPartTest, QuarantinedPartsAreRepeatedToTheOtherNodes)
 {
     receiveDigest("n2", "a", 1, 1);
     receiveReports({101, 102, 103});
@@ -244,8 +245,8 @@
     EXPECT_EQ(updates.front().second.parts.front().subject, crashingPart.id);
 }
 
-// Guards against a node that keeps blaming a part because it missed the acquittal.
-TEST_F(CrashingPartTest, NodeThatRepeatsAnAcquittedReportIsToldSo)
+// Guards against a node that keeps quarantining a part because it missed the clearance.
+TEST_F(CrashingPartTest, NodeThatRepeatsAnClearedReportIsToldSo)
 {
     receiveDigest("n2", "a", 1, 1);
     receiveReports({101}, true);
@@ -255,7 +256,7 @@
     advanceTime(150ms);
     const auto updates = sentMessages<InterruptedPartsUpdate>();
     ASSERT_FALSE(updates.empty());
-    EXPECT_TRUE(updates.front().second.parts.front().isAcquitted);
+    EXPECT_TRUE(updates.front().second.parts.front().isCleared);
 }
 
 // Guards against a sound part that stays refused because its rerun met a target that had ended.
@@ -278,7 +279,7 @@
 
 // Guards against sessions that end because a target crashed while it ran one of their requests: the
 // last part belongs to the request or its session.
-TEST_F(CrashingPartTest, LastPartIsNotBlamed)
+TEST_F(CrashingPartTest, LastPartIsNotQuarantined)
 {
     for (int i = 0; i < 4; ++i) {
         constexpr RequestHandle handleOfSession = 50; // The fixture derives the last part from it.
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -56,36 +56,36 @@
     record.add(1, 200, clock.now());
     EXPECT_TRUE(record.remainingBlockTime(1, clock.now()));
     clock.advance(1ms);
-    record.acquit(1, clock.now(), clock.now());
+    record.clear(1, clock.now(), clock.now());
     EXPECT_FALSE(record.remainingBlockTime(1, clock.now()));
     EXPECT_FALSE(record.isHeld(1, clock.now()));
 }
 
-// Guards against a crash that counts again because its report took a longer way than the acquittal.
-TEST(CrashRecord, AcquittalOutweighsReportsInAnyOrder)
+// Guards against a crash that counts again because its report took a longer way than the clearance.
+TEST(CrashRecord, ClearanceOutweighsReportsInAnyOrder)
 {
     ManualClock clock;
     CrashRecord record;
-    EXPECT_TRUE(record.acquit(1, 100, clock.now()));
+    EXPECT_TRUE(record.clear(1, 100, clock.now()));
     EXPECT_FALSE(record.add(1, 100, clock.now()));
     record.add(1, 200, clock.now());
     const TimePoint before = clock.now();
     clock.advance(1ms);
-    EXPECT_TRUE(record.acquit(1, before, clock.now()).empty()) << "it began before the end";
-    EXPECT_EQ(record.acquit(1, clock.now(), clock.now()), std::vector<std::uint64_t>({200}));
-    EXPECT_FALSE(record.acquit(1, 200, clock.now()));
+    EXPECT_TRUE(record.clear(1, before, clock.now()).empty()) << "it began before the end";
+    EXPECT_EQ(record.clear(1, clock.now(), clock.now()), std::vector<std::uint64_t>({200}));
+    EXPECT_FALSE(record.clear(1, 200, clock.now()));
     EXPECT_FALSE(record.add(1, 200, clock.now()));
     EXPECT_EQ(record.crashes(1), 0U);
 }
 
-TEST(CrashRecord, TargetThatStillRespondsAcquitsAllThatRanThere)
+TEST(CrashRecord, TargetThatStillRespondsClearsAllThatRanThere)
 {
     ManualClock clock;
     CrashRecord record;
     record.add(1, 100, clock.now());
     record.add(2, 100, clock.now());
     record.add(2, 200, clock.now());
-    EXPECT_EQ(record.acquitAll(100, clock.now()), std::vector<std::uint64_t>({1, 2}));
+    EXPECT_EQ(record.clearBoot(100, clock.now()), std::vector<std::uint64_t>({1, 2}));
     EXPECT_EQ(record.crashes(1), 0U);
     EXPECT_EQ(record.crashes(2), 1U);
 }
@@ -107,7 +107,7 @@
 
 // Guards against a subject that keeps ending targets because it is tried again and again, and
 // against one that is never tried again.
-TEST(CrashRecord, RerunsOfABlamedSubjectGetRarer)
+TEST(CrashRecord, RerunsOfAQuarantinedSubjectGetRarer)
 {
     ManualClock clock;
     CrashRecord record({.maxCrashes = 3});
@@ -164,36 +164,36 @@
     CrashRecord record;
     record.add(1, 100, clock.now());
     record.add(1, 200, clock.now());
-    const auto blamedCount = [&] {
+    const auto quarantinedCount = [&] {
         int count = 0;
-        record.forEachBlamed(clock.now(), [&](std::uint64_t, std::uint64_t) { ++count; });
+        record.forEachQuarantined(clock.now(), [&](std::uint64_t, std::uint64_t) { ++count; });
         return count;
     };
-    EXPECT_EQ(blamedCount(), 2);
+    EXPECT_EQ(quarantinedCount(), 2);
     clock.advance(9min);
     record.add(1, 200, clock.now());
     clock.advance(2min);
     record.expire(clock.now());
-    EXPECT_TRUE(record.isBlamed(1));
-    EXPECT_EQ(blamedCount(), 0);
+    EXPECT_TRUE(record.isQuarantined(1));
+    EXPECT_EQ(quarantinedCount(), 0);
     clock.advance(9min);
     record.expire(clock.now());
-    EXPECT_FALSE(record.isBlamed(1));
+    EXPECT_FALSE(record.isQuarantined(1));
 }
 
 // Guards against a record of a subject in use that grows with each target that ends.
-TEST(CrashRecord, AcquittedReportsExpireWhileTheSubjectIsInUse)
+TEST(CrashRecord, ClearedReportsExpireWhileTheSubjectIsInUse)
 {
     ManualClock clock;
     CrashRecord record;
     record.add(1, 100, clock.now());
     clock.advance(1ms);
-    record.acquit(1, clock.now(), clock.now());
+    record.clear(1, clock.now(), clock.now());
     for (int i = 0; i < 90; ++i) {
         clock.advance(1s);
         record.add(1, 200, clock.now());
-        record.acquit(1, clock.now(), clock.now());
+        record.clear(1, clock.now(), clock.now());
         record.expire(clock.now());
     }
-    EXPECT_TRUE(record.add(1, 100, clock.now())) << "the acquittal is forgotten";
+    EXPECT_TRUE(record.add(1, 100, clock.now())) << "the clearance is forgotten";
 }
