Bound what one prompt records; keep quarantined parts; don't abort reruns

Cause: review. A prompt of thousands of parts that was interrupted filled the record, displaced a quarantined part, and sent all its ids to every node; finding its distinct parts took quadratic time. A rerun was aborted when another part was quarantined, so it said nothing. Change: 64 parts of a prompt are recorded and logged, quarantined subjects are displaced last, distinct parts are found by sorting, and reruns are not aborted.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -56,7 +56,7 @@
 {
     std::uint64_t subject = 0; ///< The request's fingerprint, or the part's id.
     std::uint64_t boot = 0;    ///< Boot of the target whose connections broke.
-    /// The subject has got a complete response since, or the target has not ended.
+    /// The subject has got a complete response since, or the target has not crashed.
     bool isCleared = false;
     MSGPACK_DEFINE(subject, boot, isCleared)
 };
--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -22,7 +22,8 @@
 {
     /// The number of targets that a subject may crash before it is quarantined.
     std::size_t maxCrashes = 2;
-    /// Beyond this number, the subjects that were reported the longest ago are forgotten.
+    /// Beyond this number, the subjects that were reported the longest ago are forgotten,
+    /// quarantined ones last.
     std::size_t maxSubjects = 4096;
 };
 
--- a/include/berylridge/Policy/PromptCacheDirectory.h
+++ b/include/berylridge/Policy/PromptCacheDirectory.h
@@ -42,7 +42,8 @@
 
 PrefixChain prefixChainOf(const Prompt &prompt);
 
-/// Returns the ids of the parts that the prompt may share with others, each once: all but the last.
+/// Returns the ids of the parts that the prompt may share with others: all but the last, each once
+/// and in ascending order.
 std::vector<std::uint64_t> sharedPartIds(const Prompt &prompt);
 
 /// Returns how many of the chain's links are shared. The last link is unique to the request, unless
--- a/lib/Balancer/CrashDetector.cpp
+++ b/lib/Balancer/CrashDetector.cpp
@@ -21,6 +21,8 @@
 constexpr Duration proofTime = std::chrono::milliseconds(500);
 /// Maximum time between the ends of a target's connections when it crashes.
 constexpr Duration maxSignDelay = std::chrono::milliseconds(100);
+/// Parts of one prompt that are recorded. Callers choose the length of the list.
+constexpr std::size_t maxRecordedParts = 64;
 /// Difference between the times at which two nodes rerun a quarantined part.
 constexpr Duration rerunInterval = std::chrono::seconds(1);
 
@@ -86,8 +88,7 @@
     add(Kind::Request, request.fingerprint, boot);
     if (!isPartSuspect(request))
         return;
-    for (const std::uint64_t part : request.sharedParts)
-        add(Kind::Part, part, boot);
+    addParts(request.sharedParts, boot);
 }
 
 void CrashDetector::onConnectionRefused(const BalancedRequest &request)
@@ -202,10 +203,14 @@
 void CrashDetector::addSubjectsOf(const CompletedResponse &response)
 {
     add(Kind::Request, response.fingerprint, response.boot);
-    if (!response.isPartSuspect)
-        return;
-    for (const std::uint64_t part : response.parts)
-        add(Kind::Part, part, response.boot);
+    if (response.isPartSuspect)
+        addParts(response.parts, response.boot);
+}
+
+void CrashDetector::addParts(std::span<const std::uint64_t> parts, std::uint64_t boot)
+{
+    for (const std::uint64_t part : parts.first(std::min(parts.size(), maxRecordedParts)))
+        add(Kind::Part, part, boot);
 }
 
 /// Records an interruption that this node observed.
--- a/lib/Balancer/CrashDetector.h
+++ b/lib/Balancer/CrashDetector.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -83,6 +84,7 @@
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
     void clear(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
+    void addParts(std::span<const std::uint64_t> parts, std::uint64_t boot);
     void clearSubjectsOf(const CompletedResponse &response);
     void addSubjectsOf(const CompletedResponse &response);
     void resolveUnprovenResponses();
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -1,6 +1,8 @@
 #include "RequestLog.h"
 
+#include <algorithm>
 #include <cmath>
+#include <span>
 #include <utility>
 
 namespace berylridge {
@@ -15,6 +17,7 @@
 constexpr double maxDetailedLinesPerSecond = 50;
 /// All requests of a target are interrupted at once when it ends.
 constexpr double maxInterruptionLinesPerSecond = 50;
+constexpr std::size_t maxLoggedParts = 64;
 /// Callers choose their ids, and a line must not grow with them.
 constexpr std::size_t maxLoggedIdBytes = 64;
 constexpr Duration logPeriod = std::chrono::seconds(1);
@@ -83,8 +86,11 @@
     if (request.hasResponseStarted)
         fields["begunMs"] = toMilliseconds(m_context.now - request.responseStartedAt);
     fields["fingerprint"] = hexText(request.fingerprint);
-    for (const std::uint64_t part : request.sharedParts)
+    const std::size_t loggedParts = std::min(request.sharedParts.size(), maxLoggedParts);
+    for (const std::uint64_t part : std::span(request.sharedParts).first(loggedParts))
         fields["parts"].append(hexText(part));
+    if (loggedParts < request.sharedParts.size())
+        fields["partCount"] = Json::UInt64(request.sharedParts.size());
     m_context.emit(Log {{id, {}, request.id, std::move(fields)}});
 }
 
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -540,8 +540,8 @@
         return;
     std::vector<RequestHandle> quarantined;
     for (const auto &[handle, request] : m_requests) {
-        if (request.isRunning && !request.hasResponseStarted
-            && m_crashDetector.isQuarantined(request))
+        const bool isWaiting = request.isRunning && !request.hasResponseStarted && !request.isRerun;
+        if (isWaiting && m_crashDetector.isQuarantined(request))
             quarantined.push_back(handle);
     }
     for (const RequestHandle handle : quarantined) {
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -62,11 +62,12 @@
     if (found != m_entries.end())
         return found->second;
     if (m_entries.size() >= m_options.maxSubjects) {
-        const auto oldest = std::min_element(
-            m_entries.begin(), m_entries.end(), [](const auto &left, const auto &right) {
-                return left.second.lastReportAt < right.second.lastReportAt;
-            });
-        m_entries.erase(oldest);
+        const auto rank = [this](const auto &each) {
+            return std::pair(isQuarantined(each.second), each.second.lastReportAt);
+        };
+        m_entries.erase(std::min_element(
+            m_entries.begin(), m_entries.end(),
+            [&](const auto &left, const auto &right) { return rank(left) < rank(right); }));
     }
     return m_entries[subject];
 }
--- a/lib/Policy/PromptCacheDirectory.cpp
+++ b/lib/Policy/PromptCacheDirectory.cpp
@@ -40,11 +40,10 @@
 std::vector<std::uint64_t> sharedPartIds(const Prompt &prompt)
 {
     std::vector<std::uint64_t> ids;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        const std::uint64_t id = prompt.parts[i].id;
-        if (std::find(ids.begin(), ids.end(), id) == ids.end())
-            ids.push_back(id);
-    }
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        ids.push_back(prompt.parts[i].id);
+    std::sort(ids.begin(), ids.end());
+    ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
     return ids;
 }
 
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -277,6 +277,39 @@
     EXPECT_FALSE(send({commonPart}));
 }
 
+// Guards against a rerun that says nothing because another part was quarantined meanwhile.
+TEST_F(CrashingPartTest, RerunIsNotAbortedForAnotherPart)
+{
+    crashTargets({commonPart, otherPart}, 3);
+    const auto rerun = send({commonPart});
+    ASSERT_TRUE(rerun);
+    receiveReports({101, 102, 103});
+    EXPECT_FALSE(findAction<AbortAttempt>());
+}
+
+// Guards against a prompt of thousands of parts that fills the record and the messages.
+TEST_F(CrashingPartTest, PartsRecordedForOneRequestAreBounded)
+{
+    receiveDigest("n2", "a", 1, 1);
+    std::vector<PromptPart> parts;
+    for (std::uint64_t id = 1000; id < 6000; ++id)
+        parts.push_back({id, 1});
+    const auto dispatch = send(parts);
+    ASSERT_TRUE(dispatch);
+    begin(*dispatch);
+    handle(makeFailure(*dispatch, AttemptFailure::Reset));
+    std::size_t reported = 0;
+    for (int i = 0; i < 200; ++i) {
+        advanceTime(100ms);
+        receiveDigest("n2", "a", 1, 1);
+        advanceTime(100ms);
+        for (const auto &[endpoint, update] : sentMessages<InterruptedPartsUpdate>())
+            reported += update.parts.size();
+    }
+    EXPECT_GT(reported, 0U);
+    EXPECT_LE(reported, 500U);
+}
+
 // Guards against sessions that end because a target crashed while it ran one of their requests: the
 // last part belongs to the request or its session.
 TEST_F(CrashingPartTest, LastPartIsNotQuarantined)
--- a/unittests/Policy/CrashRecordTest.cpp
+++ b/unittests/Policy/CrashRecordTest.cpp
@@ -197,3 +197,17 @@
     }
     EXPECT_TRUE(record.add(1, 100, clock.now())) << "the clearance is forgotten";
 }
+
+// Guards against a quarantined part that runs again because reports of many others displace it.
+TEST(CrashRecord, QuarantinedSubjectsAreForgottenLast)
+{
+    ManualClock clock;
+    CrashRecord record({.maxSubjects = 4});
+    record.add(1, 100, clock.now());
+    record.add(1, 200, clock.now());
+    for (std::uint64_t subject = 2; subject < 20; ++subject) {
+        clock.advance(1ms);
+        record.add(subject, 300, clock.now());
+    }
+    EXPECT_TRUE(record.isQuarantined(1));
+}
