Count crashes of targets that break at once as one; rerun quarantined parts soon

Cause: connections to many targets that break at once, or many targets that end at once, counted as independent crashes of each prompt part that ran there. Only a response that the same node had requested after the break refuted a crash, and reruns were due after 15 s and a second for each node before this one. Change: crashes of one part count as one if they were observed within 60 ms, or within 500 ms of an interruption of four targets or more. Reports carry their age. A response on a connection that outlived the break clears the boot at all nodes with one entry. The first rerun of a part is due within 1.2 s, announced to the fleet, and refusals beside it are 503 with Retry-After. Tests: reports in CrashingPartTest get ages, since simultaneous ones are one crash now; the intervals of reruns in CrashRecordTest are the new ones.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -54,11 +54,14 @@
 /// prompt.
 struct InterruptionEntry
 {
-    std::uint64_t subject = 0; ///< The request's fingerprint, or the part's id.
-    std::uint64_t boot = 0;    ///< Boot of the target whose connections broke.
+    /// The request's fingerprint, or the part's id. With 0 and `isCleared`, the boot has not
+    /// crashed, which clears all subjects that were interrupted there up to `ageMs` ago.
+    std::uint64_t subject = 0;
+    std::uint64_t boot = 0; ///< Boot of the target whose connections broke.
     /// The subject has got a complete response since, or the target has not crashed.
     bool isCleared = false;
-    MSGPACK_DEFINE(subject, boot, isCleared)
+    std::uint32_t ageMs = 0; ///< Time since the interruption was observed.
+    MSGPACK_DEFINE(subject, boot, isCleared, ageMs)
 };
 
 struct PeerEntry
@@ -195,6 +198,16 @@
     MSGPACK_DEFINE(parts)
 };
 
+/// Tells the other nodes that the sender lets one request with a quarantined part run, so that they
+/// wait for its result. It is sent at once, in the same way as DispatchNotice.
+struct RerunNotice
+{
+    std::string zone; ///< Zone of the node that runs the request.
+    std::uint64_t part = 0;
+    bool isCanceled = false; ///< The request was not sent to any target.
+    MSGPACK_DEFINE(zone, part, isCanceled)
+};
+
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
 struct StateRequest
 {
@@ -220,6 +233,6 @@
 using BalancerMessage
     = std::variant<LoadDigest, StateRequest, CatalogUpdate, DirectoryRelay, PlacementUpdate,
                    ZoneLoadSummary, ZoneFlowSummary, DispatchNotice, StreamOriginUpdate,
-                   StreamOriginQuery, StreamOriginAnswer, InterruptedPartsUpdate>;
+                   StreamOriginQuery, StreamOriginAnswer, InterruptedPartsUpdate, RerunNotice>;
 
 } // namespace berylridge
--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -3,8 +3,10 @@
 // since, is quarantined.
 //
 // A crash is identified by the target's boot, so that it counts once however many nodes report it.
-// Nodes exchange their entries. A clearance outweighs the report of the same subject and boot, in
-// whichever order the two arrive.
+// Boots that crash at the same time count as one crash: a subject that crashes targets reaches them
+// one after the other, while a fault of a network or an availability zone interrupts everything
+// that runs on many targets at once. Nodes exchange their entries. A clearance outweighs the report
+// of the same subject and boot, in whichever order the two arrive.
 #pragma once
 
 #include "berylridge/Support/Time.h"
@@ -13,7 +15,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace berylridge {
@@ -22,6 +27,8 @@
 {
     /// The number of targets that a subject may crash before it is quarantined.
     std::size_t maxCrashes = 2;
+    /// Crashes of different boots within this time count as one; 0 counts each.
+    Duration simultaneousTime {0};
     /// Beyond this number, the subjects that were reported the longest ago are forgotten,
     /// quarantined ones last.
     std::size_t maxSubjects = 4096;
@@ -39,17 +46,21 @@
     {
     }
 
-    /// Records that a boot crashed while it ran the subject. Returns whether this was unknown
-    /// before.
-    bool add(Subject subject, Boot boot, TimePoint now);
+    /// Records that a boot crashed while it ran the subject, which was observed at `observedAt`.
+    /// Returns whether this was unknown before.
+    bool add(Subject subject, Boot boot, TimePoint observedAt, TimePoint now);
+    bool add(Subject subject, Boot boot, TimePoint now) { return add(subject, boot, now, now); }
+    /// Records that a boot's connections broke, whatever it ran.
+    void addBoot(Boot boot, TimePoint observedAt);
 
     /// Records a complete response that began at `begunAt`: the subject caused none of the crashes
     /// before. Returns the boots for which this is new.
     std::vector<Boot> clear(Subject subject, TimePoint begunAt, TimePoint now);
     /// Records another node's clearance. Returns whether it was unknown before.
     bool clear(Subject subject, Boot boot, TimePoint now);
-    /// Records that the boot has not crashed. Returns the subjects that were reported with it.
-    std::vector<Subject> clearBoot(Boot boot, TimePoint now);
+    /// Records that the boot has not crashed up to `until`. Returns the subjects that were reported
+    /// with it.
+    std::vector<Subject> clearBoot(Boot boot, TimePoint until, TimePoint now);
     bool isCleared(Subject subject, Boot boot) const;
 
     /// Returns whether a request that has not run yet has to wait: another one with its fingerprint
@@ -58,6 +69,8 @@
 
     /// Returns the number of targets that the subject may have crashed.
     std::size_t crashes(Subject subject) const;
+    /// Returns when the crash of the boot was observed, or nothing if it is unknown.
+    std::optional<TimePoint> observedAt(Subject subject, Boot boot) const;
     bool isQuarantined(Subject subject) const
     {
         const auto found = m_entries.find(subject);
@@ -67,15 +80,19 @@
     std::optional<Duration> remainingBlockTime(Subject subject, TimePoint now) const;
 
     /// Returns whether one request with a quarantined subject may run now, to find out whether it
-    /// still crashes targets. The time between such reruns grows with the number of crashes. Where
+    /// still crashes targets. The first two reruns are due soon, since few crashes may be a
+    /// coincidence; then the time between reruns grows with the number of crashes. Where
     /// quarantined subjects that the request doesn't hold were at these crashes too, a rerun is due
-    /// sooner. Nodes have different delays, so that each learns of the result of the one before it.
+    /// sooner. Nodes have different delays, so that each learns of the rerun of the one before it.
     /// `subjects` are those of the request.
     bool isRerunDue(Subject subject, std::span<const Subject> subjects, Duration nodeDelay,
                     TimePoint now) const;
+    /// Records that this or another node runs a request with the subject.
     void beginRerun(Subject subject, TimePoint now);
     /// Records that the last rerun was not sent to any target.
     void cancelRerun(Subject subject);
+    /// Returns whether one of the first reruns is outstanding, which are due soon.
+    bool isRerunExpectedSoon(Subject subject) const;
     /// Records that this node was asked to run the subject.
     void recordUse(Subject subject, TimePoint now);
 
@@ -105,7 +122,8 @@
     {
         struct Report
         {
-            TimePoint at; ///< When it became known.
+            TimePoint at;         ///< When it became known.
+            TimePoint observedAt; ///< When the first node that reported it observed it.
             bool isCleared = false;
         };
 
@@ -115,7 +133,7 @@
         TimePoint lastUseAt {};           ///< When this node last considered a request with it.
         std::optional<TimePoint> rerunAt; ///< When the last rerun was permitted.
 
-        std::size_t crashes() const;
+        std::size_t bootsCrashed() const;
         bool isExpired(TimePoint now) const;
     };
 
@@ -131,14 +149,24 @@
     bool isQuarantined(const Entry &entry) const
     {
         return entry.reports.size() >= m_options.maxCrashes
-            && entry.crashes() >= m_options.maxCrashes;
+            && entry.bootsCrashed() >= m_options.maxCrashes
+            && crashes(entry) >= m_options.maxCrashes;
     }
+    /// Returns the number of crashes, of which boots that crashed at the same time are one.
+    std::size_t crashes(const Entry &entry) const;
+    /// Returns the end of the time within which crashes count as the same as one at `begin`.
+    TimePoint endOfCrash(TimePoint begin) const;
+    void findMassInterruption(TimePoint observedAt);
     static bool isCurrent(const Entry &entry, TimePoint now);
     Entry &entryOf(Subject subject);
     std::size_t countUnexplained(const Entry &entry, std::span<const Subject> subjects) const;
 
     CrashRecordOptions m_options;
     std::map<Subject, Entry> m_entries;
+    std::unordered_map<Boot, TimePoint> m_brokenBoots; ///< When their connections last broke.
+    std::set<std::pair<TimePoint, Boot>> m_breaks;     ///< The same, ordered by time.
+    /// When connections to many targets broke at once.
+    std::vector<TimePoint> m_massInterruptions;
 };
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -146,6 +146,7 @@
                 m_gossip.onPlacements(message.from, message.incarnation, m);
             },
             [&](const InterruptedPartsUpdate &m) { m_gossip.onInterruptedParts(message.from, m); },
+            [&](const RerunNotice &m) { m_gossip.onRerunNotice(message.from, m); },
             [&](const StreamOriginUpdate &m) { m_streamOrigins.onUpdate(m); },
             [&](const StreamOriginQuery &m) { m_streamOrigins.onQuery(message.from, m); },
             [&](const StreamOriginAnswer &m) { m_streamOrigins.onAnswer(m); },
--- a/lib/Balancer/CrashDetector.cpp
+++ b/lib/Balancer/CrashDetector.cpp
@@ -3,6 +3,7 @@
 #include "berylridge/Support/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace berylridge {
@@ -14,23 +15,40 @@
 constexpr std::size_t maxPartCrashes = 3;
 /// Maximum time from the start of a response to the crash that it causes.
 constexpr Duration maxCrashDelay = std::chrono::milliseconds(500);
-/// A target that responds within this time after an interruption has not crashed. Later, another
-/// boot may respond that is not listed yet.
+/// A target that responds to a request that was sent within this time after an interruption has not
+/// crashed. Later, another boot may respond that is not listed yet.
 constexpr Duration maxRefutationTime = std::chrono::milliseconds(1000);
+/// A connection that was in use before an interruption and still delivers a response after this
+/// time has survived it. Overloaded nodes read up to half a second late what arrived before.
+constexpr Duration minSurvivalTime = std::chrono::milliseconds(500);
+/// Time for which interruptions and their refutations are kept, for reports that arrive late.
+constexpr Duration interruptionTime = std::chrono::seconds(10);
+/// Boots whose connections break within this time do so for one reason. Crashes that one part
+/// causes come one after the other, at least 33 ms after the start of an answer.
+constexpr Duration simultaneousTime = std::chrono::milliseconds(60);
 /// Time by which another request shows that a target has crashed.
 constexpr Duration proofTime = std::chrono::milliseconds(500);
 /// Maximum time between the ends of a target's connections when it crashes.
 constexpr Duration maxSignDelay = std::chrono::milliseconds(100);
 /// Parts of one prompt that are recorded. Callers choose the length of the list.
 constexpr std::size_t maxRecordedParts = 64;
-/// Difference between the times at which two nodes rerun a quarantined part.
-constexpr Duration rerunInterval = std::chrono::seconds(1);
+/// Maximum time for which a node lets others rerun a quarantined part first.
+constexpr Duration maxRerunDelay = std::chrono::seconds(1);
+/// Retry-After of requests that wait for the result of a rerun: its delay, a wait in a target's
+/// queue and the answer.
+constexpr Duration rerunRetryAfter = std::chrono::milliseconds(1000);
+constexpr Duration refutationReportPeriod = std::chrono::milliseconds(500);
+/// Older reports only tell that the interruption was long ago.
+constexpr Duration maxReportAge = std::chrono::minutes(10);
+constexpr const char *partRefusalType = "crashing-part";
 
 } // namespace
 
 CrashDetector::CrashDetector(BalancerContext &context)
     : m_context(context)
-    , m_records {CrashRecord(), CrashRecord({.maxCrashes = maxPartCrashes})}
+    , m_records {CrashRecord(),
+                 CrashRecord({.maxCrashes = maxPartCrashes, .simultaneousTime = simultaneousTime})}
+    , m_random(hash64(context.options.node.str(), context.options.seed))
 {
 }
 
@@ -52,18 +70,36 @@
                                            m_context.now);
           });
     if (!mayRun)
-        return partRefusal();
-    for (const std::uint64_t part : quarantinedParts)
+        return refusalBeforeRun(quarantinedParts);
+    for (const std::uint64_t part : quarantinedParts) {
         partRecord.beginRerun(part, m_context.now);
+        m_rerunNotices.push_back({m_context.options.zone.str(), part, false});
+        logRerun(part, "begins");
+    }
     request.isRerun = !quarantinedParts.empty();
     return std::nullopt;
 }
 
+/// Returns the refusal of a request that has not run. Where the result of a rerun is expected soon,
+/// the caller may come back for it.
+Refusal CrashDetector::refusalBeforeRun(std::span<const std::uint64_t> quarantinedParts)
+{
+    const bool isResultExpected
+        = std::all_of(quarantinedParts.begin(), quarantinedParts.end(), [&](std::uint64_t part) {
+              return record(Kind::Part).isRerunExpectedSoon(part);
+          });
+    if (!isResultExpected)
+        return partRefusal();
+    return {503, partRefusalType,
+            "another request finds out whether a part of this request's prompt crashes targets",
+            addRetryJitter(rerunRetryAfter, m_random)};
+}
+
 Refusal CrashDetector::partRefusal()
 {
     return {
         502,
-        "crashing-part",
+        partRefusalType,
         "targets crashed when they began to answer prompts with a part of this request's prompt",
         {}};
 }
@@ -77,14 +113,27 @@
 
 void CrashDetector::cancelRerun(const BalancedRequest &request)
 {
-    for (const std::uint64_t part : request.sharedParts)
+    for (const std::uint64_t part : request.sharedParts) {
+        if (!record(Kind::Part).isQuarantined(part))
+            continue;
         record(Kind::Part).cancelRerun(part);
+        m_rerunNotices.push_back({m_context.options.zone.str(), part, true});
+        logRerun(part, "not sent");
+    }
+}
+
+void CrashDetector::onRerunNotice(const RerunNotice &notice)
+{
+    if (notice.isCanceled)
+        record(Kind::Part).cancelRerun(notice.part);
+    else
+        record(Kind::Part).beginRerun(notice.part, m_context.now);
 }
 
 void CrashDetector::onInterrupted(const BalancedRequest &request)
 {
     const std::uint64_t boot = request.choice.boot;
-    m_interruptedAt[boot] = m_context.now;
+    recordBreak(boot, m_context.now);
     add(Kind::Request, request.fingerprint, boot);
     if (!isPartSuspect(request))
         return;
@@ -98,7 +147,14 @@
         = std::any_of(m_unprovenResponses.begin(), m_unprovenResponses.end(),
                       [&](const CompletedResponse &response) { return response.boot == boot; });
     if (isInQuestion)
-        m_interruptedAt[boot] = m_context.now;
+        recordBreak(boot, m_context.now);
+}
+
+void CrashDetector::recordBreak(std::uint64_t boot, TimePoint observedAt)
+{
+    TimePoint &last = m_interruptedAt.try_emplace(boot, observedAt).first->second;
+    last = std::max(last, observedAt);
+    record(Kind::Part).addBoot(boot, observedAt);
 }
 
 void CrashDetector::onResponseStarted(const BalancedRequest &request)
@@ -106,17 +162,58 @@
     const std::uint64_t boot = request.choice.boot;
     const auto found = m_interruptedAt.find(boot);
     if (found == m_interruptedAt.end() || request.dispatchedAt <= found->second
-        || request.dispatchedAt > found->second + maxRefutationTime)
+        || request.dispatchedAt > found->second + maxRefutationTime) {
+        refuteIfRunning(request);
         return;
-    m_interruptedAt.erase(found);
-    for (const Kind kind : {Kind::Request, Kind::Part}) {
-        for (const std::uint64_t subject : record(kind).clearBoot(boot, m_context.now))
-            report(kind, {subject, boot, true});
     }
+    refute(boot, found->second);
+}
+
+/// Refutes the crash of the request's boot if its connection has survived the interruption of
+/// others.
+void CrashDetector::refuteIfRunning(const BalancedRequest &request)
+{
+    const auto found = m_interruptedAt.find(request.choice.boot);
+    if (found == m_interruptedAt.end() || request.dispatchedAt >= found->second
+        || m_context.now < found->second + minSurvivalTime)
+        return;
+    refute(request.choice.boot, found->second);
+}
+
+bool CrashDetector::isRefuted(std::uint64_t boot, TimePoint observedAt) const
+{
+    const auto found = m_refutations.find(boot);
+    return found != m_refutations.end() && observedAt <= found->second.until;
+}
+
+bool CrashDetector::refute(std::uint64_t boot, TimePoint until)
+{
+    if (isRefuted(boot, until))
+        return false;
+    m_refutations[boot].until = until;
+    const auto interrupted = m_interruptedAt.find(boot);
+    if (interrupted != m_interruptedAt.end() && interrupted->second <= until)
+        m_interruptedAt.erase(interrupted);
+    for (CrashRecord &each : m_records)
+        each.clearBoot(boot, until, m_context.now);
+    reportRefutation(boot);
+    return true;
+}
+
+/// Reports the refutation, but not for each of many late reports that it answers.
+void CrashDetector::reportRefutation(std::uint64_t boot)
+{
+    Refutation &refutation = m_refutations[boot];
+    if (m_context.now < refutation.reportedAt + refutationReportPeriod)
+        return;
+    refutation.reportedAt = m_context.now;
+    report(Kind::Part, {0, boot, true});
 }
 
 void CrashDetector::onCompleted(const BalancedRequest &request, const AttemptDone &event)
 {
+    if (!event.endedWithConnection)
+        refuteIfRunning(request);
     // A target that rejects a request has not begun to answer its prompt.
     const bool isSuccess = event.status >= 200 && event.status < 300;
     CompletedResponse response;
@@ -135,6 +232,10 @@
 
 bool CrashDetector::onReport(Kind kind, const InterruptionEntry &entry)
 {
+    const Duration age = std::min<Duration>(std::chrono::milliseconds(entry.ageMs), maxReportAge);
+    const TimePoint observedAt = m_context.now - age;
+    if (entry.isCleared && entry.subject == 0)
+        return refute(entry.boot, observedAt);
     if (entry.isCleared)
         return record(kind).clear(entry.subject, entry.boot, m_context.now);
     if (record(kind).isCleared(entry.subject, entry.boot)) {
@@ -142,7 +243,28 @@
         report(kind, {entry.subject, entry.boot, true});
         return false;
     }
-    return addToRecord(kind, entry.subject, entry.boot);
+    if (isRefuted(entry.boot, observedAt)) {
+        reportRefutation(entry.boot);
+        return false;
+    }
+    return addToRecord(kind, entry.subject, entry.boot, observedAt);
+}
+
+void CrashDetector::updateAges(Kind kind, std::span<InterruptionEntry> entries) const
+{
+    for (InterruptionEntry &entry : entries) {
+        std::optional<TimePoint> observedAt = record(kind).observedAt(entry.subject, entry.boot);
+        if (entry.subject == 0 && entry.isCleared) {
+            const auto refuted = m_refutations.find(entry.boot);
+            if (refuted != m_refutations.end())
+                observedAt = refuted->second.until;
+        }
+        if (!observedAt)
+            continue;
+        const auto age = toMilliseconds(m_context.now - *observedAt);
+        entry.ageMs = static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(age, 0, toMilliseconds(maxReportAge)));
+    }
 }
 
 std::vector<InterruptionEntry> CrashDetector::takeReports(Kind kind)
@@ -170,7 +292,9 @@
         each.expire(now);
     resolveUnprovenResponses();
     std::erase_if(m_interruptedAt,
-                  [&](const auto &each) { return each.second + maxRefutationTime < now; });
+                  [&](const auto &each) { return each.second + interruptionTime < now; });
+    std::erase_if(m_refutations,
+                  [&](const auto &each) { return each.second.until + interruptionTime < now; });
 }
 
 void CrashDetector::resolveUnprovenResponses()
@@ -209,23 +333,26 @@
 
 void CrashDetector::addParts(std::span<const std::uint64_t> parts, std::uint64_t boot)
 {
-    for (const std::uint64_t part : parts.first(std::min(parts.size(), maxRecordedParts)))
-        add(Kind::Part, part, boot);
+    for (const std::uint64_t part : parts.first(std::min(parts.size(), maxRecordedParts))) {
+        if (part != 0) // In reports, 0 stands for all parts.
+            add(Kind::Part, part, boot);
+    }
 }
 
 /// Records an interruption that this node observed.
 void CrashDetector::add(Kind kind, std::uint64_t subject, std::uint64_t boot)
 {
-    if (addToRecord(kind, subject, boot))
+    if (addToRecord(kind, subject, boot, m_context.now))
         report(kind, {subject, boot, false});
 }
 
-bool CrashDetector::addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot)
+bool CrashDetector::addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot,
+                                TimePoint observedAt)
 {
     const bool wasQuarantined = record(kind).isQuarantined(subject);
-    if (!record(kind).add(subject, boot, m_context.now))
+    if (!record(kind).add(subject, boot, observedAt, m_context.now))
         return false;
-    m_interruptedAt[boot] = m_context.now;
+    recordBreak(boot, observedAt);
     if (!wasQuarantined && record(kind).isQuarantined(subject)) {
         m_hasNewQuarantine = m_hasNewQuarantine || kind == Kind::Part;
         logQuarantine(kind, subject);
@@ -251,16 +378,24 @@
         || m_context.now - request.responseStartedAt <= maxCrashDelay;
 }
 
+/// Returns how long this node lets others rerun the part first. Where many nodes have requests with
+/// the part, the first delays are long and far apart, so that one rerun is known before the next is
+/// due; where one node has them, it waits a second at most.
 Duration CrashDetector::rerunDelayOfNode(std::uint64_t part) const
 {
-    const std::uint64_t own = hash64(m_context.options.node.str(), part);
-    std::int64_t precedingNodes = 0;
-    m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
-        const bool precedes
-            = m_context.peers.isLive(peer, m_context.now) && hash64(node.str(), part) < own;
-        precedingNodes += precedes ? 1 : 0;
-    });
-    return rerunInterval * precedingNodes;
+    if (m_context.peers.liveCount(m_context.now) <= 1)
+        return Duration(0);
+    constexpr double hashRange = 18446744073709551616.0;
+    const double position
+        = static_cast<double>(hash64(m_context.options.node.str(), part)) / hashRange;
+    return fromSeconds(toSeconds(maxRerunDelay) * std::sqrt(std::sqrt(position)));
+}
+
+void CrashDetector::logRerun(std::uint64_t part, const char *outcome)
+{
+    const LogEventId id = LogEventId::PartRerun;
+    if (m_lines.tryTake(0, logEventInfo(id).level, m_context.now))
+        m_context.log(id, hexText(part) + ' ' + outcome);
 }
 
 void CrashDetector::logQuarantine(Kind kind, std::uint64_t subject)
--- a/lib/Balancer/CrashDetector.h
+++ b/lib/Balancer/CrashDetector.h
@@ -2,9 +2,11 @@
 // keeps these from further targets.
 //
 // A target that crashes interrupts everything that it runs, and most of that is sound. A part of a
-// prompt is quarantined only after several targets have crashed soon after they had begun to answer
-// it, and no request with it has got a complete response since, at any node. Parts in use are
-// cleared within a second.
+// prompt is quarantined only after several targets have crashed one after the other, soon after
+// they had begun to answer it, and no request with it has got a complete response since, at any
+// node. Parts in use are cleared within a second. A target whose connections broke but which goes
+// on responding on others has not crashed. A quarantined part is soon tried by one request of the
+// fleet.
 #pragma once
 
 #include "BalancedRequest.h"
@@ -13,6 +15,7 @@
 #include "berylridge/Fleet/BalancerMessages.h"
 #include "berylridge/Policy/CrashRecord.h"
 #include "berylridge/Support/LogRateLimiter.h"
+#include "berylridge/Support/Random.h"
 
 #include <array>
 #include <cstdint>
@@ -35,13 +38,17 @@
     /// quarantined part may be let through from time to time, to find out whether the part still
     /// crashes targets; it is then marked as a rerun.
     std::optional<Refusal> checkFirstAttempt(BalancedRequest &request);
-    /// Returns the refusal of a request with a quarantined part.
+    /// Returns the refusal of a request with a quarantined part that may have run.
     static Refusal partRefusal();
     /// Returns whether the request itself or a part of its prompt is quarantined.
     bool isQuarantined(const BalancedRequest &request) const;
 
     /// Permits another rerun, since this one has not been sent to a target.
     void cancelRerun(const BalancedRequest &request);
+    /// Records that another node began a rerun, or canceled it.
+    void onRerunNotice(const RerunNotice &notice);
+    /// Returns the notices of this node's reruns since the last call.
+    std::vector<RerunNotice> takeRerunNotices() { return std::exchange(m_rerunNotices, {}); }
 
     /// Records that the target's connection broke while it ran the request.
     void onInterrupted(const BalancedRequest &request);
@@ -56,6 +63,8 @@
     bool onReport(Kind kind, const InterruptionEntry &entry);
     /// Returns the entries for the other nodes since the last call.
     std::vector<InterruptionEntry> takeReports(Kind kind);
+    /// Sets the ages of entries that are about to be sent.
+    void updateAges(Kind kind, std::span<InterruptionEntry> entries) const;
     /// Returns the next entries in rotation of the parts that are quarantined, for nodes that have
     /// restarted or were cut off.
     std::vector<InterruptionEntry> nextQuarantinedParts(std::size_t maxCount);
@@ -81,7 +90,13 @@
     CrashRecord &record(Kind kind) { return m_records[static_cast<std::size_t>(kind)]; }
     const CrashRecord &record(Kind kind) const { return m_records[static_cast<std::size_t>(kind)]; }
     void add(Kind kind, std::uint64_t subject, std::uint64_t boot);
-    bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot);
+    bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot, TimePoint observedAt);
+    void recordBreak(std::uint64_t boot, TimePoint observedAt);
+    bool isRefuted(std::uint64_t boot, TimePoint observedAt) const;
+    /// Records that the boot has not crashed up to `until`. Returns whether this was unknown.
+    bool refute(std::uint64_t boot, TimePoint until);
+    void refuteIfRunning(const BalancedRequest &request);
+    void reportRefutation(std::uint64_t boot);
     void clear(Kind kind, std::uint64_t subject, TimePoint begunAt);
     void report(Kind kind, const InterruptionEntry &entry);
     void addParts(std::span<const std::uint64_t> parts, std::uint64_t boot);
@@ -90,13 +105,24 @@
     void resolveUnprovenResponses();
     bool isPartSuspect(const BalancedRequest &request) const;
     Duration rerunDelayOfNode(std::uint64_t part) const;
+    Refusal refusalBeforeRun(std::span<const std::uint64_t> quarantinedParts);
+    void logRerun(std::uint64_t part, const char *outcome);
     void logQuarantine(Kind kind, std::uint64_t subject);
 
     BalancerContext &m_context;
     std::array<CrashRecord, 2> m_records;                    ///< By Kind.
     std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
-    /// When the last sign of a boot's crash became known, unless the boot has responded since.
+    /// When the last sign of a boot's crash was observed, unless the boot has responded since.
     std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
+    /// A boot that has not crashed although connections to it broke.
+    struct Refutation
+    {
+        TimePoint until; ///< Interruptions up to this time were no crash.
+        TimePoint reportedAt;
+    };
+    std::unordered_map<std::uint64_t, Refutation> m_refutations;
+    std::vector<RerunNotice> m_rerunNotices;
+    RandomEngine m_random; ///< Varies the Retry-After of refusals.
     std::vector<CompletedResponse>
         m_unprovenResponses;           ///< Those that ended with their connections.
     std::size_t m_nextQuarantined = 0; ///< Position in the rotation of nextQuarantinedParts().
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -168,6 +168,7 @@
         m_requests.crashDetector().nextQuarantinedParts(maxQuarantinedPartsPerMessage)};
     for (const InterruptionEntry &entry : m_interruptedParts.take(maxInterruptedPartsPerMessage))
         update.parts.push_back(entry);
+    m_requests.crashDetector().updateAges(CrashKind::Part, update.parts);
     return update;
 }
 
@@ -228,6 +229,7 @@
     digest.rejectedPerSecond = clampToUint32(m_requests.shares().rejectedPerSecond(m_context.now));
     digest.missedPerSecond = clampToUint32(m_requests.shares().missedPerSecond(m_context.now));
     digest.interruptedRequests = m_interruptedRequests.take(maxInterruptedRequestsPerDigest);
+    m_requests.crashDetector().updateAges(CrashKind::Request, digest.interruptedRequests);
     const bool isStarting = m_digestsSent < startingDigests;
     if (m_digestsSent++ % digestsPerPeerList == 0 || isStarting)
         digest.peers = m_context.peers.nextLiveEntries(maxPeersPerDigest, m_context.now);
@@ -343,25 +345,44 @@
 
 void GossipExchange::sendNotices()
 {
+    for (const RerunNotice &notice : m_requests.crashDetector().takeRerunNotices())
+        sendToFleet(notice);
     const std::vector<DispatchNotice> notices = m_targetSelector.takeNotices();
     // In a small fleet, each digest reaches all nodes.
     if (!m_context.peers.usesZoneSummaries())
         return;
-    for (const DispatchNotice &notice : notices) {
-        sendNoticeInOwnZone(notice);
-        for (const auto &[node, endpoint] : m_context.peers.zoneRelays(m_context.now))
-            m_context.emit(SendToNode {node, endpoint, BalancerMessage(notice)});
-    }
+    for (const DispatchNotice &notice : notices)
+        sendToFleet(notice);
 }
 
-void GossipExchange::sendNoticeInOwnZone(const DispatchNotice &notice)
+/// Sends the message to the nodes that receive this node's digests, and to one node of each other
+/// zone, which relays it in its zone.
+void GossipExchange::sendToFleet(const BalancerMessage &message)
+{
+    sendInOwnZone(message);
+    if (!m_context.peers.usesZoneSummaries())
+        return;
+    for (const auto &[node, endpoint] : m_context.peers.zoneRelays(m_context.now))
+        m_context.emit(SendToNode {node, endpoint, message});
+}
+
+void GossipExchange::sendInOwnZone(const BalancerMessage &message)
 {
     m_context.peers.forEachDigestReceiver([&](const NodeId &node, const PeerTable::Peer &peer) {
         if (m_context.peers.isLive(peer, m_context.now))
-            m_context.emit(SendToNode {node, peer.endpoint, BalancerMessage(notice)});
+            m_context.emit(SendToNode {node, peer.endpoint, message});
     });
 }
 
+void GossipExchange::onRerunNotice(const NodeId &from, const RerunNotice &notice)
+{
+    m_requests.crashDetector().onRerunNotice(notice);
+    const bool isRelay = m_context.peers.usesZoneSummaries()
+        && notice.zone != m_context.options.zone.str() && !isInOwnZone(from);
+    if (isRelay)
+        sendInOwnZone(notice);
+}
+
 void GossipExchange::onDispatchNotice(const NodeId &from, Incarnation incarnation,
                                       const DispatchNotice &notice)
 {
@@ -372,7 +393,7 @@
         = m_context.peers.usesZoneSummaries() && notice.zone != m_context.options.zone.str();
     m_targetSelector.onDispatchNotice(from, isSummarized, notice);
     if (isSummarized && !isInOwnZone(from))
-        sendNoticeInOwnZone(notice);
+        sendInOwnZone(notice);
 }
 
 void GossipExchange::onPlacements(const NodeId &from, Incarnation incarnation,
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -43,8 +43,9 @@
     void onZoneLoads(const NodeId &from, const ZoneLoadSummary &summary);
     void onZoneFlows(const NodeId &from, const ZoneFlowSummary &summary);
     void onInterruptedParts(const NodeId &from, const InterruptedPartsUpdate &update);
-    /// Sends the notices of requests that this node has just dispatched.
+    /// Sends the notices of requests and reruns that this node has just dispatched.
     void sendNotices();
+    void onRerunNotice(const NodeId &from, const RerunNotice &notice);
     void onDispatchNotice(const NodeId &from, Incarnation incarnation,
                           const DispatchNotice &notice);
     void onStateRequest(const NodeId &from, const StateRequest &request);
@@ -74,7 +75,8 @@
     std::vector<BalancerMessage> buildZoneSummaries() const;
     void appendZoneLoads(std::vector<BalancerMessage> &summaries) const;
     PlacementUpdate takeRemotePlacements();
-    void sendNoticeInOwnZone(const DispatchNotice &notice);
+    void sendToFleet(const BalancerMessage &message);
+    void sendInOwnZone(const BalancerMessage &message);
     bool isInOwnZone(const NodeId &node) const;
     void mergeLoads(const NodeId &from, const LoadDigest &digest);
     void mergeInterruptions(const NodeId &from, CrashDetector::Kind kind,
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -19,18 +19,33 @@
 /// Time for a rerun's wait at the target, its result, and the report to the other nodes.
 constexpr Duration rerunTime = std::chrono::seconds(5);
 
+/// A power failure or a network fault interrupts at least this many targets at once.
+constexpr std::size_t minMassBoots = 4;
+/// Overloaded nodes notice a broken connection up to this late.
+constexpr Duration massInterruptionTime = std::chrono::milliseconds(500);
+/// The boots that are interrupted at once become known within this time.
+constexpr Duration brokenBootTime = std::chrono::seconds(10);
+/// Responses that are on their way may clear the subject meanwhile.
+constexpr Duration firstRerunDelay = std::chrono::milliseconds(200);
+/// Crashes beyond the limit for which the next rerun is due soon.
+constexpr std::size_t earlyReruns = 2;
+
 /// Returns the time from the last crash to the next rerun. Few crashes may be a coincidence, and so
 /// may one that nothing else explains.
 Duration rerunDelay(std::size_t crashesBeyondLimit, std::size_t unexplainedCrashes)
 {
     if (unexplainedCrashes == 0)
         return Duration(0);
+    if (crashesBeyondLimit == 0)
+        return firstRerunDelay;
+    if (crashesBeyondLimit < earlyReruns)
+        return std::chrono::seconds(1);
     if (unexplainedCrashes == 1)
         return std::chrono::seconds(10);
     switch (crashesBeyondLimit) {
-    case 0:
+    case earlyReruns:
         return std::chrono::seconds(15);
-    case 1:
+    case earlyReruns + 1:
         return std::chrono::minutes(1);
     default:
         return blockTime;
@@ -39,7 +54,7 @@
 
 } // namespace
 
-std::size_t CrashRecord::Entry::crashes() const
+std::size_t CrashRecord::Entry::bootsCrashed() const
 {
     return static_cast<std::size_t>(std::count_if(
         reports.begin(), reports.end(), [](const auto &each) { return !each.second.isCleared; }));
@@ -48,7 +63,7 @@
 bool CrashRecord::Entry::isExpired(TimePoint now) const
 {
     const TimePoint last = std::max({lastAt, lastReportAt, lastUseAt});
-    return last + (crashes() > 0 ? blockTime : clearedReportTime) < now;
+    return last + (bootsCrashed() > 0 ? blockTime : clearedReportTime) < now;
 }
 
 bool CrashRecord::isCurrent(const Entry &entry, TimePoint now)
@@ -72,16 +87,90 @@
     return m_entries[subject];
 }
 
-bool CrashRecord::add(Subject subject, Boot boot, TimePoint now)
+bool CrashRecord::add(Subject subject, Boot boot, TimePoint observedAt, TimePoint now)
 {
+    addBoot(boot, observedAt);
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
-    if (!entry.reports.try_emplace(boot, Entry::Report {now}).second)
+    const auto [found, isNew] = entry.reports.try_emplace(boot, Entry::Report {now, observedAt});
+    if (!isNew) {
+        found->second.observedAt = std::min(found->second.observedAt, observedAt);
         return false;
+    }
     entry.lastAt = now;
+    entry.rerunAt.reset(); // If a rerun caused this crash, its result is known.
     return true;
 }
 
+void CrashRecord::addBoot(Boot boot, TimePoint observedAt)
+{
+    if (m_options.simultaneousTime == Duration(0))
+        return;
+    const auto [found, isNew] = m_brokenBoots.try_emplace(boot, observedAt);
+    if (!isNew && found->second >= observedAt)
+        return;
+    if (!isNew)
+        m_breaks.erase({found->second, boot});
+    found->second = observedAt;
+    m_breaks.insert({observedAt, boot});
+    findMassInterruption(observedAt);
+}
+
+/// Looks for a mass interruption that includes a break at this time.
+void CrashRecord::findMassInterruption(TimePoint observedAt)
+{
+    const bool isKnown
+        = std::any_of(m_massInterruptions.begin(), m_massInterruptions.end(), [&](TimePoint begin) {
+              return observedAt >= begin && observedAt <= begin + massInterruptionTime;
+          });
+    if (isKnown)
+        return;
+    const Duration time = m_options.simultaneousTime;
+    const auto end = m_breaks.lower_bound({observedAt + time, 0});
+    for (auto first = m_breaks.lower_bound({observedAt - time, 0}); first != end; ++first) {
+        auto last = first;
+        for (std::size_t i = 1; i < minMassBoots && last != m_breaks.end(); ++i)
+            ++last;
+        if (last == m_breaks.end())
+            return;
+        if (last->first - first->first <= time) {
+            m_massInterruptions.push_back(first->first);
+            return;
+        }
+    }
+}
+
+TimePoint CrashRecord::endOfCrash(TimePoint begin) const
+{
+    TimePoint end = begin + m_options.simultaneousTime;
+    for (const TimePoint mass : m_massInterruptions) {
+        if (begin >= mass && begin <= mass + massInterruptionTime)
+            end = std::max(end, mass + massInterruptionTime);
+    }
+    return end;
+}
+
+std::size_t CrashRecord::crashes(const Entry &entry) const
+{
+    if (m_options.simultaneousTime == Duration(0))
+        return entry.bootsCrashed();
+    std::vector<TimePoint> times;
+    for (const auto &[boot, report] : entry.reports) {
+        if (!report.isCleared)
+            times.push_back(report.observedAt);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    std::optional<TimePoint> end;
+    for (const TimePoint time : times) {
+        if (end && time <= *end)
+            continue;
+        ++count;
+        end = endOfCrash(time);
+    }
+    return count;
+}
+
 std::vector<CrashRecord::Boot> CrashRecord::clear(Subject subject, TimePoint begunAt, TimePoint now)
 {
     std::vector<Boot> boots;
@@ -101,16 +190,17 @@
 {
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
-    Entry::Report &report = entry.reports.try_emplace(boot, Entry::Report {now}).first->second;
+    Entry::Report &report = entry.reports.try_emplace(boot, Entry::Report {now, now}).first->second;
     return !std::exchange(report.isCleared, true);
 }
 
-std::vector<CrashRecord::Subject> CrashRecord::clearBoot(Boot boot, TimePoint now)
+std::vector<CrashRecord::Subject> CrashRecord::clearBoot(Boot boot, TimePoint until, TimePoint now)
 {
     std::vector<Subject> subjects;
     for (auto &[subject, entry] : m_entries) {
         const auto found = entry.reports.find(boot);
-        if (found == entry.reports.end() || std::exchange(found->second.isCleared, true))
+        const bool isRefuted = found != entry.reports.end() && found->second.observedAt <= until;
+        if (!isRefuted || std::exchange(found->second.isCleared, true))
             continue;
         entry.lastReportAt = now;
         subjects.push_back(subject);
@@ -132,14 +222,24 @@
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return false;
-    const std::size_t count = found->second.crashes();
+    const std::size_t count = crashes(found->second);
     return count > 0 && count < m_options.maxCrashes && now - found->second.lastAt < rerunHoldTime;
 }
 
 std::size_t CrashRecord::crashes(Subject subject) const
 {
     const auto found = m_entries.find(subject);
-    return found == m_entries.end() ? 0 : found->second.crashes();
+    return found == m_entries.end() ? 0 : crashes(found->second);
+}
+
+std::optional<TimePoint> CrashRecord::observedAt(Subject subject, Boot boot) const
+{
+    const auto found = m_entries.find(subject);
+    if (found == m_entries.end())
+        return std::nullopt;
+    const auto report = found->second.reports.find(boot);
+    return report == found->second.reports.end() ? std::nullopt
+                                                 : std::optional(report->second.observedAt);
 }
 
 std::optional<Duration> CrashRecord::remainingBlockTime(Subject subject, TimePoint now) const
@@ -164,7 +264,7 @@
     if (isRerunning || now < entry.lastAt + nodeDelay)
         return false;
     const std::size_t unexplained = countUnexplained(entry, subjects);
-    const std::size_t beyondLimit = entry.crashes() - m_options.maxCrashes;
+    const std::size_t beyondLimit = crashes(entry) - m_options.maxCrashes;
     return now >= entry.lastAt + rerunDelay(beyondLimit, unexplained) + nodeDelay;
 }
 
@@ -182,6 +282,13 @@
         found->second.rerunAt.reset();
 }
 
+bool CrashRecord::isRerunExpectedSoon(Subject subject) const
+{
+    const auto found = m_entries.find(subject);
+    return found != m_entries.end() && isQuarantined(found->second)
+        && crashes(found->second) < m_options.maxCrashes + earlyReruns;
+}
+
 void CrashRecord::recordUse(Subject subject, TimePoint now)
 {
     const auto found = m_entries.find(subject);
@@ -213,6 +320,12 @@
         });
     }
     std::erase_if(m_entries, [&](const auto &each) { return each.second.isExpired(now); });
+    std::erase_if(m_breaks, [&](const auto &each) { return each.first + brokenBootTime < now; });
+    std::erase_if(m_brokenBoots,
+                  [&](const auto &each) { return each.second + brokenBootTime < now; });
+    // Reports of a mass interruption count as one crash for as long as they are kept.
+    std::erase_if(m_massInterruptions,
+                  [&](TimePoint begin) { return begin + 2 * blockTime < now; });
 }
 
 } // namespace berylridge
--- a/unittests/Balancer/CrashingPartFleetTest.cpp
+++ b/unittests/Balancer/CrashingPartFleetTest.cpp
@@ -99,6 +99,28 @@
     }
 }
 
+// Guards against sound parts that stay quarantined because requests with them were interrupted at
+// many targets at once: connections to two fifths of the targets break while none ends, or a
+// quarter of the targets end.
+TEST_P(CrashingPartFleetTest, AFaultOfManyTargetsQuarantinesNothingForLong)
+{
+    for (const MassFault fault : {MassFault::ConnectionsBreak, MassFault::TargetsEnd}) {
+        SimulatedCrashesOptions options;
+        options.site.nodesPerZone = GetParam().nodesPerZone;
+        options.site.targets = GetParam().targets;
+        options.requestsPerSecond = GetParam().requestsPerSecond;
+        options.crashingPerSecond = 0;
+        options.hasOtherFaults = false;
+        options.massFault = fault;
+        options.time = std::chrono::seconds(12);
+        const SimulatedCrashes::Result result = SimulatedCrashes(options).run();
+        EXPECT_EQ(result.refusedSoundLate, 0U) << "refused at all: " << result.refusedSound;
+        RecordProperty(fault == MassFault::TargetsEnd ? "ended" : "broken",
+                       "refused as crashing " + std::to_string(result.refusedSound) + " of "
+                           + std::to_string(result.soundRequests));
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, CrashingPartFleetTest,
                          testing::Values(FleetSize {2, 9, 55, 1}, FleetSize {3, 18, 110, 1},
                                          FleetSize {10, 30, 190, 3}, FleetSize {25, 90, 550, 6}),
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -60,12 +60,15 @@
         return next;
     }
 
-    /// Delivers another node's entries about the crashing part, one for each boot.
+    /// Delivers another node's entries about the crashing part, one for each boot. Boots with
+    /// consecutive numbers crashed 100 ms after each other.
     void receiveReports(const std::vector<std::uint64_t> &boots, bool isCleared = false)
     {
         InterruptedPartsUpdate update;
-        for (const std::uint64_t boot : boots)
-            update.parts.push_back({crashingPart.id, boot, isCleared});
+        for (const std::uint64_t boot : boots) {
+            const auto ageMs = static_cast<std::uint32_t>(1000 - boot % 10 * 100);
+            update.parts.push_back({crashingPart.id, boot, isCleared, ageMs});
+        }
         handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(update)});
     }
 
@@ -165,6 +168,75 @@
     EXPECT_TRUE(send({crashingPart}));
 }
 
+// Guards against one fault of a network or an availability zone being taken for several crashes by
+// each part that runs on all of its targets.
+TEST_F(CrashingPartTest, TargetsThatEndAtOnceQuarantineNothing)
+{
+    InterruptedPartsUpdate update;
+    for (std::uint64_t boot = 101; boot < 120; ++boot)
+        update.parts.push_back({crashingPart.id, boot, false, static_cast<std::uint32_t>(boot)});
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(update)});
+    EXPECT_TRUE(send({crashingPart}));
+    receiveReports({201, 202});
+    EXPECT_FALSE(send({crashingPart})) << "further crashes count";
+}
+
+// Guards against a target's crash being concluded from some connections that broke, while others go
+// on delivering responses.
+TEST_F(CrashingPartTest, ResponseOnAnotherConnectionRefutesACrash)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto survivor = sendTo(TargetId(targets[static_cast<std::size_t>(i)]));
+        ASSERT_TRUE(survivor);
+        begin(*survivor);
+        InterruptedPartsUpdate update;
+        update.parts.push_back({crashingPart.id, survivor->targetBoot, false, 0});
+        advanceTime(100ms);
+        handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(update)});
+        advanceTime(600ms);
+        handle(AttemptDone {survivor->handle, survivor->attempt, 200, {}, 10, {}, {}});
+    }
+    EXPECT_TRUE(send({crashingPart}));
+}
+
+// Guards against each node finding out by itself that a boot has not crashed, and against late
+// reports of interruptions that were no crash.
+TEST_F(CrashingPartTest, RefutationOfABootClearsAllItsReports)
+{
+    receiveReports({101, 102, 103});
+    EXPECT_FALSE(send({crashingPart}));
+    InterruptedPartsUpdate refutation;
+    refutation.parts.push_back({0, 102, true, 100});
+    handle(NodeMessage {NodeId("n3"), 1, BalancerMessage(refutation)});
+    EXPECT_TRUE(send({crashingPart}));
+    receiveReports({102});
+    EXPECT_TRUE(send({crashingPart}));
+}
+
+// Guards against callers who are refused for good while the fleet finds out whether a part is
+// sound, and against several nodes that find it out at once.
+TEST_F(CrashingPartTest, OneNodeSoonTriesAQuarantinedPart)
+{
+    receiveDigest("n2", "a", 1, 1);
+    receiveReports({101, 102, 103});
+    EXPECT_FALSE(send({crashingPart}));
+    EXPECT_EQ(findAction<Refuse>()->status, 503U);
+    EXPECT_TRUE(findAction<Refuse>()->retryAfter);
+    handle(
+        NodeMessage {NodeId("n2"), 1, BalancerMessage(RerunNotice {"a", crashingPart.id, false})});
+    advanceTime(1200ms);
+    EXPECT_FALSE(send({crashingPart})) << "another node tries it";
+    receiveDigest("n2", "a", 1, 1);
+    handle(
+        NodeMessage {NodeId("n2"), 1, BalancerMessage(RerunNotice {"a", crashingPart.id, true})});
+    const auto rerun = send({crashingPart});
+    ASSERT_TRUE(rerun);
+    EXPECT_FALSE(sentMessages<RerunNotice>().empty());
+    EXPECT_FALSE(send({crashingPart}));
+    complete(*rerun);
+    EXPECT_TRUE(send({crashingPart}));
+}
+
 // Guards against parts in use being quarantined for answers that are cut while their targets go on.
 TEST_F(CrashingPartTest, AnswersCutByTargetsThatGoOnQuarantineNothing)
 {
--- a/unittests/Balancer/SimulatedCrashes.h
+++ b/unittests/Balancer/SimulatedCrashes.h
@@ -16,6 +16,9 @@
 /// Where the crashing part is in its prompts.
 enum class CrashingPartPosition { Between, First, Twice };
 
+/// A fault that interrupts requests at many targets at once.
+enum class MassFault { None, ConnectionsBreak, TargetsEnd };
+
 struct SimulatedCrashesOptions
 {
     SimulatedSiteOptions site {.workspaces = 4};
@@ -31,6 +34,7 @@
     double cutShare = 0.02;        ///< Share of the answers that are cut while the target goes on.
     double unframedShare = 0;      ///< Share of the answers that end with their connection.
     bool hasOtherFaults = true;    ///< Targets end, nodes are killed and a zone is cut off.
+    MassFault massFault = MassFault::None;
 };
 
 class SimulatedCrashes : private SimulatedSite
@@ -41,6 +45,8 @@
         std::size_t crashes = 0;        ///< Targets that the part ended.
         std::uint64_t sentTooLate = 0;  ///< Requests with the part, after it should be known.
         std::uint64_t refusedSound = 0; ///< Sound requests that were refused as crashing.
+        /// The same later than two seconds after the mass fault.
+        std::uint64_t refusedSoundLate = 0;
         std::uint64_t soundRequests = 0;
         double begunBefore = 0; ///< Share of sound calls that begin before the first crash.
         double begunAfter = 0;  ///< The same once the part should be known.
@@ -59,7 +65,9 @@
     {
         scheduleFaults();
         scheduleNextCall(m_options.requestsPerSecond, false);
-        if (!m_options.wasInUse) {
+        if (m_options.massFault != MassFault::None)
+            schedule(massFaultAt, [this] { breakMany(); });
+        if (!m_options.wasInUse && m_options.crashingPerSecond > 0) {
             schedule(firstCrashingAt,
                      [this] { scheduleNextCall(m_options.crashingPerSecond, true); });
         }
@@ -78,6 +86,7 @@
     static constexpr Duration contactTime = std::chrono::seconds(3);
     static constexpr Duration warmUp = std::chrono::seconds(2);
     static constexpr Duration firstCrashingAt = std::chrono::seconds(10);
+    static constexpr Duration massFaultAt = std::chrono::seconds(4);
     static constexpr Duration callerTime = std::chrono::seconds(8);
     static constexpr std::size_t crashesBeforeVerdict = 5;
     static constexpr std::uint64_t minGroupCalls = 20;
@@ -208,6 +217,34 @@
         }
     }
 
+    /// Ends a quarter of the targets, or breaks half of the connections to two fifths of them.
+    void breakMany()
+    {
+        const bool endsTargets = m_options.massFault == MassFault::TargetsEnd;
+        const std::vector<TargetHandle> targets = m_targets;
+        for (const TargetHandle &target : targets) {
+            if (uniform(m_random) >= (endsTargets ? 0.25 : 0.4))
+                continue;
+            if (endsTargets)
+                crash(target);
+            else
+                breakConnections(target, 0.5);
+        }
+    }
+
+    void breakConnections(const TargetHandle &target, double share)
+    {
+        for (const auto &[handle, run] : m_runs) {
+            if (run.target == target && uniform(m_random) < share) {
+                schedule(linkDelay + randomTime(Duration(0), linkDelay),
+                         [this, handle = handle, attempt = run.attempt] {
+                             if (findRun(handle, attempt))
+                                 fail(handle, attempt, AttemptFailure::Reset);
+                         });
+            }
+        }
+    }
+
     /// An answer that ends with its connection looks complete if it ends between two writes.
     void breakOff(RequestHandle handle, AttemptNumber attempt)
     {
@@ -317,7 +354,10 @@
         const Request request = found->second;
         finish(action.handle);
         const bool isCrashRefusal = action.type.starts_with("crashing-");
-        m_result.refusedSound += isCrashRefusal && !request.call->isCrashing ? 1 : 0;
+        const bool isSoundRefused = isCrashRefusal && !request.call->isCrashing;
+        m_result.refusedSound += isSoundRefused ? 1 : 0;
+        const bool isLate = m_schedule.now() > massFaultAt + std::chrono::seconds(2);
+        m_result.refusedSoundLate += isSoundRefused && isLate ? 1 : 0;
         comeBack(request, action.retryAfter.value_or(std::chrono::milliseconds(20)));
     }
 
--- a/unittests/Net/DatagramTest.cpp
+++ b/unittests/Net/DatagramTest.cpp
@@ -151,7 +151,8 @@
                                                     "StreamOriginUpdate",
                                                     "StreamOriginQuery",
                                                     "StreamOriginAnswer",
-                                                    "InterruptedPartsUpdate"};
+                                                    "InterruptedPartsUpdate",
+                                                    "RerunNotice"};
     std::vector<std::string_view> names;
     for (std::size_t kind = 0; kind < peerMessageKindCount; ++kind)
         names.push_back(peerMessageKindName(kind));
