Bound refutations of crashes, announce reruns only when they are sent

Reruns that admission refused were announced to all nodes, late reports of one event postponed a rerun, and a boot that was refuted once could not be counted as crashed later. Change: only the node that saw the evidence reports a refutation, others relay it once; it holds up to the time that the evidence covers. A rerun is announced when a target was selected, and its end unless a complete answer or an interruption tells the result. Reports move the time of the last crash only if they add one. Ages above 24 h are ignored. Entries that no longer hold are not sent.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -204,8 +204,8 @@
 {
     std::string zone; ///< Zone of the node that runs the request.
     std::uint64_t part = 0;
-    bool isCanceled = false; ///< The request was not sent to any target.
-    MSGPACK_DEFINE(zone, part, isCanceled)
+    bool hasEnded = false; ///< The request has ended without crashing its target.
+    MSGPACK_DEFINE(zone, part, hasEnded)
 };
 
 /// Asks a peer whose digest shows newer state for everything that is newer than these versions.
--- a/include/berylridge/Policy/CrashRecord.h
+++ b/include/berylridge/Policy/CrashRecord.h
@@ -61,7 +61,8 @@
     /// Records that the boot has not crashed up to `until`. Returns the subjects that were reported
     /// with it.
     std::vector<Subject> clearBoot(Boot boot, TimePoint until, TimePoint now);
-    bool isCleared(Subject subject, Boot boot) const;
+    /// Returns whether the crash of the boot that was observed at this time is cleared.
+    bool isCleared(Subject subject, Boot boot, TimePoint observedAt) const;
 
     /// Returns whether a request that has not run yet has to wait: another one with its fingerprint
     /// crashed a target a moment ago, and its rerun shows whether it caused the crash.
@@ -125,6 +126,10 @@
             TimePoint at;         ///< When it became known.
             TimePoint observedAt; ///< When the first node that reported it observed it.
             bool isCleared = false;
+            /// Set if the boot went on running until then. It may crash later.
+            std::optional<TimePoint> refutedUntil {};
+
+            bool isClearedAt(TimePoint observed) const;
         };
 
         std::map<Boot, Report> reports;
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -34,6 +34,9 @@
     std::vector<std::uint64_t> sharedParts;
     /// It is sent to find out whether a quarantined part of its prompt still crashes targets.
     bool isRerun = false;
+    /// A target has completed a response to it, or broke the connection while it ran the request.
+    /// Either tells whether a part of its prompt crashes targets.
+    bool hasCrashEvidence = false;
     std::optional<StreamResumption> resumption;
     /// Software version that began the stream of which the caller has events; empty if it has none.
     std::optional<VersionKey> version;
--- a/lib/Balancer/CrashDetector.cpp
+++ b/lib/Balancer/CrashDetector.cpp
@@ -38,8 +38,10 @@
 /// queue and the answer.
 constexpr Duration rerunRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration refutationReportPeriod = std::chrono::milliseconds(500);
-/// Older reports only tell that the interruption was long ago.
-constexpr Duration maxReportAge = std::chrono::minutes(10);
+/// Longer than any report is kept.
+constexpr Duration maxReportAge = std::chrono::hours(24);
+/// Refutations of one boot whose times differ by less are the same.
+constexpr Duration refutationTolerance = std::chrono::milliseconds(500);
 constexpr const char *partRefusalType = "crashing-part";
 
 } // namespace
@@ -71,13 +73,19 @@
           });
     if (!mayRun)
         return refusalBeforeRun(quarantinedParts);
-    for (const std::uint64_t part : quarantinedParts) {
-        partRecord.beginRerun(part, m_context.now);
+    request.isRerun = !quarantinedParts.empty();
+    return std::nullopt;
+}
+
+void CrashDetector::beginRerun(const BalancedRequest &request)
+{
+    for (const std::uint64_t part : request.sharedParts) {
+        if (!record(Kind::Part).isQuarantined(part))
+            continue;
+        record(Kind::Part).beginRerun(part, m_context.now);
         m_rerunNotices.push_back({m_context.options.zone.str(), part, false});
         logRerun(part, "begins");
     }
-    request.isRerun = !quarantinedParts.empty();
-    return std::nullopt;
 }
 
 /// Returns the refusal of a request that has not run. Where the result of a rerun is expected soon,
@@ -111,20 +119,20 @@
                        [&](std::uint64_t part) { return record(Kind::Part).isQuarantined(part); });
 }
 
-void CrashDetector::cancelRerun(const BalancedRequest &request)
+void CrashDetector::endRerun(const BalancedRequest &request)
 {
     for (const std::uint64_t part : request.sharedParts) {
         if (!record(Kind::Part).isQuarantined(part))
             continue;
         record(Kind::Part).cancelRerun(part);
         m_rerunNotices.push_back({m_context.options.zone.str(), part, true});
-        logRerun(part, "not sent");
+        logRerun(part, "ended without a result");
     }
 }
 
 void CrashDetector::onRerunNotice(const RerunNotice &notice)
 {
-    if (notice.isCanceled)
+    if (notice.hasEnded)
         record(Kind::Part).cancelRerun(notice.part);
     else
         record(Kind::Part).beginRerun(notice.part, m_context.now);
@@ -166,7 +174,7 @@
         refuteIfRunning(request);
         return;
     }
-    refute(boot, found->second);
+    refute(boot, request.dispatchedAt);
 }
 
 /// Refutes the crash of the request's boot if its connection has survived the interruption of
@@ -177,7 +185,7 @@
     if (found == m_interruptedAt.end() || request.dispatchedAt >= found->second
         || m_context.now < found->second + minSurvivalTime)
         return;
-    refute(request.choice.boot, found->second);
+    refute(request.choice.boot, m_context.now - minSurvivalTime);
 }
 
 bool CrashDetector::isRefuted(std::uint64_t boot, TimePoint observedAt) const
@@ -186,7 +194,14 @@
     return found != m_refutations.end() && observedAt <= found->second.until;
 }
 
-bool CrashDetector::refute(std::uint64_t boot, TimePoint until)
+void CrashDetector::refute(std::uint64_t boot, TimePoint until)
+{
+    if (onRefutation(boot, until))
+        report(Kind::Part, {0, boot, true});
+}
+
+/// Returns whether the refutation was unknown.
+bool CrashDetector::onRefutation(std::uint64_t boot, TimePoint until)
 {
     if (isRefuted(boot, until))
         return false;
@@ -196,7 +211,6 @@
         m_interruptedAt.erase(interrupted);
     for (CrashRecord &each : m_records)
         each.clearBoot(boot, until, m_context.now);
-    reportRefutation(boot);
     return true;
 }
 
@@ -232,39 +246,60 @@
 
 bool CrashDetector::onReport(Kind kind, const InterruptionEntry &entry)
 {
-    const Duration age = std::min<Duration>(std::chrono::milliseconds(entry.ageMs), maxReportAge);
+    const Duration age = std::chrono::milliseconds(entry.ageMs);
+    if (age > maxReportAge) {
+        const LogEventId id = LogEventId::InterruptionsReported;
+        if (m_lines.tryTake(0, logEventInfo(id).level, m_context.now))
+            m_context.log(id, "ignored a report with an impossible age");
+        return false;
+    }
     const TimePoint observedAt = m_context.now - age;
-    if (entry.isCleared && entry.subject == 0)
-        return refute(entry.boot, observedAt);
+    if (entry.isCleared && entry.subject == 0) {
+        // An age says less than the time that a message takes. Without the tolerance, each node
+        // would take the refutation that it gets back for a later one.
+        return !isRefuted(entry.boot, observedAt - refutationTolerance)
+            && onRefutation(entry.boot, observedAt);
+    }
     if (entry.isCleared)
         return record(kind).clear(entry.subject, entry.boot, m_context.now);
-    if (record(kind).isCleared(entry.subject, entry.boot)) {
-        // The sender has not heard of the clearance.
-        report(kind, {entry.subject, entry.boot, true});
-        return false;
-    }
     if (isRefuted(entry.boot, observedAt)) {
         reportRefutation(entry.boot);
         return false;
     }
+    if (record(kind).isCleared(entry.subject, entry.boot, observedAt)) {
+        // The sender has not heard of the clearance.
+        report(kind, {entry.subject, entry.boot, true});
+        return false;
+    }
     return addToRecord(kind, entry.subject, entry.boot, observedAt);
 }
 
-void CrashDetector::updateAges(Kind kind, std::span<InterruptionEntry> entries) const
+void CrashDetector::updateEntries(Kind kind, std::vector<InterruptionEntry> &entries) const
 {
-    for (InterruptionEntry &entry : entries) {
-        std::optional<TimePoint> observedAt = record(kind).observedAt(entry.subject, entry.boot);
-        if (entry.subject == 0 && entry.isCleared) {
-            const auto refuted = m_refutations.find(entry.boot);
-            if (refuted != m_refutations.end())
-                observedAt = refuted->second.until;
-        }
-        if (!observedAt)
-            continue;
-        const auto age = toMilliseconds(m_context.now - *observedAt);
-        entry.ageMs = static_cast<std::uint32_t>(
-            std::clamp<std::int64_t>(age, 0, toMilliseconds(maxReportAge)));
+    std::erase_if(entries, [&](InterruptionEntry &entry) { return !holds(kind, entry); });
+}
+
+/// Returns whether the entry still holds, and sets its age.
+bool CrashDetector::holds(Kind kind, InterruptionEntry &entry) const
+{
+    std::optional<TimePoint> at;
+    if (entry.subject == 0 && entry.isCleared) {
+        const auto found = m_refutations.find(entry.boot);
+        if (found != m_refutations.end())
+            at = found->second.until;
+    } else if (entry.isCleared) {
+        return true;
+    } else {
+        at = record(kind).observedAt(entry.subject, entry.boot);
+        if (at && record(kind).isCleared(entry.subject, entry.boot, *at))
+            at.reset();
     }
+    if (!at)
+        return false;
+    const auto age = toMilliseconds(std::max(m_context.now - *at, Duration(0)));
+    entry.ageMs
+        = static_cast<std::uint32_t>(std::min<std::int64_t>(age, toMilliseconds(maxReportAge)));
+    return true;
 }
 
 std::vector<InterruptionEntry> CrashDetector::takeReports(Kind kind)
@@ -350,14 +385,14 @@
                                 TimePoint observedAt)
 {
     const bool wasQuarantined = record(kind).isQuarantined(subject);
-    if (!record(kind).add(subject, boot, observedAt, m_context.now))
-        return false;
-    recordBreak(boot, observedAt);
+    const bool isNew = record(kind).add(subject, boot, observedAt, m_context.now);
+    if (isNew)
+        recordBreak(boot, observedAt);
     if (!wasQuarantined && record(kind).isQuarantined(subject)) {
         m_hasNewQuarantine = m_hasNewQuarantine || kind == Kind::Part;
         logQuarantine(kind, subject);
     }
-    return true;
+    return isNew;
 }
 
 void CrashDetector::clear(Kind kind, std::uint64_t subject, TimePoint begunAt)
@@ -378,9 +413,9 @@
         || m_context.now - request.responseStartedAt <= maxCrashDelay;
 }
 
-/// Returns how long this node lets others rerun the part first. Where many nodes have requests with
-/// the part, the first delays are long and far apart, so that one rerun is known before the next is
-/// due; where one node has them, it waits a second at most.
+/// Returns how long this node lets others rerun the part first. The fourth root of a uniform
+/// position makes short delays rare: of 80 nodes, the first two are due 60 ms apart on average,
+/// which is enough for the notice of the first. A single node waits a second at most.
 Duration CrashDetector::rerunDelayOfNode(std::uint64_t part) const
 {
     if (m_context.peers.liveCount(m_context.now) <= 1)
--- a/lib/Balancer/CrashDetector.h
+++ b/lib/Balancer/CrashDetector.h
@@ -43,9 +43,11 @@
     /// Returns whether the request itself or a part of its prompt is quarantined.
     bool isQuarantined(const BalancedRequest &request) const;
 
-    /// Permits another rerun, since this one has not been sent to a target.
-    void cancelRerun(const BalancedRequest &request);
-    /// Records that another node began a rerun, or canceled it.
+    /// Records that a target was selected for a rerun, and notifies the other nodes.
+    void beginRerun(const BalancedRequest &request);
+    /// Permits another rerun, since this one has ended without crashing its target.
+    void endRerun(const BalancedRequest &request);
+    /// Records that another node began a rerun, or that it has ended.
     void onRerunNotice(const RerunNotice &notice);
     /// Returns the notices of this node's reruns since the last call.
     std::vector<RerunNotice> takeRerunNotices() { return std::exchange(m_rerunNotices, {}); }
@@ -59,12 +61,13 @@
     /// instead, which other requests show soon.
     void onCompleted(const BalancedRequest &request, const AttemptDone &event);
 
-    /// Records another node's entry. Returns whether it was unknown before.
+    /// Records another node's entry about a subject, or about all that ran at a boot that has not
+    /// crashed. Returns whether it was unknown before.
     bool onReport(Kind kind, const InterruptionEntry &entry);
     /// Returns the entries for the other nodes since the last call.
     std::vector<InterruptionEntry> takeReports(Kind kind);
-    /// Sets the ages of entries that are about to be sent.
-    void updateAges(Kind kind, std::span<InterruptionEntry> entries) const;
+    /// Sets the ages of entries that are about to be sent, and removes those that no longer hold.
+    void updateEntries(Kind kind, std::vector<InterruptionEntry> &entries) const;
     /// Returns the next entries in rotation of the parts that are quarantined, for nodes that have
     /// restarted or were cut off.
     std::vector<InterruptionEntry> nextQuarantinedParts(std::size_t maxCount);
@@ -93,8 +96,10 @@
     bool addToRecord(Kind kind, std::uint64_t subject, std::uint64_t boot, TimePoint observedAt);
     void recordBreak(std::uint64_t boot, TimePoint observedAt);
     bool isRefuted(std::uint64_t boot, TimePoint observedAt) const;
-    /// Records that the boot has not crashed up to `until`. Returns whether this was unknown.
-    bool refute(std::uint64_t boot, TimePoint until);
+    /// Records that the boot has not crashed up to `until`.
+    void refute(std::uint64_t boot, TimePoint until);
+    bool onRefutation(std::uint64_t boot, TimePoint until);
+    bool holds(Kind kind, InterruptionEntry &entry) const;
     void refuteIfRunning(const BalancedRequest &request);
     void reportRefutation(std::uint64_t boot);
     void clear(Kind kind, std::uint64_t subject, TimePoint begunAt);
@@ -112,7 +117,8 @@
     BalancerContext &m_context;
     std::array<CrashRecord, 2> m_records;                    ///< By Kind.
     std::array<std::vector<InterruptionEntry>, 2> m_reports; ///< By Kind.
-    /// When the last sign of a boot's crash was observed, unless the boot has responded since.
+    /// When this or another node observed the last sign of a boot's crash, unless the boot has
+    /// responded since.
     std::unordered_map<std::uint64_t, TimePoint> m_interruptedAt;
     /// A boot that has not crashed although connections to it broke.
     struct Refutation
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -168,7 +168,7 @@
         m_requests.crashDetector().nextQuarantinedParts(maxQuarantinedPartsPerMessage)};
     for (const InterruptionEntry &entry : m_interruptedParts.take(maxInterruptedPartsPerMessage))
         update.parts.push_back(entry);
-    m_requests.crashDetector().updateAges(CrashKind::Part, update.parts);
+    m_requests.crashDetector().updateEntries(CrashKind::Part, update.parts);
     return update;
 }
 
@@ -229,7 +229,7 @@
     digest.rejectedPerSecond = clampToUint32(m_requests.shares().rejectedPerSecond(m_context.now));
     digest.missedPerSecond = clampToUint32(m_requests.shares().missedPerSecond(m_context.now));
     digest.interruptedRequests = m_interruptedRequests.take(maxInterruptedRequestsPerDigest);
-    m_requests.crashDetector().updateAges(CrashKind::Request, digest.interruptedRequests);
+    m_requests.crashDetector().updateEntries(CrashKind::Request, digest.interruptedRequests);
     const bool isStarting = m_digestsSent < startingDigests;
     if (m_digestsSent++ % digestsPerPeerList == 0 || isStarting)
         digest.peers = m_context.peers.nextLiveEntries(maxPeersPerDigest, m_context.now);
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -142,8 +142,13 @@
         return;
     }
     m_retries[request.service->name].onFirstAttempt(m_context.now);
-    if (const auto refusal = placeRequest(request, true))
+    if (const auto refusal = placeRequest(request, true)) {
+        request.isRerun = false;
         refuse(request, *refusal);
+        return;
+    }
+    if (request.isRerun)
+        m_crashDetector.beginRerun(request);
 }
 
 /// Finds out which software version began the stream, before a target is selected.
@@ -418,6 +423,7 @@
     if (!request)
         return;
     request->verdict = Verdict::Ran;
+    request->hasCrashEvidence = true;
     m_crashDetector.onCompleted(*request, event);
     m_targetSelector.health(request->choice.key).onCompleteResponse(m_context.now);
     if (!request->chain)
@@ -478,6 +484,7 @@
         if (event.sentAny) {
             health.onConnectionBroken(now);
             m_log.interrupted(request, failureName(event.failure));
+            request.hasCrashEvidence = true;
             m_crashDetector.onInterrupted(request);
         }
         return;
@@ -634,8 +641,6 @@
 
 void RequestProcessor::refuse(BalancedRequest &request, const Refusal &refusal)
 {
-    if (request.isRerun && request.verdict == Verdict::NotRun)
-        m_crashDetector.cancelRerun(request);
     m_log.refused(request, refusal);
     m_tally.refused(request, refusal.type);
     m_context.emit(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
@@ -653,7 +658,10 @@
 
 void RequestProcessor::finish(RequestHandle handle)
 {
-    m_requests.erase(handle);
+    const auto found = m_requests.find(handle);
+    if (found->second.isRerun && !found->second.hasCrashEvidence)
+        m_crashDetector.endRerun(found->second);
+    m_requests.erase(found);
 }
 
 } // namespace berylridge
--- a/lib/Policy/CrashRecord.cpp
+++ b/lib/Policy/CrashRecord.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t minMassBoots = 4;
 /// Overloaded nodes notice a broken connection up to this late.
 constexpr Duration massInterruptionTime = std::chrono::milliseconds(500);
-/// The boots that are interrupted at once become known within this time.
+/// Breaks are kept this long to find those that happened at once.
 constexpr Duration brokenBootTime = std::chrono::seconds(10);
 /// Responses that are on their way may clear the subject meanwhile.
 constexpr Duration firstRerunDelay = std::chrono::milliseconds(200);
@@ -92,24 +92,38 @@
     addBoot(boot, observedAt);
     Entry &entry = entryOf(subject);
     entry.lastReportAt = now;
-    const auto [found, isNew] = entry.reports.try_emplace(boot, Entry::Report {now, observedAt});
-    if (!isNew) {
-        found->second.observedAt = std::min(found->second.observedAt, observedAt);
-        return false;
-    }
+    const std::size_t crashesBefore = crashes(entry);
+    const auto [found, isInserted]
+        = entry.reports.try_emplace(boot, Entry::Report {now, observedAt});
+    Entry::Report &report = found->second;
+    const bool isNew = isInserted || (report.isCleared && !report.isClearedAt(observedAt));
+    if (!isInserted && isNew)
+        report = {now, observedAt};
+    report.observedAt = std::min(report.observedAt, observedAt);
+    if (crashes(entry) <= crashesBefore)
+        return isNew;
     entry.lastAt = now;
-    entry.rerunAt.reset(); // If a rerun caused this crash, its result is known.
-    return true;
+    if (entry.rerunAt && observedAt >= *entry.rerunAt)
+        entry.rerunAt.reset(); // The rerun probably caused this crash; its result is known.
+    return isNew;
+}
+
+bool CrashRecord::Entry::Report::isClearedAt(TimePoint observed) const
+{
+    return isCleared && (!refutedUntil || observed <= *refutedUntil + massInterruptionTime);
 }
 
 void CrashRecord::addBoot(Boot boot, TimePoint observedAt)
 {
     if (m_options.simultaneousTime == Duration(0))
         return;
+    // Nodes notice the same break at different times; the first one counts.
     const auto [found, isNew] = m_brokenBoots.try_emplace(boot, observedAt);
-    if (!isNew && found->second >= observedAt)
+    const bool isSameBreak = !isNew && observedAt <= found->second + massInterruptionTime
+        && observedAt + massInterruptionTime >= found->second;
+    if (isSameBreak && observedAt >= found->second)
         return;
-    if (!isNew)
+    if (isSameBreak)
         m_breaks.erase({found->second, boot});
     found->second = observedAt;
     m_breaks.insert({observedAt, boot});
@@ -202,19 +216,20 @@
         const bool isRefuted = found != entry.reports.end() && found->second.observedAt <= until;
         if (!isRefuted || std::exchange(found->second.isCleared, true))
             continue;
+        found->second.refutedUntil = until;
         entry.lastReportAt = now;
         subjects.push_back(subject);
     }
     return subjects;
 }
 
-bool CrashRecord::isCleared(Subject subject, Boot boot) const
+bool CrashRecord::isCleared(Subject subject, Boot boot, TimePoint observedAt) const
 {
     const auto found = m_entries.find(subject);
     if (found == m_entries.end())
         return false;
     const auto report = found->second.reports.find(boot);
-    return report != found->second.reports.end() && report->second.isCleared;
+    return report != found->second.reports.end() && report->second.isClearedAt(observedAt);
 }
 
 bool CrashRecord::isHeld(Subject subject, TimePoint now) const
--- a/unittests/Balancer/CrashingPartTest.cpp
+++ b/unittests/Balancer/CrashingPartTest.cpp
@@ -197,6 +197,7 @@
         handle(AttemptDone {survivor->handle, survivor->attempt, 200, {}, 10, {}, {}});
     }
     EXPECT_TRUE(send({crashingPart}));
+    EXPECT_TRUE(send({crashingPart})) << "the first one was no rerun";
 }
 
 // Guards against each node finding out by itself that a boot has not crashed, and against late
@@ -211,6 +212,56 @@
     EXPECT_TRUE(send({crashingPart}));
     receiveReports({102});
     EXPECT_TRUE(send({crashingPart}));
+    InterruptedPartsUpdate late;
+    for (const std::uint64_t boot : {102, 104, 105})
+        late.parts.push_back({otherPart.id, boot, false, static_cast<std::uint32_t>(100 * boot)});
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(late)});
+    EXPECT_TRUE(send({otherPart}));
+    EXPECT_TRUE(send({otherPart})) << "a late report of another part counts";
+}
+
+// Guards against a refutation that nodes send each other back and forth, each time for a later
+// moment: real crashes of the boot would be refuted, too.
+TEST_F(CrashingPartTest, RefutationIsNotEchoed)
+{
+    receiveDigest("n2", "a", 1, 1);
+    InterruptedPartsUpdate refutation;
+    refutation.parts.push_back({0, 102, true, 100});
+    std::size_t sent = 0;
+    for (int i = 0; i < 20; ++i) {
+        handle(NodeMessage {NodeId("n3"), 1, BalancerMessage(refutation)});
+        advanceTime(110ms);
+        receiveDigest("n2", "a", 1, 1);
+        sent += sentMessages<InterruptedPartsUpdate>().size();
+    }
+    EXPECT_EQ(sent, 0U);
+    receiveReports({102, 103, 104});
+    EXPECT_TRUE(send({crashingPart}));
+}
+
+// Guards against a crash that is not counted because connections to the same boot broke before.
+TEST_F(CrashingPartTest, BootMayCrashAfterARefutation)
+{
+    receiveReports({102});
+    InterruptedPartsUpdate refutation;
+    refutation.parts.push_back({0, 102, true, 100});
+    handle(NodeMessage {NodeId("n3"), 1, BalancerMessage(refutation)});
+    advanceTime(3s);
+    receiveReports({102, 103, 104});
+    EXPECT_FALSE(send({crashingPart}));
+}
+
+// Guards against a message to all nodes for each request that a full fleet refuses as a rerun.
+TEST_F(CrashingPartTest, RefusedRerunIsNotAnnounced)
+{
+    receiveDigest("n2", "a", 1, 1);
+    receiveReports({101, 102, 103});
+    installTargets({});
+    advanceTime(1300ms);
+    receiveDigest("n2", "a", 1, 1);
+    EXPECT_FALSE(send({crashingPart}));
+    EXPECT_EQ(findAction<Refuse>()->type, "no-target");
+    EXPECT_TRUE(sentMessages<RerunNotice>().empty());
 }
 
 // Guards against callers who are refused for good while the fleet finds out whether a part is
--- a/unittests/Balancer/SimulatedCrashes.h
+++ b/unittests/Balancer/SimulatedCrashes.h
@@ -48,8 +48,9 @@
         /// The same later than two seconds after the mass fault.
         std::uint64_t refusedSoundLate = 0;
         std::uint64_t soundRequests = 0;
-        double begunBefore = 0; ///< Share of sound calls that begin before the first crash.
-        double begunAfter = 0;  ///< The same once the part should be known.
+        std::size_t targetsBroken = 0; ///< By the mass fault.
+        double begunBefore = 0;        ///< Share of sound calls that begin before the first crash.
+        double begunAfter = 0;         ///< The same once the part should be known.
         /// Least ratio of these shares among the callers' workspaces and first parts.
         double leastRatio = 1;
         std::uint64_t messages = 0;
@@ -87,6 +88,8 @@
     static constexpr Duration warmUp = std::chrono::seconds(2);
     static constexpr Duration firstCrashingAt = std::chrono::seconds(10);
     static constexpr Duration massFaultAt = std::chrono::seconds(4);
+    static constexpr Duration maxNodeLag = std::chrono::milliseconds(250);
+    static constexpr double minBrokenTargets = 4;
     static constexpr Duration callerTime = std::chrono::seconds(8);
     static constexpr std::size_t crashesBeforeVerdict = 5;
     static constexpr std::uint64_t minGroupCalls = 20;
@@ -223,8 +226,10 @@
         const bool endsTargets = m_options.massFault == MassFault::TargetsEnd;
         const std::vector<TargetHandle> targets = m_targets;
         for (const TargetHandle &target : targets) {
-            if (uniform(m_random) >= (endsTargets ? 0.25 : 0.4))
+            const double minShare = minBrokenTargets / static_cast<double>(targets.size());
+            if (uniform(m_random) >= std::max(endsTargets ? 0.25 : 0.4, minShare))
                 continue;
+            ++m_result.targetsBroken;
             if (endsTargets)
                 crash(target);
             else
@@ -236,7 +241,8 @@
     {
         for (const auto &[handle, run] : m_runs) {
             if (run.target == target && uniform(m_random) < share) {
-                schedule(linkDelay + randomTime(Duration(0), linkDelay),
+                const bool isNodeLate = uniform(m_random) < 0.1;
+                schedule(linkDelay + randomTime(Duration(0), isNodeLate ? maxNodeLag : linkDelay),
                          [this, handle = handle, attempt = run.attempt] {
                              if (findRun(handle, attempt))
                                  fail(handle, attempt, AttemptFailure::Reset);
