Leave the load balancer's rotation while a node sheds most of its requests

Cause: all callers of a large workspace come to one node with 0.09 of a core. Change: a node that has shed more than it accepted for a second reports not ready, if at most a quarter of its zone's live nodes do so; callers' open connections stay. It returns after 4 s, and later each time that the overload comes back with the connections. On by setting (leavesRotationOnOverload).

--- a/include/berylridge/Balancer/BalancerCore.h
+++ b/include/berylridge/Balancer/BalancerCore.h
@@ -39,6 +39,8 @@
     /// Minimum duration of a planned stop, for callers that are still sent to this node.
     Duration minStopTime = std::chrono::milliseconds(3500);
     Duration stopLimit = std::chrono::milliseconds(7200); ///< Maximum duration of a planned stop.
+    /// Whether the node reports that it is not ready while it sheds most of its requests.
+    bool leavesRotationOnOverload = false;
 };
 
 /// Makes the decisions of one node. Not thread-safe: the control thread owns it.
--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -41,6 +41,8 @@
     Duration suspectAfter = std::chrono::milliseconds(1200);
     Duration leaseTerm = std::chrono::milliseconds(2000);
     Duration stopLimit = std::chrono::seconds(120); ///< For running requests at a planned stop.
+    /// Balancer: reports not ready while most requests are shed, if few nodes of the zone do so.
+    bool leavesRotationOnOverload = false;
     double retryRatio = 0.1; ///< Balancer: retries allowed per first attempt in the window.
     double retrySlack = 10;  ///< Balancer: additional retries for the whole fleet.
     Duration retryWindow = std::chrono::seconds(10);
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -98,9 +98,10 @@
     bool isSummarized = false;
     /// Tokens of requests that started late, or that were rejected because no target had room.
     std::uint32_t missedPerSecond = 0;
+    std::uint8_t rotation = 0; ///< The sender's RotationState.
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads, flows,
                    interruptedRequests, peers, servedPerSecond, rejectedPerSecond,
-                   isReadingPlatform, isSummarized, missedPerSecond)
+                   isReadingPlatform, isSummarized, missedPerSecond, rotation)
 };
 
 /// The load that the requests of all nodes of the sender's zone put on targets. Each node of a zone
--- /dev/null
+++ b/include/berylridge/Policy/OverloadReadiness.h
@@ -0,0 +1,74 @@
+// Decides when an overloaded node leaves the rotation of the load balancer in front of the fleet,
+// so that new connections go to other nodes of its availability zone.
+//
+// Guards against a load balancer that sends all connections of a large workspace to one small node:
+// refusing most of the requests uses up its processor, and it serves less and less of them while
+// other nodes of the zone are idle.
+//
+// A node announces that it is about to leave, and the nodes of the zone leave in turn, so that at
+// most a quarter of them is out of rotation. Where announcements are lost, the nodes that remain in
+// rotation are the ones that know of the others.
+#pragma once
+
+#include "berylridge/Policy/Rate.h"
+#include "berylridge/Support/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace berylridge {
+
+/// Whether the load balancer should send new connections to a node. Nodes report it as a number.
+enum class RotationState : std::uint8_t {
+    In,
+    AboutToLeave, ///< In rotation; overloaded, and leaves it if few other nodes have done so.
+    Out,
+};
+
+/// This class is not thread-safe.
+class OverloadReadiness
+{
+public:
+    /// Time for which a node must be overloaded before it leaves the rotation. The load balancer
+    /// takes another second or two to notice, and most bursts are shorter than that.
+    static constexpr Duration overloadTime = std::chrono::milliseconds(1000);
+    /// Time before that at which it announces so: each node of the zone receives one of its
+    /// digests.
+    static constexpr Duration announcementTime = std::chrono::milliseconds(400);
+    /// Time out of rotation. It doubles each time the overload comes back with the connections.
+    static constexpr Duration minTimeOut = std::chrono::seconds(4);
+    static constexpr Duration maxTimeOut = std::chrono::seconds(16);
+
+    /// Records requests that the node accepted, and requests that it shed.
+    void onAccepted(double requests, TimePoint now) { m_accepted.add(requests, now); }
+    void onShed(double requests, TimePoint now) { m_shed.add(requests, now); }
+
+    /// The live nodes of this node's availability zone.
+    struct Zone
+    {
+        std::size_t nodes = 1; ///< Including this one.
+        /// The other nodes that are out of rotation, or are about to leave it before this one.
+        std::size_t ahead = 0;
+    };
+    /// Updates the state; called each period.
+    RotationState update(const Zone &zone, TimePoint now);
+    RotationState state() const { return m_state; }
+
+private:
+    /// Includes several reports of a thread, and ends well before overloadTime after a short burst.
+    static constexpr double smoothingSeconds = 0.2;
+
+    bool isOverloaded(TimePoint now) const;
+    void leave(TimePoint now);
+
+    Rate m_accepted {smoothingSeconds};
+    Rate m_shed {smoothingSeconds};
+    RotationState m_state = RotationState::In;
+    TimePoint m_overloadedSince {}; ///< Valid while overloaded.
+    bool m_wasOverloaded = false;
+    TimePoint m_leftAt {};
+    TimePoint m_returnedAt {};
+    Duration m_timeOut {0}; ///< Of the last time out of rotation; 0 if there was none lately.
+};
+
+} // namespace berylridge
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -117,6 +117,8 @@
 struct Readiness
 {
     bool isReady = false;
+    /// Whether callers' open connections are kept while the node is not ready.
+    bool keepsConnections = false;
 };
 
 /// Reports the end of a planned stop; the process may exit.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -7,6 +7,7 @@
 #include "StreamOriginExchange.h"
 #include "TargetSelector.h"
 
+#include "berylridge/Policy/OverloadReadiness.h"
 #include "berylridge/Support/Overloaded.h"
 
 #include <algorithm>
@@ -53,6 +54,9 @@
     void onLeave(const std::string &who);
     void runTimers();
     void checkReady();
+    void onTrafficThreadReport(const TrafficThreadReport &report);
+    void updateRotation();
+    OverloadReadiness::Zone zoneInRotation() const;
     void updateReaderRole();
     void checkPlannedStop();
     void stop(NodeSignal signal);
@@ -63,6 +67,7 @@
     RequestProcessor m_requests;
     ReaderRole m_reader;
     GossipExchange m_gossip;
+    OverloadReadiness m_overloadReadiness;
     NodeState m_state;
     TimePoint m_lastEventAt;
     TimePoint m_nextDigest;
@@ -98,7 +103,10 @@
 void BalancerCore::Impl::dispatch(const Event &event)
 {
     std::visit(Overloaded {
-                   [&](const RequestArrived &e) { m_requests.onArrived(e); },
+                   [&](const RequestArrived &e) {
+                       m_overloadReadiness.onAccepted(1, m_context.now);
+                       m_requests.onArrived(e);
+                   },
                    [&](const CallerGone &e) { m_requests.onCallerGone(e); },
                    [&](const AttemptHead &e) { m_requests.onHead(e); },
                    [&](const AttemptDone &e) { m_requests.onDone(e); },
@@ -109,7 +117,7 @@
                    [&](const DirectoryArrived &e) { onDirectory(e.directoryUpdate, "platform"); },
                    [&](const PlatformReachability &e) { onPlatformReachability(e.isReachable); },
                    [&](const LeaveOrdered &e) { onLeave(e.who); },
-                   [&](const TrafficThreadReport &e) { m_requests.onLag(e); },
+                   [&](const TrafficThreadReport &e) { onTrafficThreadReport(e); },
                    [&](const SeedsChanged &e) { m_context.peers.setSeeds(e.seeds); },
                    // These events belong to the core that leases slots (lib/Router).
                    [](const KeyIssueRequested &) {},
@@ -223,10 +231,55 @@
     const bool isPlatformStateCurrent = m_reader.isReadingPlatform() && m_isPlatformReachable;
     m_streamOrigins.tick(isPlatformStateCurrent || m_context.peers.hasLiveReader(m_context.now));
     m_requests.handleStreamOrigins();
-    m_gossip.sendDigests(m_state == NodeState::Leaving, isPlatformStateCurrent);
+    updateRotation();
+    m_gossip.sendDigests(
+        {m_state == NodeState::Leaving, isPlatformStateCurrent, m_overloadReadiness.state()});
     checkPlannedStop();
 }
 
+void BalancerCore::Impl::onTrafficThreadReport(const TrafficThreadReport &report)
+{
+    for (const ShedCount &each : report.shed)
+        m_overloadReadiness.onShed(static_cast<double>(each.requests), m_context.now);
+    m_requests.onLag(report);
+}
+
+/// Leaves the load balancer's rotation or returns to it. A start or a planned stop has its own
+/// readiness.
+void BalancerCore::Impl::updateRotation()
+{
+    if (!m_context.options.leavesRotationOnOverload || m_state != NodeState::Ready)
+        return;
+    const bool wasOut = m_overloadReadiness.state() == RotationState::Out;
+    const OverloadReadiness::Zone zone = zoneInRotation();
+    const bool isOut = m_overloadReadiness.update(zone, m_context.now) == RotationState::Out;
+    if (isOut == wasOut)
+        return;
+    Json::Value fields;
+    fields["zoneNodes"] = Json::UInt64(zone.nodes);
+    fields["othersOut"] = Json::UInt64(zone.ahead);
+    m_context.log(isOut ? LogEventId::RotationLeft : LogEventId::RotationEntered, "",
+                  std::move(fields));
+    m_context.emit(Readiness {!isOut, true});
+}
+
+OverloadReadiness::Zone BalancerCore::Impl::zoneInRotation() const
+{
+    OverloadReadiness::Zone zone;
+    const auto aboutToLeave = static_cast<std::uint8_t>(RotationState::AboutToLeave);
+    m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
+        if (peer.zone != m_context.options.zone.str()
+            || !m_context.peers.isLive(peer, m_context.now) || peer.isLeaving)
+            return;
+        ++zone.nodes;
+        // Nodes that are about to leave do so in the order of their ids.
+        const bool isAhead = peer.rotation > aboutToLeave
+            || (peer.rotation == aboutToLeave && node < m_context.options.node);
+        zone.ahead += isAhead ? 1 : 0;
+    });
+    return zone;
+}
+
 void BalancerCore::Impl::updateReaderRole()
 {
     const bool wasReading = m_reader.isReadingPlatform();
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -44,12 +44,13 @@
 
 } // namespace
 
-void GossipExchange::sendDigests(bool isLeaving, bool isReadingPlatform)
+void GossipExchange::sendDigests(const OwnStatus &status)
 {
     queueUpdates();
     m_heartbeat = buildHeartbeat();
-    m_heartbeat.isLeaving = isLeaving;
-    m_heartbeat.isReadingPlatform = isReadingPlatform;
+    m_heartbeat.isLeaving = status.isLeaving;
+    m_heartbeat.isReadingPlatform = status.isReadingPlatform;
+    m_heartbeat.rotation = static_cast<std::uint8_t>(status.rotation);
     const LoadDigest digest = buildDigest();
     const InterruptedPartsUpdate interruptedParts = takeInterruptedParts();
     if (m_context.peers.usesZoneSummaries())
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -12,6 +12,8 @@
 
 #include "berylridge/Support/LogRateLimiter.h"
 
+#include "berylridge/Policy/OverloadReadiness.h"
+
 #include <map>
 #include <span>
 #include <string>
@@ -34,9 +36,16 @@
     {
     }
 
-    /// Sends this period's digests. `isReadingPlatform` states that this node reads the platform's
-    /// state and that the platform responds.
-    void sendDigests(bool isLeaving, bool isReadingPlatform);
+    /// What this node reports of itself.
+    struct OwnStatus
+    {
+        bool isLeaving = false;
+        /// This node reads the platform's state, and the platform responds.
+        bool isReadingPlatform = false;
+        RotationState rotation = RotationState::In;
+    };
+    /// Sends this period's digests.
+    void sendDigests(const OwnStatus &status);
 
     void onDigest(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void onPlacements(const NodeId &from, Incarnation incarnation, const PlacementUpdate &update);
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -94,6 +94,7 @@
     fields.duration("heartbeatPeriodMs", settings.heartbeatPeriod, milliseconds(10), minutes(1));
     fields.duration("suspectAfterMs", settings.suspectAfter, milliseconds(20), minutes(10));
     fields.duration("leaseTermMs", settings.leaseTerm, milliseconds(50), minutes(10));
+    fields.boolean("leavesRotationOnOverload", settings.leavesRotationOnOverload);
     fields.number("retryRatio", settings.retryRatio, 0, 10);
     fields.number("retrySlack", settings.retrySlack, 0, 1e6);
     fields.duration("retryWindowMs", settings.retryWindow, milliseconds(100), hours(1));
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -48,6 +48,7 @@
     peer.lastMessageAt = now;
     peer.isLeaving = digest.isLeaving;
     peer.isReadingPlatform = digest.isReadingPlatform;
+    peer.rotation = digest.rotation;
     for (const PeerEntry &entry : digest.peers) {
         const NodeId named(entry.node);
         if (named == m_options.self)
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -281,7 +281,7 @@
 {
     m_isReady = action.isReady;
     for (const auto &thread : m_threads)
-        thread->setLeaving(!m_isReady);
+        thread->setLeaving(!m_isReady && !action.keepsConnections);
 }
 
 void RouterNode::Impl::operator()(const Stopped &)
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -1,6 +1,8 @@
 // Tests the whole balancer under a simulated clock: sends events and checks the resulting actions.
 #include "BalancerFixture.h"
 
+#include "berylridge/Policy/OverloadReadiness.h"
+
 #include <set>
 
 using namespace berylridge;
@@ -383,3 +385,37 @@
     EXPECT_EQ(sentMessages<CatalogUpdate>().size(), 1U);
     EXPECT_EQ(sentMessages<DirectoryRelay>().size(), 1U);
 }
+
+// Guards against a node that closes its callers' connections when it leaves the rotation for
+// overload, against one that leaves though many nodes of its zone have left, and against one that
+// enters it again during a planned stop.
+TEST_F(BalancerCoreTest, OverloadedNodeLeavesTheRotationAndKeepsItsConnections)
+{
+    leavesRotationOnOverload = true;
+    createCore();
+    installCatalog();
+    installTargets({"t1"});
+    const auto flood = [&](int periods, std::uint8_t rotationOfPeers) {
+        std::vector<Readiness> changes;
+        for (int i = 0; i < periods; ++i) {
+            for (const char *peer : {"n2", "n3", "n4"}) {
+                LoadDigest digest;
+                digest.zone = "a";
+                digest.rotation = rotationOfPeers;
+                handle(NodeMessage {NodeId(peer), 1, BalancerMessage(digest)});
+            }
+            handle(TrafficThreadReport {100ms, 10, 0, {{7, 200}}});
+            advanceTime(110ms); // Longer than the period, so that the timer runs here.
+            if (const auto *change = findAction<Readiness>())
+                changes.push_back(*change);
+        }
+        return changes;
+    };
+    EXPECT_TRUE(flood(30, static_cast<std::uint8_t>(RotationState::Out)).empty());
+    const auto changes = flood(20, 0);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes.front().isReady);
+    EXPECT_TRUE(changes.front().keepsConnections);
+    handle(LeaveOrdered {"operator"});
+    EXPECT_TRUE(flood(25, 0).empty());
+}
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -29,6 +29,7 @@
         options.endpoint = {"10.0.0.1", 7400};
         options.incarnation = 5;
         options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+        options.leavesRotationOnOverload = leavesRotationOnOverload;
         auto created = BalancerCore::create(options, clock.now(), clock.wallNow());
         ASSERT_TRUE(created) << created.failureReason();
         core = *std::move(created);
@@ -183,6 +184,7 @@
 
     ManualClock clock;
     std::string nodeName = "n1";
+    bool leavesRotationOnOverload = false;
     std::unique_ptr<BalancerCore> core;
     Actions actions;
     RequestHandle lastHandle = 0;
--- /dev/null
+++ b/unittests/Policy/OverloadReadinessTest.cpp
@@ -0,0 +1,92 @@
+#include "berylridge/Policy/OverloadReadiness.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration period = 100ms;
+
+class OverloadReadinessTest : public testing::Test
+{
+protected:
+    /// Plays periods with these rates until the node has the state. Returns the time that this
+    /// took, or nothing after the limit.
+    std::optional<Duration> timeTo(RotationState state, double accepted, double shed,
+                                   Duration limit)
+    {
+        for (Duration time {0}; time <= limit; time += period) {
+            readiness.onAccepted(accepted * toSeconds(period), clock.now());
+            readiness.onShed(shed * toSeconds(period), clock.now());
+            if (readiness.update(zone, clock.now()) == state)
+                return time;
+            clock.advance(period);
+        }
+        return std::nullopt;
+    }
+
+    ManualClock clock;
+    OverloadReadiness readiness;
+    OverloadReadiness::Zone zone {16, 0};
+};
+
+} // namespace
+
+// Guards against a node that refuses thousands of requests a second of one workspace while the
+// other nodes of its zone are idle.
+TEST_F(OverloadReadinessTest, NodeThatShedsMostRequestsLeavesTheRotation)
+{
+    const auto left = timeTo(RotationState::Out, 20, 2000, 5s);
+    ASSERT_TRUE(left);
+    EXPECT_GE(*left, OverloadReadiness::overloadTime);
+    EXPECT_LE(*left, OverloadReadiness::overloadTime + 500ms);
+    const auto returned = timeTo(RotationState::In, 20, 0, 30s);
+    ASSERT_TRUE(returned);
+    EXPECT_GE(*returned, OverloadReadiness::minTimeOut - period);
+}
+
+// Guards against nodes that leave for a short burst, or for a small excess that is better shed.
+TEST_F(OverloadReadinessTest, ShortOrSmallOverloadKeepsTheNodeInRotation)
+{
+    EXPECT_FALSE(timeTo(RotationState::Out, 400, 300, 10s));
+    EXPECT_FALSE(timeTo(RotationState::Out, 5, 30, 10s));
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_FALSE(timeTo(RotationState::Out, 20, 2000, 600ms));
+        EXPECT_FALSE(timeTo(RotationState::Out, 400, 0, 3s));
+    }
+}
+
+// Guards against a flood that comes back with the connections each few seconds.
+TEST_F(OverloadReadinessTest, RecurringOverloadKeepsTheNodeOutForLonger)
+{
+    Duration last {0};
+    for (const Duration expected : {4s, 8s, 16s, 16s}) {
+        ASSERT_TRUE(timeTo(RotationState::Out, 20, 2000, 5s));
+        const auto out = timeTo(RotationState::In, 20, 0, 30s);
+        ASSERT_TRUE(out);
+        EXPECT_GE(*out, expected - period);
+        EXPECT_LE(*out, expected + period);
+        last = *out;
+    }
+    ASSERT_FALSE(timeTo(RotationState::Out, 400, 0, 20s));
+    ASSERT_TRUE(timeTo(RotationState::Out, 20, 2000, 5s));
+    EXPECT_LT(*timeTo(RotationState::In, 20, 0, 30s), last);
+}
+
+// Guards against a zone that takes all of its nodes out of rotation under a flood at all of them,
+// and against the loss of nodes while others are out.
+TEST_F(OverloadReadinessTest, MostNodesOfAZoneStayInRotation)
+{
+    zone = {16, 4};
+    EXPECT_FALSE(timeTo(RotationState::Out, 20, 2000, 10s));
+    EXPECT_EQ(readiness.state(), RotationState::AboutToLeave);
+    zone = {3, 0};
+    EXPECT_FALSE(timeTo(RotationState::Out, 20, 2000, 10s));
+    zone = {16, 3};
+    EXPECT_TRUE(timeTo(RotationState::Out, 20, 2000, 10s));
+    zone = {6, 3};
+    EXPECT_EQ(timeTo(RotationState::In, 20, 0, 10s), Duration(0));
+}
