Keep nodes out of rotation in their turn, not by announcements of others

Change: nodes that are out and nodes that go first are counted apart, and only the former bring a node back; nodes that are not ready for another reason report themselves as out; a node leaves 0.4 s, or two rotations of digests, after its announcement at the earliest.

--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -58,7 +58,7 @@
         TimePoint lastListedAt {};              ///< When a peer list last contained it.
         bool isLeaving = false;
         bool isReadingPlatform = false; ///< Whether it reads the platform's state successfully.
-        std::uint8_t rotation = 0;      ///< Its RotationState as it reports it.
+        std::uint8_t rotation = 0;      ///< Its RotationState; other values count as In.
     };
 
     explicit PeerTable(PeerTableOptions options);
--- a/include/berylridge/Policy/OverloadReadiness.h
+++ b/include/berylridge/Policy/OverloadReadiness.h
@@ -6,8 +6,8 @@
 // other nodes of the zone are idle.
 //
 // A node announces that it is about to leave, and the nodes of the zone leave in turn, so that at
-// most a quarter of them is out of rotation. Where announcements are lost, the nodes that remain in
-// rotation are the ones that know of the others.
+// most a quarter of them is out of rotation. If an announcement is lost, more may be out for a
+// time.
 #pragma once
 
 #include "berylridge/Policy/Rate.h"
@@ -32,23 +32,23 @@
     /// Time for which a node must be overloaded before it leaves the rotation. The load balancer
     /// takes another second or two to notice, and most bursts are shorter than that.
     static constexpr Duration overloadTime = std::chrono::milliseconds(1000);
-    /// Time before that at which it announces so: each node of the zone receives one of its
-    /// digests.
+    /// Least time between the announcement and leaving.
     static constexpr Duration announcementTime = std::chrono::milliseconds(400);
     /// Time out of rotation. It doubles each time the overload comes back with the connections.
     static constexpr Duration minTimeOut = std::chrono::seconds(4);
     static constexpr Duration maxTimeOut = std::chrono::seconds(16);
 
-    /// Records requests that the node accepted, and requests that it shed.
+    /// Records requests that the traffic threads passed on, and requests that they shed.
     void onAccepted(double requests, TimePoint now) { m_accepted.add(requests, now); }
     void onShed(double requests, TimePoint now) { m_shed.add(requests, now); }
 
     /// The live nodes of this node's availability zone.
     struct Zone
     {
-        std::size_t nodes = 1; ///< Including this one.
-        /// The other nodes that are out of rotation, or are about to leave it before this one.
-        std::size_t ahead = 0;
+        std::size_t nodes = 1;   ///< Including this one.
+        std::size_t out = 0;     ///< Other nodes that are out of rotation, for whatever reason.
+        std::size_t ahead = 0;   ///< Other nodes that are about to leave it before this one.
+        Duration digestTime {0}; ///< Time in which each node of the zone receives a digest.
     };
     /// Updates the state; called each period.
     RotationState update(const Zone &zone, TimePoint now);
@@ -59,6 +59,8 @@
     static constexpr double smoothingSeconds = 0.2;
 
     bool isOverloaded(TimePoint now) const;
+    /// Returns to the rotation if the time out has passed, or the zone has lost too many nodes.
+    bool returnIfDue(const Zone &zone, TimePoint now);
     void leave(TimePoint now);
 
     Rate m_accepted {smoothingSeconds};
@@ -66,9 +68,11 @@
     RotationState m_state = RotationState::In;
     TimePoint m_overloadedSince {}; ///< Valid while overloaded.
     bool m_wasOverloaded = false;
+    TimePoint m_announcedAt {}; ///< Valid in the state AboutToLeave.
     TimePoint m_leftAt {};
     TimePoint m_returnedAt {};
-    Duration m_timeOut {0}; ///< Of the last time out of rotation; 0 if there was none lately.
+    /// The last time out of rotation; 0 before the first and after one that ended early.
+    Duration m_timeOut {0};
 };
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -56,7 +56,7 @@
     void checkReady();
     void onTrafficThreadReport(const TrafficThreadReport &report);
     void updateRotation();
-    OverloadReadiness::Zone zoneInRotation() const;
+    OverloadReadiness::Zone zoneStatus() const;
     void updateReaderRole();
     void checkPlannedStop();
     void stop(NodeSignal signal);
@@ -232,8 +232,9 @@
     m_streamOrigins.tick(isPlatformStateCurrent || m_context.peers.hasLiveReader(m_context.now));
     m_requests.handleStreamOrigins();
     updateRotation();
-    m_gossip.sendDigests(
-        {m_state == NodeState::Leaving, isPlatformStateCurrent, m_overloadReadiness.state()});
+    const RotationState rotation
+        = m_state == NodeState::Ready ? m_overloadReadiness.state() : RotationState::Out;
+    m_gossip.sendDigests({m_state == NodeState::Leaving, isPlatformStateCurrent, rotation});
     checkPlannedStop();
 }
 
@@ -251,31 +252,35 @@
     if (!m_context.options.leavesRotationOnOverload || m_state != NodeState::Ready)
         return;
     const bool wasOut = m_overloadReadiness.state() == RotationState::Out;
-    const OverloadReadiness::Zone zone = zoneInRotation();
+    const OverloadReadiness::Zone zone = zoneStatus();
     const bool isOut = m_overloadReadiness.update(zone, m_context.now) == RotationState::Out;
     if (isOut == wasOut)
         return;
     Json::Value fields;
     fields["zoneNodes"] = Json::UInt64(zone.nodes);
-    fields["othersOut"] = Json::UInt64(zone.ahead);
+    fields["othersOut"] = Json::UInt64(zone.out);
     m_context.log(isOut ? LogEventId::RotationLeft : LogEventId::RotationEntered, "",
                   std::move(fields));
     m_context.emit(Readiness {!isOut, true});
 }
 
-OverloadReadiness::Zone BalancerCore::Impl::zoneInRotation() const
+OverloadReadiness::Zone BalancerCore::Impl::zoneStatus() const
 {
     OverloadReadiness::Zone zone;
-    const auto aboutToLeave = static_cast<std::uint8_t>(RotationState::AboutToLeave);
+    // Twice, since a digest may be lost.
+    zone.digestTime = 2 * m_context.peers.rotationTime();
     m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
         if (peer.zone != m_context.options.zone.str()
-            || !m_context.peers.isLive(peer, m_context.now) || peer.isLeaving)
+            || !m_context.peers.isLive(peer, m_context.now))
             return;
         ++zone.nodes;
+        const auto rotation = static_cast<RotationState>(peer.rotation);
+        const bool isOut = peer.isLeaving || rotation == RotationState::Out;
+        zone.out += isOut ? 1 : 0;
         // Nodes that are about to leave do so in the order of their ids.
-        const bool isAhead = peer.rotation > aboutToLeave
-            || (peer.rotation == aboutToLeave && node < m_context.options.node);
-        zone.ahead += isAhead ? 1 : 0;
+        const bool isAhead
+            = rotation == RotationState::AboutToLeave && node < m_context.options.node;
+        zone.ahead += !isOut && isAhead ? 1 : 0;
     });
     return zone;
 }
--- a/lib/Policy/OverloadReadiness.cpp
+++ b/lib/Policy/OverloadReadiness.cpp
@@ -11,10 +11,11 @@
 constexpr double minShedPerAccepted = 1.0;
 /// Fewer shed requests per second leave a node enough time for the others.
 constexpr double minShedPerSecond = 50;
-/// At most one in this many nodes of a zone may be out of rotation, and at most one in the second
-/// number if the zone has lost nodes meanwhile.
-constexpr std::size_t nodesPerNodeOut = 4;
-constexpr std::size_t maxNodesPerNodeOut = 2;
+/// A node leaves only if at most one in this many nodes of its zone is then out of rotation.
+constexpr std::size_t nodesPerLeavingNode = 4;
+/// A node that is out returns if more than one in this many nodes is out, since the zone has lost
+/// nodes: the load balancer ignores readiness where less than half of a zone is ready.
+constexpr std::size_t nodesPerNodeKeptOut = 2;
 /// An overload that begins within this time of the return is the same as the one before.
 constexpr Duration recurrenceTime = std::chrono::seconds(6);
 
@@ -28,14 +29,8 @@
 
 RotationState OverloadReadiness::update(const Zone &zone, TimePoint now)
 {
-    if (m_state == RotationState::Out) {
-        const bool isZoneTooSmall = (zone.ahead + 1) * maxNodesPerNodeOut > zone.nodes;
-        if (now < m_leftAt + m_timeOut && !isZoneTooSmall)
-            return m_state;
-        m_state = RotationState::In;
-        m_returnedAt = now;
-        m_wasOverloaded = false;
-    }
+    if (m_state == RotationState::Out && !returnIfDue(zone, now))
+        return m_state;
     if (!isOverloaded(now)) {
         m_wasOverloaded = false;
         m_state = RotationState::In;
@@ -45,14 +40,31 @@
         m_overloadedSince = now;
     m_wasOverloaded = true;
     const Duration overloadedFor = now - m_overloadedSince;
-    const bool mayLeave = (zone.ahead + 1) * nodesPerNodeOut <= zone.nodes;
-    if (overloadedFor >= overloadTime && mayLeave && m_state == RotationState::AboutToLeave)
-        leave(now);
-    else if (overloadedFor >= overloadTime - announcementTime)
+    if (m_state == RotationState::In && overloadedFor >= overloadTime - announcementTime) {
         m_state = RotationState::AboutToLeave;
+        m_announcedAt = now;
+    }
+    const bool isAnnounced = m_state == RotationState::AboutToLeave
+        && now - m_announcedAt >= std::max(announcementTime, zone.digestTime);
+    if (isAnnounced && (zone.out + zone.ahead + 1) * nodesPerLeavingNode <= zone.nodes)
+        leave(now);
     return m_state;
 }
 
+bool OverloadReadiness::returnIfDue(const Zone &zone, TimePoint now)
+{
+    const bool isZoneTooSmall = (zone.out + 1) * nodesPerNodeKeptOut > zone.nodes;
+    const bool isTimeOver = now >= m_leftAt + m_timeOut;
+    if (!isTimeOver && !isZoneTooSmall)
+        return false;
+    if (!isTimeOver)
+        m_timeOut = Duration(0);
+    m_state = RotationState::In;
+    m_returnedAt = now;
+    m_wasOverloaded = false;
+    return true;
+}
+
 void OverloadReadiness::leave(TimePoint now)
 {
     const bool isRecurring
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -387,35 +387,49 @@
 }
 
 // Guards against a node that closes its callers' connections when it leaves the rotation for
-// overload, against one that leaves though many nodes of its zone have left, and against one that
-// enters it again during a planned stop.
+// overload, against one that leaves though others of its zone have left or go first, and against
+// one that enters it again during a planned stop.
 TEST_F(BalancerCoreTest, OverloadedNodeLeavesTheRotationAndKeepsItsConnections)
 {
     leavesRotationOnOverload = true;
     createCore();
     installCatalog();
     installTargets({"t1"});
-    const auto flood = [&](int periods, std::uint8_t rotationOfPeers) {
+    const auto play = [&](int periods, std::uint64_t shed, RotationState firstPeer) {
         std::vector<Readiness> changes;
+        const auto collect = [&] {
+            if (const auto *change = findAction<Readiness>())
+                changes.push_back(*change);
+        };
         for (int i = 0; i < periods; ++i) {
-            for (const char *peer : {"n2", "n3", "n4"}) {
+            for (const std::string peer : {"n0", "n2", "n3"}) {
                 LoadDigest digest;
                 digest.zone = "a";
-                digest.rotation = rotationOfPeers;
+                const RotationState state = peer == "n0" ? firstPeer : RotationState::In;
+                digest.rotation = static_cast<std::uint8_t>(state);
                 handle(NodeMessage {NodeId(peer), 1, BalancerMessage(digest)});
+                collect();
             }
-            handle(TrafficThreadReport {100ms, 10, 0, {{7, 200}}});
-            advanceTime(110ms); // Longer than the period, so that the timer runs here.
-            if (const auto *change = findAction<Readiness>())
-                changes.push_back(*change);
+            handle(TrafficThreadReport {100ms, 10, 0, {{7, shed}}});
+            collect();
+            advanceTime(100ms);
+            collect();
         }
         return changes;
     };
-    EXPECT_TRUE(flood(30, static_cast<std::uint8_t>(RotationState::Out)).empty());
-    const auto changes = flood(20, 0);
-    ASSERT_EQ(changes.size(), 1U);
-    EXPECT_FALSE(changes.front().isReady);
-    EXPECT_TRUE(changes.front().keepsConnections);
+    EXPECT_TRUE(play(30, 200, RotationState::Out).empty());
+    EXPECT_TRUE(play(30, 200, RotationState::AboutToLeave).empty());
+    const auto left = play(20, 200, RotationState::In);
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_FALSE(left.front().isReady);
+    EXPECT_TRUE(left.front().keepsConnections);
+    const auto returned = play(40, 0, RotationState::In);
+    ASSERT_EQ(returned.size(), 1U);
+    EXPECT_TRUE(returned.front().isReady);
+    ASSERT_EQ(play(20, 200, RotationState::In).size(), 1U);
     handle(LeaveOrdered {"operator"});
-    EXPECT_TRUE(flood(25, 0).empty());
+    ASSERT_TRUE(findAction<Readiness>());
+    EXPECT_FALSE(findAction<Readiness>()->isReady);
+    EXPECT_FALSE(findAction<Readiness>()->keepsConnections);
+    EXPECT_TRUE(play(25, 200, RotationState::In).empty());
 }
--- a/unittests/Policy/OverloadReadinessTest.cpp
+++ b/unittests/Policy/OverloadReadinessTest.cpp
@@ -1,7 +1,9 @@
 #include "berylridge/Policy/OverloadReadiness.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <optional>
+#include <vector>
 
 using namespace berylridge;
 using namespace std::chrono_literals;
@@ -30,7 +32,7 @@
 
     ManualClock clock;
     OverloadReadiness readiness;
-    OverloadReadiness::Zone zone {16, 0};
+    OverloadReadiness::Zone zone {.nodes = 16};
 };
 
 } // namespace
@@ -80,13 +82,46 @@
 // and against the loss of nodes while others are out.
 TEST_F(OverloadReadinessTest, MostNodesOfAZoneStayInRotation)
 {
-    zone = {16, 4};
+    zone = {.nodes = 16, .out = 2, .ahead = 2};
     EXPECT_FALSE(timeTo(RotationState::Out, 20, 2000, 10s));
     EXPECT_EQ(readiness.state(), RotationState::AboutToLeave);
-    zone = {3, 0};
+    zone = {.nodes = 3};
     EXPECT_FALSE(timeTo(RotationState::Out, 20, 2000, 10s));
-    zone = {16, 3};
+    zone = {.nodes = 16, .out = 3};
     EXPECT_TRUE(timeTo(RotationState::Out, 20, 2000, 10s));
-    zone = {6, 3};
+    zone.ahead = 12;
+    EXPECT_EQ(timeTo(RotationState::In, 20, 0, 2s), std::nullopt) << "those wait for their turn";
+    zone = {.nodes = 6, .out = 3};
     EXPECT_EQ(timeTo(RotationState::In, 20, 0, 10s), Duration(0));
 }
+
+// Guards against nodes that leave together before they hear of each other: a flood reaches all
+// nodes of a zone, which receive each other's states a digest late.
+TEST(OverloadReadinessFleet, AtMostAQuarterOfAZoneIsOut)
+{
+    constexpr std::size_t nodeCount = 16;
+    ManualClock clock;
+    std::vector<OverloadReadiness> nodes(nodeCount);
+    std::vector<RotationState> reported(nodeCount, RotationState::In);
+    std::size_t mostOut = 0;
+    for (int step = 0; step < 200; ++step) {
+        std::size_t out = 0;
+        for (std::size_t i = 0; i < nodeCount; ++i) {
+            OverloadReadiness::Zone zone;
+            zone.nodes = nodeCount;
+            zone.digestTime = 2 * period;
+            for (std::size_t other = 0; other < nodeCount; ++other) {
+                zone.out += other != i && reported[other] == RotationState::Out ? 1 : 0;
+                zone.ahead += other < i && reported[other] == RotationState::AboutToLeave ? 1 : 0;
+            }
+            nodes[i].onAccepted(2, clock.now());
+            nodes[i].onShed(200, clock.now());
+            out += nodes[i].update(zone, clock.now()) == RotationState::Out ? 1 : 0;
+        }
+        mostOut = std::max(mostOut, out);
+        for (std::size_t i = 0; i < nodeCount; ++i)
+            reported[i] = nodes[i].state();
+        clock.advance(period);
+    }
+    EXPECT_EQ(mostOut, nodeCount / 4);
+}
