Log and count responses that are cut after they began

Event 5015 and berylridge_responses_cut_total tell what the caller got, with reason and bytes; steps of failed attempts tell how long the target was silent, to this request and to others; 1016 tells how long the end of a planned stop took. No decision changes.

--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -95,6 +95,9 @@
     /// Counts a rejected request under its problem type.
     void countRejectedRequest(const std::string &type);
 
+    /// Counts a connection that was closed before its response was complete.
+    void countCutResponse(const std::string &reason);
+
     void countTargetAdvice(const TargetAdvice &advice);
 
     /// Prints all metrics. controlCpuSeconds is the processor time of the control thread.
@@ -103,6 +106,7 @@
 private:
     mutable std::mutex m_mutex;
     std::map<std::string, std::uint64_t> m_rejectedRequests;
+    std::map<std::string, std::uint64_t> m_cutResponses; ///< Keyed by reason.
 };
 
 } // namespace berylridge
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -157,6 +157,17 @@
     bool hasHeldResponse
         = false;         ///< The shell holds the target's error response (RelayHeldResponse).
     unsigned status = 0; ///< Status of the target's response; 0 if no head was read.
+    /// Time since the target's last byte, or since the attempt's start if it sent none.
+    Duration silentFor {0};
+};
+
+/// Reports that the router closed a caller's connection before the response to a request was
+/// complete.
+struct ResponseCut
+{
+    std::string requestId;
+    std::string reason;          ///< As the type of a problem.
+    std::uint64_t bodyBytes = 0; ///< Bytes of the body that were relayed before.
 };
 
 /// Delivers a target's own load report, the result of PollTarget.
@@ -258,10 +269,11 @@
 {
 };
 
-using Event = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, AttemptDone,
-                           AttemptFailed, TargetAdviceArrived, TargetLoadReport, TargetPollFailed,
-                           NodeMessage, ProbeEnded, DocumentArrived, VmListArrived,
-                           PlatformReachability, CatalogArrived, DirectoryArrived, SeedsChanged,
-                           LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
+using Event
+    = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, AttemptDone,
+                   AttemptFailed, ResponseCut, TargetAdviceArrived, TargetLoadReport,
+                   TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived, VmListArrived,
+                   PlatformReachability, CatalogArrived, DirectoryArrived, SeedsChanged,
+                   LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -94,6 +94,16 @@
     m_context.emit(Log {{id, {}, request.id, std::move(fields)}});
 }
 
+void RequestLog::cut(const ResponseCut &event)
+{
+    if (!consumeLineBudget())
+        return;
+    Json::Value fields;
+    fields["reason"] = event.reason;
+    fields["bodyBytes"] = Json::UInt64(event.bodyBytes);
+    m_context.emit(Log {{LogEventId::ResponseCut, {}, event.requestId, std::move(fields)}});
+}
+
 void RequestLog::refusedEarly(const RequestArrived &event, const Refusal &refusal)
 {
     if (!consumeLineBudget())
--- a/lib/Balancer/RequestLog.h
+++ b/lib/Balancer/RequestLog.h
@@ -25,6 +25,9 @@
     /// Logs that a target's connection broke while it ran the request.
     void interrupted(const BalancedRequest &request, const char *failure);
     /// Logs a request that was refused before its route and service were resolved.
+    /// Logs that the connection of the request's caller was closed before the response was
+    /// complete.
+    void cut(const ResponseCut &event);
     void refusedEarly(const RequestArrived &event, const Refusal &refusal);
 
     /// Periodically logs the number of requests without a line.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -453,7 +453,8 @@
     m_tally.attemptFailed(*request, failureName(event.failure));
     request->trace.add(m_context.now - request->arrivedAt,
                        AttemptFailedStep {request->choice.target, failureName(event.failure),
-                                          event.status, event.sentAny});
+                                          event.status, event.sentAny, event.silentFor,
+                                          m_targetSelector.silentFor(request->choice.key)});
     if (mayRetry(*request, event)) {
         step(*request, RequestSignal::Retried);
         if (!placeRequest(*request, false))
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -33,6 +33,7 @@
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
+    void onResponseCut(const ResponseCut &event) { m_log.cut(event); }
     CrashDetector &crashDetector() { return m_crashDetector; }
     /// Aborts the requests that wait at targets and have a part that was just quarantined.
     void abortQuarantined();
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -57,6 +57,9 @@
     if (step.status > 0)
         out["status"] = step.status;
     out["sent"] = step.isSent;
+    out["silentMs"] = toMilliseconds(step.silentFor);
+    if (step.targetSilentFor)
+        out["targetSilentMs"] = toMilliseconds(*step.targetSilentFor);
 }
 
 } // namespace
--- a/lib/Balancer/RequestTrace.h
+++ b/lib/Balancer/RequestTrace.h
@@ -7,6 +7,7 @@
 #include "berylridge/Policy/WorkspaceShares.h"
 
 #include <json/value.h>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -40,8 +41,11 @@
 {
     TargetId target;
     const char *failure = "";
-    unsigned status = 0; ///< Status of the target's response; 0 if there was none.
-    bool isSent = false; ///< A byte of the request has left this node.
+    unsigned status = 0;    ///< Status of the target's response; 0 if there was none.
+    bool isSent = false;    ///< A byte of the request has left this node.
+    Duration silentFor {0}; ///< Time since the target's last byte.
+    /// Time since the target last began any response of this node.
+    std::optional<Duration> targetSilentFor;
 };
 
 using RequestTraceStep
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -271,6 +271,7 @@
 void TargetSelector::onFirstEvent(const TargetChoice &choice, Duration since)
 {
     m_targets[choice.key].pause.onResponseStarted(m_context.now);
+    m_targets[choice.key].lastResponseAt = m_context.now;
     m_loads.onPromptRead(choice.key, choice.tokens);
     const std::uint64_t tokens = choice.aheadTokens + choice.tokens;
     if (tokens < minSampleTokens)
@@ -283,6 +284,14 @@
                       : initialTokensPerMs + (sample - initialTokensPerMs) * sampleWeight;
 }
 
+std::optional<Duration> TargetSelector::silentFor(TargetKey key) const
+{
+    const auto found = m_targets.find(key);
+    if (found == m_targets.end() || found->second.lastResponseAt == TimePoint())
+        return std::nullopt;
+    return m_context.now - found->second.lastResponseAt;
+}
+
 void TargetSelector::onAttemptEnded(const TargetChoice &choice, bool hadResponseStarted)
 {
     if (!hadResponseStarted)
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -86,6 +86,9 @@
     void onAttemptEnded(const TargetChoice &choice, bool hadResponseStarted);
     /// Handles what a target's response says about further requests of this node.
     void onAdvice(const TargetAdviceArrived &event);
+    /// Returns the time since the target last began a response of this node; empty if
+    /// it never did.
+    std::optional<Duration> silentFor(TargetKey key) const;
     TargetHealth &health(TargetKey key) { return m_targets[key].health; }
     /// Records the duration of a request without a prompt whose response is complete.
     void onResponseCompleted(const std::string &service, Duration duration);
@@ -128,7 +131,8 @@
     {
         TargetHealth health;
         TargetPause pause;
-        bool isLeaving = false; ///< A response of this boot stated that it shuts down.
+        TimePoint lastResponseAt {}; ///< When it last began a response.
+        bool isLeaving = false;      ///< A response of this boot stated that it shuts down.
         ColdTargetLimiter cold;
         TimePoint coldUntil {}; ///< End of the cold state as reported in the target's responses.
         /// This node is among those that may send to the target while it is cold.
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -358,7 +358,7 @@
     if (m_state == State::Waiting) {
         m_deadline->set(Deadline::Clock::now() + writeStallTimeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock())
-                self->abortConnection();
+                self->abortConnection("caller-not-reading");
         });
     }
     asio::async_write(m_socket, asio::buffer(m_writeQueue.front().bytes),
@@ -440,8 +440,10 @@
                              });
 }
 
-void CallerSession::abortConnection()
+void CallerSession::abortConnection(const std::string &reason)
 {
+    if (m_exchange)
+        m_exchange->reportCut(reason);
     onCallerDisconnected();
     close();
 }
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -37,7 +37,8 @@
     void endExchange(bool keepAlive);
 
     /// Closes the connection immediately, so that the caller sees that the response is incomplete.
-    void abortConnection();
+    /// The reason is reported like the type of a problem.
+    void abortConnection(const std::string &reason);
 
     bool hasPendingWrite() const { return !m_writeQueue.empty(); }
 
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -73,7 +73,7 @@
     if (m_isResponseStarted && !m_stream) {
         // Only an event stream can resume at another target. Any other response would be joined
         // from two different ones.
-        onAttemptFailed(AttemptFailure::InvalidResponse, false);
+        onAttemptFailed(AttemptFailure::InvalidResponse, false, {});
         return;
     }
     if (m_stream)
@@ -364,7 +364,7 @@
     m_thread.report(std::move(done));
 }
 
-void Exchange::onAttemptFailed(AttemptFailure failure, bool sentAny)
+void Exchange::onAttemptFailed(AttemptFailure failure, bool sentAny, Duration silentFor)
 {
     m_attempt.reset();
     m_isAwaitingWrite = false;
@@ -373,8 +373,8 @@
         return;
     }
     m_heldResponse.reset();
-    m_thread.report(
-        AttemptFailed {m_handle, m_dispatch.attempt, failure, sentAny, m_isResponseStarted});
+    m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, failure, sentAny,
+                                   m_isResponseStarted, false, 0, silentFor});
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
@@ -395,13 +395,19 @@
     if (m_session && m_isResponseStarted) {
         const auto session = std::exchange(m_session, nullptr);
         end(command.verdict);
-        session->abortConnection();
+        session->abortConnection(command.type);
         return;
     }
     sendResponse(m_thread.protocol().buildProblemResponse(problemOf(command), m_requestId),
                  command.verdict);
 }
 
+void Exchange::reportCut(const std::string &reason)
+{
+    m_thread.metrics().countCutResponse(reason);
+    m_thread.report(ResponseCut {m_requestId, reason, m_bodyBytes});
+}
+
 void Exchange::sendStoredResponse(const SendStoredResponse &command)
 {
     StringResponse response;
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -116,6 +116,12 @@
     ++m_rejectedRequests[type];
 }
 
+void Metrics::countCutResponse(const std::string &reason)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_cutResponses[reason];
+}
+
 void Metrics::countTargetAdvice(const TargetAdvice &advice)
 {
     targetPausesRequested += advice.retryAfter ? 1 : 0;
@@ -140,6 +146,11 @@
         const std::lock_guard lock(m_mutex);
         for (const auto &[type, count] : m_rejectedRequests)
             printSample("berylridge_refusals_total", label("type", type), count, out);
+        printMetadata("berylridge_responses_cut_total",
+                      "connections closed before their response was complete, by reason", "counter",
+                      out);
+        for (const auto &[reason, count] : m_cutResponses)
+            printSample("berylridge_responses_cut_total", label("reason", reason), count, out);
     }
     counter("berylridge_callers_gone_total", "callers that left before their answer",
             callerDisconnects);
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -113,6 +113,7 @@
     AdminHttpServer::Handlers adminHandlers(const Settings &settings, RpcHandler rpc);
     TrafficThread &threadOf(RequestHandle handle);
     void waitForSignal();
+    void logDrained();
     std::string printMetrics();
 
     // The order matters: members are destroyed in reverse order, and later ones use earlier ones
@@ -136,6 +137,7 @@
     std::atomic<std::size_t> m_drainingThreads {0};
     bool m_isReady = false;
     bool m_isStopping = false;
+    std::chrono::steady_clock::time_point m_stoppedAt {}; ///< When the core's planned stop ended.
 };
 
 RouterNode::Impl::Impl(const Settings &settings, Incarnation incarnation, LogSink &log,
@@ -288,16 +290,28 @@
 {
     if (std::exchange(m_isStopping, true))
         return;
+    m_stoppedAt = std::chrono::steady_clock::now();
     m_listener->close();
     m_drainingThreads = m_threads.size();
     for (const auto &thread : m_threads) {
         thread->drain([this] {
-            if (--m_drainingThreads == 0)
-                stop();
+            if (--m_drainingThreads > 0)
+                return;
+            logDrained();
+            stop();
         });
     }
 }
 
+void RouterNode::Impl::logDrained()
+{
+    const auto duration
+        = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_stoppedAt);
+    LogRecord record {LogEventId::NodeDrained, ""};
+    record.fields["drainMs"] = toMilliseconds(duration);
+    m_log.add(std::move(record));
+}
+
 void RouterNode::Impl::operator()(const Audit &action)
 {
     m_log.add({LogEventId::AuditEntryMade, formatAuditEntry(action.entry)});
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -59,6 +59,7 @@
     , m_socket(context)
     , m_deadline(std::make_shared<Deadline>(context))
     , m_attemptDeadline(Clock::now() + dispatch.attemptTimeout)
+    , m_lastByteAt(Clock::now())
     , m_buffer(maxHeadBytes)
 {
 }
@@ -170,6 +171,7 @@
         fail(failureOf(error));
         return;
     }
+    m_lastByteAt = Clock::now();
     const ResponseHead &head = m_parser->get().base();
     if (isInterim(head.result_int())) {
         readHead();
@@ -273,6 +275,7 @@
     if (m_isFinished)
         return;
     m_buffer.commit(size);
+    m_lastByteAt = Clock::now();
     if (error == asio::error::eof) {
         // Sets the error to what is missing. The end of a response without a length is no error.
         error = {};
@@ -343,7 +346,8 @@
         m_pool.drop(m_dispatch.endpoint);
     const auto owner = m_owner;
     close();
-    owner->onAttemptFailed(failure, m_sentAny);
+    owner->onAttemptFailed(failure, m_sentAny,
+                           std::chrono::duration_cast<Duration>(Clock::now() - m_lastByteAt));
 }
 
 void TargetAttempt::abort()
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -45,8 +45,9 @@
     /// isEnd. A returned failure ends the attempt.
     virtual std::optional<AttemptFailure> onResponseBody(std::string_view bytes, bool isEnd) = 0;
 
-    /// Called when the attempt has ended without a complete response.
-    virtual void onAttemptFailed(AttemptFailure failure, bool sentAny) = 0;
+    /// Called when the attempt has ended without a complete response. silentFor is the time since
+    /// the target's last byte, or since the attempt's start.
+    virtual void onAttemptFailed(AttemptFailure failure, bool sentAny, Duration silentFor) = 0;
 };
 
 /// The bytes of a request as sent to a target.
@@ -102,6 +103,7 @@
     tcp::socket m_socket;
     std::shared_ptr<Deadline> m_deadline;
     Clock::time_point m_attemptDeadline;
+    Clock::time_point m_lastByteAt; ///< When the target last sent something, or the start.
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::vector<char> m_bodyBuffer;
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -271,7 +271,7 @@
 {
     const std::vector<CallerSession *> sessions(m_sessions.begin(), m_sessions.end());
     for (CallerSession *session : sessions)
-        session->abortConnection();
+        session->abortConnection("stopping");
     m_pool.clear();
 }
 
