Give a silent attempt up only once another one was granted

What callers saw: a sound target that was silent for 1.2 s lost most of what it answered. Streams were cut, answers that can't continue elsewhere were cut, and requests without a first byte got 502, all with most of their time left.

Cause: the shell ended an attempt after 1,000 ms of silence (600 to 1,600 ms for the first byte) and only then did the core ask whether a further one may start. All requests of a silent target reach the limit at once and the retry budget allows a few; for the others the answer that was on its way was gone. Beside a change of the catalog nothing else happens.

Evidence: SilentTargetTest over sockets: 8 of 60 streams whole, 8 of 60 requests answered, both the retry budget of one node; a response that is no stream never whole.

Now the shell reports the silence (AttemptSilent) and holds what arrives until the core has decided: it dispatches another attempt if the route, the budget, the software version and a target allow one that can begin in time, which replaces the silent one; otherwise the attempt goes on (ContinueAttempt) and is offered again after 200 ms. So no answer ends before its deadline unless another one goes on. Silence between two pieces is reported after 1,500 ms in place of 1,000, since callers give up after two seconds at the earliest. It counts as a failure for the choice of targets and no longer as a broken connection. A thread that was late itself finds the bytes that have arrived and reports nothing.

Measured: SilentTargetTest: 60 of 60 streams whole, 60 of 60 requests answered.

--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -18,8 +18,16 @@
 /// States whether a request whose outcome is unknown may be sent again.
 enum class ResendPolicy : std::uint8_t { Forbidden, Allowed };
 
-/// Sends the request to the target and streams the response to the caller. The shell reports
-/// AttemptHead and AttemptDone, or AttemptFailed.
+/// States what the shell does with an attempt whose target is silent for longer than
+/// Dispatch::firstByteTimeout or idleTimeout.
+enum class SilencePolicy : std::uint8_t {
+    Fail,   ///< Ends the attempt and reports AttemptFailed.
+    Report, ///< Reports AttemptSilent. The attempt goes on unless the core ends or replaces it.
+};
+
+/// Sends the request to the target and streams the response to the caller. Replaces an attempt of
+/// the request that is still running. The shell reports AttemptHead and AttemptDone, or
+/// AttemptFailed.
 struct Dispatch
 {
     RequestHandle handle = 0;
@@ -32,7 +40,8 @@
     Duration connectTimeout = std::chrono::seconds(2);
     Duration firstByteTimeout {0}; ///< Limit for the response head; zero means idleTimeout.
     Duration idleTimeout {0};      ///< Limit between two pieces of the response.
-    bool isResumed = false;        ///< Continues a stream after the part that the caller has.
+    SilencePolicy silencePolicy = SilencePolicy::Fail;
+    bool isResumed = false; ///< Continues a stream after the part that the caller has.
     bool storesResponse
         = false;           ///< AttemptDone returns the response, to replay it for the same key.
     WorkspaceId workspace; ///< Owner of the request; sent to the target.
@@ -45,6 +54,14 @@
     Duration expectedFirstByte {0};
 };
 
+/// Lets an attempt go on whose silence was reported (AttemptSilent).
+struct ContinueAttempt
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    Duration silenceLimit {0}; ///< Time after which the shell reports the silence again.
+};
+
 /// Cancels an attempt. Nothing more of its response reaches the caller.
 struct AbortAttempt
 {
@@ -136,9 +153,9 @@
     AuditEntry entry;
 };
 
-using Action = std::variant<Dispatch, AbortAttempt, Refuse, SendStoredResponse, RelayHeldResponse,
-                            SendToNode, ProbeNode, PollTarget, WatchPlatform, Readiness, Stopped,
-                            Log, Audit>;
+using Action = std::variant<Dispatch, ContinueAttempt, AbortAttempt, Refuse, SendStoredResponse,
+                            RelayHeldResponse, SendToNode, ProbeNode, PollTarget, WatchPlatform,
+                            Readiness, Stopped, Log, Audit>;
 
 /// Lists actions in the order in which the shell must execute them.
 using Actions = std::vector<Action>;
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -161,6 +161,19 @@
     Duration silentFor {0};
 };
 
+/// Reports that the target of an attempt is silent (SilencePolicy::Report). The shell relays
+/// nothing more of the response until the core responds with ContinueAttempt, another Dispatch, or
+/// an action that ends the attempt.
+struct AttemptSilent
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+    bool answerBegun = false; ///< Part of the response was already sent to the caller.
+    /// Whether the response may continue at another target from the part that the caller has.
+    bool canContinueElsewhere = true;
+    Duration silentFor {0}; ///< As in AttemptFailed.
+};
+
 /// Reports that the router closed a caller's connection before the response to a request was
 /// complete.
 struct ResponseCut
@@ -271,7 +284,7 @@
 
 using Event
     = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, AttemptDone,
-                   AttemptFailed, ResponseCut, TargetAdviceArrived, TargetLoadReport,
+                   AttemptFailed, AttemptSilent, ResponseCut, TargetAdviceArrived, TargetLoadReport,
                    TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived, VmListArrived,
                    PlatformReachability, CatalogArrived, DirectoryArrived, SeedsChanged,
                    LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -56,6 +56,7 @@
     TimePoint dispatchedAt;
     Verdict verdictBeforeAttempt = Verdict::NotRun;
     bool hasResponseStarted = false; ///< The target has started its response.
+    bool isSilent = false;           ///< The target's silence was reported.
     TimePoint responseStartedAt {};  ///< When it did; valid if `hasResponseStarted`.
     TimePoint originRecordedAt {};   ///< When the origin of the stream was last recorded.
 
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -111,6 +111,7 @@
                    [&](const AttemptHead &e) { m_requests.onHead(e); },
                    [&](const AttemptDone &e) { m_requests.onDone(e); },
                    [&](const AttemptFailed &e) { m_requests.onFailed(e); },
+                   [&](const AttemptSilent &e) { m_requests.onSilent(e); },
                    [&](const ResponseCut &e) { m_requests.onResponseCut(e); },
                    [&](const TargetAdviceArrived &e) { m_targetSelector.onAdvice(e); },
                    [&](const NodeMessage &e) { onNodeMessage(e); },
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -24,8 +24,15 @@
 constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(500);
 /// Minimum Retry-After if the targets have no capacity for the request or reject it.
 constexpr Duration fullRetryAfter = std::chrono::milliseconds(60);
+/// Silence between two pieces of a response after which it is continued elsewhere. A sound target
+/// may be silent for about a second; callers give up after two.
+constexpr Duration maxSilence = std::chrono::milliseconds(1500);
+/// Time after which a request at a silent target is offered to another one again.
+constexpr Duration silenceRecheckPeriod = std::chrono::milliseconds(200);
 /// Cost of a generated token relative to a token that is read.
 constexpr double generatedTokenCost = 2;
+/// Bounds the attempts of a request that one target after the other rejects.
+constexpr AttemptNumber maxAttempts = 6;
 
 /// Retry-After if another node may know what this one couldn't learn in time.
 constexpr Duration unknownOriginRetryAfter = std::chrono::milliseconds(200);
@@ -339,6 +346,7 @@
     request.choice = choice;
     request.isRunning = true;
     request.hasResponseStarted = false;
+    request.isSilent = false;
     request.dispatchedAt = m_context.now;
     // From here on a byte may be sent at any moment. Only a report of the event loop that none was
     // sent, or of the target that the request has not run, reverts the verdict.
@@ -360,9 +368,8 @@
         dispatch.expectedFirstByte = fromSeconds((choice.waitMs + choice.readMs) / 1000);
     dispatch.connectTimeout = std::chrono::milliseconds(400);
     dispatch.firstByteTimeout = std::min(left, firstByteLimit(request));
-    dispatch.idleTimeout = allowsAnotherAttempt(request)
-        ? std::min<Duration>(left, std::chrono::milliseconds(1000))
-        : left;
+    dispatch.idleTimeout = allowsAnotherAttempt(request) ? std::min(left, maxSilence) : left;
+    dispatch.silencePolicy = SilencePolicy::Report;
     dispatch.isResumed = request.isPartlyDelivered;
     dispatch.workspace = request.workspace;
     dispatch.resendPolicy
@@ -372,8 +379,8 @@
     m_context.emit(std::move(dispatch));
 }
 
-/// Returns the time after which a silent target is abandoned for another one. Applies only if the
-/// request may be retried.
+/// Returns the time to the first byte after which the request is offered to another target. Applies
+/// only if the request may be retried.
 Duration RequestProcessor::firstByteLimit(const BalancedRequest &request) const
 {
     const Duration left = request.deadline - m_context.now;
@@ -463,6 +470,56 @@
     finishFailed(*request, event);
 }
 
+void RequestProcessor::onSilent(const AttemptSilent &event)
+{
+    BalancedRequest *request = find(event.handle, event.attempt);
+    if (!request)
+        return;
+    if (!std::exchange(request->isSilent, true)) {
+        m_targetSelector.health(request->choice.key).onFailedResponse(m_context.now);
+        request->trace.add(m_context.now - request->arrivedAt,
+                           TargetSilentStep {request->choice.target, event.silentFor,
+                                             m_targetSelector.silentFor(request->choice.key)});
+    }
+    if (!mayReplace(*request, event) || !tryReplace(*request, event))
+        m_context.emit(ContinueAttempt {event.handle, event.attempt, silenceRecheckPeriod});
+}
+
+bool RequestProcessor::mayReplace(const BalancedRequest &request, const AttemptSilent &event) const
+{
+    return event.canContinueElsewhere && allowsAnotherAttempt(request)
+        && request.attempts < maxAttempts && !m_crashDetector.isQuarantined(request);
+}
+
+bool RequestProcessor::tryReplace(BalancedRequest &request, const AttemptSilent &event)
+{
+    TargetNeeds needs = request.targetNeeds();
+    if (event.answerBegun && !needs.version)
+        needs.version = m_targetSelector.versionOf(request.choice);
+    std::vector<TargetKey> excludedTargets = request.excludedTargets;
+    excludedTargets.push_back(request.choice.key);
+    const auto choice = m_targetSelector.choose(needs, excludedTargets);
+    if (!choice)
+        return false;
+    const Duration left = request.deadline - m_context.now;
+    const bool isInTime = fromSeconds((choice->waitMs + choice->readMs) / 1000) < left;
+    if (!isInTime || !takeRetry(request) || !m_targetSelector.reserve(*choice, needs))
+        return false;
+    endAttempt(request);
+    ++request.sentAttempts;
+    request.excludedTargets = std::move(excludedTargets);
+    request.version = needs.version;
+    request.isPartlyDelivered = request.isPartlyDelivered || event.answerBegun;
+    m_tally.attemptFailed(request, "silent");
+    step(request, RequestSignal::Retried);
+    PlacementStep placement;
+    placement.choice = *choice;
+    placement.isAccepted = true;
+    request.trace.add(m_context.now - request.arrivedAt, std::move(placement));
+    start(request, *choice);
+    return true;
+}
+
 void RequestProcessor::updateTargetHealth(BalancedRequest &request, const AttemptFailed &event)
 {
     TargetHealth &health = m_targetSelector.health(request.choice.key);
@@ -502,7 +559,6 @@
 bool RequestProcessor::mayRetry(BalancedRequest &request, const AttemptFailed &event)
 {
     constexpr Duration minTimeLeft = std::chrono::milliseconds(50);
-    constexpr AttemptNumber maxAttempts = 6;
     if (request.deadline - m_context.now < minTimeLeft || request.attempts >= maxAttempts)
         return false;
     if (!isKnownNotRun(event) && !request.route->isRetryable())
@@ -514,6 +570,12 @@
         return false;
     if (!event.sentAny)
         return true; // Nothing reached a target, so a retry repeats nothing.
+    return takeRetry(request);
+}
+
+/// Takes one retry from the budget of the request's service if one is left.
+bool RequestProcessor::takeRetry(const BalancedRequest &request)
+{
     return m_retries[request.service->name].tryTake(
         m_context.options.retries, m_context.peers.limitShareCount(m_context.now), m_context.now);
 }
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -33,6 +33,9 @@
     void onHead(const AttemptHead &event);
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
+    /// Sends the request to another target if one may and can take it; otherwise lets the attempt
+    /// go on, because a sound target may be silent for a while.
+    void onSilent(const AttemptSilent &event);
     void onResponseCut(const ResponseCut &event) { m_log.cut(event); }
     CrashDetector &crashDetector() { return m_crashDetector; }
     /// Aborts the requests that wait at targets and have a part that was just quarantined.
@@ -67,8 +70,11 @@
     void start(BalancedRequest &request, const TargetChoice &choice);
     Duration firstByteLimit(const BalancedRequest &request) const;
     bool allowsAnotherAttempt(const BalancedRequest &request) const;
+    bool mayReplace(const BalancedRequest &request, const AttemptSilent &event) const;
+    bool tryReplace(BalancedRequest &request, const AttemptSilent &event);
     void updateTargetHealth(BalancedRequest &request, const AttemptFailed &event);
     bool mayRetry(BalancedRequest &request, const AttemptFailed &event);
+    bool takeRetry(const BalancedRequest &request);
     void finishFailed(BalancedRequest &request, const AttemptFailed &event);
     BalancedRequest *find(RequestHandle handle, AttemptNumber attempt);
     void step(BalancedRequest &request, RequestSignal signal);
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -14,6 +14,13 @@
     return Json::Int64(std::llround(value));
 }
 
+void describeSilence(const auto &step, Json::Value &out)
+{
+    out["silentMs"] = toMilliseconds(step.silentFor);
+    if (step.targetSilentFor)
+        out["targetSilentMs"] = toMilliseconds(*step.targetSilentFor);
+}
+
 void describe(const PlacementStep &step, Json::Value &out)
 {
     const TargetChoice &choice = step.choice;
@@ -57,9 +64,14 @@
     if (step.status > 0)
         out["status"] = step.status;
     out["sent"] = step.isSent;
-    out["silentMs"] = toMilliseconds(step.silentFor);
-    if (step.targetSilentFor)
-        out["targetSilentMs"] = toMilliseconds(*step.targetSilentFor);
+    describeSilence(step, out);
+}
+
+void describe(const TargetSilentStep &step, Json::Value &out)
+{
+    out["step"] = "target silent";
+    out["target"] = step.target.str();
+    describeSilence(step, out);
 }
 
 } // namespace
--- a/lib/Balancer/RequestTrace.h
+++ b/lib/Balancer/RequestTrace.h
@@ -48,8 +48,16 @@
     std::optional<Duration> targetSilentFor;
 };
 
-using RequestTraceStep
-    = std::variant<PlacementStep, NoTargetStep, ResponseStartedStep, AttemptFailedStep>;
+/// Records that the target is silent. The attempt goes on unless the next step is a placement.
+struct TargetSilentStep
+{
+    TargetId target;
+    Duration silentFor {0}; ///< As in AttemptFailedStep.
+    std::optional<Duration> targetSilentFor;
+};
+
+using RequestTraceStep = std::variant<PlacementStep, NoTargetStep, ResponseStartedStep,
+                                      AttemptFailedStep, TargetSilentStep>;
 
 class RequestTrace
 {
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -379,6 +379,22 @@
         m_thread.removeExchange(m_handle);
 }
 
+bool Exchange::onSilence(Duration silentFor)
+{
+    if (m_heldResponse && m_heldResponse->failure)
+        return false; // The head has told that the attempt failed.
+    m_thread.report(AttemptSilent {m_handle, m_dispatch.attempt, m_isResponseStarted,
+                                   !m_isResponseStarted || m_stream, silentFor});
+    return true;
+}
+
+void Exchange::continueAttempt(const ContinueAttempt &command)
+{
+    const auto attempt = m_attempt; // Reading may end it.
+    if (attempt && attempt->number() == command.attempt)
+        attempt->continueAfterSilence(command.silenceLimit);
+}
+
 void Exchange::abort(AttemptNumber attempt)
 {
     if (!m_attempt || m_attempt->number() != attempt)
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -86,6 +86,7 @@
     void handleNow(const Event &event);
 
     void operator()(Dispatch &action);
+    void operator()(const ContinueAttempt &action);
     void operator()(AbortAttempt &action);
     void operator()(Refuse &action);
     void operator()(SendStoredResponse &action);
@@ -257,6 +258,11 @@
     thread.sendCommand(std::move(action));
 }
 
+void RouterNode::Impl::operator()(const ContinueAttempt &action)
+{
+    threadOf(action.handle).sendCommand(action);
+}
+
 void RouterNode::Impl::operator()(AbortAttempt &action)
 {
     threadOf(action.handle).sendCommand(action);
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -67,10 +67,7 @@
 void TargetAttempt::start()
 {
     ++m_metrics.attemptsStarted;
-    m_deadline->set(m_attemptDeadline, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->onTimeout();
-    });
+    setDeadline(m_attemptDeadline);
     if (failIfHeld())
         return;
     // A target may close a pooled connection as idle while the request is on its way; it is then
@@ -167,6 +164,10 @@
 {
     if (m_isFinished)
         return;
+    if (m_isSuspended) {
+        m_suspendedRead = [this, error] { onHead(error); };
+        return;
+    }
     if (error) {
         fail(failureOf(error));
         return;
@@ -274,6 +275,10 @@
 {
     if (m_isFinished)
         return;
+    if (m_isSuspended) {
+        m_suspendedRead = [this, error, size] { onRead(error, size); };
+        return;
+    }
     m_buffer.commit(size);
     m_lastByteAt = Clock::now();
     if (error == asio::error::eof) {
@@ -346,8 +351,7 @@
         m_pool.drop(m_dispatch.endpoint);
     const auto owner = m_owner;
     close();
-    owner->onAttemptFailed(failure, m_sentAny,
-                           std::chrono::duration_cast<Duration>(Clock::now() - m_lastByteAt));
+    owner->onAttemptFailed(failure, m_sentAny, silentFor());
 }
 
 void TargetAttempt::abort()
@@ -360,6 +364,7 @@
 {
     m_isFinished = true;
     m_deadline->stop();
+    m_suspendedRead = nullptr;
     error_code ignored;
     m_socket.close(ignored);
     m_owner.reset();
@@ -370,9 +375,53 @@
     m_deadline->move(std::min(m_attemptDeadline, Clock::now() + limit));
 }
 
+void TargetAttempt::setDeadline(Clock::time_point due)
+{
+    m_deadline->set(due, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onTimeout();
+    });
+}
+
 void TargetAttempt::onTimeout()
 {
-    fail(m_isConnecting ? AttemptFailure::ConnectTimeout : AttemptFailure::Timeout);
+    if (m_isConnecting) {
+        fail(AttemptFailure::ConnectTimeout);
+        return;
+    }
+    const bool isDue = Clock::now() >= m_attemptDeadline;
+    if (isDue || m_dispatch.silencePolicy == SilencePolicy::Fail)
+        fail(AttemptFailure::Timeout);
+    else
+        onSilence();
+}
+
+void TargetAttempt::onSilence()
+{
+    setDeadline(m_attemptDeadline);
+    error_code ignored;
+    if (m_socket.available(ignored) > 0)
+        return; // This thread was late; the response is read next.
+    // The target may have ended behind a network partition, and its idle connections with it.
+    m_pool.drop(m_dispatch.endpoint);
+    m_isSuspended = true;
+    const auto owner = m_owner;
+    if (!owner->onSilence(silentFor()))
+        fail(AttemptFailure::Timeout);
+}
+
+void TargetAttempt::continueAfterSilence(Duration limit)
+{
+    if (m_isFinished || !std::exchange(m_isSuspended, false))
+        return;
+    setReadTimeout(limit);
+    if (const auto read = std::exchange(m_suspendedRead, nullptr))
+        read();
+}
+
+Duration TargetAttempt::silentFor() const
+{
+    return std::chrono::duration_cast<Duration>(Clock::now() - m_lastByteAt);
 }
 
 } // namespace berylridge
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,11 @@
     /// isEnd. A returned failure ends the attempt.
     virtual std::optional<AttemptFailure> onResponseBody(std::string_view bytes, bool isEnd) = 0;
 
+    /// Called when the target has been silent for longer than the attempt's limit. Nothing more is
+    /// read until TargetAttempt::continueAfterSilence(). Returns whether the attempt may go on;
+    /// otherwise it fails.
+    virtual bool onSilence(Duration silentFor) = 0;
+
     /// Called when the attempt has ended without a complete response. silentFor is the time since
     /// the target's last byte, or since the attempt's start.
     virtual void onAttemptFailed(AttemptFailure failure, bool sentAny, Duration silentFor) = 0;
@@ -68,6 +74,9 @@
     void start();
     /// Continues after the piece passed to onResponseBody() has been forwarded.
     void resume();
+    /// Goes on after AttemptOwner::onSilence(). The owner is called again after another silence of
+    /// this time.
+    void continueAfterSilence(Duration limit);
     /// Closes the target's connection, which cancels the request. The owner receives no further
     /// calls.
     void abort();
@@ -92,7 +101,10 @@
     void fail(AttemptFailure failure);
     void close();
     void setReadTimeout(Duration limit);
+    void setDeadline(Clock::time_point due);
     void onTimeout();
+    void onSilence();
+    Duration silentFor() const;
 
     ConnectionPool &m_pool;
     Metrics &m_metrics;
@@ -114,6 +126,8 @@
     bool m_isSkippingStrayResponse
         = false; ///< The response being read belongs to an earlier request.
     bool m_isResponseEnd = false;
+    bool m_isSuspended = false;            ///< Waits for continueAfterSilence().
+    std::function<void()> m_suspendedRead; ///< Handles what arrived meanwhile.
     bool m_isFinished = false;
 };
 
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -36,6 +36,7 @@
     Exchange &exchange;
 
     void operator()(Dispatch &command) const { exchange.dispatch(command); }
+    void operator()(ContinueAttempt &command) const { exchange.continueAttempt(command); }
     void operator()(AbortAttempt &command) const { exchange.abort(command.attempt); }
     void operator()(Refuse &command) const { exchange.refuse(command); }
     void operator()(SendStoredResponse &command) const { exchange.sendStoredResponse(command); }
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -34,8 +34,8 @@
 class Exchange;
 
 /// Commands that the control thread sends to a traffic thread.
-using TrafficCommand
-    = std::variant<Dispatch, AbortAttempt, Refuse, SendStoredResponse, RelayHeldResponse>;
+using TrafficCommand = std::variant<Dispatch, ContinueAttempt, AbortAttempt, Refuse,
+                                    SendStoredResponse, RelayHeldResponse>;
 
 /// Options shared by all traffic threads of a process. Must outlive them.
 struct TrafficOptions
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -120,6 +120,7 @@
             [](const DirectoryArrived &) {},
             [](const SeedsChanged &) {},
             [](const TrafficThreadReport &) {},
+            [](const AttemptSilent &) {},       // Its attempts fail when their targets are silent.
             [](const ResponseCut &) {},         // The metrics count it.
             [](const TargetAdviceArrived &) {}, // Only protocols of the balancer report it.
             [](const TimerDue &) {},
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -240,6 +240,9 @@
     std::visit(
         Overloaded {
             [this](const Dispatch &attemptAction) { startAttempt(attemptAction); },
+            [](const ContinueAttempt &) {
+                assert(false && "only the balancer lets silent attempts go on");
+            },
             [this](const AbortAttempt &attemptAction) { abortAttempt(attemptAction); },
             [this](const Refuse &refusal) { refuseRequest(refusal); },
             [this](const SendStoredResponse &storedResponse) {
--- a/tools/berylreplay/Session.cpp
+++ b/tools/berylreplay/Session.cpp
@@ -42,6 +42,10 @@
         beginLine() << "dispatch " << action.handle << '/' << action.attempt << " to "
                     << action.target << (action.isResumed ? " resumed" : "") << '\n';
     }
+    void write(const ContinueAttempt &action)
+    {
+        beginLine() << "continue " << action.handle << '/' << action.attempt << '\n';
+    }
     void write(const AbortAttempt &action)
     {
         beginLine() << "abort " << action.handle << '/' << action.attempt << '\n';
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -197,6 +197,7 @@
             [](const DirectoryArrived &) { return jsonOfType("directory"); },
             [](const SeedsChanged &) { return jsonOfType("seeds"); },
             [](const TrafficThreadReport &) { return jsonOfType("lag"); },
+            [](const AttemptSilent &) { return jsonOfType("silent"); },
             [](const ResponseCut &) { return jsonOfType("cut"); },
             [](const TargetAdviceArrived &) { return jsonOfType("advice"); },
             [](const LeaveOrdered &e) {
--- a/unittests/Platform/SilentTargetTest.cpp
+++ b/unittests/Platform/SilentTargetTest.cpp
@@ -40,9 +40,10 @@
         m_balancer = *std::move(created);
     }
 
-    /// Lists targets at the same address.
-    void start(const Endpoint &target)
+    /// Starts the node, for which several targets are listed that share one address and the script.
+    void start(FakeTarget::Script script)
     {
+        m_target = std::make_unique<FakeTarget>(std::move(script));
         m_node = std::make_unique<TestNode>(m_core, std::function<void(Settings &)>(), RpcHandler(),
                                             WireProtocolHandle::of(m_protocol));
         Catalog catalog;
@@ -59,8 +60,8 @@
             record.id = "t" + std::to_string(i);
             record.revision = 1;
             record.service = "s";
-            record.address = target.address;
-            record.port = target.port;
+            record.address = m_target->endpoint().address;
+            record.port = m_target->endpoint().port;
             record.zone = "a";
             record.slots = 128;
             record.startedAtMs = 1;
@@ -93,6 +94,7 @@
         return spec;
     }
 
+    std::unique_ptr<FakeTarget> m_target;
     SystemClock m_clock;
     std::unique_ptr<BalancerCore> m_balancer;
     platform::PlatformProtocol m_protocol;
@@ -107,7 +109,7 @@
 // Guards against connections that are closed although the rest of the response was on its way.
 TEST_F(SilentTargetTest, NoStreamOfATargetThatIsSilentForASecondIsCut)
 {
-    FakeTarget target([](FakeTargetConnection &peer) {
+    start([](FakeTargetConnection &peer) {
         while (!peer.readRequest().empty()) {
             peer.send(responseHead(
                 peer, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
@@ -118,7 +120,6 @@
             peer.send(event(2) + "0\r\n\r\n");
         }
     });
-    start(target.endpoint());
     constexpr int streams = 60;
     std::vector<std::unique_ptr<FakeCaller>> callers;
     for (int i = 0; i < streams; ++i)
@@ -133,14 +134,13 @@
 TEST_F(SilentTargetTest, AResponseThatIsNoStreamIsNotCut)
 {
     const std::string half(100000, 'x');
-    FakeTarget target([&](FakeTargetConnection &peer) {
+    start([&](FakeTargetConnection &peer) {
         while (!peer.readRequest().empty()) {
             peer.send(responseHead(peer, "Content-Length: 200000\r\n") + half);
             std::this_thread::sleep_for(silence);
             peer.send(half);
         }
     });
-    start(target.endpoint());
     const auto caller = send("/read/1", 1);
     EXPECT_TRUE(caller->readAll().ends_with(half + half));
 }
@@ -148,13 +148,12 @@
 // Guards against a refusal while the response could still begin in time.
 TEST_F(SilentTargetTest, NoRequestIsGivenUpBeforeItsFirstByte)
 {
-    FakeTarget target([](FakeTargetConnection &peer) {
+    start([](FakeTargetConnection &peer) {
         while (!peer.readRequest().empty()) {
             std::this_thread::sleep_for(2 * silence);
             peer.send(responseHead(peer, "Content-Length: 4\r\n") + "clay");
         }
     });
-    start(target.endpoint());
     constexpr int requests = 60;
     std::vector<std::unique_ptr<FakeCaller>> callers;
     for (int i = 0; i < requests; ++i)
