Tests: the unread request on an idle connection reaches its thread while it is blocked

With two traffic threads the blocked one was not the idle connection's: the request was answered with 200 before the stop, and the test failed for that reason. Now the idle connection and the blocking one are on the same thread, which is not the listener's.

--- a/unittests/Net/PlannedStopTest.cpp
+++ b/unittests/Net/PlannedStopTest.cpp
@@ -1,6 +1,7 @@
 // Planned stops: what callers receive whose requests cross the end of the process.
 #include "NodeFixture.h"
 
+#include <algorithm>
 #include <future>
 
 namespace berylridge::test {
@@ -43,6 +44,16 @@
     core.waitForEvents<TimerDue>(timers + 1);
 }
 
+bool isListening(TestNode &node)
+{
+    try {
+        const FakeCaller probe = node.caller();
+        return true;
+    } catch (const boost::system::system_error &) {
+        return false;
+    }
+}
+
 /// Blocks the traffic thread while it reads the request to blockedPath.
 class BlockingProtocol
 {
@@ -116,14 +127,14 @@
 // Guards against a cut of a request that the core has received but not yet refused.
 TEST(PlannedStopTest, requestThatTheCoreStillHoldsIsAnsweredBeforeTheEnd)
 {
-    FakeCore core(stopWhenOrdered([held = RequestHandle {}](const Event &event,
-                                                            Actions &actions) mutable {
-        if (const auto *arrived = std::get_if<RequestArrived>(&event))
-            held = arrived->handle;
-        if (std::holds_alternative<ReturnOrdered>(event))
-            actions.emplace_back(Refuse {held, 503, Verdict::NotRun, "the node leaves", "leaving",
-                                         std::nullopt});
-    }));
+    FakeCore core(
+        stopWhenOrdered([held = RequestHandle {}](const Event &event, Actions &actions) mutable {
+            if (const auto *arrived = std::get_if<RequestArrived>(&event))
+                held = arrived->handle;
+            if (std::holds_alternative<ReturnOrdered>(event))
+                actions.emplace_back(Refuse {held, 503, Verdict::NotRun, "the node leaves",
+                                             "leaving", std::nullopt});
+        }));
     TestNode node(core);
     FakeCaller caller = node.caller();
     caller.send(requestText("GET", "/v1/services/shop/a"));
@@ -156,16 +167,22 @@
 {
     BlockingProtocol protocol;
     FakeCore core(stopWhenOrdered(answerAtOnce()));
-    TestNode node(core, {}, {}, protocol.handle());
+    TestNode node(
+        core, [](Settings &settings) { settings.trafficThreads = 2; }, {}, protocol.handle());
+    // The threads take connections in turn. The listener's thread must not be the blocked one.
+    const FakeCaller first = node.caller();
     FakeCaller idle = node.caller();
+    const FakeCaller third = node.caller();
+    FakeCaller blocking = node.caller();
     idle.send(requestText("GET", "/v1/services/shop/a"));
     idle.readUntil("stored");
     idle.take();
-    FakeCaller blocking = node.caller();
     blocking.send(requestText("GET", BlockingProtocol::blockedPath));
     protocol.waitUntilBlocked();
     idle.send(requestText("GET", "/v1/services/shop/b"));
     orderToLeave(node, core);
+    EXPECT_TRUE(eventually([&] { return !isListening(node); }));
+    blocking.close(); // Its request would keep the connections open.
     protocol.release();
     const std::string response = idle.readAll();
     EXPECT_TRUE(isRefusedAsLeaving(response)) << response;
@@ -176,7 +193,8 @@
 {
     BlockingProtocol protocol;
     FakeCore core(stopWhenOrdered(answerAtOnce()));
-    TestNode node(core, {}, {}, protocol.handle());
+    TestNode node(
+        core, [](Settings &settings) { settings.trafficThreads = 1; }, {}, protocol.handle());
     FakeCaller blocking = node.caller();
     blocking.send(requestText("GET", BlockingProtocol::blockedPath));
     protocol.waitUntilBlocked();
