Exchange: a response keeps the connection that its head announced

A response whose head was sent before a planned stop, or was held meanwhile, announced a kept connection and then ended it. The caller's next request on it was read, discarded and never answered; a caller can't repeat one that isn't idempotent, as it was read.

Connection: close is now decided when the head is sent, and the end of the response keeps to it. The next response asks the caller to go.

Evidence: PlannedStopTest.responseBegunBeforeTheStopKeepsTheConnectionThatItAnnounced got no byte for the second request; it gets 200 with Connection: close.

--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -194,8 +194,6 @@
     const bool isChunked = hasBody && m_head.count(http::field::content_length) == 0;
     if (isChunked)
         m_head.set(http::field::transfer_encoding, "chunked");
-    if (!shouldKeepAlive())
-        m_head.set(http::field::connection, "close");
 }
 
 void Exchange::bufferHeldBody(std::string_view bytes, bool isEnd)
@@ -279,6 +277,8 @@
         return out;
     if (!std::exchange(m_isResponseStarted, true)) {
         recordFirstByteLatency();
+        if (!shouldKeepAlive())
+            m_head.set(http::field::connection, "close");
         appendSerializedHttp(m_head, true, out);
     }
     appendBody(bytes, isEnd, out);
@@ -314,7 +314,8 @@
 void Exchange::finish(std::string lastBytes)
 {
     const auto session = m_session;
-    const bool isKeepAlive = shouldKeepAlive() && m_head.keep_alive();
+    // The caller relies on what the head said, even if a planned stop has begun since.
+    const bool isKeepAlive = m_head.keep_alive();
     reportAttemptDone();
     end(Verdict::Ran);
     if (session)
