Net: the end of a planned stop answers every request that has arrived

After Stopped a traffic thread waited for queued bytes only, then cut every connection: requests whose refusal by the core was on its way, those whose rest was still to come, those that lay unread on idle connections. Their callers saw the connection end without an answer.

A drain now waits for each request that has arrived, and refuses those read from then on with 503, not run, without asking the core. It ends at the limit that Stopped gives, or when no caller has received a byte for a second and only callers are left that neither read nor close. Until now a caller that didn't read held the process for five seconds.

--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -121,9 +121,12 @@
     bool keepsConnections = false;
 };
 
-/// Reports the end of a planned stop; the process may exit.
+/// Reports the end of a planned stop: the core holds no request. The process may exit as soon as
+/// callers' connections are closed.
 struct Stopped
 {
+    /// Time for requests that the core does not know yet, and for responses that are still sent.
+    Duration drainLimit = std::chrono::seconds(5);
 };
 
 struct Log
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -22,10 +22,14 @@
 constexpr std::chrono::seconds writeStallTimeout {30};
 /// Time for the caller to read a response after which the router closes the connection.
 constexpr std::chrono::seconds lingerTimeout {2};
+constexpr std::size_t maxWriteBytes = 64 << 10; ///< Of one system call.
 constexpr std::size_t headReadBytes = 2 << 10;
 constexpr std::size_t bodyReadBytes = 64 << 10;
 /// Space beyond the head limit, so that the parser can report which limit was exceeded.
 constexpr std::size_t bufferSlackBytes = 128 << 10;
+/// Retry-After of requests that arrive when the process ends; the caller's next connection reaches
+/// another node.
+constexpr Duration leavingRetryAfter = std::chrono::milliseconds(20);
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -299,6 +303,21 @@
     return error;
 }
 
+bool CallerSession::hasRequest()
+{
+    switch (m_state) {
+    case State::Idle:
+        return !peek();
+    case State::Reading:
+        return true;
+    case State::Waiting:
+        return m_exchange && m_writeQueue.empty();
+    case State::Closing:
+        return false;
+    }
+    return false;
+}
+
 bool CallerSession::hasCallerDisconnected()
 {
     const error_code error = peek();
@@ -311,6 +330,10 @@
     const std::string generatedId = m_thread.options().idPrefix + std::to_string(handle);
     StringRequest request = m_parser->release();
     m_parser.reset();
+    if (m_thread.isDraining()) {
+        refuseAsLeaving(m_thread.protocol().readCaller(request).requestId);
+        return;
+    }
     auto read = m_thread.protocol().readRequest(request, generatedId);
     if (const auto *problem = std::get_if<Problem>(&read)) {
         sendProblem(*problem, request.keep_alive() && m_thread.allowsKeepAlive());
@@ -329,6 +352,12 @@
     waitReadable();
 }
 
+void CallerSession::refuseAsLeaving(std::string_view requestId)
+{
+    sendProblem({503, "leaving", "the router stops", Verdict::NotRun, leavingRetryAfter}, false,
+                requestId);
+}
+
 void CallerSession::sendProblem(const Problem &problem, bool keepAlive, std::string_view requestId)
 {
     m_state = State::Waiting;
@@ -361,7 +390,11 @@
                 self->abortConnection();
         });
     }
-    asio::async_write(m_socket, asio::buffer(m_writeQueue.front().bytes),
+    const auto transferAll = [this](error_code error, std::size_t) -> std::size_t {
+        m_thread.countProgress();
+        return error ? 0 : maxWriteBytes;
+    };
+    asio::async_write(m_socket, asio::buffer(m_writeQueue.front().bytes), transferAll,
                       [self = shared_from_this()](error_code error, std::size_t) {
                           self->m_isWriteActive = false;
                           self->onWritten(error);
@@ -414,6 +447,7 @@
     // response before the caller has read it. Therefore only the sending side is shut down, and
     // incoming bytes are discarded for a short time.
     m_state = State::Closing;
+    m_isLingering = true;
     m_buffer.clear();
     m_buffer.shrink_to_fit();
     error_code error;
@@ -449,6 +483,7 @@
 void CallerSession::close()
 {
     m_state = State::Closing;
+    m_isLingering = false;
     m_deadline->stop();
     m_writeQueue.clear();
     error_code ignored;
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -39,8 +39,14 @@
     /// Closes the connection immediately, so that the caller sees that the response is incomplete.
     void abortConnection();
 
+    /// Returns whether a request has arrived, at least in part, that nothing was written for yet.
+    bool hasRequest();
+
     bool hasPendingWrite() const { return !m_writeQueue.empty(); }
 
+    /// Returns whether the session waits for the caller to close after the last response.
+    bool isLingering() const { return m_isLingering; }
+
 private:
     enum class State : std::uint8_t {
         Idle,    ///< Between requests.
@@ -75,6 +81,7 @@
     bool hasCallerDisconnected();
     void onReadError(error_code error);
     void beginExchange();
+    void refuseAsLeaving(std::string_view requestId);
     void sendProblem(const Problem &problem, bool keepAlive, std::string_view requestId = {});
     void writeFront();
     void onWritten(error_code error);
@@ -96,6 +103,7 @@
     bool m_isReadTimedOut = false;
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
     bool m_isWriteActive = false;
+    bool m_isLingering = false;
 };
 
 } // namespace berylridge
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -284,14 +284,14 @@
         thread->setLeaving(!m_isReady && !action.keepsConnections);
 }
 
-void RouterNode::Impl::operator()(const Stopped &)
+void RouterNode::Impl::operator()(const Stopped &action)
 {
     if (std::exchange(m_isStopping, true))
         return;
     m_listener->close();
     m_drainingThreads = m_threads.size();
     for (const auto &thread : m_threads) {
-        thread->drain([this] {
+        thread->drain(action.drainLimit, [this] {
             if (--m_drainingThreads == 0)
                 stop();
         });
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -23,7 +23,8 @@
 constexpr Duration overloadRetryAfter = std::chrono::milliseconds(30);
 constexpr const char *overloadProblemType = "busy";
 constexpr std::chrono::milliseconds drainPeriod {10};
-constexpr int maxDrainRounds = 500; ///< Five seconds for callers to receive the last bytes.
+/// A drain doesn't wait longer than this for callers that receive nothing meanwhile.
+constexpr std::chrono::seconds drainStallLimit {1};
 
 RequestHandle handleOf(const TrafficCommand &command)
 {
@@ -240,31 +241,41 @@
             addRetryJitter(overloadRetryAfter, m_random)};
 }
 
-void TrafficThread::drain(std::function<void()> done)
+void TrafficThread::drain(Duration limit, std::function<void()> done)
 {
-    asio::post(m_context, [this, done = std::move(done)]() mutable {
-        closeWhenWritten(std::move(done), maxDrainRounds);
+    asio::post(m_context, [this, limit, done = std::move(done)] {
+        m_isDraining = true;
+        m_isLeaving = true;
+        m_lastProgressAt = std::chrono::steady_clock::now();
+        m_drainDeadline = m_lastProgressAt + limit;
+        continueDrain(done);
     });
 }
 
-void TrafficThread::closeWhenWritten(std::function<void()> done, int remainingRounds)
+void TrafficThread::continueDrain(const std::function<void()> &done)
 {
-    if (remainingRounds == 0 || !hasPendingWrites()) {
+    if (isDrainOver()) {
         closeAll();
         flushReports();
         done();
         return;
     }
     m_drainTimer.expires_after(drainPeriod);
-    m_drainTimer.async_wait([this, done = std::move(done), remainingRounds](error_code) mutable {
-        closeWhenWritten(std::move(done), remainingRounds - 1);
-    });
+    m_drainTimer.async_wait([this, done](error_code) { continueDrain(done); });
 }
 
-bool TrafficThread::hasPendingWrites() const
+bool TrafficThread::isDrainOver()
 {
-    return std::any_of(m_sessions.begin(), m_sessions.end(),
-                       [](const CallerSession *session) { return session->hasPendingWrite(); });
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= m_drainDeadline)
+        return true;
+    if (std::exchange(m_lastProgressCount, m_progressCount) != m_progressCount)
+        m_lastProgressAt = now;
+    const bool isStalled = now - m_lastProgressAt >= drainStallLimit;
+    return std::none_of(m_sessions.begin(), m_sessions.end(), [isStalled](CallerSession *session) {
+        return session->hasRequest()
+            || (!isStalled && (session->hasPendingWrite() || session->isLingering()));
+    });
 }
 
 void TrafficThread::closeAll()
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -74,9 +74,10 @@
     /// Makes subsequent responses ask callers to reconnect, which leads them to another node. May
     /// be called from any thread.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
-    /// Waits until pending responses are written, closes everything and calls `done`. May be called
-    /// from any thread.
-    void drain(std::function<void()> done);
+    /// Refuses requests that are read from now on, waits until each request that has arrived is
+    /// answered, closes everything and calls `done`. Gives up at the limit, and earlier if only
+    /// callers are left that neither read nor close. May be called from any thread.
+    void drain(Duration limit, std::function<void()> done);
     /// Returns when the thread has terminated. May be called from any thread.
     void stop();
 
@@ -88,6 +89,10 @@
     ConnectionPool &pool() { return m_pool; }
     TargetHolds &targetHolds() { return m_targetHolds; }
     bool isLeaving() const { return m_isLeaving; }
+    /// Returns whether the process ends as soon as the requests in progress are answered.
+    bool isDraining() const { return m_isDraining; }
+    /// Records that a caller received bytes or that a session ended.
+    void countProgress() { ++m_progressCount; }
     /// Returns whether callers may keep their connections after a response. Rejected callers open
     /// new connections and leave the old ones idle. A flood of them would use up the file
     /// descriptors within seconds, and then neither targets nor other callers could connect. A
@@ -124,7 +129,11 @@
     RequestHandle nextHandle();
     void addExchange(RequestHandle handle, std::shared_ptr<Exchange> exchange);
     void removeExchange(RequestHandle handle) { m_exchanges.erase(handle); }
-    void removeSession(CallerSession *session) { m_sessions.erase(session); }
+    void removeSession(CallerSession *session)
+    {
+        m_sessions.erase(session);
+        countProgress();
+    }
 
 private:
     /// Fraction of the connection limit up to which keep-alive is allowed. The rest leaves room for
@@ -138,8 +147,8 @@
     void flushReports();
     void closeIdleConnections();
     void measureLag();
-    void closeWhenWritten(std::function<void()> done, int remainingRounds);
-    bool hasPendingWrites() const;
+    void continueDrain(const std::function<void()> &done);
+    bool isDrainOver();
     void closeAll();
 
     const unsigned m_index;
@@ -150,6 +159,7 @@
     // themselves from these containers.
     std::unordered_map<RequestHandle, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_set<CallerSession *> m_sessions;
+    std::uint64_t m_progressCount = 0;
     asio::io_context m_context {1};
     asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
     asio::steady_timer m_idleTimer;
@@ -165,6 +175,10 @@
     Mailbox<TrafficCommand> m_commands;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
+    bool m_isDraining = false;
+    std::chrono::steady_clock::time_point m_drainDeadline;
+    std::chrono::steady_clock::time_point m_lastProgressAt;
+    std::uint64_t m_lastProgressCount = 0;
     RequestHandle m_lastHandleNumber = 0;
     std::vector<Event> m_reports;
     std::thread m_thread;
--- a/unittests/Net/PlannedStopTest.cpp
+++ b/unittests/Net/PlannedStopTest.cpp
@@ -15,7 +15,7 @@
         if (std::holds_alternative<LeaveOrdered>(event)) {
             *hasStopped = true;
             actions.emplace_back(Readiness {false});
-            actions.emplace_back(Stopped {});
+            actions.emplace_back(Stopped {testTimeout});
             return;
         }
         const auto *arrived = std::get_if<RequestArrived>(&event);
