CallerListener: accept what waits before the listener closes

Closing the listener resets the connections in its queue, with the requests that callers have sent on them. The listener now accepts them first; only then do the threads drain, so that they refuse these requests.

Evidence: PlannedStopTest.requestOnAConnectionThatWaitsToBeAcceptedIsAnswered got a reset, now 503. By hand, the platform program with ten callers that reconnect at once: one connection was closed without an answer before, none after.

--- a/lib/Net/CallerListener.cpp
+++ b/lib/Net/CallerListener.cpp
@@ -94,12 +94,16 @@
     return {};
 }
 
-void CallerListener::close()
+void CallerListener::close(std::function<void()> closed)
 {
-    asio::post(m_acceptor.get_executor(), [this] {
+    asio::post(m_acceptor.get_executor(), [this, closed = std::move(closed)] {
+        // Closing the acceptor resets the connections that wait to be accepted.
+        if (const error_code error = acceptPending())
+            onAcceptError(error);
         error_code ignored;
         m_acceptor.close(ignored);
         m_retryTimer.cancel();
+        closed();
     });
 }
 
--- a/lib/Net/CallerListener.h
+++ b/lib/Net/CallerListener.h
@@ -28,8 +28,9 @@
     std::string listen(const Endpoint &endpoint);
     Endpoint endpoint() const { return m_endpoint; }
 
-    /// Stops accepting connections. May be called from any thread.
-    void close();
+    /// Accepts the pending connections, stops listening and calls `closed` on the first traffic
+    /// thread. May be called from any thread.
+    void close(std::function<void()> closed);
 
 private:
     void accept();
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -288,14 +288,16 @@
 {
     if (std::exchange(m_isStopping, true))
         return;
-    m_listener->close();
     m_drainingThreads = m_threads.size();
-    for (const auto &thread : m_threads) {
-        thread->drain(action.drainLimit, [this] {
-            if (--m_drainingThreads == 0)
-                stop();
-        });
-    }
+    // The connections that the listener accepts last must reach their threads before the drain.
+    m_listener->close([this, limit = action.drainLimit] {
+        for (const auto &thread : m_threads) {
+            thread->drain(limit, [this] {
+                if (--m_drainingThreads == 0)
+                    stop();
+            });
+        }
+    });
 }
 
 void RouterNode::Impl::operator()(const Audit &action)
