Balancer: the drain after a planned stop keeps to the grace time

The drain could take five seconds, whenever it began: at the stop limit of 7.2 s it could outlast the 8 s after which the process is killed. Stopped now gives the rest of the stop limit and half a second more. A request that reaches the core after the end is always refused.

--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -22,6 +22,8 @@
 constexpr Duration maxEventGap = std::chrono::milliseconds(800);
 /// A planned stop waits this long after the last arrival, in case another request is on its way.
 constexpr Duration idleTimeBeforeStop = std::chrono::milliseconds(500);
+/// Time after the stop limit in which callers receive the last responses.
+constexpr Duration finalDrainLimit = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -323,8 +325,11 @@
 void BalancerCore::Impl::stop(NodeSignal signal)
 {
     m_context.stateMachines.node.step(m_state, signal);
+    // Requests may still be on their way from the traffic threads.
+    m_requests.rejectNewRequests();
     m_context.log(LogEventId::NodeStopped, m_context.options.node.str());
-    m_context.emit(Stopped {});
+    const Duration left = m_leaveStartedAt + m_context.options.stopLimit - m_context.now;
+    m_context.emit(Stopped {std::max(left, Duration(0)) + finalDrainLimit});
 }
 
 Expected<std::unique_ptr<BalancerCore>> BalancerCore::create(BalancerOptions options, TimePoint now,
