RouterNode: log how the drain of a planned stop ended

Nothing told what a process did between NodeStopped and its end. Event 1016 ConnectionsClosed gives the drain's time, the requests that stayed unanswered and the responses that were cut.

Evidence: PlannedStopTest.callerThatReadsNothingIsCutAndReported.

--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -113,6 +113,7 @@
     AdminHttpServer::Handlers adminHandlers(const Settings &settings, RpcHandler rpc);
     TrafficThread &threadOf(RequestHandle handle);
     void waitForSignal();
+    void onDrained(const DrainResult &result);
     std::string printMetrics();
 
     // The order matters: members are destroyed in reverse order, and later ones use earlier ones
@@ -134,6 +135,9 @@
     std::function<void()> m_reload;
     int m_signalCount = 0;
     std::atomic<std::size_t> m_drainingThreads {0};
+    std::atomic<std::size_t> m_unansweredRequests {0};
+    std::atomic<std::size_t> m_cutResponses {0};
+    std::chrono::steady_clock::time_point m_drainStartedAt;
     bool m_isReady = false;
     bool m_isStopping = false;
 };
@@ -289,17 +293,32 @@
     if (std::exchange(m_isStopping, true))
         return;
     m_drainingThreads = m_threads.size();
+    m_drainStartedAt = std::chrono::steady_clock::now();
     // The connections that the listener accepts last must reach their threads before the drain.
     m_listener->close([this, limit = action.drainLimit] {
         for (const auto &thread : m_threads) {
-            thread->drain(limit, [this] {
-                if (--m_drainingThreads == 0)
-                    stop();
-            });
+            thread->drain(limit, [this](const DrainResult &result) { onDrained(result); });
         }
     });
 }
 
+/// Called on each traffic thread.
+void RouterNode::Impl::onDrained(const DrainResult &result)
+{
+    m_unansweredRequests += result.unansweredRequests;
+    m_cutResponses += result.cutResponses;
+    if (--m_drainingThreads > 0)
+        return;
+    const auto time = std::chrono::steady_clock::now() - m_drainStartedAt;
+    LogRecord record {LogEventId::ConnectionsClosed, ""};
+    record.fields["drainMs"]
+        = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    record.fields["unanswered"] = Json::UInt64(m_unansweredRequests);
+    record.fields["cut"] = Json::UInt64(m_cutResponses);
+    m_log.add(std::move(record));
+    stop();
+}
+
 void RouterNode::Impl::operator()(const Audit &action)
 {
     m_log.add({LogEventId::AuditEntryMade, formatAuditEntry(action.entry)});
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -241,7 +241,7 @@
             addRetryJitter(overloadRetryAfter, m_random)};
 }
 
-void TrafficThread::drain(Duration limit, std::function<void()> done)
+void TrafficThread::drain(Duration limit, std::function<void(const DrainResult &)> done)
 {
     asio::post(m_context, [this, limit, done = std::move(done)] {
         m_isDraining = true;
@@ -252,12 +252,13 @@
     });
 }
 
-void TrafficThread::continueDrain(const std::function<void()> &done)
+void TrafficThread::continueDrain(const std::function<void(const DrainResult &)> &done)
 {
     if (isDrainOver()) {
+        const DrainResult result = drainResult();
         closeAll();
         flushReports();
-        done();
+        done(result);
         return;
     }
     m_drainTimer.expires_after(drainPeriod);
@@ -278,6 +279,16 @@
     });
 }
 
+DrainResult TrafficThread::drainResult() const
+{
+    DrainResult result;
+    for (CallerSession *session : m_sessions) {
+        result.unansweredRequests += session->hasRequest() ? 1 : 0;
+        result.cutResponses += session->hasPendingWrite() ? 1 : 0;
+    }
+    return result;
+}
+
 void TrafficThread::closeAll()
 {
     const std::vector<CallerSession *> sessions(m_sessions.begin(), m_sessions.end());
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -33,6 +33,13 @@
 class CallerSession;
 class Exchange;
 
+/// What a drain leaves behind when it closes the connections.
+struct DrainResult
+{
+    std::size_t unansweredRequests = 0;
+    std::size_t cutResponses = 0;
+};
+
 /// Commands that the control thread sends to a traffic thread.
 using TrafficCommand
     = std::variant<Dispatch, AbortAttempt, Refuse, SendStoredResponse, RelayHeldResponse>;
@@ -77,7 +84,7 @@
     /// Refuses requests that are read from now on, waits until each request that has arrived is
     /// answered, closes everything and calls `done`. Gives up at the limit, and earlier if only
     /// callers are left that neither read nor close. May be called from any thread.
-    void drain(Duration limit, std::function<void()> done);
+    void drain(Duration limit, std::function<void(const DrainResult &)> done);
     /// Returns when the thread has terminated. May be called from any thread.
     void stop();
 
@@ -147,8 +154,9 @@
     void flushReports();
     void closeIdleConnections();
     void measureLag();
-    void continueDrain(const std::function<void()> &done);
+    void continueDrain(const std::function<void(const DrainResult &)> &done);
     bool isDrainOver();
+    DrainResult drainResult() const;
     void closeAll();
 
     const unsigned m_index;
--- a/unittests/Net/PlannedStopTest.cpp
+++ b/unittests/Net/PlannedStopTest.cpp
@@ -206,5 +206,30 @@
     EXPECT_TRUE(isRefusedAsLeaving(response)) << response;
 }
 
+// Guards against a caller that reads nothing and holds the process until the limit.
+TEST(PlannedStopTest, callerThatReadsNothingIsCutAndReported)
+{
+    FakeCore core([](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event))
+            actions.emplace_back(
+                SendStoredResponse {arrived->handle, 200, {}, std::string(64 << 20, 'x')});
+        if (std::holds_alternative<LeaveOrdered>(event))
+            actions.emplace_back(Stopped {std::chrono::hours(1)});
+    });
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", "/v1/services/shop/a"));
+    core.waitForEvents<RequestArrived>(1);
+    orderToLeave(node, core);
+    EXPECT_TRUE(eventually([&] {
+        const std::vector<std::string> lines = node.logLines();
+        return std::any_of(lines.begin(), lines.end(), [](const std::string &line) {
+            return line.find("ConnectionsClosed") != std::string::npos
+                && line.find("\"cut\":1") != std::string::npos
+                && line.find("\"unanswered\":0") != std::string::npos;
+        });
+    }));
+}
+
 } // namespace
 } // namespace berylridge::test
