--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -40,8 +40,14 @@
     /// The reason is reported like the type of a problem.
     void abortConnection(const std::string &reason);
 
+    /// Returns whether a request has arrived, at least in part, that nothing was written for yet.
+    bool hasRequest();
+
     bool hasPendingWrite() const { return !m_writeQueue.empty(); }
 
+    /// Returns whether the session waits for the caller to close after the last response.
+    bool isLingering() const { return m_isLingering; }
+
 private:
     enum class State : std::uint8_t {
         Idle,    ///< Between requests.
@@ -76,6 +82,7 @@
     bool hasCallerDisconnected();
     void onReadError(error_code error);
     void beginExchange();
+    void refuseAsLeaving(std::string_view requestId);
     void sendProblem(const Problem &problem, bool keepAlive, std::string_view requestId = {});
     void writeFront();
     void onWritten(error_code error);
@@ -97,6 +104,7 @@
     bool m_isReadTimedOut = false;
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
     bool m_isWriteActive = false;
+    bool m_isLingering = false;
 };
 
 } // namespace berylridge
