--- /dev/null
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -0,0 +1,119 @@
+// Tests that bytes without end neither end the process nor grow its memory, and fail what waits for
+// them.
+#include "NodeFixture.h"
+
+#include <atomic>
+
+namespace berylridge::test {
+namespace {
+
+constexpr const char *path = "/v1/services/shop/orders";
+constexpr const char *okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+constexpr const char *chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Above all limits, with what the operating system buffers.
+constexpr std::size_t endlessBytes = 64 << 20;
+constexpr std::size_t pieceBytes = 16 << 10;
+
+std::string repeated(std::string_view text, std::size_t bytes = pieceBytes)
+{
+    std::string all;
+    while (all.size() < bytes)
+        all += text;
+    return all;
+}
+
+/// Sends the piece again and again. Returns whether the router closed the connection.
+bool sendWithoutEnd(FakeTargetConnection &peer, const std::string &piece)
+{
+    for (std::size_t sent = 0; sent < endlessBytes; sent += piece.size())
+        if (!peer.send(piece))
+            return true;
+    return false;
+}
+
+/// The native protocol, where status 500 is a target's error and a field marks late responses.
+WireProtocolHandle protocolWithErrors()
+{
+    WireProtocolHandle protocol = nativeProtocol();
+    protocol.readResponseHead = [](const ResponseHead &head, const AttemptIds &) {
+        ResponseInfo info;
+        info.isForThisRequest = head.count("X-Test-Late") == 0;
+        if (head.result_int() == 500)
+            info.failure = AttemptFailure::TargetError;
+        return info;
+    };
+    return protocol;
+}
+
+class EndlessResponseTest : public testing::Test
+{
+protected:
+    /// Serves a request with a target that sends the start, and then the piece without end. With
+    /// isReused, another request was served on the target's connection before.
+    void serve(const std::string &start, const std::string &piece, bool isReused = false)
+    {
+        std::atomic<bool> isFirst {true};
+        std::atomic<bool> isClosed {false};
+        FakeTarget target([&](FakeTargetConnection &peer) {
+            if (!isFirst.exchange(false)) {
+                while (!peer.readRequest().empty())
+                    peer.send(okResponse);
+                return;
+            }
+            if (isReused) {
+                peer.readRequest();
+                peer.send(okResponse);
+            }
+            peer.readRequest();
+            peer.send(start);
+            isClosed = sendWithoutEnd(peer, piece);
+        });
+        FakeCore core(forwardTo(target.endpoint(), true));
+        {
+            TestNode node(core, {}, {}, protocolWithErrors());
+            FakeCaller caller = node.caller();
+            if (isReused) {
+                caller.send(requestText("GET", path));
+                caller.readUntil("whole");
+                caller.take();
+            }
+            caller.send(requestText("GET", path, "Connection: close\r\n"));
+            response = caller.readAll();
+            failed = core.waitForEvents<AttemptFailed>(1);
+            FakeCaller next = node.caller();
+            next.send(requestText("GET", path));
+            EXPECT_TRUE(next.readUntil("whole").starts_with("HTTP/1.1 200 "));
+        }
+        isClosedByRouter = isClosed;
+    }
+
+    void expectFailure(AttemptFailure failure)
+    {
+        ASSERT_EQ(failed.size(), 1U);
+        EXPECT_EQ(failed[0].failure, failure);
+        EXPECT_TRUE(failed[0].sentAny);
+        EXPECT_TRUE(isClosedByRouter);
+    }
+
+    std::string response;
+    std::vector<AttemptFailed> failed;
+    bool isClosedByRouter = false;
+};
+
+} // namespace
+
+// Guards against a target whose chunk head has no end and ends the process.
+TEST_F(EndlessResponseTest, ChunkHeadWithoutEndFailsTheAttempt)
+{
+    serve(std::string(chunkedHead) + "4;a=", repeated("x"));
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
+// Guards against a target whose trailer has no end and ends the process.
+TEST_F(EndlessResponseTest, TrailerWithoutEndFailsTheAttempt)
+{
+    serve(std::string(chunkedHead) + "0\r\n", repeated("X-A: b\r\n"));
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
+} // namespace berylridge::test
