Bound the chunk heads and trailers of targets

Callers saw: every request of the node ended without an answer, as one target ended its process. Cause: the parser reads a chunk's size with its extensions, and a trailer, only as a whole. A target that sends one without end fills m_buffer, prepare() throws std::length_error out of the handler, and nothing catches it. Evidence: both tests ended the process on with "basic_flat_buffer too long". Change: beyond 16 KiB the attempt fails as InvalidResponse. Together with the next read this is below the bound of the buffer, so prepare() no longer throws there. Result: both tests pass; the node serves the next request.

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t bodyBufferBytes = 16 << 10;
 constexpr std::size_t readBufferBytes = 8 << 10;
 constexpr std::size_t maxHeadBytes = 64 << 10;
+/// Maximum size of a chunk's head or a trailer, which the parser reads only as a whole.
+constexpr std::size_t maxChunkHeadBytes = 16 << 10;
+static_assert(maxChunkHeadBytes + readBufferBytes <= maxHeadBytes, "the buffer has no more room");
 
 /// Returns the deadline that the core set for the first byte, or the maximum time if it set none.
 Deadline::Clock::time_point sendDeadline(const Dispatch &dispatch)
@@ -247,6 +250,10 @@
         onBodyBytes(size);
         return;
     }
+    if (m_buffer.size() > maxChunkHeadBytes) {
+        fail(AttemptFailure::InvalidResponse);
+        return;
+    }
     m_socket.async_read_some(m_buffer.prepare(readBufferBytes),
                              [self = shared_from_this()](error_code readError, std::size_t read) {
                                  self->onRead(readError, read);
