--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -116,4 +116,15 @@
     expectFailure(AttemptFailure::InvalidResponse);
 }
 
+// Guards against an error whose body has no end and fills the memory, and against a request that
+// isn't retried before it.
+TEST_F(EndlessResponseTest, ErrorWithEndlessBodyIsReportedAndNotHeld)
+{
+    serve("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 1000000000\r\n\r\n",
+          repeated("x"));
+    expectFailure(AttemptFailure::TargetError);
+    EXPECT_FALSE(failed[0].hasHeldResponse);
+    EXPECT_FALSE(failed[0].answerBegun);
+}
+
 } // namespace berylridge::test
