Stop reading the body of a target's error beyond 64 KiB

Callers saw: the node's memory grew by as much as the target sent, and their request went on only when the body or the attempt's time was over. Cause: the body of an error is held until the core has decided, without a bound. Evidence: the test's target sent 64 MiB on and found its connection open. Change: beyond the size up to which an error can be relayed, the attempt ends, its connection is closed, and the failure that the head told is reported at once, without a held response. The check of the size in reportHeldFailure() can no longer fail and is gone.

--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -227,8 +227,8 @@
 void Exchange::reportHeldFailure()
 {
     // An error response that is too large to be held, or was truncated itself, can't be relayed.
-    const bool hasHeldResponse = m_heldResponse->isComplete && m_heldResponse->isRelayable
-        && !m_isResponseStarted && m_heldResponse->body.size() <= maxStoredResponseBytes;
+    const bool hasHeldResponse
+        = m_heldResponse->isComplete && m_heldResponse->isRelayable && !m_isResponseStarted;
     m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, *m_heldResponse->failure, true,
                                    m_isResponseStarted, hasHeldResponse, m_heldResponse->status});
     if (!m_session)
@@ -248,6 +248,10 @@
 std::optional<AttemptFailure> Exchange::onResponseBody(std::string_view bytes, bool isEnd)
 {
     if (m_heldResponse) {
+        // An error above the limit can't be relayed, so the rest of its body is not read.
+        if (m_heldResponse->failure
+            && m_heldResponse->body.size() + bytes.size() > maxStoredResponseBytes)
+            return m_heldResponse->failure;
         bufferHeldBody(bytes, isEnd);
         return std::nullopt;
     }
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -37,7 +37,8 @@
 class Exchange : public AttemptOwner, public std::enable_shared_from_this<Exchange>
 {
 public:
-    /// Larger responses are not stored for repeats of an idempotency key.
+    /// Larger responses are not stored for repeats of an idempotency key, and larger errors are not
+    /// held.
     static constexpr std::size_t maxStoredResponseBytes = 64 << 10;
 
     Exchange(TrafficThread &thread, std::shared_ptr<CallerSession> session,
