--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -127,4 +127,19 @@
     EXPECT_FALSE(failed[0].answerBegun);
 }
 
+// Guards against a late response without end that keeps the next request on its connection waiting.
+TEST_F(EndlessResponseTest, LateResponseWithEndlessBodyFailsTheAttempt)
+{
+    serve("HTTP/1.1 200 OK\r\nX-Test-Late: 1\r\nContent-Length: 1000000000\r\n\r\n", repeated("x"),
+          true);
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
+// Guards against late responses without end that keep the next request on their connection waiting.
+TEST_F(EndlessResponseTest, LateResponsesWithoutEndFailTheAttempt)
+{
+    serve({}, repeated("HTTP/1.1 200 OK\r\nX-Test-Late: 1\r\nContent-Length: 0\r\n\r\n"), true);
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
 } // namespace berylridge::test
