Bound the late responses that are skipped on a reused connection

Callers saw: a request on a reused connection waited up to its attempt's time while a late response, or one after another, was skipped. Cause: neither the size nor the number of what is skipped was bounded. Change: beyond 1 MiB of bodies or 4 responses the attempt fails as InvalidResponse, and the core resends the request where it may.

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t maxChunkHeadBytes = 16 << 10;
 static_assert(maxChunkHeadBytes + readBufferBytes <= maxHeadBytes, "the buffer has no more room");
 
+/// Limits for late responses to earlier requests on a connection: the size of their bodies, and the
+/// number of responses.
+constexpr std::size_t maxStrayBytes = 1 << 20;
+constexpr int maxStrayResponses = 4;
+
 /// Returns the deadline that the core set for the first byte, or the maximum time if it set none.
 Deadline::Clock::time_point sendDeadline(const Dispatch &dispatch)
 {
@@ -228,7 +233,7 @@
     // exists, and the response to this request follows it. If it were relayed, a caller would
     // receive the response to another caller's request.
     m_isSkippingStrayResponse = true;
-    if (m_parser->need_eof()) {
+    if (m_parser->need_eof() || ++m_strayResponses > maxStrayResponses) {
         fail(AttemptFailure::InvalidResponse);
         return;
     }
@@ -295,6 +300,11 @@
 void TargetAttempt::onBodyBytes(std::size_t size)
 {
     if (m_isSkippingStrayResponse) {
+        m_strayBytes += size;
+        if (m_strayBytes > maxStrayBytes) {
+            fail(AttemptFailure::InvalidResponse);
+            return;
+        }
         if (!m_isResponseEnd) {
             readBody();
             return;
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -105,6 +105,8 @@
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::vector<char> m_bodyBuffer;
+    std::size_t m_strayBytes = 0; ///< Body bytes of the responses to earlier requests.
+    int m_strayResponses = 0;     ///< Number of the responses to earlier requests.
     bool m_isConnecting = false;
     bool m_sentAny = false;
     bool m_isRequestSent = false; ///< The operating system has accepted the whole request.
