--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -142,4 +142,11 @@
     expectFailure(AttemptFailure::InvalidResponse);
 }
 
+// Guards against interim responses without end that keep a request waiting.
+TEST_F(EndlessResponseTest, InterimResponsesWithoutEndFailTheAttempt)
+{
+    serve({}, repeated("HTTP/1.1 102 Processing\r\n\r\n"));
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
 } // namespace berylridge::test
