Bound the number of interim responses

Callers saw: a request waited up to its attempt's time while its target sent interim heads. Cause: their number was not bounded. Evidence: the test's target sent 64 MiB of them on and found its connection open. Change: after 32 the attempt fails as InvalidResponse. Result: the test passes.

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxChunkHeadBytes = 16 << 10;
 static_assert(maxChunkHeadBytes + readBufferBytes <= maxHeadBytes, "the buffer has no more room");
 
+/// Maximum number of interim responses to a request.
+constexpr int maxInterimResponses = 32;
 /// Limits for late responses to earlier requests on a connection: the size of their bodies, and the
 /// number of responses.
 constexpr std::size_t maxStrayBytes = 1 << 20;
@@ -180,7 +182,10 @@
     }
     const ResponseHead &head = m_parser->get().base();
     if (isInterim(head.result_int())) {
-        readHead();
+        if (++m_interimResponses > maxInterimResponses)
+            fail(AttemptFailure::InvalidResponse);
+        else
+            readHead();
         return;
     }
     const ResponseInfo facts = m_owner->inspect(head);
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -105,6 +105,7 @@
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::vector<char> m_bodyBuffer;
+    int m_interimResponses = 0;   ///< Number of the interim responses so far.
     std::size_t m_strayBytes = 0; ///< Body bytes of the responses to earlier requests.
     int m_strayResponses = 0;     ///< Number of the responses to earlier requests.
     bool m_isConnecting = false;
