--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -149,4 +149,26 @@
     expectFailure(AttemptFailure::InvalidResponse);
 }
 
+// Guards against interim responses that each start the limit for the response head anew.
+TEST_F(EndlessResponseTest, InterimResponsesDoNotExtendTheLimitForTheHead)
+{
+    constexpr std::chrono::milliseconds limit {200};
+    FakeTarget target([&](FakeTargetConnection &peer) {
+        peer.readRequest();
+        for (int i = 0; i < 30 && peer.send("HTTP/1.1 102 Processing\r\n\r\n"); ++i)
+            std::this_thread::sleep_for(limit / 2);
+    });
+    FakeCore core([&](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            Dispatch dispatch = makeDispatch(arrived->handle, target.endpoint());
+            dispatch.firstByteTimeout = limit;
+            actions.emplace_back(std::move(dispatch));
+        }
+    });
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", path));
+    EXPECT_EQ(core.waitForEvents<AttemptFailed>(1)[0].failure, AttemptFailure::Timeout);
+}
+
 } // namespace berylridge::test
