Let one limit cover all heads before the response

Callers saw: a request waited for up to as many limits of the first byte as its target sent interim heads. Cause: readHead() started the limit anew for each head, and each piece of a skipped response did so too. Evidence: the test's target sent 30 heads at half of the limit on, and the attempt ended only as the target closed the connection (Reset). Change: the limit starts once, when the request is sent. It is moved only by the response to this request. Result: the test passes (Timeout).

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -153,6 +153,9 @@
     asio::async_write(m_socket, bytes, [self = shared_from_this()](error_code error, std::size_t) {
         self->m_isRequestSent = !error;
     });
+    // A single limit covers the heads and bodies of all responses before the one to this request.
+    const bool hasFirst = m_dispatch.firstByteTimeout > Duration(0);
+    setReadTimeout(hasFirst ? m_dispatch.firstByteTimeout : m_dispatch.idleTimeout);
     readHead();
 }
 
@@ -165,8 +168,6 @@
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_request.isHead);
     m_buffer.reserve(readBufferBytes);
-    const bool hasFirst = m_dispatch.firstByteTimeout > Duration(0);
-    setReadTimeout(hasFirst ? m_dispatch.firstByteTimeout : m_dispatch.idleTimeout);
     http::async_read_header(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](error_code error, std::size_t) { self->onHead(error); });
@@ -248,7 +249,8 @@
 
 void TargetAttempt::readBody()
 {
-    setReadTimeout(m_dispatch.idleTimeout);
+    if (!m_isSkippingStrayResponse)
+        setReadTimeout(m_dispatch.idleTimeout);
     error_code error;
     const std::size_t size = parseBody(error);
     if (error) {
