--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -171,4 +171,13 @@
     EXPECT_EQ(core.waitForEvents<AttemptFailed>(1)[0].failure, AttemptFailure::Timeout);
 }
 
+// Guards against blank lines without end that keep the caller of a stream waiting.
+TEST_F(EndlessResponseTest, BlankLinesWithoutEndFailTheAttempt)
+{
+    serve("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n",
+          "4000\r\n" + repeated("\n") + "\r\n");
+    expectFailure(AttemptFailure::InvalidResponse);
+}
+
 } // namespace berylridge::test
