Bound the blank lines in an event stream

Callers saw: a stream that stood still up to the attempt's time, also after its last event. Cause: lines that belong to no event are skipped; bytes that came kept the stream alive. Evidence: the test's target sent 64 MiB of them on and found its connection open. Change: more than 64 KiB of blank lines in a row make the stream invalid. Result: the test passes.

--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -99,8 +99,9 @@
         if (const auto value = fieldValue(line, "data"))
             data = *value;
     }
+    m_blankBytes = isBlank ? m_blankBytes + event.size() : 0;
     if (isBlank)
-        return true;
+        return m_blankBytes <= maxBlankBytes;
     if (m_isDone)
         return false;
     m_hasEvents = m_hasEvents || id || !data.empty();
--- a/lib/Net/EventStream.h
+++ b/lib/Net/EventStream.h
@@ -19,6 +19,9 @@
     /// Maximum size of an event that is buffered until it is complete.
     static constexpr std::size_t maxEventBytes = 1 << 20;
 
+    /// Maximum size of the blank lines in a row that belong to no event.
+    static constexpr std::size_t maxBlankBytes = 64 << 10;
+
     /// With `endsWithDoneEvent`, only `data: [DONE]` completes the stream; otherwise the end of the
     /// response does.
     explicit EventStream(bool endsWithDoneEvent = true)
@@ -27,7 +30,8 @@
     }
 
     /// Consumes bytes of the current attempt and appends the events to be forwarded to `out`.
-    /// Returns false if the stream is invalid: an event above the limit or data after the end.
+    /// Returns false if the stream is invalid: an event or blank lines above their limit, or data
+    /// after the end.
     bool feed(std::string_view bytes, std::string &out);
 
     /// Starts another attempt, which continues after lastId(). Discards the incomplete event of the
@@ -35,6 +39,7 @@
     void beginAttempt()
     {
         m_pending.clear();
+        m_blankBytes = 0;
         m_hasEvents = false;
     }
 
@@ -55,6 +60,7 @@
 
     const bool m_endsWithDoneEvent;
     std::string m_pending;
+    std::size_t m_blankBytes = 0; ///< Size of the blank lines since the last event.
     std::string m_lastId;
     std::optional<std::uint64_t> m_lastEventNumber;
     bool m_isDone = false;
