--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -180,4 +180,63 @@
     expectFailure(AttemptFailure::InvalidResponse);
 }
 
+class EndlessRequestTest : public testing::Test
+{
+protected:
+    EndlessRequestTest()
+        : m_target([](FakeTargetConnection &peer) {
+            while (!peer.readRequest().empty())
+                peer.send(okResponse);
+        })
+        , m_core(forwardTo(m_target.endpoint(), true))
+    {
+    }
+
+    /// Sends the bytes to a node and returns its response up to the text.
+    std::string responseUntil(const std::string &text, const std::string &bytes,
+                              std::uint64_t headerLimit = 16 << 10)
+    {
+        TestNode node(m_core, [&](Settings &settings) { settings.headerLimit = headerLimit; });
+        FakeCaller caller = node.caller();
+        caller.send(bytes);
+        const std::string response = caller.readUntil(text);
+        FakeCaller next = node.caller();
+        next.send(requestText("GET", path));
+        EXPECT_TRUE(next.readUntil("whole").starts_with("HTTP/1.1 200 "));
+        return response;
+    }
+
+private:
+    FakeTarget m_target;
+    FakeCore m_core;
+};
+
+// Guards against a field that is larger than the parser can store and ends the process.
+TEST_F(EndlessRequestTest, HeadWithAFieldAboveTheParsersLimitIsRejected)
+{
+    const std::string response = responseUntil(
+        "}", requestText("GET", path, "X-A: " + std::string(70'000, 'x') + "\r\n"), 1 << 20);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 431 ")) << response;
+}
+
+// Guards against a field that is larger than the parser can store and ends the process.
+TEST_F(EndlessRequestTest, TrailerWithAFieldAboveTheParsersLimitIsNotStored)
+{
+    const std::string response
+        = responseUntil("whole",
+                        requestText("POST", path, "Transfer-Encoding: chunked\r\n")
+                            + "4\r\nclay\r\n0\r\nX-A: " + std::string(70'000, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200 ")) << response;
+}
+
+// Guards against a chunk head of a caller's request that has no end and fills the memory.
+TEST_F(EndlessRequestTest, ChunkHeadWithoutEndIsRejected)
+{
+    const std::string response
+        = responseUntil("}",
+                        requestText("POST", path, "Transfer-Encoding: chunked\r\n")
+                            + "4;a=" + repeated("x", 4 << 20));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 4")) << response;
+}
+
 } // namespace berylridge::test
