Reject callers' fields that the parser can't store, and ignore trailers

Callers saw: every request of the node ended without an answer, as one caller ended its process: with the default settings by a chunked request with a field of 70,000 bytes in its trailer, with a headerLimit above 64 KiB also by such a field in its head. Cause: Beast throws std::length_error at a field's name or value above 65,533 bytes, in a read handler. Fields of a trailer are bounded only by the buffer, and were merged into the request's head. Change: the parser of callers' requests fails with header_limit (status 431) at such a field of the head, and discards the fields of a trailer.

--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -175,7 +175,7 @@
     m_isReadTimedOut = false;
     m_isRequestComplete = false;
     const TrafficOptions &options = m_thread.options();
-    m_parser = std::make_unique<http::request_parser<http::string_body>>();
+    m_parser = std::make_unique<RequestParser>();
     m_parser->header_limit(static_cast<std::uint32_t>(options.headerLimit));
     m_parser->body_limit(options.bodyLimit);
     // A single timeout covers head and body, so that a caller can't hold the connection for longer
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -3,11 +3,11 @@
 
 #include "Deadline.h"
 #include "EarlyShedding.h"
+#include "RequestParser.h"
 #include "berylridge/Net/Asio.h"
 #include "berylridge/Net/Problem.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -87,7 +87,7 @@
     tcp::socket m_socket;
     std::shared_ptr<Deadline> m_deadline;
     beast::flat_buffer m_buffer;
-    std::unique_ptr<http::request_parser<http::string_body>> m_parser;
+    std::unique_ptr<RequestParser> m_parser;
     std::shared_ptr<Exchange> m_exchange;
     std::deque<PendingWrite> m_writeQueue;
     State m_state = State::Idle;
