--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -239,4 +239,42 @@
     EXPECT_TRUE(response.starts_with("HTTP/1.1 4")) << response;
 }
 
+/// Sends the bytes to the listener. Returns its response, empty if there is none.
+std::string listenersResponse(const Endpoint &endpoint, const std::string &bytes)
+{
+    FakeCaller caller(endpoint);
+    caller.send("POST /rpc HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + bytes);
+    return caller.readAll();
+}
+
+// Guards against a trailer at the port for peers or operators that ends the process.
+TEST(EndlessRpcTest, TrailerWithAFieldAboveTheParsersLimitClosesTheConnection)
+{
+    FakeCore core;
+    TestNode node(core, {}, [](std::string_view, bool) { return std::string("{}"); });
+    for (const Endpoint &endpoint : {node.node().peers(), node.node().admin()}) {
+        const std::string request = "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: "
+            + std::string(70'000, 'x') + "\r\n\r\n";
+        EXPECT_EQ(listenersResponse(endpoint, request), "");
+        EXPECT_TRUE(
+            listenersResponse(endpoint, "Content-Length: 2\r\n\r\n{}").starts_with("HTTP/1.1 "));
+    }
+}
+
+// Guards against a chunk head at the port for peers or operators that has no end and fills the
+// memory.
+TEST(EndlessRpcTest, ChunkHeadWithoutEndClosesTheConnection)
+{
+    FakeCore core;
+    TestNode node(core);
+    for (const Endpoint &endpoint : {node.node().peers(), node.node().admin()}) {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(*asioEndpoint<tcp>(endpoint));
+        FakeTargetConnection sender(std::move(socket));
+        sender.send("POST /rpc HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4;a=");
+        EXPECT_TRUE(sendWithoutEnd(sender, repeated("x")));
+    }
+}
+
 } // namespace berylridge::test
