Bound the buffer of the listeners for peers and operators

Callers saw: every request of the node ended without an answer after one call to its port for peers or for operators, neither of which needs a key for it. Cause: the buffer had no bound. A chunk head without end filled the memory for up to 60 s, and a field of more than 65,533 bytes in a trailer made Beast throw in a handler of the control thread. Evidence: on one test ended the process ("field value too large"), the other sent 64 MiB and found its connection open. Change: the buffer holds 64 KiB, below the size at which Beast throws; beyond it the connection is closed. Bodies have their own limit as before.

--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -15,6 +15,8 @@
 /// Delay after a failed accept. If the process has no free file descriptors, an immediate retry
 /// would fail again and use up processor time.
 constexpr std::chrono::milliseconds acceptRetryDelay {100};
+/// Maximum size of a request's head, a chunk's head or a trailer. Beast throws at a larger field.
+constexpr std::size_t maxBufferBytes = 64 << 10;
 
 } // namespace
 
@@ -68,7 +70,7 @@
 
     beast::tcp_stream m_stream;
     std::shared_ptr<Shared> m_shared;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer {maxBufferBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     StringResponse m_response;
 };
