--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -2,6 +2,8 @@
 // them.
 #include "NodeFixture.h"
 
+#include "berylridge/Net/HttpClient.h"
+
 #include <atomic>
 
 namespace berylridge::test {
@@ -277,4 +279,46 @@
     }
 }
 
+/// Returns the reply to a call whose server sends the start, and then the piece without end.
+HttpReply endlessReply(const std::string &start, const std::string &piece, bool &isClosedByClient)
+{
+    std::atomic<bool> isClosed {false};
+    std::optional<HttpReply> reply;
+    {
+        FakeTarget server([&](FakeTargetConnection &peer) {
+            peer.readRequest();
+            peer.send(start);
+            isClosed = sendWithoutEnd(peer, piece);
+        });
+        asio::io_context context;
+        const auto client = std::make_shared<HttpClient>(context, server.endpoint());
+        client->get("/", testTimeout, [&](HttpReply received) { reply = std::move(received); });
+        context.run();
+        client->close();
+    }
+    isClosedByClient = isClosed;
+    return reply.value_or(HttpReply {});
+}
+
+// Guards against a chunk head of the platform or a target that has no end and fills the memory.
+TEST(EndlessReplyTest, ChunkHeadWithoutEndFailsTheCall)
+{
+    bool isClosed = false;
+    const HttpReply reply
+        = endlessReply(std::string(chunkedHead) + "4;a=", repeated("x"), isClosed);
+    EXPECT_EQ(reply.failure, AttemptFailure::InvalidResponse);
+    EXPECT_TRUE(isClosed);
+}
+
+// Guards against a trailer of the platform or a target that ends the process.
+TEST(EndlessReplyTest, TrailerWithAFieldAboveTheParsersLimitFailsTheCall)
+{
+    bool isClosed = false;
+    const HttpReply reply = endlessReply(std::string(chunkedHead)
+                                             + "0\r\nX-A: " + std::string(70'000, 'x') + "\r\n\r\n",
+                                         repeated("x"), isClosed);
+    EXPECT_EQ(reply.failure, AttemptFailure::InvalidResponse);
+    EXPECT_TRUE(isClosed);
+}
+
 } // namespace berylridge::test
