Bound the buffer of HTTP clients

Callers saw: every request of the node ended without an answer, as the store, a node or a polled target that the node calls ended its process. Cause: as for the listeners, the client's buffer had no bound. Evidence: on one test ended by std::length_error ("field value too large"), in the other the server sent 64 MiB and found its connection open. Change: the buffer holds 64 KiB; beyond it the call fails as InvalidResponse.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Maximum size of a response's head, a chunk's head or a trailer. Beast throws at a larger field.
+constexpr std::size_t maxBufferBytes = 64 << 10;
+
 AttemptFailure failureOf(const error_code &error)
 {
     if (error == asio::error::connection_refused)
@@ -33,7 +36,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer {maxBufferBytes};
     std::shared_ptr<const StringRequest> request;
     std::optional<http::response_parser<http::string_body>> parser;
 };
