--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -321,4 +321,20 @@
     EXPECT_TRUE(isClosed);
 }
 
+// Guards against a call that the JSON library can't parse or use, and that ends the process.
+TEST(EndlessRpcTest, InvalidCallOfAPeerIsRejected)
+{
+    FakeCore core;
+    TestNode node(core);
+    for (const std::string &body :
+         {std::string(100'000, '['), std::string(R"({"jsonrpc": {}, "method": []})"),
+          std::string(R"({"jsonrpc": "2.0", "method": "deliver", "params": 3})"),
+          std::string(R"({"jsonrpc": "2.0", "method": "deliver", "params": {"datagram": []}})")}) {
+        const std::string length = std::to_string(body.size());
+        EXPECT_TRUE(
+            listenersResponse(node.node().peers(), "Content-Length: " + length + "\r\n\r\n" + body)
+                .starts_with("HTTP/1.1 "));
+    }
+}
+
 } // namespace berylridge::test
