Reject calls of peers at which the JSON library throws

Callers saw: every request of the node ended without an answer after one call to its port for peers, which needs no key: 100,000 opening brackets are enough. Cause: jsoncpp throws on deep nesting, and nothing caught it; the operators' port does so already. Change: the call is counted and logged like a rejected datagram and gets status 400.

--- a/lib/Net/DeliverRpcServer.cpp
+++ b/lib/Net/DeliverRpcServer.cpp
@@ -60,9 +60,14 @@
 
 DeliverRpcServer::~DeliverRpcServer() = default;
 
-std::string DeliverRpcServer::handle(const std::string &request)
+Expected<std::string> DeliverRpcServer::handle(const std::string &request)
 {
-    return m_connector->handleRequest(request);
+    try {
+        return m_connector->handleRequest(request);
+    } catch (const Json::Exception &error) {
+        // jsoncpp throws on deep nesting and when the library uses a member as the wrong type.
+        return Reason {std::string("not a call: ") + error.what()};
+    }
 }
 
 } // namespace berylridge
--- a/lib/Net/DeliverRpcServer.h
+++ b/lib/Net/DeliverRpcServer.h
@@ -2,6 +2,8 @@
 // datagram.
 #pragma once
 
+#include "berylridge/Support/Expected.h"
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,8 +17,9 @@
     explicit DeliverRpcServer(std::function<void(const std::string &)> deliver);
     ~DeliverRpcServer();
 
-    /// Handles the body of one POST /rpc and returns the response's body.
-    std::string handle(const std::string &request);
+    /// Handles the body of one POST /rpc and returns the response's body, or the reason if the
+    /// body is not a call.
+    Expected<std::string> handle(const std::string &request);
 
 private:
     class Connector;
--- a/lib/Net/PeerTransport.cpp
+++ b/lib/Net/PeerTransport.cpp
@@ -217,9 +217,15 @@
     }
     ++m_metrics.callsReceived;
     m_metrics.callBytesReceived += request.body().size();
+    auto reply = m_deliverServer.handle(request.body());
+    if (!reply) {
+        recordRejectedDatagram(reply.failureReason());
+        response.result(http::status::bad_request);
+        return response;
+    }
     response.result(http::status::ok);
     response.set(http::field::content_type, "application/json");
-    response.body() = m_deliverServer.handle(request.body());
+    response.body() = *std::move(reply);
     m_callbacks.onIterationEnd();
     return response;
 }
