--- a/unittests/Net/PlatformTest.cpp
+++ b/unittests/Net/PlatformTest.cpp
@@ -1,4 +1,6 @@
 #include "NodeFixture.h"
+#include "PlatformWatcher.h"
+#include "TargetPoller.h"
 
 #include <mutex>
 
@@ -104,5 +106,14 @@
     EXPECT_EQ(failed.failure, AttemptFailure::ConnectRefused);
 }
 
+// Guards against a text that is nested too deeply for the parser and ends the process.
+TEST(PlatformTest, RejectsDeeplyNestedTexts)
+{
+    const std::string nested = "{\"a\":" + std::string(100'000, '[');
+    EXPECT_FALSE(parseDocumentsResponse(nested));
+    EXPECT_FALSE(parseVmListResponse(nested));
+    EXPECT_FALSE(parseLoadReport(TargetId("t1"), nested));
+}
+
 } // namespace
 } // namespace berylridge::test
--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -145,6 +145,15 @@
     EXPECT_EQ(response->errors.size(), 1U);
 }
 
+// Guards against a text that is nested too deeply for the parser and ends the process.
+TEST(StoreDecoder, RejectsDeeplyNestedTexts)
+{
+    const std::string nested = "{\"a\":" + std::string(100'000, '[');
+    EXPECT_FALSE(parseStoreResponse(nested));
+    EXPECT_FALSE(parseCatalog(nested));
+    EXPECT_FALSE(parseTargetRecord("i-1", 9, nested));
+}
+
 TEST(StoreDecoder, RejectsOtherBodies)
 {
     EXPECT_FALSE(parseStoreResponse(""));
