Reject replies that are nested too deeply for the JSON parser

Callers saw: every request of the node ended without an answer. A reply of the store, of the platform or of a polled target that is nested above 1,000 levels ended the process; an entry of a target in the store does so by the same function on every node that reads the store (read in the code, not played). Cause: jsoncpp throws there, in a handler of the control thread. The callers log or count the reply as invalid, as before.

--- a/lib/Net/PlatformWatcher.cpp
+++ b/lib/Net/PlatformWatcher.cpp
@@ -1,7 +1,8 @@
 #include "PlatformWatcher.h"
 
+#include "berylridge/Net/JsonObject.h"
+
 #include <algorithm>
-#include <json/json.h>
 #include <utility>
 
 namespace berylridge {
@@ -17,12 +18,8 @@
 
 std::optional<Json::Value> parseRevisionedJson(const std::string &text)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject()
-        || !value["revision"].isUInt64())
+    auto value = parseJsonObject(text);
+    if (!value || !(*value)["revision"].isUInt64())
         return std::nullopt;
     return value;
 }
--- a/lib/Net/TargetPoller.cpp
+++ b/lib/Net/TargetPoller.cpp
@@ -1,6 +1,7 @@
 #include "TargetPoller.h"
 
-#include <json/json.h>
+#include "berylridge/Net/JsonObject.h"
+
 #include <utility>
 
 namespace berylridge {
@@ -15,20 +16,16 @@
 
 std::optional<TargetLoadReport> parseLoadReport(const TargetId &target, const std::string &body)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(body.data(), body.data() + body.size(), &value, &errors) || !value.isObject()
-        || !value["bootId"].isString() || !value["running"].isUInt()
-        || !value["completed"].isUInt64())
+    const auto value = parseJsonObject(body);
+    if (!value || !(*value)["bootId"].isString() || !(*value)["running"].isUInt()
+        || !(*value)["completed"].isUInt64())
         return std::nullopt;
-    const Json::Value &age = value["ageMs"];
+    const Json::Value &age = (*value)["ageMs"];
     const std::int64_t ageMs = age.isUInt() ? std::int64_t {age.asUInt()} : 0;
     return TargetLoadReport {target,
-                             value["bootId"].asString(),
-                             value["running"].asUInt(),
-                             value["completed"].asUInt64(),
+                             (*value)["bootId"].asString(),
+                             (*value)["running"].asUInt(),
+                             (*value)["completed"].asUInt64(),
                              std::chrono::milliseconds(ageMs),
                              0};
 }
