--- a/unittests/Net/ResumeTest.cpp
+++ b/unittests/Net/ResumeTest.cpp
@@ -162,5 +162,33 @@
     EXPECT_EQ(target.connections(), 1);
 }
 
+// Guards against an event whose id is too large for the head of the request that resumes the stream
+// after it, and that ends the process.
+TEST(ResumeTest, eventWithIdTooLargeToResumeAfterFailsTheAttempt)
+{
+    FakeTarget first([](FakeTargetConnection &peer) {
+        peer.readRequest();
+        peer.send(streamHead + chunk(event(1))
+                  + chunk("id: " + std::string(70'000, '7') + "\ndata: x\n\n"));
+    });
+    std::string lastId;
+    FakeTarget second([&](FakeTargetConnection &peer) {
+        peer.readRequest();
+        lastId = peer.field("Last-Event-ID");
+        peer.send(streamHead + chunk(event(2)) + chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+    });
+    FakeCore core(resumeAt(first.endpoint(), second.endpoint()));
+    std::string response;
+    {
+        TestNode node(core);
+        FakeCaller caller = node.caller();
+        caller.send(requestText("GET", "/v1/services/shop/stream", "Connection: close\r\n"));
+        response = caller.readAll();
+    }
+    EXPECT_EQ(core.waitForEvents<AttemptFailed>(1)[0].failure, AttemptFailure::InvalidResponse);
+    EXPECT_EQ(lastId, "1");
+    EXPECT_EQ(eventsOf(response), "id: 1\ndata: token1\nid: 2\ndata: token2\ndata: [DONE]\n");
+}
+
 } // namespace
 } // namespace berylridge::test
