Bound the ids of events

Callers saw: every request of the node ended without an answer. A target sent an event with an id of 70,000 bytes and broke off, and the node resumed the stream elsewhere. Cause: the head of the resuming request repeats the id, and Beast throws std::length_error at a field above 65,533 bytes, in a handler of the traffic thread. Evidence: without the change the test ended the process with "field value too large". Change: an event whose id is above 4 KiB makes the stream invalid before it is forwarded, so the stream is resumed after the event before it. Result: the test passes.

--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -102,7 +102,7 @@
     m_blankBytes = isBlank ? m_blankBytes + event.size() : 0;
     if (isBlank)
         return m_blankBytes <= maxBlankBytes;
-    if (m_isDone)
+    if (m_isDone || (id && id->size() > maxIdBytes))
         return false;
     m_hasEvents = m_hasEvents || id || !data.empty();
     const std::optional<std::uint64_t> number = id ? parseEventNumber(*id) : std::nullopt;
--- a/lib/Net/EventStream.h
+++ b/lib/Net/EventStream.h
@@ -19,6 +19,8 @@
     /// Maximum size of an event that is buffered until it is complete.
     static constexpr std::size_t maxEventBytes = 1 << 20;
 
+    /// Maximum size of an event's id, which the head of a request that resumes the stream repeats.
+    static constexpr std::size_t maxIdBytes = 4 << 10;
     /// Maximum size of the blank lines in a row that belong to no event.
     static constexpr std::size_t maxBlankBytes = 64 << 10;
 
@@ -30,8 +32,8 @@
     }
 
     /// Consumes bytes of the current attempt and appends the events to be forwarded to `out`.
-    /// Returns false if the stream is invalid: an event or blank lines above their limit, or data
-    /// after the end.
+    /// Returns false if the stream is invalid: an event, its id or blank lines above their limit,
+    /// or data after the end.
     bool feed(std::string_view bytes, std::string &out);
 
     /// Starts another attempt, which continues after lastId(). Discards the incomplete event of the
