--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -337,4 +337,27 @@
     }
 }
 
+// Guards against a target whose load report fills the memory.
+TEST(EndlessReplyTest, LargeLoadReportFailsThePoll)
+{
+    std::atomic<bool> isClosed {false};
+    {
+        FakeTarget target([&](FakeTargetConnection &peer) {
+            peer.readRequest();
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(endlessBytes)
+                      + "\r\n\r\n");
+            isClosed = sendWithoutEnd(peer, repeated("x"));
+        });
+        FakeCore polling([&](const Event &event, Actions &actions) {
+            if (std::get_if<PlatformReachability>(&event) != nullptr)
+                actions.emplace_back(PollTarget {TargetId("t1"), target.endpoint()});
+        });
+        TestNode node(polling);
+        node.node().post(PlatformReachability {true});
+        EXPECT_EQ(polling.waitForEvents<TargetPollFailed>(1)[0].failure,
+                  AttemptFailure::InvalidResponse);
+    }
+    EXPECT_TRUE(isClosed);
+}
+
 } // namespace berylridge::test
