Tests: a reply with a length above the limit (known red)

Cause: Beast loses the error of a length above the limit if it reads head and body in one operation. Result: std::bad_alloc leaves the handler.

--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -360,4 +360,15 @@
     EXPECT_TRUE(isClosed);
 }
 
+// Guards against a reply whose length is above the limit, which ends the process or fills the
+// memory if the first bytes of its body arrive with its head.
+TEST(EndlessReplyTest, LengthAboveTheLimitFailsTheCall)
+{
+    bool isClosed = false;
+    const HttpReply reply = endlessReply(
+        "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\nbody", repeated("x"), isClosed);
+    EXPECT_EQ(reply.failure, AttemptFailure::InvalidResponse);
+    EXPECT_TRUE(isClosed);
+}
+
 } // namespace berylridge::test
