Apply the limit for the bodies of replies to announced lengths

Callers saw: every request of the node ended without an answer, as the store, a node or a polled target that the node calls announced a length of 1,000,000,000,000,000 bytes: the string for it could not be allocated. With a smaller length the body was read into the memory without a limit. Cause: with its option eager, which async_read() sets, Beast 1.74 goes on after the error body_limit of the head if bytes follow in the same buffer. So the limit held only for chunks, or if the head arrived alone. Evidence: without the change the test ended by std::bad_alloc. Change: the head is read by itself, where the error is returned. Result: the test passes.

--- a/include/berylridge/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -63,6 +63,7 @@
     void connect();
     void send();
     void receive();
+    void receiveBody();
     /// Handles the end of an operation on the connection: calls next, or handles the error.
     void onOperationDone(const std::shared_ptr<Connection> &connection, error_code error,
                          void (HttpClient::*next)());
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -121,6 +121,17 @@
 {
     m_connection->parser.emplace();
     m_connection->parser->body_limit(maxResponseBytes);
+    // This release of Beast loses the error of a length above the limit if it reads the head and
+    // the body in one operation.
+    http::async_read_header(
+        m_connection->stream, m_connection->buffer, *m_connection->parser,
+        [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
+            self->onOperationDone(connection, error, &HttpClient::receiveBody);
+        });
+}
+
+void HttpClient::receiveBody()
+{
     http::async_read(
         m_connection->stream, m_connection->buffer, *m_connection->parser,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
