Bound the replies of polled targets and of nodes to 64 KiB

Callers saw: nothing yet; a target could make a node's memory grow by 64 MiB with one load report. Cause: HttpClient had one limit for all replies, which is that of the store's listings. Evidence: without the change the test's target sent a body of 64 MiB and found its connection open. Change: the limit is a parameter of the client; it stays for the store and the platform. Result: the test passes.

--- a/include/berylridge/Net/HttpClient.h
+++ b/include/berylridge/Net/HttpClient.h
@@ -33,7 +33,9 @@
     static constexpr std::uint64_t maxResponseBytes = 64 << 20;
     static constexpr std::size_t queueLimit = 64;
 
-    HttpClient(asio::io_context &context, Endpoint endpoint);
+    /// Calls whose response has a larger body than the limit, in bytes, fail.
+    HttpClient(asio::io_context &context, Endpoint endpoint,
+               std::uint64_t responseLimit = maxResponseBytes);
 
     void get(std::string_view target, Duration timeout, CompletionHandler done);
     void post(std::string_view target, std::string body, Duration timeout, CompletionHandler done);
@@ -74,6 +76,7 @@
 
     asio::io_context &m_context;
     const Endpoint m_endpoint;
+    const std::uint64_t m_responseLimit;
     std::shared_ptr<Connection> m_connection; ///< Null if not connected.
     bool m_hasServedCall = false;             ///< Whether the connection has served a call before.
     std::deque<Call> m_calls;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -41,9 +41,10 @@
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
-HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint)
+HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint, std::uint64_t responseLimit)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
+    , m_responseLimit(responseLimit)
 {
 }
 
@@ -120,7 +121,7 @@
 void HttpClient::receive()
 {
     m_connection->parser.emplace();
-    m_connection->parser->body_limit(maxResponseBytes);
+    m_connection->parser->body_limit(m_responseLimit);
     // This release of Beast loses the error of a length above the limit if it reads the head and
     // the body in one operation.
     http::async_read_header(
--- a/lib/Net/PeerTransport.cpp
+++ b/lib/Net/PeerTransport.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::seconds idleSweepPeriod {10};
 constexpr std::chrono::seconds rejectionLogPeriod {1};
 constexpr std::uint64_t maxCallBodyBytes = 16 << 20;
+constexpr std::uint64_t maxCallResponseBytes = 64 << 10;
 /// Maximum number of datagrams received per event loop iteration, so that timers and operators'
 /// calls run in between.
 constexpr int maxDatagramsPerWakeUp = 64;
@@ -182,7 +183,7 @@
 {
     auto &client = m_clients[to];
     if (!client)
-        client = std::make_shared<HttpClient>(m_context, to);
+        client = std::make_shared<HttpClient>(m_context, to, maxCallResponseBytes);
     const std::string &body = callBody(message);
     ++m_metrics.callsSent;
     m_metrics.callBytesSent += body.size();
--- a/lib/Net/TargetPoller.cpp
+++ b/lib/Net/TargetPoller.cpp
@@ -11,6 +11,7 @@
 constexpr Duration pollTimeout = std::chrono::seconds(1);
 constexpr std::chrono::seconds idleClientTimeout {30};
 constexpr unsigned okStatus = 200;
+constexpr std::uint64_t maxReportBytes = 64 << 10;
 
 } // namespace
 
@@ -50,7 +51,7 @@
     ++m_metrics.targetPolls;
     Client &client = m_clients[command.endpoint];
     if (!client.http)
-        client.http = std::make_shared<HttpClient>(m_context, command.endpoint);
+        client.http = std::make_shared<HttpClient>(m_context, command.endpoint, maxReportBytes);
     client.lastUse = std::chrono::steady_clock::now();
     client.http->get(
         "/load", pollTimeout,
