--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -99,9 +99,10 @@
         if (const auto value = fieldValue(line, "data"))
             data = *value;
     }
+    m_blankBytes = isBlank ? m_blankBytes + event.size() : 0;
     if (isBlank)
-        return true;
-    if (m_isDone)
+        return m_blankBytes <= maxBlankBytes;
+    if (m_isDone || (id && id->size() > maxIdBytes))
         return false;
     m_hasEvents = m_hasEvents || id || !data.empty();
     const std::optional<std::uint64_t> number = id ? parseEventNumber(*id) : std::nullopt;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Maximum size of a response's head, a chunk's head or a trailer. Beast throws at a larger field.
+constexpr std::size_t maxBufferBytes = 64 << 10;
+
 AttemptFailure failureOf(const error_code &error)
 {
     if (error == asio::error::connection_refused)
@@ -33,14 +36,15 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer {maxBufferBytes};
     std::shared_ptr<const StringRequest> request;
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
-HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint)
+HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint, std::uint64_t responseLimit)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
+    , m_responseLimit(responseLimit)
 {
 }
 
@@ -117,7 +121,18 @@
 void HttpClient::receive()
 {
     m_connection->parser.emplace();
-    m_connection->parser->body_limit(maxResponseBytes);
+    m_connection->parser->body_limit(m_responseLimit);
+    // This release of Beast loses the error of a length above the limit if it reads the head and
+    // the body in one operation.
+    http::async_read_header(
+        m_connection->stream, m_connection->buffer, *m_connection->parser,
+        [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
+            self->onOperationDone(connection, error, &HttpClient::receiveBody);
+        });
+}
+
+void HttpClient::receiveBody()
+{
     http::async_read(
         m_connection->stream, m_connection->buffer, *m_connection->parser,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -20,6 +20,16 @@
 constexpr std::size_t bodyBufferBytes = 16 << 10;
 constexpr std::size_t readBufferBytes = 8 << 10;
 constexpr std::size_t maxHeadBytes = 64 << 10;
+/// Maximum size of a chunk's head or a trailer, which the parser reads only as a whole.
+constexpr std::size_t maxChunkHeadBytes = 16 << 10;
+static_assert(maxChunkHeadBytes + readBufferBytes <= maxHeadBytes, "the buffer has no more room");
+
+/// Maximum number of interim responses to a request.
+constexpr int maxInterimResponses = 32;
+/// Limits for late responses to earlier requests on a connection: the size of their bodies, and the
+/// number of responses.
+constexpr std::size_t maxStrayBytes = 1 << 20;
+constexpr int maxStrayResponses = 4;
 
 /// Returns the deadline that the core set for the first byte, or the maximum time if it set none.
 Deadline::Clock::time_point sendDeadline(const Dispatch &dispatch)
@@ -141,6 +151,9 @@
     asio::async_write(m_socket, bytes, [self = shared_from_this()](error_code error, std::size_t) {
         self->m_isRequestSent = !error;
     });
+    // A single limit covers the heads and bodies of all responses before the one to this request.
+    const bool hasFirst = m_dispatch.firstByteTimeout > Duration(0);
+    setReadTimeout(hasFirst ? m_dispatch.firstByteTimeout : m_dispatch.idleTimeout);
     readHead();
 }
 
@@ -153,8 +166,6 @@
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_request.isHead);
     m_buffer.reserve(readBufferBytes);
-    const bool hasFirst = m_dispatch.firstByteTimeout > Duration(0);
-    setReadTimeout(hasFirst ? m_dispatch.firstByteTimeout : m_dispatch.idleTimeout);
     http::async_read_header(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](error_code error, std::size_t) { self->onHead(error); });
@@ -175,7 +186,10 @@
     m_lastByteAt = Clock::now();
     const ResponseHead &head = m_parser->get().base();
     if (isInterim(head.result_int())) {
-        readHead();
+        if (++m_interimResponses > maxInterimResponses)
+            fail(AttemptFailure::InvalidResponse);
+        else
+            readHead();
         return;
     }
     const ResponseInfo facts = m_owner->inspect(head);
@@ -228,7 +242,7 @@
     // exists, and the response to this request follows it. If it were relayed, a caller would
     // receive the response to another caller's request.
     m_isSkippingStrayResponse = true;
-    if (m_parser->need_eof()) {
+    if (m_parser->need_eof() || ++m_strayResponses > maxStrayResponses) {
         fail(AttemptFailure::InvalidResponse);
         return;
     }
@@ -238,7 +252,8 @@
 
 void TargetAttempt::readBody()
 {
-    setReadTimeout(m_dispatch.idleTimeout);
+    if (!m_isSkippingStrayResponse)
+        setReadTimeout(m_dispatch.idleTimeout);
     error_code error;
     const std::size_t size = parseBody(error);
     if (error) {
@@ -250,6 +265,10 @@
         onBodyBytes(size);
         return;
     }
+    if (m_buffer.size() > maxChunkHeadBytes) {
+        fail(AttemptFailure::InvalidResponse);
+        return;
+    }
     m_socket.async_read_some(m_buffer.prepare(readBufferBytes),
                              [self = shared_from_this()](error_code readError, std::size_t read) {
                                  self->onRead(readError, read);
@@ -296,6 +315,11 @@
 void TargetAttempt::onBodyBytes(std::size_t size)
 {
     if (m_isSkippingStrayResponse) {
+        m_strayBytes += size;
+        if (m_strayBytes > maxStrayBytes) {
+            fail(AttemptFailure::InvalidResponse);
+            return;
+        }
         if (!m_isResponseEnd) {
             readBody();
             return;
--- a/lib/Net/TargetPoller.cpp
+++ b/lib/Net/TargetPoller.cpp
@@ -1,6 +1,7 @@
 #include "TargetPoller.h"
 
-#include <json/json.h>
+#include "berylridge/Net/JsonObject.h"
+
 #include <utility>
 
 namespace berylridge {
@@ -10,25 +11,22 @@
 constexpr Duration pollTimeout = std::chrono::seconds(1);
 constexpr std::chrono::seconds idleClientTimeout {30};
 constexpr unsigned okStatus = 200;
+constexpr std::uint64_t maxReportBytes = 64 << 10;
 
 } // namespace
 
 std::optional<TargetLoadReport> parseLoadReport(const TargetId &target, const std::string &body)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(body.data(), body.data() + body.size(), &value, &errors) || !value.isObject()
-        || !value["bootId"].isString() || !value["running"].isUInt()
-        || !value["completed"].isUInt64())
+    const auto value = parseJsonObject(body);
+    if (!value || !(*value)["bootId"].isString() || !(*value)["running"].isUInt()
+        || !(*value)["completed"].isUInt64())
         return std::nullopt;
-    const Json::Value &age = value["ageMs"];
+    const Json::Value &age = (*value)["ageMs"];
     const std::int64_t ageMs = age.isUInt() ? std::int64_t {age.asUInt()} : 0;
     return TargetLoadReport {target,
-                             value["bootId"].asString(),
-                             value["running"].asUInt(),
-                             value["completed"].asUInt64(),
+                             (*value)["bootId"].asString(),
+                             (*value)["running"].asUInt(),
+                             (*value)["completed"].asUInt64(),
                              std::chrono::milliseconds(ageMs),
                              0};
 }
@@ -53,7 +51,7 @@
     ++m_metrics.targetPolls;
     Client &client = m_clients[command.endpoint];
     if (!client.http)
-        client.http = std::make_shared<HttpClient>(m_context, command.endpoint);
+        client.http = std::make_shared<HttpClient>(m_context, command.endpoint, maxReportBytes);
     client.lastUse = std::chrono::steady_clock::now();
     client.http->get(
         "/load", pollTimeout,
