Balancer: a stream whose service the catalog no longer describes is refused

Callers saw: all requests of a node are cut, as its process ends (code 139), when one caller takes up a stream that began at a service which the route's split still names while the catalog's list of services lacks it. Cause: continueStream() set the request's service to null and then refused the request; the log line of the refusal names the service. Change: the request keeps the service that its route selected; the refusal is the same.

--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -191,10 +191,12 @@
     const auto service = std::find_if(services.begin(), services.end(), [&](const auto &each) {
         return hash32(each.service) == origin.service;
     });
-    if (service != services.end())
-        request.service = request.routeTable->service(service->service);
-    const bool isServed = service != services.end() && request.service
-        && m_targetSelector.hasListedTarget(request.targetNeeds());
+    // The catalog may name a service in a route and not describe it.
+    const ServiceSpec *described
+        = service == services.end() ? nullptr : request.routeTable->service(service->service);
+    if (described)
+        request.service = described;
+    const bool isServed = described && m_targetSelector.hasListedTarget(request.targetNeeds());
     if (!isServed) {
         refuse(request,
                {503,
