Tests: a value of the store that is nested too deep ends the process

Callers saw: nothing yet; every node that reads the store would end, with all its requests, at one such value in a configuration, a target's entry or the store's response.

--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -151,3 +151,18 @@
     EXPECT_FALSE(parseStoreResponse(R"({"entries":[]})"));
     EXPECT_FALSE(parseStoreResponse("null"));
 }
+
+// Guards against a process that ends because of one value in the store: the parser throws if a
+// value is nested too deep.
+TEST(StoreDecoder, RejectsValuesThatAreNestedTooDeep)
+{
+    const std::string nested = R"({"version":)" + std::string(5000, '[');
+    EXPECT_FALSE(parseCatalog(nested));
+    EXPECT_FALSE(parseTargetRecord("i-1", 9, nested));
+    EXPECT_FALSE(parseStoreResponse(nested));
+    const auto response = parseStoreResponse(R"({"as_of":9,"events":[)"
+                                             + storeItem("op/config", nested, 9) + "]}");
+    ASSERT_TRUE(response);
+    EXPECT_TRUE(response->items.empty());
+    EXPECT_EQ(response->errors.size(), 1U);
+}
