Tests: requests beside random changes of catalog, targets and nodes

Change: SimulatedChanges runs callers, traffic threads and targets around a fleet on a paused clock. Routes, weights, times, attempts, services, workspaces and quota change alone and in series; targets are replaced, addresses are used by other services, targets reject, reset and fall silent for 1.2 s; nodes stop, restart, pause, get other seeds and leave the rotation. BERYLRIDGE_CHANGE_SEEDS sets the number of seeds.

--- a/unittests/Balancer/CatalogChangeTest.cpp
+++ b/unittests/Balancer/CatalogChangeTest.cpp
@@ -1,10 +1,37 @@
-// Tests requests beside changes of the catalog.
+// Tests requests beside changes of the catalog, the settings and the fleet.
+// BERYLRIDGE_CHANGE_SEEDS sets the number of seeds.
 #include "BalancerFixture.h"
+#include "SimulatedChanges.h"
+
+#include <cstdlib>
+#include <sstream>
+#include <string>
 
 using namespace berylridge;
 
 namespace {
 
+constexpr std::uint64_t defaultSeeds = 4;
+
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("BERYLRIDGE_CHANGE_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : defaultSeeds;
+}
+
+std::string describe(const test::SimulatedChanges::Result &result)
+{
+    std::ostringstream text;
+    text << "requests " << result.requests << ", answered " << result.answered << ", refused "
+         << result.refused << ", cut " << result.cut << " (after silence " << result.cutAfterSilence
+         << "), retried " << result.retried << ", taken up " << result.takenUp << ", changes "
+         << result.changes << ", planned stops " << result.plannedStops << ", rotation changes "
+         << result.rotationChanges << ", by type:";
+    for (const auto &[type, count] : result.refusals)
+        text << ' ' << type << ' ' << count;
+    return text.str();
+}
+
 class CatalogChangeTest : public test::BalancerFixture
 {
 protected:
@@ -46,3 +73,20 @@
     EXPECT_EQ(refuse->type, "stream-version-gone");
     EXPECT_EQ(refuse->verdict, Verdict::NotRun);
 }
+
+// Guards against a request that a change loses: one that is forgotten, ends twice, ends after its
+// deadline, or is aborted while its target runs it.
+TEST(CatalogChangeFleetTest, EachRequestEndsOnceAndInTime)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        test::SimulatedChangesOptions options;
+        options.seed = seed;
+        const test::SimulatedChanges::Result result = test::SimulatedChanges(options).run();
+        for (const std::string &fault : result.faults)
+            ADD_FAILURE() << "seed " << seed << ": " << fault;
+        EXPECT_GT(result.answered, result.requests / 4) << "seed " << seed;
+        EXPECT_GT(result.retried, 0U) << "seed " << seed;
+        EXPECT_GT(result.changes, 0U) << "seed " << seed;
+        RecordProperty("seed_" + std::to_string(seed), describe(result));
+    }
+}
--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -30,6 +30,8 @@
         std::size_t messagesSent = 0;
         std::size_t platformReads = 0; ///< Number of times that it began to read.
         bool isReadingPlatform = false;
+        bool isPaused = false;
+        std::vector<Event> heldEvents; ///< Events that came while the process was paused.
     };
 
     SimulatedFleet(std::size_t zones, std::size_t nodesPerZone)
@@ -81,7 +83,12 @@
     std::vector<Node> &nodes() { return m_nodes; }
 
     /// Ends the node's process. Messages to it are lost until it starts again.
-    static void stopNode(Node &node) { node.core.reset(); }
+    static void stopNode(Node &node)
+    {
+        node.core.reset();
+        node.isPaused = false;
+        node.heldEvents.clear();
+    }
 
     void startNode(Node &node)
     {
@@ -92,12 +99,28 @@
         options.incarnation = ++node.incarnation;
         options.seeds = m_seeds;
         options.chartDirectory = BERYLRIDGE_SOURCE_DIR "/charts";
+        options.leavesRotationOnOverload = m_leavesRotationOnOverload;
         auto created = BalancerCore::create(options, m_clock.now(), m_clock.wallNow());
         if (!created)
             throw std::runtime_error(created.failureReason());
         node.core = *std::move(created);
     }
 
+    TimePoint now() const { return m_clock.now(); }
+
+    /// Stops the process from handling events until resumeNode().
+    static void pauseNode(Node &node) { node.isPaused = true; }
+
+    void resumeNode(Node &node)
+    {
+        node.isPaused = false;
+        for (const Event &event : std::exchange(node.heldEvents, {}))
+            handle(node, event);
+    }
+
+    /// Lets nodes that are started from now on leave the rotation under overload.
+    void leaveRotationOnOverload() { m_leavesRotationOnOverload = true; }
+
     /// Keeps the actions of all events in Node::pending from now on.
     void keepActions() { m_keepsActions = true; }
 
@@ -120,7 +143,8 @@
     {
         Node *next = nullptr;
         for (Node &node : m_nodes) {
-            if (node.core && (!next || node.core->nextTimer() < next->core->nextTimer()))
+            if (node.core && !node.isPaused
+                && (!next || node.core->nextTimer() < next->core->nextTimer()))
                 next = &node;
         }
         return next;
@@ -128,6 +152,10 @@
 
     Actions takeActions(Node &node, const Event &event)
     {
+        if (node.isPaused) {
+            node.heldEvents.push_back(event);
+            return {};
+        }
         Actions actions;
         Actions others;
         node.core->handle(event, m_clock.now(), m_clock.wallNow(), actions);
@@ -166,6 +194,7 @@
     std::vector<Endpoint> m_seeds;
     std::string m_cutZone;
     bool m_keepsActions = false;
+    bool m_leavesRotationOnOverload = false;
     std::deque<std::pair<Node *, NodeMessage>> m_messages;
 };
 
