--- a/unittests/Balancer/SimulatedChanges.h
+++ b/unittests/Balancer/SimulatedChanges.h
@@ -1,6 +1,6 @@
 // Simulates callers, traffic threads and targets around a SimulatedFleet while the catalog changes,
-// targets are replaced, fall silent and fail, and nodes stop, restart, pause and leave the rotation.
-// Records each request that doesn't end exactly once and in time.
+// targets are replaced, fall silent and fail, and nodes stop, restart, pause and leave the
+// rotation. Records each request that doesn't end exactly once and in time.
 #pragma once
 
 #include "SimulatedFleet.h"
@@ -44,7 +44,7 @@
         std::uint64_t answered = 0; ///< Includes failures of targets that were relayed.
         std::uint64_t refused = 0;
         std::map<std::string, std::uint64_t> refusals; ///< By type.
-        std::uint64_t cut = 0;             ///< Answers that ended after they had begun.
+        std::uint64_t cut = 0;                         ///< Answers that ended after they had begun.
         /// Those of them whose target had only been silent, and whose time was not over.
         std::uint64_t cutAfterSilence = 0;
         std::uint64_t retried = 0;
@@ -266,8 +266,8 @@
             if (route.services.size() > 1)
                 route.services.erase(route.services.begin());
             else
-                route.services = {{route.hasPrompts ? "e1" : "s1", 1},
-                                  {route.hasPrompts ? "e2" : "s2", 1}};
+                route.services
+                    = {{route.hasPrompts ? "e1" : "s1", 1}, {route.hasPrompts ? "e2" : "s2", 1}};
             break;
         case 6: // Some routes then name a service that isn't described.
             m_catalog.services = m_firstCatalog.services;
@@ -458,7 +458,8 @@
             kill(node);
             break;
         default:
-            shedRequests(node, now() + randomTime(std::chrono::seconds(1), std::chrono::seconds(4)));
+            shedRequests(node,
+                         now() + randomTime(std::chrono::seconds(1), std::chrono::seconds(4)));
             break;
         }
     }
@@ -494,8 +495,8 @@
     {
         if (!node.core || now() >= until)
             return;
-        handle(node, TrafficThreadReport {std::chrono::milliseconds(80), 0, 0,
-                                          {{hash32("key0"), 40}}});
+        handle(node,
+               TrafficThreadReport {std::chrono::milliseconds(80), 0, 0, {{hash32("key0"), 40}}});
         schedule(std::chrono::milliseconds(100),
                  [this, &node, until] { shedRequests(node, until); });
     }
@@ -926,7 +927,8 @@
         takeActions();
         for (const Node &node : m_fleet.nodes()) {
             if (node.core)
-                m_result.faults.push_back(node.endpoint.address + " holds requests that have ended");
+                m_result.faults.push_back(node.endpoint.address
+                                          + " holds requests that have ended");
         }
     }
 
