--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -160,8 +160,8 @@
     EXPECT_FALSE(parseCatalog(nested));
     EXPECT_FALSE(parseTargetRecord("i-1", 9, nested));
     EXPECT_FALSE(parseStoreResponse(nested));
-    const auto response = parseStoreResponse(R"({"as_of":9,"events":[)"
-                                             + storeItem("op/config", nested, 9) + "]}");
+    const auto response
+        = parseStoreResponse(R"({"as_of":9,"events":[)" + storeItem("op/config", nested, 9) + "]}");
     ASSERT_TRUE(response);
     EXPECT_TRUE(response->items.empty());
     EXPECT_EQ(response->errors.size(), 1U);
