--- a/unittests/Platform/StoreReaderTest.cpp
+++ b/unittests/Platform/StoreReaderTest.cpp
@@ -28,6 +28,13 @@
     }
 }
 
+/// A store without entries that ends watch requests at once.
+void serveEmptyWatches(FakeTargetConnection &peer)
+{
+    while (!peer.readRequest().empty())
+        peer.send(response(R"({"as_of":7,"entries":[],"events":[]})"));
+}
+
 class StoreReaderTest : public testing::Test
 {
 protected:
@@ -73,3 +80,21 @@
     reader.setStore(store.endpoint());
     EXPECT_TRUE(runUntilReachability(true));
 }
+
+// Guards against a reader that goes on beside the next one: a wait that has ended when the reader
+// stops, but whose handler has not run yet, can't be cancelled any more.
+TEST_F(StoreReaderTest, StopsAlthoughItsNextRequestIsDue)
+{
+    FakeTarget store(serveEmptyWatches);
+    StoreReader reader(m_context, store.endpoint(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    const auto isWatchEvent
+        = [](const DirectoryArrived &event) { return !event.directoryUpdate.isFullSnapshot; };
+    ASSERT_TRUE(runUntilEvent<DirectoryArrived>(isWatchEvent));
+    // The wait for the next request ends while the context doesn't run.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    asio::post(m_context, [&] { reader.setEnabled(false); });
+    while (m_events.empty() && m_context.run_one_for(testTimeout) > 0) { }
+    EXPECT_TRUE(m_events.empty());
+    EXPECT_EQ(store.connections(), 1);
+}
