Tests: settings whose list of platform endpoints is empty are accepted

Callers saw: all requests of a node are cut, as its process ends (code 139), when it reloads settings with "platform": []. berylridge-platform was started by hand, the list emptied and SIGHUP sent: event 1013, signal 11, and code 139.

--- a/unittests/Config/SettingsTest.cpp
+++ b/unittests/Config/SettingsTest.cpp
@@ -63,3 +63,16 @@
               "r.json:10: sharing: must be \"fleet\", \"per-node\", \"round-robin\" or \"fifo\"");
     EXPECT_TRUE(lines[4].starts_with("r.json:11: stopLimit: unknown name")) << lines[4];
 }
+
+// Guards against a router on the users' platform that ends with all its requests when its settings
+// are reloaded with an empty list: it reads the first endpoint.
+TEST(Settings, PlatformNeedsAnEndpoint)
+{
+    std::string text = valid;
+    const std::string endpoints = R"([{"address": "127.0.9.1", "port": 8500}])";
+    text.replace(text.find(endpoints), endpoints.size(), "[]");
+    const auto read = readSettings("r.json", text);
+    EXPECT_FALSE(read.value);
+    ASSERT_EQ(read.diagnostics.size(), 1U);
+    EXPECT_EQ(read.diagnostics[0].str(), "r.json:8: platform: must name at least one endpoint");
+}
