Config: settings need an endpoint of the platform

Callers saw: all requests of a node are cut, as its process ends (code 139), when it reloads settings with "platform": []. Cause: SettingsReloader takes the front() of the list; only its presence was checked. Change: an empty list is reported as an error of the settings, so that a reload is rejected (event 1007) and a start fails with the reason. Result: Settings.PlatformNeedsAnEndpoint failed on and passes; all of ConfigTests pass. By hand: the process that ended with code 139 on SIGHUP goes on and logs SettingsRejected.

--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -199,17 +199,18 @@
     fields.finish();
 }
 
-void FieldReader::list(std::string_view name, const ElementReader &readElement, Presence presence)
+bool FieldReader::list(std::string_view name, const ElementReader &readElement, Presence presence)
 {
     const auto *value = find(name, presence, "a list");
     if (!value)
-        return;
+        return false;
     if (!value->isArray()) {
         report(name, "must be a list");
-        return;
+        return false;
     }
     for (Json::ArrayIndex i = 0; i < value->size(); ++i)
         readElement((*value)[i], pathOf(name) + "[" + std::to_string(i) + "]");
+    return true;
 }
 
 void FieldReader::members(std::string_view name, const MemberReader &readMember, Presence presence)
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -77,9 +77,10 @@
             out = Name<Kind>(std::move(value));
     }
 
-    /// Calls the function with each element of a list and the element's dotted path.
     using ElementReader = std::function<void(const Json::Value &element, const std::string &path)>;
-    void list(std::string_view name, const ElementReader &readElement,
+    /// Calls the function with each element of a list and the element's dotted path. Returns
+    /// whether the field is a list.
+    bool list(std::string_view name, const ElementReader &readElement,
               Presence presence = Presence::Optional);
     /// Calls the function for each member of a field that is an object with arbitrary names.
     using MemberReader = std::function<void(const std::string &name, const Json::Value &member,
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -25,7 +25,7 @@
 
 void readPlatform(FieldReader &fields, std::vector<Endpoint> &platform)
 {
-    fields.list(
+    const bool isList = fields.list(
         "platform",
         [&](const Json::Value &element, const std::string &path) {
             Endpoint endpoint;
@@ -33,6 +33,8 @@
             platform.push_back(std::move(endpoint));
         },
         Presence::Required);
+    if (isList && platform.empty())
+        fields.report("platform", "must name at least one endpoint");
 }
 
 void readSeeds(FieldReader &fields, std::vector<VmEntry> &seeds)
