--- a/unittests/Balancer/SimulatedChanges.h
+++ b/unittests/Balancer/SimulatedChanges.h
@@ -719,11 +719,12 @@
             && now() + slack < *request.deadline - m_startedAt;
         m_result.cutAfterSilence += isAfterSilence ? 1 : 0;
         end(refuse.handle);
-        if (request.prefix == prefixes[2] && isOneIn(2))
-            schedule(refuse.retryAfter.value_or(std::chrono::milliseconds(100)),
-                     [this, request, handle = refuse.handle] {
-                         send(request.prefix, StreamResumption {"r" + std::to_string(handle)});
-                     });
+        if (request.prefix != prefixes[2] || !isOneIn(2))
+            return;
+        schedule(refuse.retryAfter.value_or(std::chrono::milliseconds(100)),
+                 [this, request, handle = refuse.handle] {
+                     send(request.prefix, StreamResumption {"r" + std::to_string(handle)});
+                 });
     }
 
     void onRelay(const RelayHeldResponse &relay)
--- a/unittests/Platform/ReloadTest.cpp
+++ b/unittests/Platform/ReloadTest.cpp
@@ -232,6 +232,7 @@
     m_node->post(CatalogArrived {catalogOf(version)});
     listTargets(version);
     std::vector<std::thread> callers;
+    callers.reserve(callerCount);
     for (int i = 0; i < callerCount; ++i)
         callers.emplace_back([this, i] { call(i); });
     while (m_callersLeft > 0) {
