--- a/unittests/Platform/SilentTargetTest.cpp
+++ b/unittests/Platform/SilentTargetTest.cpp
@@ -1,6 +1,6 @@
 // Runs a node with the balancer core over real sockets in front of targets that are silent for a
 // while in the middle of their responses.
-#include "../Net/NodeFixture.h"
+#include "NodeFixture.h"
 #include "PlatformProtocol.h"
 
 #include "berylridge/Balancer/BalancerCore.h"
--- /dev/null
+++ b/unittests/Platform/StoreReaderTest.cpp
@@ -0,0 +1,100 @@
+// Tests how the state of the store reaches the core.
+#include "StoreReader.h"
+
+#include "NodeFixture.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+using namespace berylridge;
+using namespace berylridge::test;
+using berylridge::platform::StoreReader;
+
+namespace {
+
+std::string response(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A store without entries, whose watch requests end with the test.
+void serveEmptyStore(FakeTargetConnection &peer)
+{
+    while (true) {
+        const std::string head = peer.readRequest();
+        if (head.empty() || head.find("kv-watch") != std::string::npos)
+            return;
+        peer.send(response(R"({"as_of":7,"entries":[]})"));
+    }
+}
+
+/// A store without entries that ends watch requests at once.
+void serveEmptyWatches(FakeTargetConnection &peer)
+{
+    while (!peer.readRequest().empty())
+        peer.send(response(R"({"as_of":7,"entries":[],"events":[]})"));
+}
+
+class StoreReaderTest : public testing::Test
+{
+protected:
+    /// Runs the reader until an event of the type satisfies the condition.
+    template <typename T, typename Condition>
+    bool runUntilEvent(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const Event &event : std::exchange(m_events, {})) {
+                const auto *match = std::get_if<T>(&event);
+                if (match && condition(*match))
+                    return true;
+            }
+            m_context.run_one_for(std::chrono::milliseconds(50));
+        }
+        return false;
+    }
+
+    bool runUntilReachability(bool isReachable)
+    {
+        return runUntilEvent<PlatformReachability>(
+            [=](const PlatformReachability &event) { return event.isReachable == isReachable; });
+    }
+
+    asio::io_context m_context;
+    std::vector<Event> m_events;
+    StoreReader::EventHandler m_onEvent
+        = [this](Event event) { m_events.push_back(std::move(event)); };
+};
+
+} // namespace
+
+// Guards against a node that takes the store for unreachable for as long as it runs, since its
+// settings named another address during an outage: it refuses to take streams up, and drops targets
+// whose entries lapsed.
+TEST_F(StoreReaderTest, StoreOfChangedSettingsIsReportedAsReachable)
+{
+    FakeTarget store(serveEmptyStore);
+    StoreReader reader(m_context, closedPort(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    ASSERT_TRUE(runUntilReachability(false));
+    reader.setStore(store.endpoint());
+    EXPECT_TRUE(runUntilReachability(true));
+}
+
+// Guards against a reader that goes on beside the next one: a wait that has ended when the reader
+// stops, but whose handler has not run yet, can't be cancelled any more.
+TEST_F(StoreReaderTest, StopsAlthoughItsNextRequestIsDue)
+{
+    FakeTarget store(serveEmptyWatches);
+    StoreReader reader(m_context, store.endpoint(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    const auto isWatchEvent
+        = [](const DirectoryArrived &event) { return !event.directoryUpdate.isFullSnapshot; };
+    ASSERT_TRUE(runUntilEvent<DirectoryArrived>(isWatchEvent));
+    // The wait for the next request ends while the context doesn't run.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    asio::post(m_context, [&] { reader.setEnabled(false); });
+    while (m_events.empty() && m_context.run_one_for(testTimeout) > 0) { }
+    EXPECT_TRUE(m_events.empty());
+    EXPECT_EQ(store.connections(), 1);
+}
