--- a/include/berylridge/Net/LogSink.h
+++ b/include/berylridge/Net/LogSink.h
@@ -25,7 +25,7 @@
 
     /// Calls write only on the writer thread.
     LogSink(LogLevel minLevel, Write write);
-    /// Writes the queued records, but waits at most one second for a log reader that has stopped.
+    /// Calls close().
     ~LogSink();
     LogSink(const LogSink &) = delete;
     LogSink &operator=(const LogSink &) = delete;
@@ -33,6 +33,10 @@
     /// Queues a record. Thread-safe.
     void add(LogRecord record);
 
+    /// Writes the queued records, but waits at most one second for a log reader that has stopped.
+    /// Records that are added later are lost. Returns whether all are written.
+    bool close();
+
     /// Returns the number of records that were dropped.
     std::uint64_t dropped() const;
 
--- a/lib/Net/LogSink.cpp
+++ b/lib/Net/LogSink.cpp
@@ -135,20 +135,20 @@
 
 LogSink::~LogSink()
 {
-    bool isDone = false;
-    {
-        std::unique_lock lock(m_shared->mutex);
-        m_shared->isClosing = true;
-        m_shared->changed.notify_all();
-        isDone
-            = m_shared->changed.wait_for(lock, closeTimeout, [this] { return m_shared->isDone; });
-    }
-    if (isDone)
+    if (close())
         m_writer.join();
     else
         m_writer.detach(); // The writer is blocked because the log's reader has stopped.
 }
 
+bool LogSink::close()
+{
+    std::unique_lock lock(m_shared->mutex);
+    m_shared->isClosing = true;
+    m_shared->changed.notify_all();
+    return m_shared->changed.wait_for(lock, closeTimeout, [this] { return m_shared->isDone; });
+}
+
 void LogSink::add(LogRecord record)
 {
     const LogLevel level = logEventInfo(record.id).level;
--- a/unittests/Net/LogSinkTest.cpp
+++ b/unittests/Net/LogSinkTest.cpp
@@ -25,6 +25,17 @@
         << lines[0];
 }
 
+TEST(LogSinkTest, closeWritesQueuedRecords)
+{
+    // Guards against lines that are lost when the process ends without destroying the sink.
+    std::vector<std::string> lines;
+    LogSink sink(LogLevel::Info, [&](LogLevel, const std::string &line) { lines.push_back(line); });
+    sink.add({LogEventId::NodeStopped, "a1"});
+    EXPECT_TRUE(sink.close());
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_NE(lines[0].find("NodeStopped"), std::string::npos) << lines[0];
+}
+
 /// Returns the number after "name": in a line, or 0 if there is none.
 std::uint64_t parseDropCount(const std::string &line, const std::string &name)
 {
