--- a/unittests/Net/PlannedStopTest.cpp
+++ b/unittests/Net/PlannedStopTest.cpp
@@ -19,11 +19,12 @@
             return;
         }
         const auto *arrived = std::get_if<RequestArrived>(&event);
-        if (arrived && *hasStopped)
+        if (arrived && *hasStopped) {
             actions.emplace_back(Refuse {arrived->handle, 503, Verdict::NotRun, "the node leaves",
                                          "leaving", std::nullopt});
-        else
-            beforeStop(event, actions);
+            return;
+        }
+        beforeStop(event, actions);
     };
 }
 
