Balancer: the drain ends half a second after the stop limit, however late the core noticed it

The core looks at the limit with its timer, up to a digest's period late, and later under load. The half second began then.

Evidence: Balancer PlannedStopTest.DrainAfterALateTimerIsShorter.

--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -23,7 +23,8 @@
 /// A planned stop waits this long after the last arrival, in case another request is on its way.
 constexpr Duration idleTimeBeforeStop = std::chrono::milliseconds(500);
 /// Time after the stop limit in which callers receive the last responses.
-constexpr Duration finalDrainLimit = std::chrono::milliseconds(500);
+constexpr Duration finalDrainTime = std::chrono::milliseconds(500);
+constexpr Duration minDrainLimit = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -328,8 +329,8 @@
     // Requests may still be on their way from the traffic threads.
     m_requests.rejectNewRequests();
     m_context.log(LogEventId::NodeStopped, m_context.options.node.str());
-    const Duration left = m_leaveStartedAt + m_context.options.stopLimit - m_context.now;
-    m_context.emit(Stopped {std::max(left, Duration(0)) + finalDrainLimit});
+    const TimePoint drainEnd = m_leaveStartedAt + m_context.options.stopLimit + finalDrainTime;
+    m_context.emit(Stopped {std::max<Duration>(drainEnd - m_context.now, minDrainLimit)});
 }
 
 Expected<std::unique_ptr<BalancerCore>> BalancerCore::create(BalancerOptions options, TimePoint now,
--- a/unittests/Balancer/PlannedStopTest.cpp
+++ b/unittests/Balancer/PlannedStopTest.cpp
@@ -31,6 +31,21 @@
     EXPECT_LT(7300ms + *drainLimit(), graceTime);
 }
 
+// Guards against a drain that gets later with the event that notices the stop limit.
+TEST_F(PlannedStopTest, DrainAfterALateTimerIsShorter)
+{
+    installCatalog();
+    installTargets({"t1"});
+    handle(LeaveOrdered {"SIGTERM"});
+    advanceTime(2s);
+    sendRequest("/read/1");
+    clock.advance(5600ms);
+    handle(TimerDue {});
+    ASSERT_TRUE(drainLimit());
+    EXPECT_GT(*drainLimit(), 0s);
+    EXPECT_LT(7600ms + *drainLimit(), graceTime);
+}
+
 // Guards against a cut of a long response that a caller still receives when the core is idle.
 TEST_F(PlannedStopTest, DrainOfAnIdleNodeMayTakeTheRestOfTheStopLimit)
 {
