Tests: mend what clang-tidy rejects in the tests of bytes without end

Cause: a concatenation in a loop (performance-inefficient-string-concatenation) and a constant that is returned (performance-no-automatic-move). Change: the head is a string of its own, the response is no constant; what is sent and checked is the same.

--- a/unittests/Net/EndlessResponseTest.cpp
+++ b/unittests/Net/EndlessResponseTest.cpp
@@ -201,7 +201,7 @@
         TestNode node(m_core, [&](Settings &settings) { settings.headerLimit = headerLimit; });
         FakeCaller caller = node.caller();
         caller.send(bytes);
-        const std::string response = caller.readUntil(text);
+        std::string response = caller.readUntil(text);
         FakeCaller next = node.caller();
         next.send(requestText("GET", path));
         EXPECT_TRUE(next.readUntil("whole").starts_with("HTTP/1.1 200 "));
@@ -330,10 +330,8 @@
          {std::string(100'000, '['), std::string(R"({"jsonrpc": {}, "method": []})"),
           std::string(R"({"jsonrpc": "2.0", "method": "deliver", "params": 3})"),
           std::string(R"({"jsonrpc": "2.0", "method": "deliver", "params": {"datagram": []}})")}) {
-        const std::string length = std::to_string(body.size());
-        EXPECT_TRUE(
-            listenersResponse(node.node().peers(), "Content-Length: " + length + "\r\n\r\n" + body)
-                .starts_with("HTTP/1.1 "));
+        const std::string head = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        EXPECT_TRUE(listenersResponse(node.node().peers(), head + body).starts_with("HTTP/1.1 "));
     }
 }
 
