Tests: fuzz targets' responses

Cause: only datagrams and callers' requests were fuzzed, while the faults of responses without end were found by reading. Change: 400 mutated responses with a fixed seed, with the traits of the platform's protocol; each caller gets an answer, and a valid response is relayed at the end.

--- a/unittests/Net/FuzzTest.cpp
+++ b/unittests/Net/FuzzTest.cpp
@@ -1,5 +1,5 @@
-// Fuzzes untrusted input (datagrams and callers' HTTP requests) with fixed seeds and a bounded
-// number of inputs.
+// Fuzzes untrusted input (datagrams, callers' HTTP requests and targets' responses) with fixed
+// seeds and a bounded number of inputs.
 #include "NodeFixture.h"
 
 #include "berylridge/Net/Datagram.h"
@@ -7,6 +7,7 @@
 #include "berylridge/Support/Random.h"
 
 #include <array>
+#include <mutex>
 
 namespace berylridge::test {
 namespace {
@@ -114,5 +115,62 @@
     EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 0; }));
 }
 
+// Guards against damaged responses that crash the router or keep a caller waiting. The target ends
+// the connection after each one, and a valid response must be relayed at the end.
+TEST(FuzzTest, targetHttpSurvivesMutatedResponses)
+{
+    const std::string stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const std::vector<std::string> samples {
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=5\r\n\r\nclay",
+        std::string("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n")
+            + "Transfer-Encoding: chunked\r\n\r\n4\r\nclay\r\n3;ext=1\r\nabc\r\n0\r\nX-T: "
+              "x\r\n\r\n",
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nclay",
+        stream + "Content-Length: 33\r\n\r\nid: 1\ndata: clay\n\n\ndata: [DONE]\n\n",
+        stream + "Connection: close\r\n\r\n: note\n\nid: 7\r\ndata: clay\r\n\r\ndata: [DONE]\n\n"};
+    WireProtocolHandle protocol = nativeProtocol();
+    protocol.traits.acceptsUnframedResponses = true;
+    protocol.traits.buffersSmallResponses = true;
+    protocol.readResponseHead = [](const ResponseHead &head, const AttemptIds &) {
+        ResponseInfo info;
+        if (head.result_int() == 500)
+            info.failure = AttemptFailure::TargetError;
+        return info;
+    };
+    RandomEngine random(20261204);
+    std::mutex mutex;
+    std::string nextResponse;
+    const auto setNextResponse = [&](std::string bytes) {
+        const std::lock_guard lock(mutex);
+        nextResponse = std::move(bytes);
+    };
+    FakeTarget target([&](FakeTargetConnection &peer) {
+        peer.readRequest();
+        const std::lock_guard lock(mutex);
+        peer.send(nextResponse);
+    });
+    const auto forward = forwardTo(target.endpoint(), true);
+    FakeCore core([&](const Event &event, Actions &actions) {
+        forward(event, actions);
+        for (Action &action : actions)
+            if (auto *dispatch = std::get_if<Dispatch>(&action))
+                dispatch->idleConnectionLimit = 0;
+    });
+    TestNode node(core, {}, {}, protocol);
+    const std::string request = requestText("GET", "/v1/services/shop/x", "Connection: close\r\n");
+    for (int i = 0; i < httpRounds; ++i) {
+        const std::string bytes = mutated(samples[random() % samples.size()], random);
+        setNextResponse(bytes);
+        FakeCaller caller = node.caller();
+        caller.send(request);
+        EXPECT_TRUE(caller.readAll().starts_with("HTTP/1.1 ")) << bytes;
+    }
+    setNextResponse(samples[0]);
+    FakeCaller good = node.caller();
+    good.send(request);
+    EXPECT_TRUE(good.readAll().ends_with("clay"));
+}
+
 } // namespace
 } // namespace berylridge::test
