Tests: random changes beside requests, with silence that is reported

The simulated shell now reports a silence and holds what arrives until the core has decided, as lib/Net does; and no answer may be cut while its target is only silent.

--- a/unittests/Balancer/CatalogChangeTest.cpp
+++ b/unittests/Balancer/CatalogChangeTest.cpp
@@ -75,7 +75,7 @@
 }
 
 // Guards against a request that a change loses: one that is forgotten, ends twice, ends after its
-// deadline, or is aborted while its target runs it.
+// deadline, or is aborted or cut while its target runs it.
 TEST(CatalogChangeFleetTest, EachRequestEndsOnceAndInTime)
 {
     for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
@@ -84,6 +84,7 @@
         const test::SimulatedChanges::Result result = test::SimulatedChanges(options).run();
         for (const std::string &fault : result.faults)
             ADD_FAILURE() << "seed " << seed << ": " << fault;
+        EXPECT_EQ(result.cutAfterSilence, 0U) << "seed " << seed;
         EXPECT_GT(result.answered, result.requests / 4) << "seed " << seed;
         EXPECT_GT(result.retried, 0U) << "seed " << seed;
         EXPECT_GT(result.changes, 0U) << "seed " << seed;
--- a/unittests/Balancer/SimulatedChanges.h
+++ b/unittests/Balancer/SimulatedChanges.h
@@ -118,6 +118,7 @@
         bool isOver = false;
         bool hasHead = false;
         bool hasEvents = false;
+        bool isSilent = false; ///< Its silence was reported last.
         Duration endsAt {0};
         Duration limitAt {0};
         std::vector<Piece> unread;
@@ -652,6 +653,8 @@
             for (const Action &action : std::exchange(node.pending, {})) {
                 if (const auto *dispatch = std::get_if<Dispatch>(&action))
                     onDispatch(node, *dispatch);
+                else if (const auto *goOn = std::get_if<ContinueAttempt>(&action))
+                    onContinue(*goOn);
                 else if (const auto *refuse = std::get_if<Refuse>(&action))
                     onRefuse(*refuse);
                 else if (const auto *relay = std::get_if<RelayHeldResponse>(&action))
@@ -667,6 +670,11 @@
         }
     }
 
+    static bool isStream(const Request &request)
+    {
+        return request.prefix == prefixes[2] || request.prefix == prefixes[3];
+    }
+
     void onDispatch(Node &node, const Dispatch &dispatch)
     {
         const auto found = m_requests.find(dispatch.handle);
@@ -676,6 +684,9 @@
             return;
         }
         Request &request = found->second;
+        // Replaces a silent attempt: the connection to its target is closed.
+        if (request.attempt && request.attempt->isSilent)
+            request.attempt->isOver = true;
         if (request.attempt && !request.attempt->isOver)
             addFault(dispatch.handle, "sent to a second target while the first one runs it");
         if (request.deadline && *request.deadline != dispatch.notAfter)
@@ -757,12 +768,16 @@
     /// Does what lib/Net/TargetAttempt.cpp does with the limits of a Dispatch.
     void restartLimit(Attempt &attempt, const AttemptHandle &handle)
     {
-        const Dispatch &dispatch = attempt.dispatch;
-        const Duration limit = attempt.hasHead ? dispatch.idleTimeout : dispatch.firstByteTimeout;
-        attempt.limitAt = std::min(attempt.endsAt, now() + limit);
+        attempt.limitAt = std::min(attempt.endsAt, now() + dispatchLimit(attempt));
         schedule(attempt.limitAt - now(), [this, handle] { checkLimit(handle); });
     }
 
+    static Duration dispatchLimit(const Attempt &attempt)
+    {
+        const Dispatch &dispatch = attempt.dispatch;
+        return attempt.hasHead ? dispatch.idleTimeout : dispatch.firstByteTimeout;
+    }
+
     void checkLimit(const AttemptHandle &attempt)
     {
         if (attempt->isOver || now() < attempt->limitAt)
@@ -771,7 +786,30 @@
             schedule(std::chrono::milliseconds(1), [this, attempt] { checkLimit(attempt); });
             return;
         }
-        fail(attempt, AttemptFailure::Timeout, true);
+        if (now() >= attempt->endsAt) {
+            fail(attempt, AttemptFailure::Timeout, true);
+            return;
+        }
+        attempt->isSilent = true;
+        attempt->limitAt = attempt->endsAt;
+        schedule(attempt->limitAt - now(), [this, attempt] { checkLimit(attempt); });
+        const Request &request = m_requests.at(attempt->dispatch.handle);
+        const bool hasBegun = request.hasBegun;
+        report(attempt,
+               AttemptSilent {attempt->dispatch.handle, attempt->dispatch.attempt, hasBegun,
+                              !hasBegun || isStream(request), dispatchLimit(*attempt)});
+    }
+
+    void onContinue(const ContinueAttempt &action)
+    {
+        const auto found = m_requests.find(action.handle);
+        if (found == m_requests.end() || found->second.attempts != action.attempt)
+            return;
+        const AttemptHandle attempt = found->second.attempt;
+        attempt->isSilent = false;
+        attempt->limitAt = std::min(attempt->endsAt, now() + action.silenceLimit);
+        schedule(attempt->limitAt - now(), [this, attempt] { checkLimit(attempt); });
+        read(attempt);
     }
 
     void fail(const AttemptHandle &attempt, AttemptFailure failure, bool sentAny,
@@ -790,7 +828,8 @@
                               request.hasBegun, hasHeldResponse, hasHeldResponse ? 500U : 0U});
     }
 
-    /// Adds a piece that has arrived, and reads it unless the process is paused.
+    /// Adds a piece that has arrived, and reads it unless the process is paused or the core has to
+    /// decide about a silence.
     void receive(const AttemptHandle &attempt, Piece piece)
     {
         attempt->unread.push_back(piece);
@@ -799,7 +838,7 @@
 
     void read(const AttemptHandle &attempt)
     {
-        if (attempt->node->isPaused)
+        if (attempt->node->isPaused || attempt->isSilent)
             return;
         for (const Piece piece : std::exchange(attempt->unread, {})) {
             const auto found = m_requests.find(attempt->dispatch.handle);
@@ -874,8 +913,7 @@
             answer(attempt, Piece::Error, randomTime(linkDelay, std::chrono::milliseconds(80)));
             return;
         }
-        const bool isStream = request != m_requests.end() && request->second.prefix.size() > 6;
-        const Duration length = isStream
+        const Duration length = request != m_requests.end() && isStream(request->second)
             ? randomTime(std::chrono::milliseconds(100), std::chrono::milliseconds(2000))
             : randomTime(Duration(0), std::chrono::milliseconds(30));
         schedule(randomTime(linkDelay, std::chrono::milliseconds(80)),
