--- a/unittests/Balancer/SilentAttemptTest.cpp
+++ b/unittests/Balancer/SilentAttemptTest.cpp
@@ -130,3 +130,29 @@
     EXPECT_FALSE(findAction<Dispatch>());
     EXPECT_FALSE(findAction<ContinueAttempt>());
 }
+
+// Guards against a request that is refused because the target that replaced a silent one can't be
+// reached.
+TEST_F(SilentAttemptTest, RequestReturnsToTheSilentTargetIfNoOtherCanBeReached)
+{
+    installTargets({"t1", "t2"});
+    const Dispatch dispatch = send("/read/1");
+    reportSilence(dispatch, false);
+    ASSERT_TRUE(findAction<Dispatch>());
+    const Dispatch replacement = *findAction<Dispatch>();
+    handle(makeFailure(replacement, AttemptFailure::ConnectRefused, false));
+    EXPECT_FALSE(findAction<Refuse>());
+    ASSERT_TRUE(findAction<Dispatch>());
+    EXPECT_EQ(findAction<Dispatch>()->target, dispatch.target);
+}
+
+// Guards against a response that is given up for another one that can't come before the deadline.
+TEST_F(SilentAttemptTest, AttemptGoesOnIfAnotherOneHasTooLittleTime)
+{
+    const Dispatch dispatch = send("/read/1");
+    advanceTime(dispatch.timeLeft - 20ms);
+    installTargets({"t1", "t2", "t3"});
+    reportSilence(dispatch, false);
+    EXPECT_TRUE(findAction<ContinueAttempt>());
+    EXPECT_FALSE(findAction<Dispatch>());
+}
--- a/unittests/Net/ForwardingTest.cpp
+++ b/unittests/Net/ForwardingTest.cpp
@@ -432,5 +432,53 @@
     EXPECT_NE(response.find("X-Request-Id: r2\r\n"), std::string::npos) << response;
 }
 
+// Guards against a run for a caller that left while the core replaced the request's attempt.
+TEST(ForwardingTest, doesNotReplaceTheAttemptOfACallerThatHasLeft)
+{
+    FakeTarget silent([](FakeTargetConnection &peer) {
+        peer.readRequest();
+        peer.waitForClose();
+    });
+    FakeTarget other([](FakeTargetConnection &peer) { peer.waitForClose(); });
+    FakeCore core([&](const Event &event, Actions &actions) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event)) {
+            Dispatch dispatch = makeDispatch(arrived->handle, silent.endpoint());
+            dispatch.firstByteTimeout = std::chrono::milliseconds(100);
+            dispatch.silencePolicy = SilencePolicy::Report;
+            actions.emplace_back(std::move(dispatch));
+        }
+        // The replacement crosses the report that the caller has left.
+        if (const auto *gone = std::get_if<CallerGone>(&event))
+            actions.emplace_back(makeDispatch(gone->handle, other.endpoint(), 2));
+        if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
+            EXPECT_EQ(failed->attempt, 2U);
+            EXPECT_FALSE(failed->sentAny);
+        }
+    });
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("GET", path));
+    core.waitForEvents<AttemptSilent>(1);
+    caller.close();
+    core.waitForEvents<AttemptFailed>(1);
+    EXPECT_EQ(other.connections(), 0);
+}
+
+// Guards against a connection that is ended because its target reads a long request late.
+TEST(ForwardingTest, targetMayReadALongRequestLate)
+{
+    FakeTarget target([](FakeTargetConnection &peer) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+        if (!peer.readRequest().empty())
+            peer.send(okResponse("late", "X-Attempt-Id: " + peer.field("X-Attempt-Id") + "\r\n"));
+        peer.waitForClose();
+    });
+    FakeCore core(forwardTo(target.endpoint()));
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(requestText("POST", path, {}, std::string(4000000, 'x')));
+    EXPECT_NE(caller.readUntil("\r\n\r\n").find(" 200 OK"), std::string::npos);
+}
+
 } // namespace
 } // namespace berylridge::test
--- a/unittests/Platform/SilentTargetTest.cpp
+++ b/unittests/Platform/SilentTargetTest.cpp
@@ -80,6 +80,8 @@
         return caller;
     }
 
+    std::size_t failedAttempts() const { return m_core.receivedEvents<AttemptFailed>().size(); }
+
 private:
     static RouteSpec route(const char *prefix, RequestKind kind)
     {
@@ -163,3 +165,15 @@
         answered += caller->readAll().ends_with("clay") ? 1 : 0;
     EXPECT_EQ(answered, requests);
 }
+
+// Guards against targets that are blamed for a response that another one broke off and that none of
+// them can continue.
+TEST_F(SilentTargetTest, BrokenResponseThatIsNoStreamIsNotOfferedToOtherTargets)
+{
+    start([](FakeTargetConnection &peer) {
+        if (!peer.readRequest().empty())
+            peer.send(responseHead(peer, "Content-Length: 200000\r\n") + std::string(100000, 'x'));
+    });
+    send("/read/1", 1)->readAll();
+    EXPECT_EQ(failedAttempts(), 1U);
+}
