Let a request return to its silent target if no other takes it

What callers saw: a request at a silent, sound target was replaced by an attempt at a target that couldn't be reached, and ended with 502 with most of its time left.

Cause: the silent attempt ends when its replacement is dispatched, before it is known whether that target takes the request, and the silent target was then excluded as one that failed.

Evidence: RequestReturnsToTheSilentTargetIfNoOtherCanBeReached got a Refuse and no Dispatch.

Silent targets now come last in place of never. The retry policy and the limit of attempts are unchanged; the silent target counts as one of the request's targets already.

--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -48,6 +48,7 @@
     AttemptNumber attempts = 0;             ///< Started attempts, whatever their outcome.
     std::uint32_t sentAttempts = 0;         ///< Attempts of which a byte may have reached a target.
     std::vector<TargetKey> excludedTargets; ///< Targets at which the request failed.
+    std::vector<TargetKey> silentTargets;   ///< Targets whose silent attempt was replaced.
     bool isPartlyDelivered = false;         ///< The caller has received part of the response.
 
     // State of the current attempt.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -277,7 +277,7 @@
 std::optional<Refusal> RequestProcessor::placeRequest(BalancedRequest &request, bool isFirst)
 {
     const TargetNeeds needs = request.targetNeeds();
-    const auto choice = m_targetSelector.choose(needs, request.excludedTargets);
+    const auto choice = chooseTarget(request);
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
         request.trace.add(at, NoTargetStep {});
@@ -308,6 +308,20 @@
     return std::nullopt;
 }
 
+/// Returns a target at which the request has not failed. Targets that were only silent come last.
+std::optional<TargetChoice> RequestProcessor::chooseTarget(const BalancedRequest &request)
+{
+    const TargetNeeds needs = request.targetNeeds();
+    if (request.silentTargets.empty())
+        return m_targetSelector.choose(needs, request.excludedTargets);
+    std::vector<TargetKey> excludedTargets = request.excludedTargets;
+    excludedTargets.insert(excludedTargets.end(), request.silentTargets.begin(),
+                           request.silentTargets.end());
+    if (auto choice = m_targetSelector.choose(needs, excludedTargets))
+        return choice;
+    return m_targetSelector.choose(needs, request.excludedTargets);
+}
+
 std::optional<Refusal> RequestProcessor::checkAdmission(BalancedRequest &request,
                                                         const TargetChoice &choice,
                                                         PlacementStep &step)
@@ -497,6 +511,8 @@
     if (event.answerBegun && !needs.version)
         needs.version = m_targetSelector.versionOf(request.choice);
     std::vector<TargetKey> excludedTargets = request.excludedTargets;
+    excludedTargets.insert(excludedTargets.end(), request.silentTargets.begin(),
+                           request.silentTargets.end());
     excludedTargets.push_back(request.choice.key);
     const auto choice = m_targetSelector.choose(needs, excludedTargets);
     if (!choice)
@@ -507,7 +523,7 @@
         return false;
     endAttempt(request);
     ++request.sentAttempts;
-    request.excludedTargets = std::move(excludedTargets);
+    request.silentTargets.push_back(request.choice.key);
     request.version = needs.version;
     request.isPartlyDelivered = request.isPartlyDelivered || event.answerBegun;
     m_tally.attemptFailed(request, "silent");
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -67,6 +67,7 @@
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
     std::optional<Refusal> checkAdmission(BalancedRequest &request, const TargetChoice &choice,
                                           PlacementStep &step);
+    std::optional<TargetChoice> chooseTarget(const BalancedRequest &request);
     void start(BalancedRequest &request, const TargetChoice &choice);
     Duration firstByteLimit(const BalancedRequest &request) const;
     bool allowsAnotherAttempt(const BalancedRequest &request) const;
