Replace a silent attempt only if another one has time to respond

What callers saw: an attempt that was silent up to shortly before the deadline was ended for another one that could not respond in time, and both runs were in vain.

Cause: retries after a failure need 50 ms, replacements of silent attempts needed none, and the usual time of a request to a service without prompts was left out.

Evidence: AttemptGoesOnIfAnotherOneHasTooLittleTime got a Dispatch 20 ms before the deadline.

Replacements now have the same minimum, on top of the wait and the time that requests of the service usually take.

--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -33,6 +33,8 @@
 constexpr double generatedTokenCost = 2;
 /// Bounds the attempts of a request that one target after the other rejects.
 constexpr AttemptNumber maxAttempts = 6;
+/// Time before the deadline in which no further attempt starts.
+constexpr Duration minTimeLeft = std::chrono::milliseconds(50);
 
 /// Retry-After if another node may know what this one couldn't learn in time.
 constexpr Duration unknownOriginRetryAfter = std::chrono::milliseconds(200);
@@ -518,7 +520,8 @@
     if (!choice)
         return false;
     const Duration left = request.deadline - m_context.now;
-    const bool isInTime = fromSeconds((choice->waitMs + choice->readMs) / 1000) < left;
+    const Duration expected = fromSeconds((choice->waitMs + choice->busyMs) / 1000);
+    const bool isInTime = expected + minTimeLeft < left;
     if (!isInTime || !takeRetry(request) || !m_targetSelector.reserve(*choice, needs))
         return false;
     endAttempt(request);
@@ -574,7 +577,6 @@
 
 bool RequestProcessor::mayRetry(BalancedRequest &request, const AttemptFailed &event)
 {
-    constexpr Duration minTimeLeft = std::chrono::milliseconds(50);
     if (request.deadline - m_context.now < minTimeLeft || request.attempts >= maxAttempts)
         return false;
     if (!isKnownNotRun(event) && !request.route->isRetryable())
