Start no replacement for a caller that has disconnected

What targets saw: a request was sent to another target after its caller had left.

Cause: when an attempt failed before its replacement was decided, an exchange without a caller was gone by then and its Dispatch was dropped. The exchange of a silent attempt still exists.

Evidence: doesNotReplaceTheAttemptOfACallerThatHasLeft saw a connection at the other target.

A Dispatch for such an exchange is now reported as not sent, as for one that no longer exists.

--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -70,6 +70,11 @@
     m_heldResponse.reset();
     m_dispatch = command;
     m_dispatchedAt = std::chrono::steady_clock::now();
+    if (!m_session) {
+        // The caller disconnected before the command arrived.
+        onAttemptFailed(AttemptFailure::Reset, false, {});
+        return;
+    }
     if (m_isResponseStarted && !m_stream) {
         // Only an event stream can resume at another target. Any other response would be joined
         // from two different ones.
