--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -33,6 +33,8 @@
 constexpr double generatedTokenCost = 2;
 /// Bounds the attempts of a request that one target after the other rejects.
 constexpr AttemptNumber maxAttempts = 6;
+/// Time before the deadline in which no further attempt starts.
+constexpr Duration minTimeLeft = std::chrono::milliseconds(50);
 
 /// Retry-After if another node may know what this one couldn't learn in time.
 constexpr Duration unknownOriginRetryAfter = std::chrono::milliseconds(200);
@@ -279,7 +281,7 @@
 std::optional<Refusal> RequestProcessor::placeRequest(BalancedRequest &request, bool isFirst)
 {
     const TargetNeeds needs = request.targetNeeds();
-    const auto choice = m_targetSelector.choose(needs, request.excludedTargets);
+    const auto choice = chooseTarget(request);
     const Duration at = m_context.now - request.arrivedAt;
     if (!choice) {
         request.trace.add(at, NoTargetStep {});
@@ -310,6 +312,20 @@
     return std::nullopt;
 }
 
+/// Returns a target at which the request has not failed. Targets that were only silent come last.
+std::optional<TargetChoice> RequestProcessor::chooseTarget(const BalancedRequest &request)
+{
+    const TargetNeeds needs = request.targetNeeds();
+    if (request.silentTargets.empty())
+        return m_targetSelector.choose(needs, request.excludedTargets);
+    std::vector<TargetKey> excludedTargets = request.excludedTargets;
+    excludedTargets.insert(excludedTargets.end(), request.silentTargets.begin(),
+                           request.silentTargets.end());
+    if (auto choice = m_targetSelector.choose(needs, excludedTargets))
+        return choice;
+    return m_targetSelector.choose(needs, request.excludedTargets);
+}
+
 std::optional<Refusal> RequestProcessor::checkAdmission(BalancedRequest &request,
                                                         const TargetChoice &choice,
                                                         PlacementStep &step)
@@ -499,17 +515,20 @@
     if (event.answerBegun && !needs.version)
         needs.version = m_targetSelector.versionOf(request.choice);
     std::vector<TargetKey> excludedTargets = request.excludedTargets;
+    excludedTargets.insert(excludedTargets.end(), request.silentTargets.begin(),
+                           request.silentTargets.end());
     excludedTargets.push_back(request.choice.key);
     const auto choice = m_targetSelector.choose(needs, excludedTargets);
     if (!choice)
         return false;
     const Duration left = request.deadline - m_context.now;
-    const bool isInTime = fromSeconds((choice->waitMs + choice->readMs) / 1000) < left;
+    const Duration expected = fromSeconds((choice->waitMs + choice->busyMs) / 1000);
+    const bool isInTime = expected + minTimeLeft < left;
     if (!isInTime || !takeRetry(request) || !m_targetSelector.reserve(*choice, needs))
         return false;
     endAttempt(request);
     ++request.sentAttempts;
-    request.excludedTargets = std::move(excludedTargets);
+    request.silentTargets.push_back(request.choice.key);
     request.version = needs.version;
     request.isPartlyDelivered = request.isPartlyDelivered || event.answerBegun;
     m_tally.attemptFailed(request, "silent");
@@ -560,7 +579,6 @@
 
 bool RequestProcessor::mayRetry(BalancedRequest &request, const AttemptFailed &event)
 {
-    constexpr Duration minTimeLeft = std::chrono::milliseconds(50);
     if (request.deadline - m_context.now < minTimeLeft || request.attempts >= maxAttempts)
         return false;
     if (!isKnownNotRun(event) && !request.route->isRetryable())
