Offer a response that can't continue elsewhere to no other target

What targets saw: two sound targets were counted as failed for each response that a third one broke off, and a retry was taken from the budget, although no request was sent to them.

Cause: only the shell knew that a response that has begun and is no event stream can't continue. The core dispatched it to one target after the other, and the shell failed each dispatch as an invalid response of that target.

AttemptFailed now says so, as AttemptSilent does, and the core doesn't retry such a request.

--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -159,6 +159,8 @@
     unsigned status = 0; ///< Status of the target's response; 0 if no head was read.
     /// Time since the target's last byte, or since the attempt's start if it sent none.
     Duration silentFor {0};
+    /// Whether the response may continue at another target from the part that the caller has.
+    bool canContinueElsewhere = true;
 };
 
 /// Reports that the target of an attempt is silent (SilencePolicy::Report). The shell relays
@@ -168,10 +170,9 @@
 {
     RequestHandle handle = 0;
     AttemptNumber attempt = 0;
-    bool answerBegun = false; ///< Part of the response was already sent to the caller.
-    /// Whether the response may continue at another target from the part that the caller has.
-    bool canContinueElsewhere = true;
-    Duration silentFor {0}; ///< As in AttemptFailed.
+    bool answerBegun = false;         ///< Part of the response was already sent to the caller.
+    bool canContinueElsewhere = true; ///< As in AttemptFailed.
+    Duration silentFor {0};           ///< As in AttemptFailed.
 };
 
 /// Reports that the router closed a caller's connection before the response to a request was
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -579,6 +579,8 @@
 {
     if (request.deadline - m_context.now < minTimeLeft || request.attempts >= maxAttempts)
         return false;
+    if (!event.canContinueElsewhere)
+        return false;
     if (!isKnownNotRun(event) && !request.route->isRetryable())
         return false;
     if (request.sentAttempts >= request.route->attempts)
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -75,9 +75,7 @@
         onAttemptFailed(AttemptFailure::Reset, false, {});
         return;
     }
-    if (m_isResponseStarted && !m_stream) {
-        // Only an event stream can resume at another target. Any other response would be joined
-        // from two different ones.
+    if (!canContinueElsewhere()) {
         onAttemptFailed(AttemptFailure::InvalidResponse, false, {});
         return;
     }
@@ -235,7 +233,8 @@
     const bool hasHeldResponse = m_heldResponse->isComplete && m_heldResponse->isRelayable
         && !m_isResponseStarted && m_heldResponse->body.size() <= maxStoredResponseBytes;
     m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, *m_heldResponse->failure, true,
-                                   m_isResponseStarted, hasHeldResponse, m_heldResponse->status});
+                                   m_isResponseStarted, hasHeldResponse, m_heldResponse->status,
+                                   Duration(0), canContinueElsewhere()});
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
@@ -379,7 +378,8 @@
     }
     m_heldResponse.reset();
     m_thread.report(AttemptFailed {m_handle, m_dispatch.attempt, failure, sentAny,
-                                   m_isResponseStarted, false, 0, silentFor});
+                                   m_isResponseStarted, false, 0, silentFor,
+                                   canContinueElsewhere()});
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
@@ -389,7 +389,7 @@
     if (m_heldResponse && m_heldResponse->failure)
         return false; // The head has told that the attempt failed.
     m_thread.report(AttemptSilent {m_handle, m_dispatch.attempt, m_isResponseStarted,
-                                   !m_isResponseStarted || m_stream, silentFor});
+                                   canContinueElsewhere(), silentFor});
     return true;
 }
 
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -62,6 +62,9 @@
     void reportCut(const std::string &reason);
 
 private:
+    /// Only an event stream can continue at another target. Any other response would be joined from
+    /// two different ones.
+    bool canContinueElsewhere() const { return !m_isResponseStarted || m_stream; }
     TargetRequest targetRequest(const Dispatch &command) const;
     std::string attemptId() const;
     void bufferHeldBody(std::string_view bytes, bool isEnd);
