Keep half of the retry budget from requests at silent targets

What callers saw: a request whose connection was reset got 502 at once, for seconds, while another target was silent.

Cause: requests at a silent target are offered again every 200 ms and took each retry as it became free. Their attempts go on without one; a broken connection has nothing else.

Test: SilentTargetsLeaveRetriesForBrokenConnections, written with the fix and not run without it.

Requests at silent targets now take at most half of the budget.

--- a/include/berylridge/Policy/FleetLimits.h
+++ b/include/berylridge/Policy/FleetLimits.h
@@ -55,8 +55,9 @@
     };
 
     void onFirstAttempt(TimePoint now);
-    /// Takes one retry from the budget if one is left.
-    bool tryTake(const Limits &limits, std::size_t nodes, TimePoint now);
+    /// Takes one retry from the budget if one is left. With a smaller fraction, the rest of the
+    /// budget is kept for others.
+    bool tryTake(const Limits &limits, std::size_t nodes, TimePoint now, double fraction = 1);
 
 private:
     /// The limit holds for the whole fleet and is measured at the targets. A node may misjudge its
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -29,6 +29,9 @@
 constexpr Duration maxSilence = std::chrono::milliseconds(1500);
 /// Time after which a request at a silent target is offered to another one again.
 constexpr Duration silenceRecheckPeriod = std::chrono::milliseconds(200);
+/// Fraction of the retry budget for requests at silent targets. Their attempts go on without a
+/// retry; the requests of broken connections have nothing else.
+constexpr double silenceRetryFraction = 0.5;
 /// Cost of a generated token relative to a token that is read.
 constexpr double generatedTokenCost = 2;
 /// Bounds the attempts of a request that one target after the other rejects.
@@ -524,7 +527,8 @@
     const Duration left = request.deadline - m_context.now;
     const Duration expected = fromSeconds((choice->waitMs + choice->busyMs) / 1000);
     const bool isInTime = expected + minTimeLeft < left;
-    if (!isInTime || !takeRetry(request) || !m_targetSelector.reserve(*choice, needs))
+    if (!isInTime || !takeRetry(request, silenceRetryFraction)
+        || !m_targetSelector.reserve(*choice, needs))
         return false;
     endAttempt(request);
     ++request.sentAttempts;
@@ -595,11 +599,12 @@
     return takeRetry(request);
 }
 
-/// Takes one retry from the budget of the request's service if one is left.
-bool RequestProcessor::takeRetry(const BalancedRequest &request)
+/// Takes one retry from the given fraction of the budget of the request's service if one is left.
+bool RequestProcessor::takeRetry(const BalancedRequest &request, double fraction)
 {
-    return m_retries[request.service->name].tryTake(
-        m_context.options.retries, m_context.peers.limitShareCount(m_context.now), m_context.now);
+    return m_retries[request.service->name].tryTake(m_context.options.retries,
+                                                    m_context.peers.limitShareCount(m_context.now),
+                                                    m_context.now, fraction);
 }
 
 void RequestProcessor::finishFailed(BalancedRequest &request, const AttemptFailed &event)
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -75,7 +75,7 @@
     bool tryReplace(BalancedRequest &request, const AttemptSilent &event);
     void updateTargetHealth(BalancedRequest &request, const AttemptFailed &event);
     bool mayRetry(BalancedRequest &request, const AttemptFailed &event);
-    bool takeRetry(const BalancedRequest &request);
+    bool takeRetry(const BalancedRequest &request, double fraction = 1);
     void finishFailed(BalancedRequest &request, const AttemptFailed &event);
     BalancedRequest *find(RequestHandle handle, AttemptNumber attempt);
     void step(BalancedRequest &request, RequestSignal signal);
--- a/lib/Policy/FleetLimits.cpp
+++ b/lib/Policy/FleetLimits.cpp
@@ -52,13 +52,14 @@
     m_firstAttempts.push_back(now);
 }
 
-bool FleetRetryBudget::tryTake(const Limits &limits, std::size_t nodes, TimePoint now)
+bool FleetRetryBudget::tryTake(const Limits &limits, std::size_t nodes, TimePoint now,
+                               double fraction)
 {
     assert(nodes > 0 && "a fleet-wide limit cannot be divided among no nodes");
     expire(limits.window, now);
     const double allowed = limits.ratio * static_cast<double>(m_firstAttempts.size())
         + limits.slack / static_cast<double>(nodes);
-    if (static_cast<double>(m_retries.size()) + 1 > usableFraction * allowed)
+    if (static_cast<double>(m_retries.size()) + 1 > usableFraction * allowed * fraction)
         return false;
     m_retries.push_back(now);
     return true;
--- a/unittests/Balancer/SilentAttemptTest.cpp
+++ b/unittests/Balancer/SilentAttemptTest.cpp
@@ -72,6 +72,25 @@
     EXPECT_FALSE(findAction<ContinueAttempt>());
 }
 
+// Guards against requests of broken connections that are refused because silent targets have used
+// up all retries.
+TEST_F(SilentAttemptTest, SilentTargetsLeaveRetriesForBrokenConnections)
+{
+    std::vector<Dispatch> silent;
+    for (int i = 0; i < 40; ++i)
+        silent.push_back(send("/read/" + std::to_string(i)));
+    const Dispatch broken = send("/read/broken");
+    bool isAnyReplaced = false;
+    for (const Dispatch &dispatch : silent) {
+        reportSilence(dispatch, false);
+        isAnyReplaced = isAnyReplaced || findAction<Dispatch>();
+    }
+    EXPECT_TRUE(isAnyReplaced);
+    EXPECT_TRUE(findAction<ContinueAttempt>());
+    handle(makeFailure(broken, AttemptFailure::Reset));
+    EXPECT_TRUE(findAction<Dispatch>());
+}
+
 // Guards against a request that stays at a dark target after the budget has recovered.
 TEST_F(SilentAttemptTest, RequestIsOfferedAgainOnceTheBudgetHasARetry)
 {
