Silence: report it again after a part of a head, keep a held error's body

Found by reading in the review. A late thread that found bytes of a part of a head reported no silence up to the deadline; the body of a target's error that was silent for 1.5 s was given up and the caller got the router's 502; each recheck closed the target's idle connections.

--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -389,13 +389,10 @@
         m_thread.removeExchange(m_handle);
 }
 
-bool Exchange::onSilence(Duration silentFor)
+void Exchange::onSilence(Duration silentFor)
 {
-    if (m_heldResponse && m_heldResponse->failure)
-        return false; // The head has told that the attempt failed.
     m_thread.report(AttemptSilent {m_handle, m_dispatch.attempt, m_isResponseStarted,
                                    canContinueElsewhere(), silentFor});
-    return true;
 }
 
 void Exchange::continueAttempt(const ContinueAttempt &command)
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -57,7 +57,7 @@
     void onTargetAdvice(unsigned status, const TargetAdvice &advice) override;
     std::optional<AttemptFailure> onResponseHead(const ResponseHead &head, bool hasBody) override;
     std::optional<AttemptFailure> onResponseBody(std::string_view bytes, bool isEnd) override;
-    bool onSilence(Duration silentFor) override;
+    void onSilence(Duration silentFor) override;
     void onAttemptFailed(AttemptFailure failure, bool sentAny, Duration silentFor) override;
     /// Reports that the caller's connection is closed before the response is complete.
     void reportCut(const std::string &reason);
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -396,6 +396,7 @@
 
 void TargetAttempt::setReadTimeout(Duration limit)
 {
+    m_readTimeout = limit;
     m_deadline->move(std::min(m_attemptDeadline, Clock::now() + limit));
 }
 
@@ -422,16 +423,19 @@
 
 void TargetAttempt::onSilence()
 {
-    setDeadline(m_attemptDeadline);
     error_code ignored;
-    if (m_socket.available(ignored) > 0)
-        return; // This thread was late; the response is read next.
+    if (m_socket.available(ignored) > 0) {
+        // This thread was late; the response is read next.
+        setDeadline(std::min(m_attemptDeadline, Clock::now() + m_readTimeout));
+        return;
+    }
+    setDeadline(m_attemptDeadline);
     // The target may have ended behind a network partition, and its idle connections with it.
-    m_pool.drop(m_dispatch.endpoint);
+    if (!std::exchange(m_wasSilent, true))
+        m_pool.drop(m_dispatch.endpoint);
     m_isSuspended = true;
-    const auto owner = m_owner;
-    if (!owner->onSilence(silentFor()))
-        fail(AttemptFailure::Timeout);
+    const auto owner = m_owner; // The owner may release this attempt during the call.
+    owner->onSilence(silentFor());
 }
 
 void TargetAttempt::continueAfterSilence(Duration limit)
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -47,9 +47,8 @@
     virtual std::optional<AttemptFailure> onResponseBody(std::string_view bytes, bool isEnd) = 0;
 
     /// Called when the target has been silent for longer than the attempt's limit. Nothing more is
-    /// read until TargetAttempt::continueAfterSilence(). Returns whether the attempt may go on;
-    /// otherwise it fails.
-    virtual bool onSilence(Duration silentFor) = 0;
+    /// read until TargetAttempt::continueAfterSilence().
+    virtual void onSilence(Duration silentFor) = 0;
 
     /// Called when the attempt has ended without a complete response. silentFor is the time since
     /// the target's last byte, or since the attempt's start.
@@ -129,6 +128,8 @@
     bool m_isSkippingStrayResponse
         = false; ///< The response being read belongs to an earlier request.
     bool m_isResponseEnd = false;
+    Duration m_readTimeout {0};            ///< Current limit for a silence of the target.
+    bool m_wasSilent = false;              ///< A silence was reported.
     bool m_isSuspended = false;            ///< Waits for continueAfterSilence().
     std::function<void()> m_suspendedRead; ///< Handles what arrived meanwhile.
     bool m_isFinished = false;
