--- a/unittests/Balancer/SilentAttemptTest.cpp
+++ b/unittests/Balancer/SilentAttemptTest.cpp
@@ -76,8 +76,10 @@
 // up all retries.
 TEST_F(SilentAttemptTest, SilentTargetsLeaveRetriesForBrokenConnections)
 {
+    constexpr int silentRequests = 40;
     std::vector<Dispatch> silent;
-    for (int i = 0; i < 40; ++i)
+    silent.reserve(silentRequests);
+    for (int i = 0; i < silentRequests; ++i)
         silent.push_back(send("/read/" + std::to_string(i)));
     const Dispatch broken = send("/read/broken");
     bool isAnyReplaced = false;
--- a/unittests/Platform/SilentTargetTest.cpp
+++ b/unittests/Platform/SilentTargetTest.cpp
@@ -124,6 +124,7 @@
     });
     constexpr int streams = 60;
     std::vector<std::unique_ptr<FakeCaller>> callers;
+    callers.reserve(streams);
     for (int i = 0; i < streams; ++i)
         callers.push_back(send("/stream/1", i));
     int whole = 0;
@@ -158,6 +159,7 @@
     });
     constexpr int requests = 60;
     std::vector<std::unique_ptr<FakeCaller>> callers;
+    callers.reserve(requests);
     for (int i = 0; i < requests; ++i)
         callers.push_back(send("/read/1", i));
     int answered = 0;
