Logs: tell which removed targets are still used, and since when the platform was silent

On call, a request to a target that has left could not be told from one that was late: 4001 said "lapsed" at nodes that read the platform only, a node that learned of the lapse from a peer wrote "removed" and used the target all the same, and nothing told for how long.

4001 now has the platform's revision and, where a removed target is still used, for how long; the same for relayed removals. 3005 has the time without an answer and the revision that the node knew. The step "placed" of a request names a target whose entry was removed (removedUsableMs). No decision changed.

--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -19,6 +19,9 @@
 {
     std::string subject; ///< Id of a target or name of a zone.
     std::string description;
+    std::uint64_t revision = 0; ///< Platform revision of the change.
+    /// Time for which a removed target is still used, if it is.
+    std::optional<Duration> usableFor {};
 };
 
 /// Not thread-safe.
@@ -74,7 +77,7 @@
     bool mergeZone(const ZoneRecord &record);
     bool removeUnlisted(const DirectoryUpdate &update, TimePoint now);
     void markRemoved(Entry &entry, std::uint64_t revision, TimePoint now);
-    void recordChange(std::string subject, std::string description);
+    void recordRemoval(const Entry &entry, TimePoint now);
 
     /// Includes removed entries, so that older revisions of them are ignored.
     std::map<std::string, Entry> m_entries;
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -53,6 +53,7 @@
     void onNodeMessage(const NodeMessage &message);
     void onCatalog(std::shared_ptr<const Catalog> catalog, const std::string &source);
     void onDirectory(const DirectoryUpdate &directoryUpdate, const std::string &source);
+    void logDirectoryChanges(const std::string &source);
     void onPlatformReachability(bool isReachable);
     void onLeave(const std::string &who);
     void runTimers();
@@ -76,6 +77,7 @@
     TimePoint m_nextDigest;
     TimePoint m_leaveStartedAt {};
     bool m_isPlatformReachable = true;
+    TimePoint m_platformSilentSince {};
 };
 
 void BalancerCore::Impl::handle(const Event &event, TimePoint now, WallTime wall, Actions &actions)
@@ -188,18 +190,36 @@
 {
     if (m_context.directory.apply(directoryUpdate, m_context.now))
         m_targetSelector.onDirectory();
-    for (const DirectoryChange &change : m_context.directory.takeChanges())
-        m_context.log(LogEventId::TargetState,
-                      change.subject + ' ' + change.description + " by " + source);
+    logDirectoryChanges(source);
     checkReady();
 }
 
+void BalancerCore::Impl::logDirectoryChanges(const std::string &source)
+{
+    for (const DirectoryChange &change : m_context.directory.takeChanges()) {
+        Json::Value fields;
+        fields["revision"] = Json::UInt64(change.revision);
+        if (change.usableFor)
+            fields["usableMs"] = toMilliseconds(*change.usableFor);
+        m_context.log(LogEventId::TargetState,
+                      change.subject + ' ' + change.description + " by " + source,
+                      std::move(fields));
+    }
+}
+
 void BalancerCore::Impl::onPlatformReachability(bool isReachable)
 {
     if (m_isPlatformReachable == isReachable)
         return;
     m_isPlatformReachable = isReachable;
-    m_context.log(isReachable ? LogEventId::PlatformBack : LogEventId::PlatformSilent, "");
+    Json::Value fields;
+    fields["directory"] = Json::UInt64(m_context.directory.revision());
+    if (isReachable)
+        fields["outageMs"] = toMilliseconds(m_context.now - m_platformSilentSince);
+    else
+        m_platformSilentSince = m_context.now;
+    m_context.log(isReachable ? LogEventId::PlatformBack : LogEventId::PlatformSilent, "",
+                  std::move(fields));
     if (isReachable)
         m_context.directory.onPlatformReconnected(m_context.now);
 }
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -34,6 +34,8 @@
     out["aheadTokens"] = Json::UInt64(choice.aheadTokens);
     out["running"] = choice.running;
     out["targetHeardMs"] = toMilliseconds(choice.recordAge);
+    if (choice.usableFor)
+        out["removedUsableMs"] = toMilliseconds(*choice.usableFor);
     if (step.allowedMs <= 0)
         return;
     out["allowedMs"] = rounded(step.allowedMs);
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -159,6 +159,8 @@
     choice.running = candidates[placed->index].load.running;
     choice.candidates = candidates.size();
     choice.recordAge = now - entry->updatedAt;
+    if (entry->record.isRemoved && entry->usableUntil)
+        choice.usableFor = *entry->usableUntil - now;
     return choice;
 }
 
--- a/lib/Balancer/TargetSelector.h
+++ b/lib/Balancer/TargetSelector.h
@@ -41,6 +41,8 @@
     std::uint32_t running = 0;     ///< Requests of all nodes that run at the target.
     std::size_t candidates = 0;    ///< Number of targets that were considered.
     Duration recordAge {0};        ///< Time since the platform last reported the target.
+    /// Time for which a target whose entry was removed is still used; empty for a listed one.
+    std::optional<Duration> usableFor {};
 };
 
 /// What a request needs of its target.
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -59,11 +59,14 @@
             if (!record.service.empty())
                 m_versions.onUnlisted(record.service, entry.version, now);
         }
+        const bool wasRemoved = entry.record.isRemoved;
         markRemoved(entry, record.revision, now);
         // A node that detected the outage relays the grace period, because this node may not read
         // from the platform itself.
         if (record.usableForMs > 0)
             entry.usableUntil = now + fromMilliseconds(record.usableForMs);
+        if (!wasRemoved)
+            recordRemoval(entry, now);
         return true;
     }
     const bool isReportedChange = isNew || entry.record.isRemoved
@@ -79,7 +82,7 @@
     entry.coldUntil = now + fromMilliseconds(record.coldRemainingMs);
     entry.usableUntil.reset();
     if (isReportedChange)
-        recordChange(record.id, describeListing(record));
+        m_changes.push_back({record.id, describeListing(record), record.revision});
     return true;
 }
 
@@ -95,7 +98,15 @@
     // target.
     if (!wasDraining && now < m_lapseGraceEnd)
         entry.usableUntil = m_lapseGraceEnd;
-    recordChange(entry.record.id, entry.usableUntil ? "lapsed" : "removed");
+}
+
+void TargetDirectory::recordRemoval(const Entry &entry, TimePoint now)
+{
+    DirectoryChange change {entry.record.id, entry.usableUntil ? "lapsed" : "removed",
+                            entry.record.revision};
+    if (entry.usableUntil)
+        change.usableFor = *entry.usableUntil - now;
+    m_changes.push_back(std::move(change));
 }
 
 bool TargetDirectory::mergeZone(const ZoneRecord &record)
@@ -106,8 +117,10 @@
     const bool wasEvacuated = !isNew && found->second.isEvacuated;
     found->second = record;
     if (wasEvacuated != record.isEvacuated)
-        recordChange(record.zone,
-                     record.isEvacuated ? "zone taken out of service" : "zone returned to service");
+        m_changes.push_back(
+            {record.zone,
+             record.isEvacuated ? "zone taken out of service" : "zone returned to service",
+             record.revision});
     return true;
 }
 
@@ -122,6 +135,7 @@
             || entry.record.revision > update.revision)
             continue;
         markRemoved(entry, update.revision, now);
+        recordRemoval(entry, now);
         isChanged = true;
     }
     for (auto &[name, zone] : m_zones) {
@@ -179,9 +193,4 @@
     return update;
 }
 
-void TargetDirectory::recordChange(std::string subject, std::string description)
-{
-    m_changes.push_back({std::move(subject), std::move(description)});
-}
-
 } // namespace berylridge
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -157,6 +157,33 @@
     EXPECT_FALSE(directory.isCold(*directory.find("t"), clock.now()));
 }
 
+// Guards against a log in which a node that uses a removed target can't be told from one that
+// doesn't.
+TEST_F(TargetDirectoryTest, ChangesTellForHowLongARemovedTargetIsStillUsed)
+{
+    apply(5, {makeRecord("t", 5), makeRecord("u", 5)}, true);
+    TargetDirectory other;
+    other.apply(directory.updateSince(0, clock.now()), clock.now());
+    apply(6, {makeRemoval("u", 6)});
+    directory.onPlatformReconnected(clock.now());
+    directory.takeChanges();
+    apply(7, {makeRemoval("t", 7)});
+    clock.advance(100ms);
+    other.takeChanges();
+    other.apply(directory.updateSince(5, clock.now()), clock.now());
+    const auto here = directory.takeChanges();
+    ASSERT_EQ(here.size(), 1U);
+    EXPECT_EQ(here[0].description, "lapsed");
+    EXPECT_EQ(here[0].revision, 7U);
+    EXPECT_EQ(here[0].usableFor, TargetDirectory::lapsedEntryGracePeriod);
+    const auto there = other.takeChanges();
+    ASSERT_EQ(there.size(), 2U);
+    EXPECT_EQ(there[0].description, "lapsed");
+    EXPECT_EQ(there[0].usableFor, TargetDirectory::lapsedEntryGracePeriod - 100ms);
+    EXPECT_EQ(there[1].description, "removed");
+    EXPECT_FALSE(there[1].usableFor);
+}
+
 // A node that doesn't read the platform learns from a reader that an entry lapsed in an outage. If
 // it removed such entries at once, all its targets would be unusable until the platform lists them
 // again.
