--- /dev/null
+++ b/unittests/Balancer/TargetDepartureTest.cpp
@@ -0,0 +1,395 @@
+// Tests what a fleet does with targets that leave, and with entries that lapse, around outages of
+// the platform's store. BERYLRIDGE_DEPARTURE_SEEDS sets the number of seeds.
+#include "SimulatedStore.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <sstream>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t defaultSeeds = 12;
+/// The users' bounds: a target gets no requests later than this after the store has acknowledged
+/// that it leaves, from nodes that have been in touch with the store for long enough.
+constexpr Duration departureLimit = 2000ms;
+constexpr Duration inTouchTime = 3000ms;
+/// Time within which the store lists live targets again whose entries lapsed.
+constexpr Duration relistTime = 2000ms;
+
+/// A fleet whose targets have one service and one route each, so that a request tells whether a
+/// node uses a target.
+class DepartureFleet
+{
+protected:
+    using Node = test::SimulatedFleet::Node;
+
+    struct Target
+    {
+        std::string id;
+        std::optional<Duration> leftAt {};
+    };
+
+    static constexpr std::size_t zones = 3;
+    static constexpr std::size_t nodesPerZone = 2;
+    static constexpr std::size_t targetCount = 9;
+
+    explicit DepartureFleet(std::uint64_t seed)
+        : m_random(seed)
+        , m_fleet(zones, nodesPerZone)
+        , m_schedule([this](Duration time) { m_fleet.advance(time); })
+        , m_store(m_fleet, m_schedule, m_random)
+    {
+        for (std::size_t i = 0; i < targetCount; ++i)
+            m_targets.push_back({"t" + std::to_string(i)});
+        for (const Target &target : m_targets)
+            m_store.list(recordOf(target));
+        m_fleet.start();
+        for (Node &node : m_fleet.nodes())
+            m_fleet.handle(node, CatalogArrived {catalog()});
+        m_schedule.runUntil(5s);
+    }
+
+    static TargetRecord recordOf(const Target &target)
+    {
+        TargetRecord record;
+        record.id = target.id;
+        record.service = target.id;
+        record.address = "10.1.0.1";
+        record.port = 80;
+        record.zone = "z0";
+        record.slots = 8;
+        record.startedAtMs = 1;
+        record.softwareVersion = "v1";
+        return record;
+    }
+
+    std::shared_ptr<const Catalog> catalog() const
+    {
+        Catalog catalog;
+        catalog.version = 1;
+        for (const Target &target : m_targets) {
+            RouteSpec route;
+            route.host = "h";
+            route.pathPrefix = "/" + target.id + "/";
+            route.kind = static_cast<std::uint8_t>(RequestKind::Idempotent);
+            route.timeoutMs = 4000;
+            route.latencyTargetMs = 400;
+            route.attempts = 1;
+            route.services = {{target.id, 1}};
+            catalog.routes.push_back(route);
+            ServiceSpec service;
+            service.name = target.id;
+            catalog.services.push_back(service);
+        }
+        catalog.workspaces = {{"w", {"key"}}};
+        return std::make_shared<const Catalog>(catalog);
+    }
+
+    Duration now() const { return m_schedule.now(); }
+    void runFor(Duration time)
+    {
+        // The schedule's clock stands at its last step.
+        m_schedule.add(time, [] {});
+        m_schedule.runUntil(now() + time);
+    }
+
+    Duration randomTime(Duration from, Duration to)
+    {
+        return from + fromSeconds(toSeconds(to - from) * uniform(m_random));
+    }
+    std::size_t randomIndex(std::size_t size)
+    {
+        return static_cast<std::size_t>(uniform(m_random) * static_cast<double>(size));
+    }
+
+    Node &node(std::size_t index) { return m_fleet.nodes().at(index); }
+
+    /// Returns whether the node sends a request to the target.
+    bool isUsed(Node &node, const Target &target)
+    {
+        RequestArrived request;
+        request.handle = ++m_lastHandle;
+        request.requestId = "r" + std::to_string(m_lastHandle);
+        request.host = "h";
+        request.path = "/" + target.id + "/1";
+        request.credential = "key";
+        request.deadline = 4s;
+        m_fleet.handle(node, request);
+        const bool isSent
+            = std::any_of(node.actions.begin(), node.actions.end(), [](const Action &action) {
+                  return std::holds_alternative<Dispatch>(action);
+              });
+        m_fleet.handle(node, CallerGone {m_lastHandle});
+        return isSent;
+    }
+
+    void leave(Target &target)
+    {
+        target.leftAt = now();
+        m_store.remove(target.id);
+    }
+
+    RandomEngine m_random;
+    test::SimulatedFleet m_fleet;
+    test::StepSchedule m_schedule;
+    test::SimulatedStore m_store;
+    std::vector<Target> m_targets;
+    RequestHandle m_lastHandle = 0;
+};
+
+class TargetDepartureTest : public DepartureFleet, public testing::Test
+{
+protected:
+    TargetDepartureTest()
+        : DepartureFleet(1)
+    {
+    }
+
+    std::size_t nodesThatUse(const Target &target)
+    {
+        std::size_t count = 0;
+        for (Node &each : m_fleet.nodes())
+            count += isUsed(each, target) ? 1 : 0;
+        return count;
+    }
+};
+
+/// Lets targets leave in the midst of random outages.
+class RandomDepartures : public DepartureFleet
+{
+public:
+    struct Result
+    {
+        std::size_t checks = 0;
+        std::size_t outages = 0;
+        std::size_t departures = 0;
+        std::size_t lapses = 0;
+        /// Requests of nodes in touch that reached a target later than departureLimit.
+        std::size_t lateRequests = 0;
+        Duration longest {0};
+        /// Requests refused although the entry of their live target had only lapsed.
+        std::size_t refusals = 0;
+    };
+
+    explicit RandomDepartures(std::uint64_t seed)
+        : DepartureFleet(seed)
+        , m_disturbedUntil(m_fleet.nodes().size(), Duration(0))
+    {
+    }
+
+    Result run()
+    {
+        scheduleOutage();
+        for (std::size_t i = 1; i < m_targets.size(); ++i)
+            m_schedule.add(randomTime(1s, runTime), [this, i] { departUnlessDown(i); });
+        for (Duration at = checkInterval; at < runTime; at += checkInterval)
+            m_schedule.add(at, [this] { check(); });
+        runFor(runTime);
+        return m_result;
+    }
+
+private:
+    static constexpr Duration runTime = 40s;
+    static constexpr Duration checkInterval = 50ms;
+    static constexpr Duration entryLifetime = 3600ms;
+
+    void scheduleOutage()
+    {
+        m_schedule.add(randomTime(500ms, 4s), [this] {
+            ++m_result.outages;
+            const Duration time = randomTime(1s, 6s);
+            switch (randomIndex(4)) {
+            case 0:
+                takeStoreDown(time);
+                break;
+            case 1:
+                cutZone(time);
+                break;
+            default:
+                refuseNodes(time);
+                break;
+            }
+        });
+    }
+
+    void refuseNodes(Duration time)
+    {
+        const std::size_t first = randomIndex(m_fleet.nodes().size());
+        const std::size_t count = 1 + randomIndex(3);
+        for (std::size_t i = 0; i < count; ++i)
+            disturb((first + i) % m_fleet.nodes().size(), time);
+        m_schedule.add(time, [this] { scheduleOutage(); });
+    }
+
+    void cutZone(Duration time)
+    {
+        const std::string zone = "z" + std::to_string(randomIndex(zones));
+        m_fleet.cutZone(zone);
+        for (std::size_t i = 0; i < m_fleet.nodes().size(); ++i) {
+            if (node(i).zone == zone)
+                disturb(i, time);
+        }
+        m_schedule.add(time, [this] {
+            m_fleet.cutZone({});
+            scheduleOutage();
+        });
+    }
+
+    void takeStoreDown(Duration time)
+    {
+        m_store.setDown(true);
+        m_storeDisturbedUntil = now() + time;
+        if (time > entryLifetime)
+            m_schedule.add(time - 10ms, [this] { lapse(); });
+        m_schedule.add(time, [this] {
+            m_store.setDown(false);
+            scheduleOutage();
+        });
+    }
+
+    /// Lets the entries of all targets lapse. The store lists live ones again after its return.
+    void lapse()
+    {
+        for (const Target &target : m_targets) {
+            if (target.leftAt)
+                continue;
+            ++m_result.lapses;
+            m_store.remove(target.id);
+            m_schedule.add(randomTime(50ms, relistTime - 500ms), [this, &target] {
+                if (!target.leftAt)
+                    m_store.list(recordOf(target));
+            });
+        }
+    }
+
+    void disturb(std::size_t index, Duration time)
+    {
+        m_store.setRefused(node(index), true);
+        m_disturbedUntil[index] = now() + time;
+        m_schedule.add(time, [this, index] { m_store.setRefused(node(index), false); });
+    }
+
+    void departUnlessDown(std::size_t index)
+    {
+        // A target can't register its departure with a store that is down.
+        if (m_store.isDown()) {
+            m_schedule.add(500ms, [this, index] { departUnlessDown(index); });
+            return;
+        }
+        ++m_result.departures;
+        leave(m_targets[index]);
+    }
+
+    void check()
+    {
+        for (std::size_t i = 0; i < m_fleet.nodes().size(); ++i) {
+            const bool isInTouch
+                = now() - std::max(m_disturbedUntil[i], m_storeDisturbedUntil) >= inTouchTime;
+            const bool isUndisturbed = now() - m_disturbedUntil[i] >= inTouchTime;
+            for (const Target &target : m_targets) {
+                if (!target.leftAt && !isUndisturbed)
+                    continue;
+                if (target.leftAt && (!isInTouch || now() - *target.leftAt <= departureLimit))
+                    continue;
+                ++m_result.checks;
+                const bool isUsed = DepartureFleet::isUsed(node(i), target);
+                if (!target.leftAt)
+                    m_result.refusals += isUsed ? 0 : 1;
+                else if (isUsed)
+                    recordLateRequest(now() - *target.leftAt);
+            }
+        }
+    }
+
+    void recordLateRequest(Duration since)
+    {
+        ++m_result.lateRequests;
+        m_result.longest = std::max(m_result.longest, since);
+    }
+
+    std::vector<Duration> m_disturbedUntil; ///< By node.
+    Duration m_storeDisturbedUntil {0};
+    Result m_result;
+};
+
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("BERYLRIDGE_DEPARTURE_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : defaultSeeds;
+}
+
+std::string describe(const RandomDepartures::Result &result)
+{
+    std::ostringstream text;
+    text << "checks " << result.checks << ", outages " << result.outages << ", departures "
+         << result.departures << ", lapses " << result.lapses << ", late requests "
+         << result.lateRequests << " (longest " << toMilliseconds(result.longest)
+         << " ms), refusals " << result.refusals;
+    return text.str();
+}
+
+} // namespace
+
+// Guards against requests to a target that leaves just after this node's path to the store is back.
+TEST_F(TargetDepartureTest, DepartureAfterAnOutageOfOneNodeIsNoLapse)
+{
+    m_store.setRefused(node(0), true);
+    runFor(4s);
+    m_store.setRefused(node(0), false);
+    runFor(1s);
+    leave(m_targets[0]);
+    runFor(200ms);
+    EXPECT_EQ(nodesThatUse(m_targets[0]), 0U);
+    EXPECT_EQ(nodesThatUse(m_targets[1]), m_fleet.nodes().size());
+}
+
+// Guards against nodes that use a target that has left, because a node whose path to the store was
+// disturbed took the departure for a lapse.
+TEST_F(TargetDepartureTest, DepartureAfterAnOutageOfAZoneIsNoLapse)
+{
+    m_fleet.cutZone("z0");
+    for (Node &each : m_fleet.nodes())
+        m_store.setRefused(each, each.zone == "z0");
+    runFor(4s);
+    m_fleet.cutZone({});
+    for (Node &each : m_fleet.nodes())
+        m_store.setRefused(each, false);
+    runFor(1s);
+    leave(m_targets[0]);
+    runFor(200ms);
+    EXPECT_EQ(nodesThatUse(m_targets[0]), 0U);
+}
+
+// Guards against a fleet that forgets all targets, and serves nothing, when the store is back and
+// their entries have lapsed.
+TEST_F(TargetDepartureTest, TargetsWhoseEntriesLapsedStayUsableUntilTheyAreListedAgain)
+{
+    m_store.setDown(true);
+    runFor(5s);
+    for (const Target &target : m_targets)
+        m_store.remove(target.id);
+    m_store.setDown(false);
+    runFor(900ms);
+    for (const Target &target : m_targets)
+        EXPECT_EQ(nodesThatUse(target), m_fleet.nodes().size()) << target.id;
+    for (std::size_t i = 1; i < m_targets.size(); ++i)
+        m_store.list(recordOf(m_targets[i]));
+    runFor(relistTime + 500ms);
+    EXPECT_EQ(nodesThatUse(m_targets[0]), 0U);
+    EXPECT_EQ(nodesThatUse(m_targets[1]), m_fleet.nodes().size());
+}
+
+// Guards against requests to a target later than the users' bound after it left, and against
+// refusals while the entries of live targets have lapsed, in the midst of random outages.
+TEST(TargetDepartureFleetTest, NoRequestReachesATargetThatHasLeft)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        const RandomDepartures::Result result = RandomDepartures(seed).run();
+        EXPECT_EQ(result.lateRequests, 0U) << "seed " << seed << ": " << describe(result);
+        EXPECT_EQ(result.refusals, 0U) << "seed " << seed << ": " << describe(result);
+        EXPECT_GT(result.departures, 0U) << "seed " << seed;
+    }
+}
