Use lapsed entries on if the platform is down again before it could list them

Callers were refused although all targets were alive: the platform was back for less than two seconds after an outage in which entries had lapsed, and was down again; at the end of the grace period all that it had not listed by then was gone until the end of the second outage.

The grace period gave targets time to be listed again, but counted on while they couldn't be. An entry's absence now counts once the platform has answered some node after the period; while it is silent for longer than a watch takes, lapsed entries are used on. PlatformUptime moves to the catalog, whose directory asks it; removals that follow from a peer's report are logged.

--- a/include/berylridge/Fleet/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -21,9 +21,12 @@
         Duration upFor {0};       ///< Time since the end of the platform's last outage.
     };
 
-    /// Longest pause between answers that is no outage. A watch without changes takes a second, and
-    /// entries lapse only after several seconds without their targets' reports.
+    /// Longest pause between answers that is no outage. Entries lapse only after several seconds
+    /// without their targets' reports.
     static constexpr Duration maxAnswerGap = std::chrono::seconds(2);
+    /// Longest time between the answers to one node's watches: a watch without changes takes a
+    /// second.
+    static constexpr Duration maxWatchTime = std::chrono::milliseconds(1300);
 
     /// Records that the platform answered this node.
     void onAnswered(TimePoint now);
@@ -34,6 +37,9 @@
     std::optional<TimePoint> upSince() const;
     /// Returns the time of the newest answer to any node that this node knows of.
     std::optional<TimePoint> answeredAt() const;
+    /// Returns whether the platform is probably down: no answer to any node is known for longer
+    /// than a watch takes.
+    bool isSilent(TimePoint now) const { return m_up && now - m_up->to > maxWatchTime; }
     /// Returns all that this node knows; empty if no answer is known.
     std::optional<Report> report(TimePoint now) const;
     /// The same with the last answer to this node itself, for messages that are sent all the time:
--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -2,6 +2,7 @@
 // nodes entry by entry; the newest revision of an entry wins.
 #pragma once
 
+#include "berylridge/Catalog/PlatformUptime.h"
 #include "berylridge/Catalog/TargetRecord.h"
 #include "berylridge/Catalog/VersionHistory.h"
 #include "berylridge/Support/Time.h"
@@ -36,9 +37,9 @@
         VersionKey version = unknownVersion;
         TimePoint updatedAt; ///< Time at which the newest record was received.
         TimePoint coldUntil; ///< End of the cold state as the target reported it.
-        /// Time until which an entry that lapsed during a platform outage is still used. If the
-        /// target is alive, the platform lists it again within about two seconds.
-        std::optional<TimePoint> usableUntil;
+        /// The entry was removed and may have lapsed during a platform outage. If the target is
+        /// alive, the platform lists it again within about two seconds.
+        bool mayHaveLapsed = false;
     };
 
     /// Time for which entries that lapsed during a platform outage are used after its end. The
@@ -47,13 +48,16 @@
 
     /// Merges an update. Returns true if anything changed.
     bool apply(const DirectoryUpdate &update, TimePoint now);
-    /// Sets the time at which the last outage of the platform ended. Removals within the grace
-    /// period after it may be entries that lapsed during the outage. An earlier time than before
-    /// shows that there was no outage in between, and ends the grace period of entries.
-    void setPlatformUpSince(TimePoint upSince, TimePoint now);
+    /// Records that the platform answered this node, or what another node reports of its answers.
+    /// Must be called before the update is applied that came with it.
+    void onPlatformAnswered(TimePoint now);
+    void onPlatformReported(const PlatformUptime::Report &report, TimePoint now);
+    const PlatformUptime &platformUptime() const { return m_platformUptime; }
 
     /// Returns whether new requests may be sent to the target.
     bool isUsable(const Entry &entry, TimePoint now) const;
+    /// Returns for how long the entry's target is used after its removal; empty if it is not.
+    std::optional<Duration> usableAfterRemoval(const Entry &entry, TimePoint now) const;
     bool isZoneEvacuated(const std::string &zone) const;
     bool isCold(const Entry &entry, TimePoint now) const { return entry.coldUntil > now; }
 
@@ -79,6 +83,8 @@
     void addRemoved(Entry &entry, const TargetRecord &record, TimePoint now);
     void markRemoved(Entry &entry, std::uint64_t revision, TimePoint now);
     void recordRemoval(const Entry &entry, TimePoint now);
+    std::optional<TimePoint> lapseGraceEnd() const;
+    void removeUnlistedLapses(TimePoint now);
 
     /// Includes removed entries, so that older revisions of them are ignored.
     std::map<std::string, Entry> m_entries;
@@ -87,7 +93,8 @@
     std::vector<DirectoryChange> m_changes;
     std::uint64_t m_revision = 0;
     std::uint64_t m_removalsKnownSince = 0; ///< Removals before this revision are unknown.
-    TimePoint m_lapseGraceEnd {};
+    PlatformUptime m_platformUptime;
+    bool m_hasLapses = false; ///< Some entry may have lapsed.
 };
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerContext.h
+++ b/lib/Balancer/BalancerContext.h
@@ -8,7 +8,6 @@
 #include "berylridge/Chart/NodeStateMachine.h"
 #include "berylridge/Chart/RequestStateMachine.h"
 #include "berylridge/Fleet/PeerTable.h"
-#include "berylridge/Fleet/PlatformUptime.h"
 
 #include <memory>
 #include <string>
@@ -55,7 +54,6 @@
     std::uint64_t newestPeerCatalogVersion = 0;   ///< Highest version in any peer's digest.
     TargetDirectory directory;
     PeerTable peers;
-    PlatformUptime platformUptime;
 };
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -54,7 +54,6 @@
     void onCatalog(std::shared_ptr<const Catalog> catalog, const std::string &source);
     void onDirectory(const DirectoryUpdate &directoryUpdate, const std::string &source);
     void logDirectoryChanges(const std::string &source);
-    void updatePlatformUpSince(const std::string &source);
     void onPlatformReachability(bool isReachable);
     void onLeave(const std::string &who);
     void runTimers();
@@ -123,7 +122,7 @@
                    [&](const NodeMessage &e) { onNodeMessage(e); },
                    [&](const CatalogArrived &e) { onCatalog(e.catalog, "platform"); },
                    [&](const DirectoryArrived &e) {
-                       m_context.platformUptime.onAnswered(m_context.now);
+                       m_context.directory.onPlatformAnswered(m_context.now);
                        onDirectory(e.directoryUpdate, "platform");
                    },
                    [&](const PlatformReachability &e) { onPlatformReachability(e.isReachable); },
@@ -152,7 +151,8 @@
         Overloaded {
             [&](const LoadDigest &m) {
                 m_gossip.onDigest(message.from, message.incarnation, m);
-                updatePlatformUpSince(message.from.str());
+                // Peers may report that the platform was up, so that nothing has lapsed.
+                logDirectoryChanges(message.from.str());
             },
             [&](const ZoneLoadSummary &m) { m_gossip.onZoneLoads(message.from, m); },
             [&](const ZoneFlowSummary &m) { m_gossip.onZoneFlows(message.from, m); },
@@ -195,7 +195,6 @@
 void BalancerCore::Impl::onDirectory(const DirectoryUpdate &directoryUpdate,
                                      const std::string &source)
 {
-    updatePlatformUpSince(source);
     if (m_context.directory.apply(directoryUpdate, m_context.now))
         m_targetSelector.onDirectory();
     logDirectoryChanges(source);
@@ -230,17 +229,6 @@
                   std::move(fields));
 }
 
-/// Peers may report that the platform was up while this node had no answer. What this node took for
-/// lapsed entries was then removed.
-void BalancerCore::Impl::updatePlatformUpSince(const std::string &source)
-{
-    const auto upSince = m_context.platformUptime.upSince();
-    if (!upSince)
-        return;
-    m_context.directory.setPlatformUpSince(*upSince, m_context.now);
-    logDirectoryChanges(source);
-}
-
 void BalancerCore::Impl::onLeave(const std::string &who)
 {
     if (!m_context.stateMachines.node.step(m_state, NodeSignal::LeaveOrdered))
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -220,7 +220,7 @@
     digest.catalogVersion = m_context.catalogVersion();
     digest.directoryRevision = m_context.directory.revision();
     digest.isSummarized = true;
-    digest.platform = toStatus(m_context.platformUptime.ownReport(m_context.now));
+    digest.platform = toStatus(m_context.directory.platformUptime().ownReport(m_context.now));
     return digest;
 }
 
@@ -269,7 +269,7 @@
 {
     if (status.answeredMs == PlatformStatus::unknown)
         return;
-    m_context.platformUptime.onReported(
+    m_context.directory.onPlatformReported(
         {fromMilliseconds(status.answeredMs), fromMilliseconds(status.upMs)}, m_context.now);
 }
 
@@ -512,7 +512,7 @@
     const TargetDirectory &directory = m_context.directory;
     if (directory.revision() > request.directoryRevision)
         send(DirectoryRelay {directory.updateSince(request.directoryRevision, m_context.now),
-                             toStatus(m_context.platformUptime.report(m_context.now))});
+                             toStatus(directory.platformUptime().report(m_context.now))});
     if (request.catalogVersion == 0)
         sendPeers(from, *peer);
 }
--- a/lib/Balancer/TargetSelector.cpp
+++ b/lib/Balancer/TargetSelector.cpp
@@ -159,8 +159,7 @@
     choice.running = candidates[placed->index].load.running;
     choice.candidates = candidates.size();
     choice.recordAge = now - entry->updatedAt;
-    if (entry->record.isRemoved && entry->usableUntil)
-        choice.usableFor = *entry->usableUntil - now;
+    choice.usableFor = m_context.directory.usableAfterRemoval(*entry, now);
     return choice;
 }
 
--- a/lib/Fleet/PlatformUptime.cpp
+++ b/lib/Catalog/PlatformUptime.cpp
@@ -1,4 +1,4 @@
-#include "berylridge/Fleet/PlatformUptime.h"
+#include "berylridge/Catalog/PlatformUptime.h"
 
 #include <algorithm>
 
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -45,17 +45,33 @@
     return isChanged;
 }
 
-void TargetDirectory::setPlatformUpSince(TimePoint upSince, TimePoint now)
+void TargetDirectory::onPlatformAnswered(TimePoint now)
 {
-    const TimePoint graceEnd = upSince + lapsedEntryGracePeriod;
-    const TimePoint oldGraceEnd = std::exchange(m_lapseGraceEnd, graceEnd);
-    if (graceEnd >= oldGraceEnd || oldGraceEnd <= now)
+    m_platformUptime.onAnswered(now);
+    removeUnlistedLapses(now);
+}
+
+void TargetDirectory::onPlatformReported(const PlatformUptime::Report &report, TimePoint now)
+{
+    m_platformUptime.onReported(report, now);
+    removeUnlistedLapses(now);
+}
+
+std::optional<TimePoint> TargetDirectory::lapseGraceEnd() const
+{
+    const auto upSince = m_platformUptime.upSince();
+    return upSince ? std::optional(*upSince + lapsedEntryGracePeriod) : std::nullopt;
+}
+
+/// Only an answer of the platform shows that an entry is still missing. If the platform is down
+/// again before, its targets can't be listed.
+void TargetDirectory::removeUnlistedLapses(TimePoint now)
+{
+    if (!m_hasLapses || m_platformUptime.answeredAt() < lapseGraceEnd())
         return;
+    m_hasLapses = false;
     for (auto &[id, entry] : m_entries) {
-        if (!entry.usableUntil || *entry.usableUntil <= std::max(graceEnd, now))
-            continue;
-        entry.usableUntil = graceEnd > now ? std::optional(graceEnd) : std::nullopt;
-        if (!entry.usableUntil)
+        if (std::exchange(entry.mayHaveLapsed, false))
             recordRemoval(entry, now);
     }
 }
@@ -84,7 +100,7 @@
     m_versions.onListed(record.service, entry.version, now);
     entry.updatedAt = now;
     entry.coldUntil = now + fromMilliseconds(record.coldRemainingMs);
-    entry.usableUntil.reset();
+    entry.mayHaveLapsed = false;
     if (isReportedChange)
         m_changes.push_back({record.id, describeListing(record), record.revision});
     return true;
@@ -98,8 +114,8 @@
     // It may have been removed just now.
     if (!record.service.empty())
         m_versions.onUnlisted(record.service, entry.version, now);
-    if (record.usableForMs > 0 && now < m_lapseGraceEnd)
-        entry.usableUntil = m_lapseGraceEnd;
+    entry.mayHaveLapsed = record.usableForMs > 0 && now < lapseGraceEnd();
+    m_hasLapses |= entry.mayHaveLapsed;
 }
 
 void TargetDirectory::markRemoved(Entry &entry, std::uint64_t revision, TimePoint now)
@@ -111,18 +127,15 @@
     m_versions.onUnlisted(entry.record.service, entry.version, now);
     // A draining target is gone; an entry that lapsed during the outage may belong to a healthy
     // target.
-    if (!entry.record.isDraining && now < m_lapseGraceEnd)
-        entry.usableUntil = m_lapseGraceEnd;
+    entry.mayHaveLapsed = !entry.record.isDraining && now < lapseGraceEnd();
+    m_hasLapses |= entry.mayHaveLapsed;
     recordRemoval(entry, now);
 }
 
 void TargetDirectory::recordRemoval(const Entry &entry, TimePoint now)
 {
-    DirectoryChange change {entry.record.id, entry.usableUntil ? "lapsed" : "removed",
-                            entry.record.revision};
-    if (entry.usableUntil)
-        change.usableFor = *entry.usableUntil - now;
-    m_changes.push_back(std::move(change));
+    m_changes.push_back({entry.record.id, entry.mayHaveLapsed ? "lapsed" : "removed",
+                         entry.record.revision, usableAfterRemoval(entry, now)});
 }
 
 bool TargetDirectory::mergeZone(const ZoneRecord &record)
@@ -169,7 +182,17 @@
 {
     if (entry.record.isDraining || isZoneEvacuated(entry.record.zone))
         return false;
-    return !entry.record.isRemoved || (entry.usableUntil && now < *entry.usableUntil);
+    return !entry.record.isRemoved || usableAfterRemoval(entry, now);
+}
+
+std::optional<Duration> TargetDirectory::usableAfterRemoval(const Entry &entry, TimePoint now) const
+{
+    if (!entry.mayHaveLapsed)
+        return std::nullopt;
+    if (m_platformUptime.isSilent(now))
+        return lapsedEntryGracePeriod;
+    const TimePoint graceEnd = lapseGraceEnd().value_or(now);
+    return now < graceEnd ? std::optional(graceEnd - now) : std::nullopt;
 }
 
 bool TargetDirectory::isZoneEvacuated(const std::string &zone) const
@@ -198,8 +221,8 @@
         update.targets.push_back(entry.record);
         const auto coldRemaining = std::max(entry.coldUntil - now, Duration(0));
         update.targets.back().coldRemainingMs = toMilliseconds(coldRemaining);
-        const auto usableFor = entry.usableUntil.value_or(now) - now;
-        update.targets.back().usableForMs = entry.record.isRemoved ? toMilliseconds(usableFor) : 0;
+        update.targets.back().usableForMs
+            = toMilliseconds(usableAfterRemoval(entry, now).value_or(Duration(0)));
     }
     for (const auto &[name, zone] : m_zones) {
         if (zone.revision > revision || update.isFullSnapshot)
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -92,13 +92,15 @@
     TargetRecord draining = makeRecord("leaving", 4);
     draining.isDraining = true;
     apply(5, {makeRecord("t", 5), makeRecord("u", 5), draining}, true);
-    directory.setPlatformUpSince(clock.now(), clock.now());
+    directory.onPlatformAnswered(clock.now());
     apply(7, {makeRemoval("t", 6), makeRemoval("u", 6), makeRemoval("leaving", 7)});
     EXPECT_TRUE(isUsable("t"));
     EXPECT_FALSE(isUsable("leaving"));
     clock.advance(1s);
+    directory.onPlatformAnswered(clock.now());
     apply(8, {makeRecord("u", 8)});
     clock.advance(TargetDirectory::lapsedEntryGracePeriod);
+    directory.onPlatformAnswered(clock.now());
     EXPECT_FALSE(isUsable("t"));
     EXPECT_TRUE(isUsable("u"));
 }
@@ -166,8 +168,8 @@
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     apply(6, {makeRemoval("u", 6)});
     other.apply(directory.updateSince(5, clock.now()), clock.now());
-    directory.setPlatformUpSince(clock.now(), clock.now());
-    other.setPlatformUpSince(clock.now(), clock.now());
+    directory.onPlatformAnswered(clock.now());
+    other.onPlatformAnswered(clock.now());
     directory.takeChanges();
     apply(7, {makeRemoval("t", 7)});
     clock.advance(100ms);
@@ -190,10 +192,11 @@
 {
     apply(5, {makeRecord("t1", 5)}, true);
     TargetDirectory other;
-    other.setPlatformUpSince(clock.now(), clock.now());
+    other.onPlatformAnswered(clock.now());
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     clock.advance(TargetDirectory::lapsedEntryGracePeriod);
-    directory.setPlatformUpSince(clock.now(), clock.now());
+    other.onPlatformAnswered(clock.now());
+    directory.onPlatformAnswered(clock.now());
     apply(6, {makeRemoval("t1", 6)});
     EXPECT_TRUE(isUsable("t1"));
     other.apply(directory.updateSince(5, clock.now()), clock.now());
@@ -206,11 +209,11 @@
 {
     apply(5, {makeRecord("t", 5), makeRecord("u", 5)}, true);
     clock.advance(10s);
-    directory.setPlatformUpSince(clock.now(), clock.now());
+    directory.onPlatformAnswered(clock.now());
     apply(6, {makeRemoval("t", 6)});
     EXPECT_TRUE(isUsable("t"));
     directory.takeChanges();
-    directory.setPlatformUpSince(clock.now() - 9s, clock.now());
+    directory.onPlatformReported({0s, 9s}, clock.now());
     EXPECT_FALSE(isUsable("t"));
     EXPECT_TRUE(isUsable("u"));
     const auto changes = directory.takeChanges();
@@ -218,16 +221,38 @@
     EXPECT_EQ(changes[0].description, "removed");
 }
 
+// Guards against a fleet that loses its targets because the platform is down again before it could
+// list them.
+TEST_F(TargetDirectoryTest, LapsedEntriesOutlastASecondOutage)
+{
+    apply(5, {makeRecord("t", 5), makeRecord("u", 5)}, true);
+    directory.onPlatformAnswered(clock.now());
+    apply(7, {makeRemoval("t", 6), makeRemoval("u", 7)});
+    clock.advance(3s);
+    EXPECT_TRUE(isUsable("t"));
+    directory.onPlatformAnswered(clock.now());
+    apply(8, {makeRecord("u", 8)});
+    clock.advance(1900ms);
+    EXPECT_TRUE(isUsable("t"));
+    directory.onPlatformAnswered(clock.now());
+    clock.advance(200ms);
+    EXPECT_FALSE(isUsable("t"));
+    directory.onPlatformAnswered(clock.now());
+    clock.advance(5s);
+    EXPECT_FALSE(isUsable("t"));
+    EXPECT_TRUE(isUsable("u"));
+}
+
 // Guards against a node that starts while entries have lapsed and knows no target until the
 // platform lists them again.
 TEST_F(TargetDirectoryTest, NewNodeUsesTargetsWhoseEntriesLapsed)
 {
     apply(5, {makeRecord("t", 5), makeRecord("gone", 5)}, true);
     apply(6, {makeRemoval("gone", 6)});
-    directory.setPlatformUpSince(clock.now(), clock.now());
+    directory.onPlatformAnswered(clock.now());
     apply(7, {makeRemoval("t", 7)});
     TargetDirectory other;
-    other.setPlatformUpSince(clock.now(), clock.now());
+    other.onPlatformAnswered(clock.now());
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     EXPECT_TRUE(other.isUsable(*other.find("t"), clock.now()));
     EXPECT_FALSE(other.isUsable(*other.find("gone"), clock.now()));
@@ -242,12 +267,13 @@
     TargetDirectory other;
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     clock.advance(1s);
-    directory.setPlatformUpSince(clock.now(), clock.now());
+    directory.onPlatformAnswered(clock.now());
     apply(6, {makeRemoval("t1", 6)});
-    other.setPlatformUpSince(clock.now(), clock.now());
+    other.onPlatformAnswered(clock.now());
     other.apply(directory.updateSince(5, clock.now()), clock.now());
     const auto isUsableThere = [&] { return other.isUsable(*other.find("t1"), clock.now()); };
     EXPECT_TRUE(isUsableThere());
     clock.advance(TargetDirectory::lapsedEntryGracePeriod);
+    other.onPlatformAnswered(clock.now());
     EXPECT_FALSE(isUsableThere());
 }
