--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -145,11 +145,12 @@
         return false;
     const bool wasEvacuated = !isNew && found->second.isEvacuated;
     found->second = record;
-    if (wasEvacuated != record.isEvacuated)
+    if (wasEvacuated != record.isEvacuated) {
         m_changes.push_back(
             {record.zone,
              record.isEvacuated ? "zone taken out of service" : "zone returned to service",
              record.revision});
+    }
     return true;
 }
 
