--- a/unittests/Platform/StoreReaderTest.cpp
+++ b/unittests/Platform/StoreReaderTest.cpp
@@ -3,6 +3,7 @@
 
 #include "NodeFixture.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
 #include <vector>
 
@@ -81,6 +82,29 @@
     EXPECT_TRUE(runUntilReachability(true));
 }
 
+// Guards against a node that learns up to a second late that the store is back, and takes the first
+// departure after its return for a lapse in the outage.
+TEST_F(StoreReaderTest, FirstWatchAfterAFailureIsAnsweredWithoutAChange)
+{
+    std::atomic<int> watches = 0;
+    FakeTarget store([&](FakeTargetConnection &peer) {
+        constexpr int rejectedWatches = 3;
+        for (std::string head = peer.readRequest(); !head.empty(); head = peer.readRequest()) {
+            if (head.find("kv-watch") == std::string::npos)
+                peer.send(response(R"({"as_of":7,"entries":[]})"));
+            else if (++watches <= rejectedWatches)
+                peer.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            else if (head.find("wait_ms=0 ") != std::string::npos)
+                peer.send(response(R"({"as_of":7,"events":[]})"));
+        }
+    });
+    StoreReader reader(m_context, store.endpoint(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    ASSERT_TRUE(runUntilReachability(false));
+    ASSERT_TRUE(runUntilReachability(true));
+    EXPECT_EQ(watches, 4);
+}
+
 // Guards against a reader that goes on beside the next one: a wait that has ended when the reader
 // stops, but whose handler has not run yet, can't be cancelled any more.
 TEST_F(StoreReaderTest, StopsAlthoughItsNextRequestIsDue)
