Logs: how old a node's knowledge of the platform is; a shorter status in digests

On call, a node that knows nothing new because nothing changed can't be told from one that hears nothing: requests that log their steps now have the time since the platform last answered any node that this one knows of.

Nodes that read nothing sent a status of seven bytes in each digest, now three: without an answer both numbers are zero.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -76,10 +76,9 @@
 /// When the platform last answered, and how long it has been up; see PlatformUptime.
 struct PlatformStatus
 {
-    static constexpr std::uint32_t unknown = UINT32_MAX;
-
-    std::uint32_t answeredMs = unknown; ///< Milliseconds since the last answer.
-    std::uint32_t upMs = 0;             ///< Milliseconds since the end of the last outage.
+    std::uint32_t answeredMs = 0; ///< Milliseconds since the last answer.
+    /// Milliseconds since the end of the last outage, at least 1; 0 if no answer is known.
+    std::uint32_t upMs = 0;
     MSGPACK_DEFINE(answeredMs, upMs)
 };
 
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -46,7 +46,7 @@
 {
     if (!report)
         return {};
-    return {toMilliseconds(report->sinceAnswer), toMilliseconds(report->upFor)};
+    return {toMilliseconds(report->sinceAnswer), std::max(1U, toMilliseconds(report->upFor))};
 }
 
 } // namespace
@@ -267,7 +267,7 @@
 
 void GossipExchange::onPlatformStatus(const PlatformStatus &status)
 {
-    if (status.answeredMs == PlatformStatus::unknown)
+    if (status.upMs == 0)
         return;
     m_context.directory.onPlatformReported(
         {fromMilliseconds(status.answeredMs), fromMilliseconds(status.upMs)}, m_context.now);
--- a/lib/Balancer/RequestLog.cpp
+++ b/lib/Balancer/RequestLog.cpp
@@ -165,6 +165,8 @@
     fields["catalog"] = Json::UInt64(request.routeTable->catalog().version);
     if (includesSteps && m_detailBudget.tryTake(0, LogLevel::Info, m_context.now)) {
         fields["directory"] = Json::UInt64(m_context.directory.revision());
+        if (const auto report = m_context.directory.platformUptime().report(m_context.now))
+            fields["platformAnsweredMs"] = toMilliseconds(report->sinceAnswer);
         fields["nodes"] = Json::UInt64(m_context.peers.liveCount(m_context.now));
         fields["steps"] = request.trace.details();
     }
