Forget what is known of the platform's answers when the process was paused

Callers of the whole fleet were refused for up to a second: one node was paused, read on waking what the platform had answered before its outage, took that for an answer of now and told its peers that the platform had been up all the while; when the platform was back, all nodes dropped the targets whose entries had lapsed.

After a pause a node forgets the period that it knew and ignores answers and reports for 200 ms, in which it handles what waited for it. Peers then tell it the rest.

--- a/include/berylridge/Catalog/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -4,7 +4,6 @@
 
 #include "berylridge/Support/Time.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace berylridge {
@@ -32,6 +31,9 @@
     void onAnswered(TimePoint now);
     /// Records another node's report.
     void onReported(const Report &report, TimePoint now);
+    /// Forgets everything after a pause of this process. What it receives next may have waited for
+    /// it, and says nothing about the present.
+    void onProcessResumed(TimePoint now);
 
     /// Returns since when the platform has been up without an outage; empty if no answer is known.
     std::optional<TimePoint> upSince() const;
@@ -54,10 +56,14 @@
         TimePoint to;
     };
 
+    /// Time in which a resumed process handles what waited for it.
+    static constexpr Duration backlogTime = std::chrono::milliseconds(200);
+
     void merge(const Period &period);
 
     std::optional<Period> m_up; ///< The newest period without an outage.
     std::optional<TimePoint> m_ownAnswerAt;
+    TimePoint m_backlogEnd {}; ///< Answers and reports before this time are ignored.
 };
 
 } // namespace berylridge
--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -52,6 +52,7 @@
     /// Must be called before the update is applied that came with it.
     void onPlatformAnswered(TimePoint now);
     void onPlatformReported(const PlatformUptime::Report &report, TimePoint now);
+    void onProcessResumed(TimePoint now) { m_platformUptime.onProcessResumed(now); }
     const PlatformUptime &platformUptime() const { return m_platformUptime; }
 
     /// Returns whether new requests may be sent to the target.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -103,6 +103,7 @@
         return;
     m_context.log(LogEventId::WokeLate, std::to_string(gap.count() / 1000) + " ms");
     m_context.peers.onProcessResumed(gap);
+    m_context.directory.onProcessResumed(m_context.now);
 }
 
 void BalancerCore::Impl::dispatch(const Event &event)
--- a/lib/Catalog/PlatformUptime.cpp
+++ b/lib/Catalog/PlatformUptime.cpp
@@ -6,16 +6,27 @@
 
 void PlatformUptime::onAnswered(TimePoint now)
 {
+    if (now < m_backlogEnd)
+        return;
     m_ownAnswerAt = now;
     merge({now, now});
 }
 
 void PlatformUptime::onReported(const Report &report, TimePoint now)
 {
+    if (now < m_backlogEnd)
+        return;
     const TimePoint to = now - report.sinceAnswer;
     merge({std::min(now - report.upFor, to), to});
 }
 
+void PlatformUptime::onProcessResumed(TimePoint now)
+{
+    m_up.reset();
+    m_ownAnswerAt.reset();
+    m_backlogEnd = now + backlogTime;
+}
+
 void PlatformUptime::merge(const Period &period)
 {
     if (!m_up) {
--- a/unittests/Balancer/TargetDepartureTest.cpp
+++ b/unittests/Balancer/TargetDepartureTest.cpp
@@ -385,6 +385,24 @@
     EXPECT_EQ(nodesThatUse(m_targets[1]), m_fleet.nodes().size());
 }
 
+// Guards against a fleet that forgets all targets because a node that was paused takes what it
+// received before the pause for an answer during the outage.
+TEST_F(TargetDepartureTest, AnswerThatWaitedForAPausedNodeDoesNotHideAnOutage)
+{
+    test::SimulatedFleet::pauseNode(node(0));
+    runFor(1500ms);
+    m_store.setDown(true);
+    runFor(4s);
+    m_fleet.resumeNode(node(0));
+    runFor(1s);
+    for (const Target &target : m_targets)
+        m_store.remove(target.id);
+    m_store.setDown(false);
+    runFor(relistTime - 500ms);
+    for (const Target &target : m_targets)
+        EXPECT_EQ(nodesThatUse(target), m_fleet.nodes().size()) << target.id;
+}
+
 // Guards against requests to a target later than the users' bound after it left, and against
 // refusals while the entries of live targets have lapsed, in the midst of random outages.
 TEST(TargetDepartureFleetTest, NoRequestReachesATargetThatHasLeft)
--- a/unittests/Catalog/PlatformUptimeTest.cpp
+++ b/unittests/Catalog/PlatformUptimeTest.cpp
@@ -109,6 +109,22 @@
     EXPECT_EQ(upFor(first), 0s);
 }
 
+// Guards against a process that takes an answer for a new one that waited while it was paused.
+TEST_F(PlatformUptimeTest, AResumedProcessWaitsForNewAnswers)
+{
+    readFor(5s, {&first, &second});
+    clock.advance(4s);
+    first.onProcessResumed(clock.now());
+    first.onAnswered(clock.now());
+    first.onReported({0s, 5s}, clock.now());
+    EXPECT_FALSE(first.answeredAt());
+    EXPECT_FALSE(first.ownReport(clock.now()));
+    clock.advance(1s);
+    second.onAnswered(clock.now());
+    report(second, {&first});
+    EXPECT_EQ(first.upSince(), clock.now());
+}
+
 // Guards against an end before the start in a report of another release or with damaged values.
 TEST_F(PlatformUptimeTest, AReportWithoutSenseIsBounded)
 {
