--- a/unittests/Catalog/PlatformUptimeTest.cpp
+++ b/unittests/Catalog/PlatformUptimeTest.cpp
@@ -14,7 +14,7 @@
     PlatformUptimeTest() { clock.advance(100s); }
 
     /// Lets the platform answer the nodes for the given time, and these report to `receivers`.
-    void readFor(Duration time, std::vector<PlatformUptime *> readers,
+    void readFor(Duration time, const std::vector<PlatformUptime *> &readers,
                  const std::vector<PlatformUptime *> &receivers = {})
     {
         for (Duration elapsed {0}; elapsed < time; elapsed += 1s) {
