Take no removal for a lapse because this process has just started

A target that ended in the first two seconds of a process was used on: the first answer of the platform that a process ever had looked like the end of an outage.

Only a period after an earlier one, or after a pause of the process, follows an outage. RemovalSoonAfterAStartIsNoLapse is new; the directory's tests of lapses give it an earlier answer first.

--- a/include/berylridge/Catalog/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -37,6 +37,12 @@
 
     /// Returns since when the platform has been up without an outage; empty if no answer is known.
     std::optional<TimePoint> upSince() const;
+    /// Returns when the last outage that this node may have missed answers in ended; empty if there
+    /// was none since the process started.
+    std::optional<TimePoint> outageEnd() const
+    {
+        return m_followsOutage ? upSince() : std::nullopt;
+    }
     /// Returns the time of the newest answer to any node that this node knows of.
     std::optional<TimePoint> answeredAt() const;
     /// Returns whether the platform is probably down: no answer to any node is known for longer
@@ -61,7 +67,8 @@
 
     void merge(const Period &period);
 
-    std::optional<Period> m_up; ///< The newest period without an outage.
+    std::optional<Period> m_up;   ///< The newest period without an outage.
+    bool m_followsOutage = false; ///< Whether an outage preceded that period.
     std::optional<TimePoint> m_ownAnswerAt;
     TimePoint m_backlogEnd {}; ///< Answers and reports before this time are ignored.
 };
--- a/lib/Catalog/PlatformUptime.cpp
+++ b/lib/Catalog/PlatformUptime.cpp
@@ -23,6 +23,7 @@
 void PlatformUptime::onProcessResumed(TimePoint now)
 {
     m_up.reset();
+    m_followsOutage = true;
     m_ownAnswerAt.reset();
     m_backlogEnd = now + backlogTime;
 }
@@ -35,10 +36,12 @@
     }
     const bool isOnePeriod
         = period.from <= m_up->to + maxAnswerGap && m_up->from <= period.to + maxAnswerGap;
-    if (isOnePeriod)
+    if (isOnePeriod) {
         m_up = Period {std::min(m_up->from, period.from), std::max(m_up->to, period.to)};
-    else if (period.to > m_up->to)
+    } else if (period.to > m_up->to) {
         m_up = period;
+        m_followsOutage = true;
+    }
 }
 
 std::optional<TimePoint> PlatformUptime::upSince() const
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -127,7 +127,8 @@
     m_versions.onUnlisted(entry.record.service, entry.version, now);
     // A draining target is gone; an entry that lapsed during the outage may belong to a healthy
     // target.
-    entry.mayHaveLapsed = !entry.record.isDraining && now < lapseGraceEnd();
+    const bool isAfterOutage = m_platformUptime.outageEnd().has_value();
+    entry.mayHaveLapsed = !entry.record.isDraining && isAfterOutage && now < lapseGraceEnd();
     m_hasLapses |= entry.mayHaveLapsed;
     recordRemoval(entry, now);
 }
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -29,6 +29,8 @@
 class TargetDirectoryTest : public testing::Test
 {
 protected:
+    TargetDirectoryTest() { knowAnEarlierAnswer(directory); }
+
     void apply(std::uint64_t revision, std::vector<TargetRecord> targets,
                bool isFullSnapshot = false, std::vector<ZoneRecord> zones = {})
     {
@@ -40,6 +42,12 @@
         directory.apply(update, clock.now());
     }
 
+    /// The next answer is then the first one after an outage.
+    void knowAnEarlierAnswer(TargetDirectory &known) const
+    {
+        known.onPlatformReported({10s, 20s}, clock.now());
+    }
+
     bool isUsable(const char *id) const
     {
         const auto *entry = directory.find(id);
@@ -112,6 +120,16 @@
     EXPECT_FALSE(isUsable("t"));
 }
 
+// Guards against a node that takes its own start for the end of an outage.
+TEST_F(TargetDirectoryTest, RemovalSoonAfterAStartIsNoLapse)
+{
+    TargetDirectory started;
+    started.onPlatformAnswered(clock.now());
+    started.apply({5, true, true, {makeRecord("t", 5)}, {}}, clock.now());
+    started.apply({6, false, true, {makeRemoval("t", 6)}, {}}, clock.now());
+    EXPECT_FALSE(started.isUsable(*started.find("t"), clock.now()));
+}
+
 TEST_F(TargetDirectoryTest, EvacuatedZoneIsUnusableUntilRestored)
 {
     apply(5, {makeRecord("t", 5)}, true);
@@ -138,6 +156,7 @@
 {
     apply(5, {makeRecord("t", 5)}, true);
     TargetDirectory other;
+    knowAnEarlierAnswer(other);
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     EXPECT_EQ(other.revision(), 5U);
     apply(8, {makeRemoval("t", 8), makeRecord("u", 7)}, false, {{"b", 6, true}});
@@ -165,6 +184,7 @@
 {
     apply(5, {makeRecord("t", 5), makeRecord("u", 5)}, true);
     TargetDirectory other;
+    knowAnEarlierAnswer(other);
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     apply(6, {makeRemoval("u", 6)});
     other.apply(directory.updateSince(5, clock.now()), clock.now());
@@ -192,6 +212,7 @@
 {
     apply(5, {makeRecord("t1", 5)}, true);
     TargetDirectory other;
+    knowAnEarlierAnswer(other);
     other.onPlatformAnswered(clock.now());
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     clock.advance(TargetDirectory::lapsedEntryGracePeriod);
@@ -252,6 +273,7 @@
     directory.onPlatformAnswered(clock.now());
     apply(7, {makeRemoval("t", 7)});
     TargetDirectory other;
+    knowAnEarlierAnswer(other);
     other.onPlatformAnswered(clock.now());
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     EXPECT_TRUE(other.isUsable(*other.find("t"), clock.now()));
@@ -265,6 +287,7 @@
 {
     apply(5, {makeRecord("t1", 5)}, true);
     TargetDirectory other;
+    knowAnEarlierAnswer(other);
     other.apply(directory.updateSince(0, clock.now()), clock.now());
     clock.advance(1s);
     directory.onPlatformAnswered(clock.now());
