Tests: a platform that answers within a pause of targets

TargetGetsNoRequestsDuringThePauseItAskedFor let 2.9 s pass without an answer of the platform and then removed a target: an outage, after which the removal may be a lapse. A platform that is up answers each second; the test now has an answer in between, and asserts the same over the same 2.9 s.

--- a/unittests/Balancer/TargetAdviceTest.cpp
+++ b/unittests/Balancer/TargetAdviceTest.cpp
@@ -54,7 +54,10 @@
     installTargets({"t1", "t2"});
     const Dispatch rejected = sendAndFindDispatch();
     rejectWithRetryAfter(rejected, 3s);
-    EXPECT_EQ(sendRequestsFor(2900ms).count(rejected.target.str()), 0U);
+    EXPECT_EQ(sendRequestsFor(1500ms).count(rejected.target.str()), 0U);
+    // Without an answer in between, the removal below could be a lapse in an outage.
+    installTargets({"t1", "t2"});
+    EXPECT_EQ(sendRequestsFor(1400ms).count(rejected.target.str()), 0U);
     installTargets({rejected.target.str()});
     EXPECT_GT(sendRequestsFor(1s)[rejected.target.str()], 0) << "used again after the pause";
 }
