--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -11,6 +11,7 @@
 import secrets
 import signal
 import socket
+import sys
 import tempfile
 import time
 
@@ -288,6 +289,8 @@
 class Router:
     """One entry VM with one process, started by the command of deploy/system.toml."""
 
+    started = []
+
     def __init__(self, record, node, zone, ip, store, folder):
         self.record, self.node, self.zone, self.ip = record, node, zone, ip
         self.front, self.readyz, self.ctl, self.peer = (free_port(ip) for _ in range(4))
@@ -313,6 +316,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "target/bin/berylridge-platform", "--settings", self.settings, cwd=REPOSITORY,
             stdout=self.log, stderr=self.log, env={"PATH": os.environ["PATH"]})
+        Router.started.append(self)
         self.started_at, self.stopping_at = self.record.now(), None
         self.record.add(f"router {self.node} is started")
 
@@ -402,5 +406,27 @@
             "tenants": [{"name": "hule930", "api_keys": [key], "priority": 1}]}
 
 
-def temporary_folder():
-    return tempfile.TemporaryDirectory(prefix="berylridge-review-")
+def run_case(play, record_path):
+    """Plays the case, ends all processes, and exits with its result; 2 if it could not run."""
+    record = Record(record_path)
+
+    def end_routers(*_):
+        for router in Router.started:
+            router.end()
+
+    def on_sigterm(*_):
+        end_routers()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, on_sigterm)
+    result, text = 2, "the case could not run"
+    with tempfile.TemporaryDirectory(prefix="berylridge-review-") as folder:
+        try:
+            result, text = asyncio.new_event_loop().run_until_complete(play(record, folder))
+        except Exception as error:
+            text = f"the case could not run: {error!r}"
+        end_routers()
+    record.add(f"result {result}: {text}")
+    print(text, flush=True)
+    sys.stderr.flush()
+    os._exit(result)  # Open channels of the stand-ins need no orderly end.
