Logs: what the version of a taken-up stream was found by

The record of the incident names streams that were joined from two versions and no reason: nothing told whether the version came from a record, from a peer or from the only version that the node knew, who was asked, or how old the view was.

5001 and 5007 have a step "stream origin" with the basis, the node that knew it, how many were asked and answered, the directory's revision and the age of the platform's last answer. Answers between nodes state their basis. 5016 is logged if nodes name different versions: lookups stay for the rest of their time, to compare later answers. berylridge_streams_resumed_total counts streams by basis.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -197,8 +197,9 @@
 struct StreamOriginAnswer
 {
     StreamOriginEntry origin;
-    bool isKnown = false; ///< Whether the fields of `origin` other than `stream` are set.
-    MSGPACK_DEFINE(origin, isKnown)
+    bool isKnown = false;   ///< Whether the fields of `origin` other than `stream` are set.
+    std::uint8_t basis = 0; ///< OriginBasis.
+    MSGPACK_DEFINE(origin, isKnown, basis)
 };
 
 /// Parts of prompts that targets were running when their connections broke. It is sent along with
--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -98,6 +98,9 @@
     /// Counts a connection that was closed before its response was complete.
     void countCutResponse(const std::string &reason);
 
+    /// Counts a request that continues a stream of its caller, by what the version was found by.
+    void countResumedStream(const std::string &basis);
+
     void countTargetAdvice(const TargetAdvice &advice);
 
     /// Prints all metrics. controlCpuSeconds is the processor time of the control thread.
@@ -107,6 +110,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, std::uint64_t> m_rejectedRequests;
     std::map<std::string, std::uint64_t> m_cutResponses; ///< Keyed by reason.
+    std::map<std::string, std::uint64_t> m_resumedStreams;
 };
 
 } // namespace berylridge
--- a/include/berylridge/Policy/StreamOrigins.h
+++ b/include/berylridge/Policy/StreamOrigins.h
@@ -7,7 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
+#include <string_view>
 #include <unordered_map>
 
 namespace berylridge {
@@ -15,6 +15,16 @@
 /// Hash of the request id of the attempt that brought a stream's first event.
 using StreamKey = std::uint64_t;
 
+/// What the knowledge of a stream's origin rests on.
+enum class OriginBasis : std::uint8_t {
+    Unstated,    ///< An earlier release doesn't state it.
+    Record,      ///< A node recorded the stream.
+    OnlyVersion, ///< No other version was listed for longer than a stream lasts.
+};
+
+/// Returns a word for logs and metrics.
+std::string_view originBasisName(OriginBasis basis);
+
 struct StreamOrigin
 {
     std::uint32_t service = 0; ///< hash32() of the service's name.
@@ -22,6 +32,7 @@
     /// Number of the node's attempt. The first attempts may have failed before an event, so that
     /// of two origins of a stream the one with the higher number holds.
     std::uint32_t attempt = 0;
+    OriginBasis basis = OriginBasis::Record;
 };
 
 /// Not thread-safe.
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -42,6 +42,9 @@
     Duration idleTimeout {0};      ///< Limit between two pieces of the response.
     SilencePolicy silencePolicy = SilencePolicy::Fail;
     bool isResumed = false; ///< Continues a stream after the part that the caller has.
+    /// Name of what the version of a stream was found by; set on the first attempt of a request
+    /// that continues a stream of the caller.
+    std::string originBasis {};
     bool storesResponse
         = false;           ///< AttemptDone returns the response, to replay it for the same key.
     WorkspaceId workspace; ///< Owner of the request; sent to the target.
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -40,6 +40,8 @@
     std::optional<StreamResumption> resumption;
     /// Software version that began the stream of which the caller has events; empty if it has none.
     std::optional<VersionKey> version;
+    /// What the version of a stream that the caller takes up was found by.
+    std::optional<OriginBasis> originBasis;
     TimePoint arrivedAt;
     TimePoint deadline; ///< Earlier of the caller's deadline and the route's timeout.
     RequestState state = RequestState::Arrived;
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -172,7 +172,7 @@
             [&](const RerunNotice &m) { m_gossip.onRerunNotice(message.from, m); },
             [&](const StreamOriginUpdate &m) { m_streamOrigins.onUpdate(m); },
             [&](const StreamOriginQuery &m) { m_streamOrigins.onQuery(message.from, m); },
-            [&](const StreamOriginAnswer &m) { m_streamOrigins.onAnswer(m); },
+            [&](const StreamOriginAnswer &m) { m_streamOrigins.onAnswer(message.from, m); },
             [&](const DirectoryRelay &m) {
                 m_gossip.onDirectoryRelayed(m);
                 onDirectory(m.directoryUpdate, message.from.str());
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -168,10 +168,29 @@
 {
     // Without the stream's own key, a key of this request selects the nodes to ask.
     const StreamKey stream = request.streamKey().value_or(hash64(request.id));
-    if (const auto origin = m_streamOrigins.find(stream, request.service->name))
+    if (const auto origin = m_streamOrigins.find(stream, request.service->name)) {
+        StreamOriginExchange::Result result;
+        result.origin = origin;
+        addOriginStep(request, result);
         continueStream(request, *origin);
-    else
+    } else {
         m_streamOrigins.ask({request.handle, stream, request.service->name});
+    }
+}
+
+void RequestProcessor::addOriginStep(BalancedRequest &request,
+                                     const StreamOriginExchange::Result &result) const
+{
+    OriginStep step;
+    step.basis = result.origin ? std::optional(result.origin->basis) : std::nullopt;
+    request.originBasis = step.basis;
+    step.answeredBy = result.answeredBy;
+    step.asked = result.asked;
+    step.answers = result.answers;
+    step.revision = m_context.directory.revision();
+    if (const auto report = m_context.directory.platformUptime().report(m_context.now))
+        step.platformAnswerAge = report->sinceAnswer;
+    request.trace.add(m_context.now - request.arrivedAt, std::move(step));
 }
 
 void RequestProcessor::handleStreamOrigins()
@@ -180,13 +199,14 @@
         const auto found = m_requests.find(result.request);
         if (found == m_requests.end())
             continue;
+        addOriginStep(found->second, result);
         if (result.origin) {
             continueStream(found->second, *result.origin);
             continue;
         }
         // Another node may know the stream if some of those that were asked have not answered.
         const auto retryAfter
-            = result.hasAllAnswers ? std::nullopt : std::optional(unknownOriginRetryAfter);
+            = result.hasAllAnswers() ? std::nullopt : std::optional(unknownOriginRetryAfter);
         refuse(found->second, unknownOriginRefusal(retryAfter));
     }
 }
@@ -392,6 +412,8 @@
     dispatch.idleTimeout = allowsAnotherAttempt(request) ? std::min(left, maxSilence) : left;
     dispatch.silencePolicy = SilencePolicy::Report;
     dispatch.isResumed = request.isPartlyDelivered;
+    if (request.attempts == 1 && request.originBasis)
+        dispatch.originBasis = originBasisName(*request.originBasis);
     dispatch.workspace = request.workspace;
     dispatch.resendPolicy
         = request.route->isRetryable() ? ResendPolicy::Allowed : ResendPolicy::Forbidden;
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -62,6 +62,7 @@
     Refusal unknownRefusal(Refusal refusal) const;
     void admit(BalancedRequest &request);
     void takeUpStream(BalancedRequest &request);
+    void addOriginStep(BalancedRequest &request, const StreamOriginExchange::Result &result) const;
     void continueStream(BalancedRequest &request, const StreamOrigin &origin);
     void recordStreamOrigin(BalancedRequest &request);
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -21,6 +21,19 @@
         out["targetSilentMs"] = toMilliseconds(*step.targetSilentFor);
 }
 
+void describe(const OriginStep &step, Json::Value &out)
+{
+    out["step"] = "stream origin";
+    out["basis"] = step.basis ? std::string(originBasisName(*step.basis)) : "unknown";
+    if (!step.answeredBy.isEmpty())
+        out["answeredBy"] = step.answeredBy.str();
+    out["asked"] = Json::UInt64(step.asked);
+    out["answers"] = Json::UInt64(step.answers);
+    out["directory"] = Json::UInt64(step.revision);
+    if (step.platformAnswerAge)
+        out["platformAnsweredMs"] = toMilliseconds(*step.platformAnswerAge);
+}
+
 void describe(const PlacementStep &step, Json::Value &out)
 {
     const TargetChoice &choice = step.choice;
--- a/lib/Balancer/RequestTrace.h
+++ b/lib/Balancer/RequestTrace.h
@@ -4,6 +4,7 @@
 
 #include "TargetSelector.h"
 
+#include "berylridge/Policy/StreamOrigins.h"
 #include "berylridge/Policy/WorkspaceShares.h"
 
 #include <json/value.h>
@@ -14,6 +15,18 @@
 
 namespace berylridge {
 
+/// Records how the software version that began a stream was found.
+struct OriginStep
+{
+    std::optional<OriginBasis> basis; ///< Empty if the version was not found.
+    NodeId answeredBy;                ///< Empty if this node knew it.
+    std::size_t asked = 0;            ///< Number of nodes that were asked.
+    std::size_t answers = 0;
+    std::uint64_t revision = 0; ///< This node's revision of the directory.
+    /// Time since the platform's last answer to any node.
+    std::optional<Duration> platformAnswerAge;
+};
+
 /// Records that a target was chosen, and whether the request was sent there or rejected because the
 /// wait is too long.
 struct PlacementStep
@@ -56,7 +69,7 @@
     std::optional<Duration> targetSilentFor;
 };
 
-using RequestTraceStep = std::variant<PlacementStep, NoTargetStep, ResponseStartedStep,
+using RequestTraceStep = std::variant<OriginStep, PlacementStep, NoTargetStep, ResponseStartedStep,
                                       AttemptFailedStep, TargetSilentStep>;
 
 class RequestTrace
--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -22,7 +22,7 @@
     if (const StreamOrigin *origin = m_origins.find(stream))
         return *origin;
     if (const auto version = onlyVersion(service))
-        return StreamOrigin {hash32(service), *version, 0};
+        return StreamOrigin {hash32(service), *version, 0, OriginBasis::OnlyVersion};
     return std::nullopt;
 }
 
@@ -50,18 +50,26 @@
         = m_context.peers.recordHoldersToAsk(lookup.stream, m_context.now);
     for (const auto &[node, endpoint] : receivers)
         m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
-    if (receivers.empty()) {
-        m_results.push_back({lookup.request, std::nullopt, true});
-        return;
-    }
-    const StreamKey stream = lookup.stream;
-    m_pending.emplace(stream, PendingLookup {std::move(lookup), receivers.size(), m_context.now});
+    PendingLookup pending {std::move(lookup), {}, m_context.now};
+    pending.result.request = pending.lookup.request;
+    pending.result.asked = receivers.size();
+    if (receivers.empty())
+        end(pending);
+    else
+        m_pending.emplace(query.stream, std::move(pending));
+}
+
+void StreamOriginExchange::end(PendingLookup &pending)
+{
+    pending.hasEnded = true;
+    m_results.push_back(pending.result);
 }
 
 void StreamOriginExchange::onUpdate(const StreamOriginUpdate &update)
 {
     for (const StreamOriginEntry &entry : update.streams) {
-        m_origins.record(entry.stream, {entry.service, entry.version, entry.attempt},
+        m_origins.record(entry.stream,
+                         {entry.service, entry.version, entry.attempt, OriginBasis::Record},
                          streamLifetime(), m_context.now);
     }
 }
@@ -75,42 +83,61 @@
     answer.origin.stream = query.stream;
     if (const auto origin = find(query.stream, query.service)) {
         answer.isKnown = true;
+        answer.basis = static_cast<std::uint8_t>(origin->basis);
         answer.origin = {query.stream, origin->service, origin->version, origin->attempt};
     }
     m_context.emit(SendToNode {from, peer->endpoint, BalancerMessage(answer)});
 }
 
-void StreamOriginExchange::onAnswer(const StreamOriginAnswer &answer)
+void StreamOriginExchange::onAnswer(const NodeId &from, const StreamOriginAnswer &answer)
 {
     const StreamOriginEntry &entry = answer.origin;
-    auto [next, end] = m_pending.equal_range(entry.stream);
-    while (next != end) {
+    const auto [first, last] = m_pending.equal_range(entry.stream);
+    for (auto next = first; next != last; ++next) {
         PendingLookup &pending = next->second;
-        const bool isLastAnswer = --pending.answersMissing == 0;
-        if (!answer.isKnown && !isLastAnswer) {
-            ++next;
+        ++pending.result.answers;
+        if (pending.hasEnded) {
+            logConflict(pending, from, answer);
             continue;
         }
-        Result result {pending.lookup.request, std::nullopt, isLastAnswer};
-        if (answer.isKnown)
-            result.origin = StreamOrigin {entry.service, entry.version, entry.attempt};
-        m_results.push_back(result);
-        next = m_pending.erase(next);
+        if (answer.isKnown) {
+            pending.result.origin = StreamOrigin {entry.service, entry.version, entry.attempt,
+                                                  static_cast<OriginBasis>(answer.basis)};
+            pending.result.answeredBy = from;
+        }
+        if (answer.isKnown || pending.result.hasAllAnswers())
+            end(pending);
     }
 }
 
+void StreamOriginExchange::logConflict(const PendingLookup &pending, const NodeId &from,
+                                       const StreamOriginAnswer &answer)
+{
+    const std::optional<StreamOrigin> &origin = pending.result.origin;
+    if (!origin || !answer.isKnown || origin->version == answer.origin.version)
+        return;
+    Json::Value fields;
+    fields["stream"] = hexText(pending.lookup.stream);
+    fields["nodes"].append(pending.result.answeredBy.str());
+    fields["nodes"].append(from.str());
+    fields["bases"].append(static_cast<unsigned>(origin->basis));
+    fields["bases"].append(answer.basis);
+    m_context.log(LogEventId::StreamOriginConflict, pending.lookup.service, std::move(fields));
+}
+
 void StreamOriginExchange::tick(bool isDirectoryFresh)
 {
     m_isDirectoryFresh = isDirectoryFresh;
     m_origins.expire(m_context.now);
     reportStreams();
-    std::erase_if(m_pending, [&](const auto &entry) {
-        const PendingLookup &pending = entry.second;
-        if (m_context.now - pending.startedAt < lookupTimeout)
-            return false;
-        m_results.push_back({pending.lookup.request, std::nullopt, false});
-        return true;
-    });
+    const auto isOver = [&](const PendingLookup &pending) {
+        return m_context.now - pending.startedAt >= lookupTimeout;
+    };
+    for (auto &[stream, pending] : m_pending) {
+        if (!pending.hasEnded && isOver(pending))
+            end(pending);
+    }
+    std::erase_if(m_pending, [&](const auto &entry) { return isOver(entry.second); });
 }
 
 /// Reports the streams that began here to the nodes that keep them. While a service has only one
--- a/lib/Balancer/StreamOriginExchange.h
+++ b/lib/Balancer/StreamOriginExchange.h
@@ -36,7 +36,11 @@
     {
         RequestHandle request = 0;
         std::optional<StreamOrigin> origin;
-        bool hasAllAnswers = false; ///< Whether all nodes that were asked have answered.
+        NodeId answeredBy;       ///< Node that knew the origin.
+        std::size_t asked = 0;   ///< Number of nodes that were asked.
+        std::size_t answers = 0; ///< Number of answers that arrived.
+
+        bool hasAllAnswers() const { return answers >= asked; }
     };
 
     explicit StreamOriginExchange(BalancerContext &context)
@@ -53,7 +57,7 @@
 
     void onUpdate(const StreamOriginUpdate &update);
     void onQuery(const NodeId &from, const StreamOriginQuery &query);
-    void onAnswer(const StreamOriginAnswer &answer);
+    void onAnswer(const NodeId &from, const StreamOriginAnswer &answer);
 
     /// Returns the lookups that have ended since the last call.
     std::vector<Result> takeResults() { return std::exchange(m_results, {}); }
@@ -73,8 +77,9 @@
     struct PendingLookup
     {
         Lookup lookup;
-        std::size_t answersMissing = 0;
+        Result result;
         TimePoint startedAt;
+        bool hasEnded = false; ///< The result was reported; later answers are only compared.
     };
     /// A stream that began here and was not reported to other nodes.
     struct UnreportedStream
@@ -93,6 +98,9 @@
     std::optional<VersionKey> onlyVersion(const std::string &service) const;
     /// Returns the time for which a stream may be taken up after it has begun.
     Duration streamLifetime() const;
+    void end(PendingLookup &pending);
+    void logConflict(const PendingLookup &pending, const NodeId &from,
+                     const StreamOriginAnswer &answer);
     void reportStreams();
     bool addToUpdates(const StreamOriginEntry &entry, Updates &updates);
     void sendUpdate(const Endpoint &endpoint, Receiver &receiver);
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -82,6 +82,8 @@
     if (m_stream)
         m_stream->beginAttempt();
     m_thread.metrics().streamsContinued += command.isResumed ? 1 : 0;
+    if (!command.originBasis.empty())
+        m_thread.metrics().countResumedStream(command.originBasis);
     m_attempt = std::make_shared<TargetAttempt>(
         m_thread.context(), m_thread.pool(), m_thread.metrics(), m_thread.protocol().traits,
         shared_from_this(), command, targetRequest(command));
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -122,6 +122,12 @@
     ++m_cutResponses[reason];
 }
 
+void Metrics::countResumedStream(const std::string &basis)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_resumedStreams[basis];
+}
+
 void Metrics::countTargetAdvice(const TargetAdvice &advice)
 {
     targetPausesRequested += advice.retryAfter ? 1 : 0;
@@ -151,6 +157,12 @@
                       out);
         for (const auto &[reason, count] : m_cutResponses)
             printSample("berylridge_responses_cut_total", label("reason", reason), count, out);
+        printMetadata("berylridge_streams_resumed_total",
+                      "streams of callers that were sent to a target, by what the software version "
+                      "was found by",
+                      "counter", out);
+        for (const auto &[basis, count] : m_resumedStreams)
+            printSample("berylridge_streams_resumed_total", label("basis", basis), count, out);
     }
     counter("berylridge_callers_gone_total", "callers that left before their answer",
             callerDisconnects);
--- a/lib/Policy/StreamOrigins.cpp
+++ b/lib/Policy/StreamOrigins.cpp
@@ -2,6 +2,19 @@
 
 namespace berylridge {
 
+std::string_view originBasisName(OriginBasis basis)
+{
+    switch (basis) {
+    case OriginBasis::Unstated:
+        return "unstated";
+    case OriginBasis::Record:
+        return "record";
+    case OriginBasis::OnlyVersion:
+        return "only-version";
+    }
+    return "unstated";
+}
+
 void StreamOrigins::record(StreamKey stream, const StreamOrigin &origin, Duration lifetime,
                            TimePoint now)
 {
