Tests: streams that are joined from two versions, failing

The removed entries of a peer fit what the users saw best: after a restart, each of them hides one listed target of its version, so the node takes the other version for the only one, asks nobody and joins all streams at that version.

--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -341,3 +341,74 @@
     ASSERT_TRUE(findAction<Refuse>());
     EXPECT_GE(findAction<Refuse>()->retryAfter, Duration(2s));
 }
+
+// Guards against a record of a version whose attempt failed before its first event: a caller that
+// takes the stream up has events of a later attempt.
+TEST_F(StreamVersionTest, ResponseHeadWithoutAnEventIsNotRecorded)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    const auto first = send("/stream/1");
+    ASSERT_TRUE(first);
+    handle(AttemptHead {first->handle, first->attempt, 200, {}});
+    advanceTime(200ms);
+    EXPECT_TRUE(sentMessages<StreamOriginUpdate>().empty());
+}
+
+// Guards against a stream that is joined from two versions because this node's only one is taken
+// for the version that began it, although others may have been listed since this node was told.
+TEST_F(StreamVersionTest, OnlyVersionOfAnOldViewIsNoOrigin)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+}
+
+// Guards against a peer's guess that is taken for knowledge.
+TEST_F(StreamVersionTest, OnlyVersionOfAnOldViewIsNoAnswer)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    receiveDigest("n2", "a", 1, revision, true);
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s"})});
+    for (const auto &[endpoint, answer] : sentMessages<StreamOriginAnswer>())
+        EXPECT_FALSE(answer.isKnown);
+}
+
+// Guards against a stream that is joined because peers report former targets of a version, which
+// seems to have no target then.
+TEST_F(StreamVersionTest, FormerTargetsThatAPeerReportsDoNotHideAVersion)
+{
+    installCatalog();
+    DirectoryRelay relay;
+    relay.directoryUpdate.revision = ++revision;
+    relay.directoryUpdate.isFullSnapshot = true;
+    for (const char *id : {"t1", "t2", "t3"}) {
+        TargetRecord record;
+        record.id = id;
+        record.revision = revision;
+        record.service = "s";
+        record.zone = "a";
+        record.address = "10.1.0.1";
+        record.softwareVersion = record.id == "t1" ? "v1" : "v2";
+        record.isRemoved = record.id == "t3";
+        relay.directoryUpdate.targets.push_back(record);
+    }
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(relay)});
+    advanceTime(longAgo);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+}
+
+// Guards against a stream that is joined because its caller sends its third or fourth request for
+// it, when the version that began it is forgotten.
+TEST_F(StreamVersionTest, VersionIsRememberedForAllRequestsOfACaller)
+{
+    installTwoVersions();
+    installTargets({"t3", "t4"});
+    advanceTime(15s);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
+    EXPECT_FALSE(findAction<Dispatch>());
+}
--- a/unittests/Catalog/VersionHistoryTest.cpp
+++ b/unittests/Catalog/VersionHistoryTest.cpp
@@ -77,6 +77,21 @@
     EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v2")));
 }
 
+// Guards against a version that seems to be gone because a peer reports former targets of it.
+TEST_F(VersionHistoryTest, RemovedTargetsOfAPeerLeaveTheListedOnesCounted)
+{
+    DirectoryUpdate update;
+    update.revision = 10;
+    update.isFullSnapshot = true;
+    update.targets = {target("t1", "v1"), target("t2", "v2"), target("t3", "v2")};
+    for (TargetRecord &record : update.targets)
+        record.revision = 10;
+    update.targets[2].isRemoved = true;
+    directory.apply(update, clock.now());
+    clock.advance(2 * window);
+    EXPECT_FALSE(onlyVersion());
+}
+
 // Guards against two targets without a version that count as equal.
 TEST_F(VersionHistoryTest, UnknownVersionsDiffer)
 {
