Count a peer's former targets of a version as former only

Callers got streams joined from two software versions, from a node that took one of the two for the only one.

Cause: TargetDirectory::addRemoved reported a removed entry that a peer relays as unlisted. VersionHistory never counted that entry as listed, so each one took a listed target of the same version from the count. A node that is restarted receives all removed entries of its peers at once; with as many former as listed targets a version seems to be gone, and after the window the other one is the only version. The node then asks no other node.

A former target only sets the time at which its version was last listed.

--- a/include/berylridge/Catalog/VersionHistory.h
+++ b/include/berylridge/Catalog/VersionHistory.h
@@ -27,6 +27,8 @@
     /// Records that a target with the version is listed, and no longer listed.
     void onListed(const std::string &service, VersionKey version, TimePoint now);
     void onUnlisted(const std::string &service, VersionKey version, TimePoint now);
+    /// Records that a target with the version may have been listed until now, without onListed().
+    void onFormerTarget(const std::string &service, VersionKey version, TimePoint now);
 
     /// Returns the only version that targets of the service had in the time `window` up to now.
     /// Returns nothing if there were several, or if the changes in that time are not all known.
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -113,7 +113,7 @@
     entry.version = versionKeyOf(record);
     // It may have been removed just now.
     if (!record.service.empty())
-        m_versions.onUnlisted(record.service, entry.version, now);
+        m_versions.onFormerTarget(record.service, entry.version, now);
     entry.mayHaveLapsed = record.usableForMs > 0 && now < lapseGraceEnd();
     m_hasLapses |= entry.mayHaveLapsed;
 }
--- a/lib/Catalog/VersionHistory.cpp
+++ b/lib/Catalog/VersionHistory.cpp
@@ -28,6 +28,11 @@
     unlisted.lastListedAt = now;
 }
 
+void VersionHistory::onFormerTarget(const std::string &service, VersionKey version, TimePoint now)
+{
+    m_services[service][version].lastListedAt = now;
+}
+
 std::optional<VersionKey> VersionHistory::onlyVersion(std::string_view service, Duration window,
                                                       TimePoint now) const
 {
