Record a stream's origin with its first event

Guarded against: callers whose first attempt failed between the head and the first event of its response, and whose stream a later attempt began at another software version. A record was written with the head, so that a node that got only the first of the two records continued the stream at the wrong version.

The shell reports the first event of a response (FirstEventRelayed), and the core then binds the request to the version and records it. As a record exists only for the version of an event that the caller may have, no two records of a stream differ, and their order and loss no longer matter.

StreamVersionTest.ResponseHeadWithoutAnEventIsNotRecorded failed before.

--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -130,6 +130,14 @@
     std::string bootId; ///< From the target's response; empty if the response has none.
 };
 
+/// Reports that an event of the attempt's response is on its way to the caller, for the first one
+/// of a response that is a stream of events.
+struct FirstEventRelayed
+{
+    RequestHandle handle = 0;
+    AttemptNumber attempt = 0;
+};
+
 /// Reports that the response is complete.
 struct AttemptDone
 {
@@ -284,10 +292,10 @@
 };
 
 using Event
-    = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, AttemptDone,
-                   AttemptFailed, AttemptSilent, ResponseCut, TargetAdviceArrived, TargetLoadReport,
-                   TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived, VmListArrived,
-                   PlatformReachability, CatalogArrived, DirectoryArrived, SeedsChanged,
-                   LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
+    = std::variant<RequestArrived, KeyIssueRequested, CallerGone, AttemptHead, FirstEventRelayed,
+                   AttemptDone, AttemptFailed, AttemptSilent, ResponseCut, TargetAdviceArrived,
+                   TargetLoadReport, TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived,
+                   VmListArrived, PlatformReachability, CatalogArrived, DirectoryArrived,
+                   SeedsChanged, LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -61,7 +61,8 @@
     bool hasResponseStarted = false; ///< The target has started its response.
     bool isSilent = false;           ///< The target's silence was reported.
     TimePoint responseStartedAt {};  ///< When it did; valid if `hasResponseStarted`.
-    TimePoint originRecordedAt {};   ///< When the origin of the stream was last recorded.
+    /// When the origin of the stream was last recorded; unset before its first event.
+    TimePoint originRecordedAt {};
 
     RequestTrace trace;
     /// Time from the request's arrival to the start of the response.
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -115,6 +115,7 @@
                    },
                    [&](const CallerGone &e) { m_requests.onCallerGone(e); },
                    [&](const AttemptHead &e) { m_requests.onHead(e); },
+                   [&](const FirstEventRelayed &e) { m_requests.onFirstEvent(e); },
                    [&](const AttemptDone &e) { m_requests.onDone(e); },
                    [&](const AttemptFailed &e) { m_requests.onFailed(e); },
                    [&](const AttemptSilent &e) { m_requests.onSilent(e); },
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -240,16 +240,15 @@
     admit(request);
 }
 
-/// Records which software version runs the stream, for callers who take it up.
+/// Records which software version began the stream, for callers who take it up.
 void RequestProcessor::recordStreamOrigin(BalancedRequest &request)
 {
     const auto stream = request.streamKey();
-    if (!stream)
+    if (!stream || !request.version)
         return;
     request.originRecordedAt = m_context.now;
-    const VersionKey version = m_targetSelector.versionOf(request.choice);
     m_streamOrigins.record(*stream, request.service->name,
-                           {hash32(request.service->name), version, request.attempts});
+                           {hash32(request.service->name), *request.version, request.attempts});
 }
 
 std::optional<Refusal> RequestProcessor::resolveRequest(BalancedRequest &request,
@@ -463,8 +462,16 @@
     }
     m_targetSelector.onFirstEvent(request->choice, m_context.now - request->dispatchedAt);
     m_crashDetector.onResponseStarted(*request);
-    if (event.status == 200)
-        recordStreamOrigin(*request);
+}
+
+void RequestProcessor::onFirstEvent(const FirstEventRelayed &event)
+{
+    BalancedRequest *request = find(event.handle, event.attempt);
+    if (!request)
+        return;
+    if (!request->version)
+        request->version = m_targetSelector.versionOf(request->choice);
+    recordStreamOrigin(*request);
 }
 
 void RequestProcessor::onDone(const AttemptDone &event)
@@ -698,7 +705,7 @@
     m_log.tick();
     m_overloadLog.tick(m_requests.size());
     for (auto &[handle, request] : m_requests) {
-        if (request.isRunning && request.hasResponseStarted
+        if (request.isRunning && request.originRecordedAt > TimePoint {}
             && m_context.now - request.originRecordedAt > originRecordPeriod)
             recordStreamOrigin(request);
     }
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -31,6 +31,8 @@
     void onLag(const TrafficThreadReport &event);
     void onCallerGone(const CallerGone &event);
     void onHead(const AttemptHead &event);
+    /// Binds the rest of the stream to the software version that began it.
+    void onFirstEvent(const FirstEventRelayed &event);
     void onDone(const AttemptDone &event);
     void onFailed(const AttemptFailed &event);
     /// Sends the request to another target if one may and can take it; otherwise lets the attempt
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -291,6 +291,8 @@
             m_head.set(http::field::connection, "close");
         appendSerializedHttp(m_head, true, out);
     }
+    if (m_stream && m_stream->hasEvents() && !std::exchange(m_isFirstEventReported, true))
+        m_thread.report(FirstEventRelayed {m_handle, m_dispatch.attempt});
     appendBody(bytes, isEnd, out);
     return out;
 }
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -105,6 +105,7 @@
     std::optional<HeldResponse> m_heldResponse;
     std::uint64_t m_bodyBytes = 0;
     bool m_endsWithConnection = false; ///< The response has neither a length nor chunks.
+    bool m_isFirstEventReported = false;
     bool m_isResponseStarted
         = false; ///< Whether part of a response was written to the caller's connection.
     bool m_isAwaitingWrite = false;
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -118,6 +118,7 @@
             // Only the balancer handles these events (lib/Balancer).
             [](const CatalogArrived &) {},
             [](const DirectoryArrived &) {},
+            [](const FirstEventRelayed &) {},
             [](const SeedsChanged &) {},
             [](const TrafficThreadReport &) {},
             [](const AttemptSilent &) {},       // Its attempts fail when their targets are silent.
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -198,6 +198,7 @@
             [](const SeedsChanged &) { return jsonOfType("seeds"); },
             [](const TrafficThreadReport &) { return jsonOfType("lag"); },
             [](const AttemptSilent &) { return jsonOfType("silent"); },
+            [](const FirstEventRelayed &) { return jsonOfType("first event"); },
             [](const ResponseCut &) { return jsonOfType("cut"); },
             [](const TargetAdviceArrived &) { return jsonOfType("advice"); },
             [](const LeaveOrdered &e) {
--- a/unittests/Balancer/SimulatedStreams.h
+++ b/unittests/Balancer/SimulatedStreams.h
@@ -293,8 +293,10 @@
         } else {
             m_result.wentOn += stream.version == target->version ? 1 : 0;
         }
-        request->hasEvents = true;
+        const bool isFirst = !std::exchange(request->hasEvents, true);
         handle(*request->node, AttemptHead {dispatch.handle, dispatch.attempt, 200, {}});
+        if (isFirst)
+            handle(*request->node, FirstEventRelayed {dispatch.handle, dispatch.attempt});
         const Duration time
             = randomTime(std::chrono::milliseconds(200), std::chrono::milliseconds(2000));
         const Duration end = m_schedule.now() + time;
