Tests: a taken-up stream has brought an event

CatalogChangeTest.StreamOfAServiceThatIsNoLongerDescribedIsRefused sent the head of a response alone, which no longer records where the stream began.

--- a/unittests/Balancer/CatalogChangeTest.cpp
+++ b/unittests/Balancer/CatalogChangeTest.cpp
@@ -62,9 +62,11 @@
     installSplit(1, {{"s", 1}}, {"s"});
     installTargets({"t1", "t2"});
     sendRequest("/stream/1", {});
-    const auto *dispatch = findAction<Dispatch>();
-    ASSERT_TRUE(dispatch);
-    handle(AttemptHead {dispatch->handle, dispatch->attempt, 200, {}});
+    const auto *action = findAction<Dispatch>();
+    ASSERT_TRUE(action);
+    const Dispatch dispatch = *action;
+    handle(AttemptHead {dispatch.handle, dispatch.attempt, 200, {}});
+    handle(FirstEventRelayed {dispatch.handle, dispatch.attempt});
     installSplit(2, {{"s", 0}, {"other", 1}}, {"other"});
     sendRequest("/stream/2", {}, StreamResumption {"r1"});
     const auto *refuse = findAction<Refuse>();
