Take the only known version for a stream's origin after a read of the platform

Callers could get a stream joined from two software versions where a node knew only one of them. The node took that one for the origin of every stream that it had no record of, as long as some live node read the platform: that says that a reader lives, not how old a view is. The same guess was told to peers, and the first answer won, also over a record. A node that was paused, had lost changes in a listing after a lost history, or was told of changes by a peer that lacked some, guessed like any other.

Now every answer is knowledge. It is a record, or the only version by a history that this node has read itself without a gap, up to a revision of the platform that was read after the question came (ReadPlatformRevision): the store's reads are linearizable, so whatever version a stream began at was listed by then. Nodes that don't read the platform ask two that do and whose digests say that their history is long enough. Answers without a basis, of earlier releases, are ignored. A listing starts the history anew, and its streams are reported meanwhile.

StreamVersionTest.OnlyVersionOfAnOldViewIsNoOrigin and -IsNoAnswer failed before and are stricter now: the platform has another version that the node learns of later. VersionHistoryTest reads changes as a watch, since a listing starts anew; RemovedTargetsOfAPeer has the listing that follows a relay.

--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -52,6 +52,14 @@
     /// Must be called before the update is applied that came with it.
     void onPlatformAnswered(TimePoint now);
     void onPlatformReported(const PlatformUptime::Report &report, TimePoint now);
+    /// Records that this node itself read the update from the platform. Must be called after the
+    /// update was applied.
+    void onPlatformRead(const DirectoryUpdate &update, TimePoint now)
+    {
+        m_versions.onPlatformRead(update.revision, update.isFullSnapshot, now);
+    }
+    /// Records that this node no longer reads the platform itself.
+    void onPlatformReadingEnded() { m_versions.onReadingEnded(); }
     void onProcessResumed(TimePoint now) { m_platformUptime.onProcessResumed(now); }
     const PlatformUptime &platformUptime() const { return m_platformUptime; }
 
--- a/include/berylridge/Catalog/VersionHistory.h
+++ b/include/berylridge/Catalog/VersionHistory.h
@@ -8,6 +8,7 @@
 #include "berylridge/Support/VersionKey.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,18 +23,36 @@
     /// Versions that were not listed for this long are forgotten.
     static constexpr Duration maxWindow = std::chrono::minutes(10);
 
-    /// Records that from now on all changes are known.
-    void onComplete(TimePoint now);
+    /// Records a read of the platform by this node itself, after all its changes: those up to
+    /// `revision` are known. A listing doesn't tell what was listed and removed before it.
+    void onPlatformRead(std::uint64_t revision, bool isListing, TimePoint now);
+    /// Records that from now on changes may be missed.
+    void onReadingEnded() { m_completeSince.reset(); }
     /// Records that a target with the version is listed, and no longer listed.
     void onListed(const std::string &service, VersionKey version, TimePoint now);
     void onUnlisted(const std::string &service, VersionKey version, TimePoint now);
     /// Records that a target with the version may have been listed until now, without onListed().
     void onFormerTarget(const std::string &service, VersionKey version, TimePoint now);
 
-    /// Returns the only version that targets of the service had in the time `window` up to now.
-    /// Returns nothing if there were several, or if the changes in that time are not all known.
+    /// Returns whether all changes in the time `window` up to the platform's revision
+    /// readRevision() are known.
+    bool covers(Duration window, TimePoint now) const
+    {
+        return m_completeSince && now - *m_completeSince >= window;
+    }
+    /// Returns the platform's revision up to which this node's own reads know all changes; 0 if
+    /// they know none.
+    std::uint64_t readRevision() const { return m_completeSince ? m_readRevision : 0; }
+    /// Returns the only version that targets of the service had in the time `window` up to now, as
+    /// far as this node knows; empty if there were several.
+    std::optional<VersionKey> onlyKnownVersion(std::string_view service, Duration window,
+                                               TimePoint now) const;
+    /// Returns the same up to readRevision(); empty also if the changes are not all known.
     std::optional<VersionKey> onlyVersion(std::string_view service, Duration window,
-                                          TimePoint now) const;
+                                          TimePoint now) const
+    {
+        return covers(window, now) ? onlyKnownVersion(service, window, now) : std::nullopt;
+    }
 
 private:
     struct Version
@@ -42,7 +61,9 @@
         TimePoint lastListedAt;
     };
 
+    /// Since when this node's own reads have known all changes.
     std::optional<TimePoint> m_completeSince;
+    std::uint64_t m_readRevision = 0;
     std::map<std::string, std::map<VersionKey, Version>, std::less<>> m_services;
 };
 
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -109,9 +109,13 @@
     std::uint32_t missedPerSecond = 0;
     std::uint8_t rotation = 0;  ///< The sender's RotationState.
     PlatformStatus platform {}; ///< Of the sender's own reads.
+    /// Whether the sender can tell which software versions were listed for as long as a stream may
+    /// be taken up.
+    bool keepsVersionHistory = false;
     MSGPACK_DEFINE(zone, address, port, isLeaving, catalogVersion, directoryRevision, loads, flows,
                    interruptedRequests, peers, servedPerSecond, rejectedPerSecond,
-                   isReadingPlatform, isSummarized, missedPerSecond, rotation, platform)
+                   isReadingPlatform, isSummarized, missedPerSecond, rotation, platform,
+                   keepsVersionHistory)
 };
 
 /// The load that the requests of all nodes of the sender's zone put on targets. Each node of a zone
@@ -191,7 +195,9 @@
 {
     std::uint64_t stream = 0; ///< As in StreamOriginEntry.
     std::string service;      ///< Service of the stream, as far as the sender can tell.
-    MSGPACK_DEFINE(stream, service)
+    /// Whether the receiver may read the platform to find out that only one version was listed.
+    bool mayReadPlatform = false;
+    MSGPACK_DEFINE(stream, service, mayReadPlatform)
 };
 
 struct StreamOriginAnswer
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -57,8 +57,9 @@
         std::optional<TimePoint> lastMessageAt; ///< Empty if it is known from peer lists only.
         TimePoint lastListedAt {};              ///< When a peer list last contained it.
         bool isLeaving = false;
-        bool isReadingPlatform = false; ///< Whether it reads the platform's state successfully.
-        std::uint8_t rotation = 0;      ///< Its RotationState; other values count as In.
+        bool isReadingPlatform = false;   ///< Whether it reads the platform's state successfully.
+        bool keepsVersionHistory = false; ///< See LoadDigest.
+        std::uint8_t rotation = 0;        ///< Its RotationState; other values count as In.
     };
 
     explicit PeerTable(PeerTableOptions options);
@@ -89,6 +90,9 @@
     Receivers recordHolders(std::uint64_t key, TimePoint now) const;
     /// Returns the nodes that probably keep a record with this key, of whichever node.
     Receivers recordHoldersToAsk(std::uint64_t key, TimePoint now) const;
+    /// Returns live nodes that keep a history of software versions: one of the own zone and one of
+    /// the others, as the key selects them.
+    Receivers versionHistoryKeepers(std::uint64_t key, TimePoint now) const;
     /// Calls visit(node, peer) for each node that receives this node's digests.
     template <typename Visit>
     void forEachDigestReceiver(Visit visit) const
@@ -144,8 +148,6 @@
     std::size_t limitShareCount(TimePoint now) const;
     /// Returns the number of live nodes, including this one.
     std::size_t liveCount(TimePoint now) const;
-    /// Returns whether some live node reads the platform's state successfully.
-    bool hasLiveReader(TimePoint now) const;
     /// Returns whether digests from another zone arrived before and have now stopped from all of
     /// its nodes.
     bool isZoneSilent(const std::string &zone, TimePoint now) const;
--- a/include/berylridge/Net/RouterNode.h
+++ b/include/berylridge/Net/RouterNode.h
@@ -105,6 +105,10 @@
     /// core requests it. It is called on the control thread. The default reads the documents and
     /// the VM list with PlatformWatcher.
     RouterNodeBuilder &platformReader(std::function<void(bool)> reader);
+    /// Sets a function that reads the platform's revision and posts PlatformRevisionRead with the
+    /// given ticket, when the core requests it. It is called on the control thread. Without it the
+    /// core gets no revisions.
+    RouterNodeBuilder &revisionReader(std::function<void(std::uint64_t)> reader);
     /// Sets the function that SIGHUP calls on the control thread; without it SIGHUP is ignored.
     RouterNodeBuilder &reload(std::function<void()> reload);
     /// Sets whether SIGTERM and SIGINT start a planned stop, where a second signal ends the
@@ -123,6 +127,7 @@
     AuditHandler m_audit;
     WireProtocolHandle m_protocol = nativeProtocol();
     std::function<void(bool)> m_platformReader;
+    std::function<void(std::uint64_t)> m_revisionReader;
     std::function<void()> m_reload;
     bool m_handlesSignals = false;
 };
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -133,6 +133,13 @@
     bool isOn = false;
 };
 
+/// Reads the platform's revision, by a read that starts after this action. The shell reports
+/// PlatformRevisionRead, or nothing if the platform doesn't answer.
+struct ReadPlatformRevision
+{
+    std::uint64_t ticket = 0; ///< Increases with each action.
+};
+
 /// Sets whether the load balancer in front should send callers to this node.
 struct Readiness
 {
@@ -161,7 +168,7 @@
 
 using Action = std::variant<Dispatch, ContinueAttempt, AbortAttempt, Refuse, SendStoredResponse,
                             RelayHeldResponse, SendToNode, ProbeNode, PollTarget, WatchPlatform,
-                            Readiness, Stopped, Log, Audit>;
+                            ReadPlatformRevision, Readiness, Stopped, Log, Audit>;
 
 /// Lists actions in the order in which the shell must execute them.
 using Actions = std::vector<Action>;
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -268,6 +268,14 @@
     DirectoryUpdate directoryUpdate;
 };
 
+/// Delivers the platform's revision at some moment after the ReadPlatformRevision action with this
+/// ticket, and so after all earlier ones.
+struct PlatformRevisionRead
+{
+    std::uint64_t ticket = 0;
+    std::uint64_t revision = 0;
+};
+
 /// Reports that the settings name other seed nodes to contact.
 struct SeedsChanged
 {
@@ -296,6 +304,7 @@
                    AttemptDone, AttemptFailed, AttemptSilent, ResponseCut, TargetAdviceArrived,
                    TargetLoadReport, TargetPollFailed, NodeMessage, ProbeEnded, DocumentArrived,
                    VmListArrived, PlatformReachability, CatalogArrived, DirectoryArrived,
-                   SeedsChanged, LeaveOrdered, ReturnOrdered, TrafficThreadReport, TimerDue>;
+                   PlatformRevisionRead, SeedsChanged, LeaveOrdered, ReturnOrdered,
+                   TrafficThreadReport, TimerDue>;
 
 } // namespace berylridge
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -126,7 +126,10 @@
                    [&](const DirectoryArrived &e) {
                        m_context.directory.onPlatformAnswered(m_context.now);
                        onDirectory(e.directoryUpdate, "platform");
+                       m_context.directory.onPlatformRead(e.directoryUpdate, m_context.now);
+                       m_streamOrigins.onPlatformRead();
                    },
+                   [&](const PlatformRevisionRead &e) { m_streamOrigins.onPlatformRevision(e); },
                    [&](const PlatformReachability &e) { onPlatformReachability(e.isReachable); },
                    [&](const LeaveOrdered &e) { onLeave(e.who); },
                    [&](const TrafficThreadReport &e) { onTrafficThreadReport(e); },
@@ -261,12 +264,13 @@
     m_requests.tick();
     updateReaderRole();
     const bool isPlatformStateCurrent = m_reader.isReadingPlatform() && m_isPlatformReachable;
-    m_streamOrigins.tick(isPlatformStateCurrent || m_context.peers.hasLiveReader(m_context.now));
+    m_streamOrigins.tick(isPlatformStateCurrent);
     m_requests.handleStreamOrigins();
     updateRotation();
     const RotationState rotation
         = m_state == NodeState::Ready ? m_overloadReadiness.state() : RotationState::Out;
-    m_gossip.sendDigests({m_state == NodeState::Leaving, isPlatformStateCurrent, rotation});
+    m_gossip.sendDigests({m_state == NodeState::Leaving, isPlatformStateCurrent, rotation,
+                          m_streamOrigins.keepsVersionHistory()});
     checkPlannedStop();
 }
 
@@ -326,6 +330,8 @@
                   wasReading ? "ceases to read the platform's state"
                              : "begins to read the platform's state");
     m_context.emit(WatchPlatform {!wasReading});
+    if (wasReading)
+        m_context.directory.onPlatformReadingEnded();
     // A node that doesn't call the platform can't detect that it is unreachable.
     m_isPlatformReachable = true;
 }
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -57,6 +57,7 @@
     m_heartbeat = buildHeartbeat();
     m_heartbeat.isLeaving = status.isLeaving;
     m_heartbeat.isReadingPlatform = status.isReadingPlatform;
+    m_heartbeat.keepsVersionHistory = status.keepsVersionHistory;
     m_heartbeat.rotation = static_cast<std::uint8_t>(status.rotation);
     const LoadDigest digest = buildDigest();
     const InterruptedPartsUpdate interruptedParts = takeInterruptedParts();
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -43,6 +43,7 @@
         /// This node reads the platform's state, and the platform responds.
         bool isReadingPlatform = false;
         RotationState rotation = RotationState::In;
+        bool keepsVersionHistory = false; ///< See LoadDigest.
     };
     /// Sends this period's digests.
     void sendDigests(const OwnStatus &status);
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -168,7 +168,7 @@
 {
     // Without the stream's own key, a key of this request selects the nodes to ask.
     const StreamKey stream = request.streamKey().value_or(hash64(request.id));
-    if (const auto origin = m_streamOrigins.find(stream, request.service->name)) {
+    if (const auto origin = m_streamOrigins.find(stream)) {
         StreamOriginExchange::Result result;
         result.origin = origin;
         addOriginStep(request, result);
@@ -206,7 +206,7 @@
         }
         // Another node may know the stream if some of those that were asked have not answered.
         const auto retryAfter
-            = result.hasAllAnswers() ? std::nullopt : std::optional(unknownOriginRetryAfter);
+            = result.isFinal ? std::nullopt : std::optional(unknownOriginRetryAfter);
         refuse(found->second, unknownOriginRefusal(retryAfter));
     }
 }
--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -16,23 +16,67 @@
         unreported.pop_front();
 }
 
-std::optional<StreamOrigin> StreamOriginExchange::find(StreamKey stream,
-                                                       const std::string &service) const
+std::optional<StreamOrigin> StreamOriginExchange::find(StreamKey stream) const
 {
-    if (const StreamOrigin *origin = m_origins.find(stream))
-        return *origin;
-    if (const auto version = onlyVersion(service))
-        return StreamOrigin {hash32(service), *version, 0, OriginBasis::OnlyVersion};
-    return std::nullopt;
+    const StreamOrigin *origin = m_origins.find(stream);
+    return origin ? std::optional(*origin) : std::nullopt;
 }
 
 std::optional<VersionKey> StreamOriginExchange::onlyVersion(const std::string &service) const
 {
-    if (!m_isDirectoryFresh)
-        return std::nullopt;
     return m_context.directory.versions().onlyVersion(service, streamLifetime(), m_context.now);
 }
 
+/// Begins a check if it may find that only one version was listed.
+std::optional<StreamOriginExchange::HistoryCheck> StreamOriginExchange::beginCheck(
+    const std::string &service)
+{
+    if (!m_readsPlatform || !onlyVersion(service))
+        return std::nullopt;
+    m_context.emit(ReadPlatformRevision {++m_lastTicket});
+    return HistoryCheck {m_lastTicket};
+}
+
+/// Ends the check once all changes are known that the platform had when the lookup began.
+void StreamOriginExchange::finishCheck(PendingLookup &pending)
+{
+    const bool isReady = pending.check && pending.check->revision
+        && m_context.directory.versions().readRevision() >= *pending.check->revision;
+    if (!isReady)
+        return;
+    pending.check.reset();
+    if (pending.hasEnded)
+        return;
+    const std::string &service = pending.lookup.service;
+    if (const auto version = onlyVersion(service))
+        pending.result.origin
+            = StreamOrigin {hash32(service), *version, 0, OriginBasis::OnlyVersion};
+    if (pending.result.origin || pending.isExhausted())
+        end(pending);
+}
+
+void StreamOriginExchange::onPlatformRevision(const PlatformRevisionRead &read)
+{
+    for (auto &[stream, pending] : m_pending) {
+        if (pending.check && !pending.check->revision && pending.check->ticket <= read.ticket)
+            pending.check->revision = read.revision;
+        finishCheck(pending);
+    }
+}
+
+void StreamOriginExchange::onPlatformRead()
+{
+    for (auto &[stream, pending] : m_pending)
+        finishCheck(pending);
+}
+
+bool StreamOriginExchange::needsRecords(const std::string &service) const
+{
+    const auto version
+        = m_context.directory.versions().onlyKnownVersion(service, streamLifetime(), m_context.now);
+    return !m_isVersionHistoryKept || !version;
+}
+
 Duration StreamOriginExchange::streamLifetime() const
 {
     if (!m_context.routeTable)
@@ -45,24 +89,55 @@
 
 void StreamOriginExchange::ask(Lookup lookup)
 {
-    const StreamOriginQuery query {lookup.stream, lookup.service};
-    const PeerTable::Receivers receivers
-        = m_context.peers.recordHoldersToAsk(lookup.stream, m_context.now);
+    PendingLookup pending {std::move(lookup), m_context.now};
+    const StreamKey stream = pending.lookup.stream;
+    const std::string &service = pending.lookup.service;
+    pending.check = beginCheck(service);
+    PeerTable::Receivers keepers;
+    if (!pending.check)
+        keepers = m_context.peers.versionHistoryKeepers(stream, m_context.now);
+    PeerTable::Receivers receivers = m_context.peers.recordHoldersToAsk(stream, m_context.now);
+    std::erase_if(receivers, [&](const auto &receiver) {
+        return std::find(keepers.begin(), keepers.end(), receiver) != keepers.end();
+    });
     for (const auto &[node, endpoint] : receivers)
-        m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
-    PendingLookup pending {std::move(lookup), {}, m_context.now};
+        m_context.emit(SendToNode {node, endpoint,
+                                   BalancerMessage(StreamOriginQuery {stream, service, false})});
+    for (const auto &[node, endpoint] : keepers)
+        m_context.emit(SendToNode {node, endpoint,
+                                   BalancerMessage(StreamOriginQuery {stream, service, true})});
     pending.result.request = pending.lookup.request;
-    pending.result.asked = receivers.size();
-    if (receivers.empty())
+    pending.result.asked = receivers.size() + keepers.size();
+    if (pending.isExhausted())
         end(pending);
     else
-        m_pending.emplace(query.stream, std::move(pending));
+        m_pending.emplace(stream, std::move(pending));
 }
 
 void StreamOriginExchange::end(PendingLookup &pending)
 {
     pending.hasEnded = true;
-    m_results.push_back(pending.result);
+    pending.result.isFinal = pending.isExhausted();
+    if (pending.asker)
+        answer(*pending.asker, pending.lookup.stream, pending.result.origin);
+    else
+        m_results.push_back(pending.result);
+}
+
+void StreamOriginExchange::answer(const NodeId &asker, StreamKey stream,
+                                  const std::optional<StreamOrigin> &origin)
+{
+    const PeerTable::Peer *peer = m_context.peers.find(asker);
+    if (!peer)
+        return;
+    StreamOriginAnswer answer;
+    answer.origin.stream = stream;
+    if (origin) {
+        answer.isKnown = true;
+        answer.basis = static_cast<std::uint8_t>(origin->basis);
+        answer.origin = {stream, origin->service, origin->version, origin->attempt};
+    }
+    m_context.emit(SendToNode {asker, peer->endpoint, BalancerMessage(answer)});
 }
 
 void StreamOriginExchange::onUpdate(const StreamOriginUpdate &update)
@@ -76,36 +151,42 @@
 
 void StreamOriginExchange::onQuery(const NodeId &from, const StreamOriginQuery &query)
 {
-    const PeerTable::Peer *peer = m_context.peers.find(from);
-    if (!peer)
+    const auto origin = find(query.stream);
+    const bool mayCheck = !origin && query.mayReadPlatform && m_pending.size() < maxLookups;
+    const auto check = mayCheck ? beginCheck(query.service) : std::nullopt;
+    if (!check) {
+        answer(from, query.stream, origin);
         return;
-    StreamOriginAnswer answer;
-    answer.origin.stream = query.stream;
-    if (const auto origin = find(query.stream, query.service)) {
-        answer.isKnown = true;
-        answer.basis = static_cast<std::uint8_t>(origin->basis);
-        answer.origin = {query.stream, origin->service, origin->version, origin->attempt};
     }
-    m_context.emit(SendToNode {from, peer->endpoint, BalancerMessage(answer)});
+    PendingLookup pending {{0, query.stream, query.service}, m_context.now};
+    pending.asker = from;
+    pending.check = check;
+    m_pending.emplace(query.stream, std::move(pending));
 }
 
 void StreamOriginExchange::onAnswer(const NodeId &from, const StreamOriginAnswer &answer)
 {
     const StreamOriginEntry &entry = answer.origin;
+    const auto basis = static_cast<OriginBasis>(answer.basis);
+    // Without a basis, it may be a guess of an earlier release.
+    const bool isKnown = answer.isKnown && basis != OriginBasis::Unstated;
     const auto [first, last] = m_pending.equal_range(entry.stream);
     for (auto next = first; next != last; ++next) {
         PendingLookup &pending = next->second;
+        if (pending.asker)
+            continue;
         ++pending.result.answers;
+        std::erase(pending.keepers, from);
         if (pending.hasEnded) {
             logConflict(pending, from, answer);
             continue;
         }
-        if (answer.isKnown) {
-            pending.result.origin = StreamOrigin {entry.service, entry.version, entry.attempt,
-                                                  static_cast<OriginBasis>(answer.basis)};
+        if (isKnown) {
+            pending.result.origin
+                = StreamOrigin {entry.service, entry.version, entry.attempt, basis};
             pending.result.answeredBy = from;
         }
-        if (answer.isKnown || pending.result.hasAllAnswers())
+        if (isKnown || pending.isExhausted())
             end(pending);
     }
 }
@@ -125,13 +206,18 @@
     m_context.log(LogEventId::StreamOriginConflict, pending.lookup.service, std::move(fields));
 }
 
-void StreamOriginExchange::tick(bool isDirectoryFresh)
+void StreamOriginExchange::tick(bool readsPlatform)
 {
-    m_isDirectoryFresh = isDirectoryFresh;
+    m_readsPlatform = readsPlatform;
+    m_keepsVersionHistory
+        = readsPlatform && m_context.directory.versions().covers(streamLifetime(), m_context.now);
+    m_isVersionHistoryKept
+        = m_keepsVersionHistory || !m_context.peers.versionHistoryKeepers(0, m_context.now).empty();
     m_origins.expire(m_context.now);
     reportStreams();
     const auto isOver = [&](const PendingLookup &pending) {
-        return m_context.now - pending.startedAt >= lookupTimeout;
+        const Duration limit = pending.awaitsPlatform() ? platformLookupTimeout : lookupTimeout;
+        return m_context.now - pending.startedAt >= limit;
     };
     for (auto &[stream, pending] : m_pending) {
         if (!pending.hasEnded && isOver(pending))
@@ -140,15 +226,15 @@
     std::erase_if(m_pending, [&](const auto &entry) { return isOver(entry.second); });
 }
 
-/// Reports the streams that began here to the nodes that keep them. While a service has only one
-/// version, or no other node is live, its streams wait.
+/// Reports the streams that began here to the nodes that keep them. Streams that need no records
+/// wait, and so do all while no other node is live.
 void StreamOriginExchange::reportStreams()
 {
     Updates updates;
     for (auto &[service, streams] : m_unreported) {
         while (!streams.empty() && m_context.now - streams.front().recordedAt > streamLifetime())
             streams.pop_front();
-        if (!onlyVersion(service)) {
+        if (needsRecords(service)) {
             std::erase_if(streams, [&](const UnreportedStream &stream) {
                 return addToUpdates(stream.entry, updates);
             });
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -38,10 +38,8 @@
         isChanged |= mergeZone(record);
     if (update.isFullSnapshot)
         isChanged |= removeUnlisted(update, now);
-    if (update.isComplete) {
+    if (update.isComplete)
         m_revision = std::max(m_revision, update.revision);
-        m_versions.onComplete(now);
-    }
     return isChanged;
 }
 
--- a/lib/Catalog/VersionHistory.cpp
+++ b/lib/Catalog/VersionHistory.cpp
@@ -4,10 +4,13 @@
 
 namespace berylridge {
 
-void VersionHistory::onComplete(TimePoint now)
+void VersionHistory::onPlatformRead(std::uint64_t revision, bool isListing, TimePoint now)
 {
-    if (!m_completeSince)
+    if (isListing) {
         m_completeSince = now;
+        m_readRevision = revision;
+    }
+    m_readRevision = std::max(m_readRevision, revision);
 }
 
 void VersionHistory::onListed(const std::string &service, VersionKey version, TimePoint now)
@@ -33,11 +36,11 @@
     m_services[service][version].lastListedAt = now;
 }
 
-std::optional<VersionKey> VersionHistory::onlyVersion(std::string_view service, Duration window,
-                                                      TimePoint now) const
+std::optional<VersionKey> VersionHistory::onlyKnownVersion(std::string_view service,
+                                                           Duration window, TimePoint now) const
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end() || !m_completeSince || now - *m_completeSince < window)
+    if (found == m_services.end())
         return std::nullopt;
     std::optional<VersionKey> only;
     for (const auto &[version, listed] : found->second) {
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -48,6 +48,7 @@
     peer.lastMessageAt = now;
     peer.isLeaving = digest.isLeaving;
     peer.isReadingPlatform = digest.isReadingPlatform;
+    peer.keepsVersionHistory = digest.keepsVersionHistory;
     peer.rotation = digest.rotation;
     for (const PeerEntry &entry : digest.peers) {
         const NodeId named(entry.node);
@@ -246,6 +247,26 @@
     return holders;
 }
 
+PeerTable::Receivers PeerTable::versionHistoryKeepers(std::uint64_t key, TimePoint now) const
+{
+    Receivers keepers;
+    for (const bool isOwnZone : {true, false}) {
+        auto selected = m_peers.end();
+        for (auto each = m_peers.begin(); each != m_peers.end(); ++each) {
+            const Peer &peer = each->second;
+            const bool isKeeper = peer.keepsVersionHistory && isLive(peer, now)
+                && (peer.zone == m_options.zone.str()) == isOwnZone;
+            if (isKeeper
+                && (selected == m_peers.end()
+                    || hash64(each->first.str(), key) > hash64(selected->first.str(), key)))
+                selected = each;
+        }
+        if (selected != m_peers.end())
+            keepers.emplace_back(selected->first, selected->second.endpoint);
+    }
+    return keepers;
+}
+
 unsigned PeerTable::periodsPerRotation() const
 {
     const std::size_t periods = (digestReceiverCount() + fanOut - 1) / fanOut;
@@ -314,13 +335,6 @@
     return static_cast<std::size_t>(peerCount) + 1;
 }
 
-bool PeerTable::hasLiveReader(TimePoint now) const
-{
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        return entry.second.isReadingPlatform && isLive(entry.second, now);
-    });
-}
-
 Duration PeerTable::zoneSilenceTimeout() const
 {
     if (!usesZoneSummaries())
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -95,6 +95,11 @@
     void operator()(const ProbeNode &action) { m_peers.probe(action); }
     void operator()(const PollTarget &action) { m_poller.poll(action); }
     void operator()(const WatchPlatform &action) { m_platformReader(action.isOn); }
+    void operator()(const ReadPlatformRevision &action)
+    {
+        if (m_revisionReader)
+            m_revisionReader(action.ticket);
+    }
     void operator()(const Readiness &action);
     void operator()(const Stopped &action);
     void operator()(const Log &action) { m_log.add(action.record); }
@@ -107,6 +112,10 @@
     {
         m_platformReader = std::move(reader);
     }
+    void setRevisionReader(std::function<void(std::uint64_t)> reader)
+    {
+        m_revisionReader = std::move(reader);
+    }
     AdminHttpServer &admin() { return m_admin; }
 
 private:
@@ -133,6 +142,7 @@
     AdminHttpServer m_admin;
     asio::signal_set m_signals;
     std::function<void(bool)> m_platformReader;
+    std::function<void(std::uint64_t)> m_revisionReader;
     std::function<void()> m_reload;
     int m_signalCount = 0;
     std::atomic<std::size_t> m_drainingThreads {0};
@@ -428,6 +438,12 @@
     return *this;
 }
 
+RouterNodeBuilder &RouterNodeBuilder::revisionReader(std::function<void(std::uint64_t)> reader)
+{
+    m_revisionReader = std::move(reader);
+    return *this;
+}
+
 RouterNodeBuilder &RouterNodeBuilder::reload(std::function<void()> reload)
 {
     m_reload = std::move(reload);
@@ -451,6 +467,7 @@
         return Reason {std::move(reason)};
     if (m_platformReader)
         impl->setPlatformReader(m_platformReader);
+    impl->setRevisionReader(m_revisionReader);
     if (m_handlesSignals)
         impl->handleSignals(m_reload);
     return std::unique_ptr<RouterNode>(new RouterNode(std::move(impl)));
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -118,6 +118,7 @@
             // Only the balancer handles these events (lib/Balancer).
             [](const CatalogArrived &) {},
             [](const DirectoryArrived &) {},
+            [](const PlatformRevisionRead &) {},
             [](const FirstEventRelayed &) {},
             [](const SeedsChanged &) {},
             [](const TrafficThreadReport &) {},
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -255,6 +255,9 @@
             [this](const ProbeNode &probeAction) { probeNode(probeAction); },
             [this](const PollTarget &target) { pollTarget(target); },
             [this](const WatchPlatform &watch) { m_simulation.platform->watch(*this, watch.isOn); },
+            [](const ReadPlatformRevision &) {
+                assert(false && "only the balancer reads the platform's revision");
+            },
             [this](const Readiness &readiness) { m_isReady = readiness.isReady; },
             [this](const Stopped &) { onStopped(); },
             [](const Log &) {},
--- a/tools/berylreplay/Session.cpp
+++ b/tools/berylreplay/Session.cpp
@@ -86,6 +86,10 @@
     {
         beginLine() << "watch platform " << (action.isOn ? "on" : "off") << '\n';
     }
+    void write(const ReadPlatformRevision &action)
+    {
+        beginLine() << "read platform revision " << action.ticket << '\n';
+    }
     void write(const Readiness &action)
     {
         beginLine() << (action.isReady ? "ready" : "not ready") << '\n';
--- a/tools/berylreplay/Trace.cpp
+++ b/tools/berylreplay/Trace.cpp
@@ -199,6 +199,7 @@
             [](const TrafficThreadReport &) { return jsonOfType("lag"); },
             [](const AttemptSilent &) { return jsonOfType("silent"); },
             [](const FirstEventRelayed &) { return jsonOfType("first event"); },
+            [](const PlatformRevisionRead &) { return jsonOfType("platform revision"); },
             [](const ResponseCut &) { return jsonOfType("cut"); },
             [](const TargetAdviceArrived &) { return jsonOfType("advice"); },
             [](const LeaveOrdered &e) {
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -35,10 +35,21 @@
         core = *std::move(created);
     }
 
+    /// Passes the event to the core. Reads of the platform's revision are answered at once, unless
+    /// `platformRevision` is empty.
     void handle(const Event &event)
     {
         actions.clear();
         core->handle(event, clock.now(), clock.wallNow(), actions);
+        for (std::size_t i = 0; i < actions.size(); ++i) {
+            const auto *read = std::get_if<ReadPlatformRevision>(&actions[i]);
+            if (!read || !platformRevision)
+                continue;
+            Actions more;
+            core->handle(PlatformRevisionRead {read->ticket, *platformRevision}, clock.now(),
+                         clock.wallNow(), more);
+            actions.insert(actions.end(), more.begin(), more.end());
+        }
     }
 
     /// Advances the clock and fires the core's timers when they are due, as the event loop does.
@@ -92,9 +103,33 @@
     }
 
     void installTargets(const std::vector<std::string> &ids)
+    {
+        listedTargets = ids;
+        handle(DirectoryArrived {listingOf(ids)});
+    }
+
+    /// Reports the change to these targets, as a watch of the platform does.
+    void updateTargets(const std::vector<std::string> &ids)
+    {
+        DirectoryUpdate update = listingOf(ids);
+        update.isFullSnapshot = false;
+        for (const std::string &id : std::exchange(listedTargets, ids)) {
+            if (std::find(ids.begin(), ids.end(), id) != ids.end())
+                continue;
+            TargetRecord removal;
+            removal.id = id;
+            removal.revision = revision;
+            removal.isRemoved = true;
+            update.targets.push_back(removal);
+        }
+        handle(DirectoryArrived {update});
+    }
+
+    DirectoryUpdate listingOf(const std::vector<std::string> &ids)
     {
         DirectoryUpdate update;
         update.revision = ++revision;
+        platformRevision = revision;
         update.isFullSnapshot = true;
         for (const std::string &id : ids) {
             TargetRecord record;
@@ -111,7 +146,7 @@
             record.softwareVersion = version == softwareVersions.end() ? "v1" : version->second;
             update.targets.push_back(record);
         }
-        handle(DirectoryArrived {update});
+        return update;
     }
 
     void sendRequest(const std::string &path, const std::string &credential = "key",
@@ -189,6 +224,8 @@
     Actions actions;
     RequestHandle lastHandle = 0;
     std::uint64_t revision = 0;
+    std::optional<std::uint64_t> platformRevision; ///< Revision that the platform answers.
+    std::vector<std::string> listedTargets;
     std::uint64_t requestBodyHash = 0;
     double coldRequestsPerSecond = 0;
     std::uint32_t coldRemainingMs = 0;
--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
@@ -73,10 +75,10 @@
     {
         node.actions = takeActions(node, event);
         while (!m_messages.empty()) {
-            auto [receiver, message] = std::move(m_messages.front());
+            const auto [receiver, next] = std::move(m_messages.front());
             m_messages.pop_front();
             if (receiver->core)
-                takeActions(*receiver, message);
+                takeActions(*receiver, next);
         }
     }
 
@@ -124,6 +126,13 @@
     /// Keeps the actions of all events in Node::pending from now on.
     void keepActions() { m_keepsActions = true; }
 
+    /// Sets what the platform answers a node that reads its revision; nothing while it is
+    /// unreachable.
+    void setPlatformRevision(std::function<std::optional<std::uint64_t>(const Node &)> revision)
+    {
+        m_platformRevision = std::move(revision);
+    }
+
     /// Separates the zone from all others, or ends the separation if it is empty.
     void cutZone(std::string zone) { m_cutZone = std::move(zone); }
 
@@ -169,6 +178,11 @@
                 node.isReadingPlatform = watch->isOn;
                 node.platformReads += watch->isOn ? 1 : 0;
             }
+            if (const auto *read = std::get_if<ReadPlatformRevision>(&action)) {
+                const auto revision = m_platformRevision ? m_platformRevision(node) : std::nullopt;
+                if (revision)
+                    m_messages.emplace_back(&node, PlatformRevisionRead {read->ticket, *revision});
+            }
             if (m_keepsActions)
                 node.pending.push_back(action);
             others.push_back(std::move(action));
@@ -195,7 +209,8 @@
     std::string m_cutZone;
     bool m_keepsActions = false;
     bool m_leavesRotationOnOverload = false;
-    std::deque<std::pair<Node *, NodeMessage>> m_messages;
+    std::function<std::optional<std::uint64_t>(const Node &)> m_platformRevision;
+    std::deque<std::pair<Node *, Event>> m_messages;
 };
 
 } // namespace berylridge::test
--- a/unittests/Balancer/SimulatedSite.h
+++ b/unittests/Balancer/SimulatedSite.h
@@ -57,6 +57,9 @@
         , m_fleet(options.zones, options.nodesPerZone)
     {
         m_fleet.keepActions();
+        m_fleet.setPlatformRevision([this](const Node &node) {
+            return node.zone == m_cutZone ? std::nullopt : std::optional(m_revision);
+        });
         m_fleet.start();
         for (std::size_t i = 0; i < options.targets; ++i)
             addTarget("v1");
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -1,6 +1,7 @@
 // Tests that streams go on only at the software version that began them.
 #include "BalancerFixture.h"
 
+#include "berylridge/Policy/StreamOrigins.h"
 #include "berylridge/Support/Hash.h"
 
 #include <set>
@@ -13,7 +14,7 @@
 /// Longer than any stream, so that a version that was listed before can't have begun one.
 constexpr Duration longAgo = std::chrono::minutes(2);
 /// By then a lookup of the version that began a stream has ended.
-constexpr Duration lookupTime = std::chrono::milliseconds(400);
+constexpr Duration lookupTime = std::chrono::milliseconds(600);
 
 class StreamVersionTest : public test::BalancerFixture
 {
@@ -237,9 +238,9 @@
     installTargets({"t1", "t2"});
     advanceTime(longAgo);
     softwareVersions = {{"t3", "v2"}, {"t4", "v2"}};
-    installTargets({"t1", "t2", "t3", "t4"});
+    updateTargets({"t1", "t2", "t3", "t4"});
     advanceTime(1s);
-    installTargets({"t3", "t4"});
+    updateTargets({"t3", "t4"});
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
     EXPECT_TRUE(refusalWithinLookupTime());
     EXPECT_FALSE(findAction<Dispatch>());
@@ -273,7 +274,7 @@
     advanceTime(500ms);
     EXPECT_TRUE(sentMessages<StreamOriginUpdate>().empty());
     softwareVersions["t2"] = "v2";
-    installTargets({"t1", "t2"});
+    updateTargets({"t1", "t2"});
     if (sentMessages<StreamOriginUpdate>().empty())
         advanceTime(200ms);
     const auto sent = sentMessages<StreamOriginUpdate>();
@@ -293,6 +294,7 @@
     StreamOriginAnswer answer;
     answer.origin.stream = queries[0].second.stream;
     answer.isKnown = true;
+    answer.basis = static_cast<std::uint8_t>(OriginBasis::Record);
     TargetRecord first;
     first.service = "s";
     first.softwareVersion = "v1";
@@ -365,13 +367,41 @@
 }
 
 // Guards against a stream that is joined from two versions because this node's only one is taken
-// for the version that began it, although others may have been listed since this node was told.
+// for the version that began it, although the platform lists another one that this node doesn't
+// know yet.
 TEST_F(StreamVersionTest, OnlyVersionOfAnOldViewIsNoOrigin)
 {
     installCatalog();
     installTargets({"t1", "t2"});
     advanceTime(longAgo);
+    platformRevision = revision + 1;
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_FALSE(findAction<Refuse>());
+    softwareVersions["t3"] = "v2";
+    updateTargets({"t1", "t2", "t3"});
+    EXPECT_FALSE(findAction<Dispatch>());
+    EXPECT_TRUE(findAction<Refuse>());
+}
+
+// Guards against the same while the platform doesn't answer, and after it was read too early.
+TEST_F(StreamVersionTest, OnlyVersionIsNoOriginWithoutALaterReadOfThePlatform)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    const auto answered = std::exchange(platformRevision, std::nullopt);
+    EXPECT_FALSE(send("/stream/1", StreamResumption {"unknown"}));
+    const auto *read = findAction<ReadPlatformRevision>();
+    ASSERT_TRUE(read);
+    const std::uint64_t ticket = read->ticket;
+    EXPECT_FALSE(send("/stream/2", StreamResumption {"another"}));
+    handle(PlatformRevisionRead {ticket, *answered});
+    ASSERT_TRUE(findAction<Dispatch>());
+    EXPECT_EQ(findAction<Dispatch>()->handle, lastHandle - 1);
+    const auto refuse = refusalWithinLookupTime();
+    ASSERT_TRUE(refuse);
+    EXPECT_EQ(refuse->handle, lastHandle);
+    EXPECT_TRUE(refuse->retryAfter);
 }
 
 // Guards against a peer's guess that is taken for knowledge.
@@ -381,9 +411,42 @@
     installTargets({"t1", "t2"});
     advanceTime(longAgo);
     receiveDigest("n2", "a", 1, revision, true);
-    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s"})});
-    for (const auto &[endpoint, answer] : sentMessages<StreamOriginAnswer>())
-        EXPECT_FALSE(answer.isKnown);
+    platformRevision = revision + 1;
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s", true})});
+    EXPECT_TRUE(sentMessages<StreamOriginAnswer>().empty());
+    softwareVersions["t3"] = "v2";
+    updateTargets({"t1", "t2", "t3"});
+    const auto answers = sentMessages<StreamOriginAnswer>();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_FALSE(answers[0].second.isKnown);
+}
+
+// Guards against refusals at nodes that don't read the platform, where one version served.
+TEST_F(StreamVersionTest, PeerIsToldTheOnlyVersion)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    receiveDigest("n2", "a", 1, revision, true);
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s", true})});
+    const auto answers = sentMessages<StreamOriginAnswer>();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_TRUE(answers[0].second.isKnown);
+    EXPECT_EQ(answers[0].second.basis, static_cast<std::uint8_t>(OriginBasis::OnlyVersion));
+}
+
+// Guards against an answer of an earlier release, which may be a guess.
+TEST_F(StreamVersionTest, AnswerWithoutABasisIsIgnored)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    StreamOriginAnswer answer;
+    answer.origin = {hash64("r100"), hash32("s"), 1, 0};
+    answer.isKnown = true;
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(answer)});
+    EXPECT_FALSE(findAction<Dispatch>());
+    EXPECT_TRUE(findAction<Refuse>());
 }
 
 // Guards against a stream that is joined because peers report former targets of a version, which
@@ -406,6 +469,10 @@
         relay.directoryUpdate.targets.push_back(record);
     }
     handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(relay)});
+    DirectoryUpdate listing = relay.directoryUpdate;
+    platformRevision = ++listing.revision;
+    listing.targets.pop_back();
+    handle(DirectoryArrived {listing});
     advanceTime(longAgo);
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
 }
@@ -415,7 +482,7 @@
 TEST_F(StreamVersionTest, VersionIsRememberedForAllRequestsOfACaller)
 {
     installTwoVersions();
-    installTargets({"t3", "t4"});
+    updateTargets({"t3", "t4"});
     advanceTime(15s);
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
     EXPECT_TRUE(refusalWithinLookupTime());
--- a/unittests/Catalog/VersionHistoryTest.cpp
+++ b/unittests/Catalog/VersionHistoryTest.cpp
@@ -21,15 +21,30 @@
         return record;
     }
 
-    void list(std::vector<TargetRecord> targets)
+    /// Reads a listing.
+    void list(std::vector<TargetRecord> targets) { read(std::move(targets), true); }
+
+    /// Reads a change of single targets.
+    void watch(std::vector<TargetRecord> targets) { read(std::move(targets), false); }
+
+    void read(std::vector<TargetRecord> targets, bool isListing)
     {
         DirectoryUpdate update;
         update.revision = ++revision;
-        update.isFullSnapshot = true;
+        update.isFullSnapshot = isListing;
         for (TargetRecord &record : targets)
             record.revision = revision;
         update.targets = std::move(targets);
         directory.apply(update, clock.now());
+        directory.onPlatformRead(update, clock.now());
+    }
+
+    static TargetRecord removal(const std::string &id)
+    {
+        TargetRecord record;
+        record.id = id;
+        record.isRemoved = true;
+        return record;
     }
 
     std::optional<VersionKey> onlyVersion() const
@@ -59,7 +74,7 @@
     list({target("t1", "v1"), target("t2", "v2")});
     clock.advance(2 * window);
     EXPECT_FALSE(onlyVersion());
-    list({target("t2", "v2")});
+    watch({removal("t1")});
     clock.advance(window);
     EXPECT_FALSE(onlyVersion());
     clock.advance(1s);
@@ -71,7 +86,7 @@
 {
     list({target("t1", "v1")});
     clock.advance(2 * window);
-    list({target("t1", "v2")});
+    watch({target("t1", "v2")});
     EXPECT_FALSE(onlyVersion());
     clock.advance(window + 1s);
     EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v2")));
@@ -80,16 +95,43 @@
 // Guards against a version that seems to be gone because a peer reports former targets of it.
 TEST_F(VersionHistoryTest, RemovedTargetsOfAPeerLeaveTheListedOnesCounted)
 {
-    DirectoryUpdate update;
-    update.revision = 10;
-    update.isFullSnapshot = true;
-    update.targets = {target("t1", "v1"), target("t2", "v2"), target("t3", "v2")};
-    for (TargetRecord &record : update.targets)
+    DirectoryUpdate relay;
+    relay.revision = 10;
+    relay.isFullSnapshot = true;
+    relay.targets = {target("t1", "v1"), target("t2", "v2"), target("t3", "v2")};
+    for (TargetRecord &record : relay.targets)
         record.revision = 10;
-    update.targets[2].isRemoved = true;
-    directory.apply(update, clock.now());
+    relay.targets[2].isRemoved = true;
+    directory.apply(relay, clock.now());
+    DirectoryUpdate listing = relay;
+    listing.revision = 11;
+    listing.targets.pop_back();
+    directory.apply(listing, clock.now());
+    directory.onPlatformRead(listing, clock.now());
+    clock.advance(2 * window);
+    EXPECT_FALSE(onlyVersion());
+}
+
+// Guards against a version that was listed and removed before a listing, which doesn't show it.
+TEST_F(VersionHistoryTest, AnotherListingForgetsWhatWasKnown)
+{
+    list({target("t1", "v1")});
+    clock.advance(2 * window);
+    EXPECT_TRUE(onlyVersion());
+    list({target("t1", "v1")});
+    EXPECT_FALSE(onlyVersion());
+    clock.advance(window);
+    EXPECT_TRUE(onlyVersion());
+}
+
+// Guards against a node that doesn't read the platform and misses what peers don't tell.
+TEST_F(VersionHistoryTest, OnlyOwnReadsTellTheOnlyVersion)
+{
+    list({target("t1", "v1")});
     clock.advance(2 * window);
+    directory.onPlatformReadingEnded();
     EXPECT_FALSE(onlyVersion());
+    EXPECT_EQ(directory.versions().readRevision(), 0U);
 }
 
 // Guards against two targets without a version that count as equal.
--- a/unittests/Platform/StoreReaderTest.cpp
+++ b/unittests/Platform/StoreReaderTest.cpp
@@ -122,3 +122,28 @@
     EXPECT_TRUE(m_events.empty());
     EXPECT_EQ(store.connections(), 1);
 }
+
+// Guards against a revision that was read before it was asked for, and against a read for each
+// request of the core, since the store counts calls.
+TEST_F(StoreReaderTest, RevisionIsReadAfterItWasRequested)
+{
+    std::atomic<int> reads = 0;
+    FakeTarget store([&](FakeTargetConnection &peer) {
+        for (std::string head = peer.readRequest(); !head.empty(); head = peer.readRequest()) {
+            if (head.find("kv-watch") != std::string::npos)
+                return;
+            const bool isRevisionRead = head.find("prefix=op/evacuate/") != std::string::npos;
+            const int revision = isRevisionRead ? 100 + ++reads : 7;
+            peer.send(response(R"({"as_of":)" + std::to_string(revision) + R"(,"entries":[]})"));
+        }
+    });
+    StoreReader reader(m_context, store.endpoint(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    for (std::uint64_t ticket = 1; ticket <= 5; ++ticket)
+        reader.readRevision(ticket);
+    const auto isLast = [](const PlatformRevisionRead &event) {
+        return event.ticket == 5 && event.revision == 102;
+    };
+    EXPECT_TRUE(runUntilEvent<PlatformRevisionRead>(isLast));
+    EXPECT_EQ(reads, 2);
+}
