Remember versions for all requests that a caller may send for a stream

Callers with three retries could get a stream joined from two software versions: a version was forgotten after twice the longest timeout of streams in force (10 s at least), and the next one then counted as the only one that could have begun a stream. Four requests, each bounded by the timeout, with waits of up to a third of it before the last three, take up to five timeouts. A catalog that shortens the timeouts shortened the window for streams that already ran, too.

--- a/lib/Balancer/BalancerContext.h
+++ b/lib/Balancer/BalancerContext.h
@@ -51,7 +51,10 @@
     WallTime wallNow;
     Actions *actions = nullptr;
     std::shared_ptr<const RouteTable> routeTable; ///< Null until a catalog is known.
-    std::uint64_t newestPeerCatalogVersion = 0;   ///< Highest version in any peer's digest.
+    /// Longest timeout of a route for streams in any catalog that was active. Streams that began
+    /// under an earlier one may still run.
+    Duration longestStreamTimeout {0};
+    std::uint64_t newestPeerCatalogVersion = 0; ///< Highest version in any peer's digest.
     TargetDirectory directory;
     PeerTable peers;
 };
--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -81,9 +81,10 @@
 {
     if (!m_context.routeTable)
         return maxStreamLifetime;
-    // Callers may send several requests for a stream, each of them bounded by the route's timeout.
-    constexpr int maxRequests = 2;
-    return std::clamp(m_context.routeTable->longestStreamTimeout() * maxRequests, minStreamLifetime,
+    // A caller sends up to four requests for a stream, each bounded by the route's timeout, and
+    // waits for up to a third of that before each of the last three.
+    constexpr int maxTimeouts = 5;
+    return std::clamp(m_context.longestStreamTimeout * maxTimeouts, minStreamLifetime,
                       maxStreamLifetime);
 }
 
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -97,6 +97,7 @@
                           route("/buy/", RequestKind::NonIdempotent, 1),
                           route("/stream/", RequestKind::Stream, 2)};
         catalog.routes[2].isResumable = true;
+        catalog.routes[2].timeoutMs = streamTimeoutMs;
         catalog.services = {{"s", 100, 3000, coldRequestsPerSecond, isEngine, 128, 1000000}};
         catalog.workspaces = {{"potters", {"key"}}};
         handle(CatalogArrived {std::make_shared<const Catalog>(catalog)});
@@ -227,6 +228,7 @@
     std::optional<std::uint64_t> platformRevision; ///< Revision that the platform answers.
     std::vector<std::string> listedTargets;
     std::uint64_t requestBodyHash = 0;
+    std::uint32_t streamTimeoutMs = 4000;
     double coldRequestsPerSecond = 0;
     std::uint32_t coldRemainingMs = 0;
     std::int64_t startedAtMs = 1;
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -488,3 +488,25 @@
     EXPECT_TRUE(refusalWithinLookupTime());
     EXPECT_FALSE(findAction<Dispatch>());
 }
+
+// Guards against the same for a stream that began under a catalog with longer timeouts.
+TEST_F(StreamVersionTest, VersionIsRememberedForStreamsOfAnEarlierCatalog)
+{
+    installTwoVersions();
+    streamTimeoutMs = 1000;
+    installCatalog(2);
+    updateTargets({"t3", "t4"});
+    advanceTime(15s);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
+    EXPECT_FALSE(findAction<Dispatch>());
+}
+
+// Guards against a version that is remembered for longer than callers can use it.
+TEST_F(StreamVersionTest, VersionIsForgottenOnceNoStreamOfItCanBeTakenUp)
+{
+    installTwoVersions();
+    updateTargets({"t3", "t4"});
+    advanceTime(25s);
+    EXPECT_TRUE(send("/stream/again", StreamResumption {"unknown"}));
+}
