Ask whether a stream's route had one service before its only version counts

A caller whose stream's route was moved or split since could get the stream joined from two services: the only version of the service that the route has today was taken for the origin of a stream that began at another one. Found by looking for the same cause elsewhere: the route of today is an old view of the route at which the stream began.

RouteHistory records since when each route has had one and the same service; the node that reads the platform checks it with the versions. StreamVersionTest.OnlyVersionOfAServiceThatTheRouteGotLatelyIsNoOrigin.

--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -197,7 +197,8 @@
     std::string service;      ///< Service of the stream, as far as the sender can tell.
     /// Whether the receiver may read the platform to find out that only one version was listed.
     bool mayReadPlatform = false;
-    MSGPACK_DEFINE(stream, service, mayReadPlatform)
+    std::uint64_t route = 0; ///< RouteKey of the route that selected the service.
+    MSGPACK_DEFINE(stream, service, mayReadPlatform, route)
 };
 
 struct StreamOriginAnswer
--- a/lib/Balancer/BalancerContext.h
+++ b/lib/Balancer/BalancerContext.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "berylridge/Balancer/BalancerCore.h"
+#include "berylridge/Catalog/RouteHistory.h"
 #include "berylridge/Catalog/RouteTable.h"
 #include "berylridge/Catalog/TargetDirectory.h"
 #include "berylridge/Chart/NodeStateMachine.h"
@@ -55,6 +56,7 @@
     /// under an earlier one may still run.
     Duration longestStreamTimeout {0};
     std::uint64_t newestPeerCatalogVersion = 0; ///< Highest version in any peer's digest.
+    RouteHistory routeHistory;
     TargetDirectory directory;
     PeerTable peers;
 };
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -174,7 +174,8 @@
         addOriginStep(request, result);
         continueStream(request, *origin);
     } else {
-        m_streamOrigins.ask({request.handle, stream, request.service->name});
+        m_streamOrigins.ask(
+            {request.handle, stream, routeKeyOf(*request.route), request.service->name});
     }
 }
 
--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -22,16 +22,20 @@
     return origin ? std::optional(*origin) : std::nullopt;
 }
 
-std::optional<VersionKey> StreamOriginExchange::onlyVersion(const std::string &service) const
+/// Returns the version that began the stream if it can't be any other.
+std::optional<VersionKey> StreamOriginExchange::onlyVersion(const Lookup &lookup) const
 {
-    return m_context.directory.versions().onlyVersion(service, streamLifetime(), m_context.now);
+    const Duration window = streamLifetime();
+    if (!m_context.routeHistory.hadOnlyService(lookup.route, lookup.service, window, m_context.now))
+        return std::nullopt;
+    return m_context.directory.versions().onlyVersion(lookup.service, window, m_context.now);
 }
 
 /// Begins a check if it may find that only one version was listed.
 std::optional<StreamOriginExchange::HistoryCheck> StreamOriginExchange::beginCheck(
-    const std::string &service)
+    const Lookup &lookup)
 {
-    if (!m_readsPlatform || !onlyVersion(service))
+    if (!m_readsPlatform || !onlyVersion(lookup))
         return std::nullopt;
     m_context.emit(ReadPlatformRevision {++m_lastTicket});
     return HistoryCheck {m_lastTicket};
@@ -48,7 +52,7 @@
     if (pending.hasEnded)
         return;
     const std::string &service = pending.lookup.service;
-    if (const auto version = onlyVersion(service))
+    if (const auto version = onlyVersion(pending.lookup))
         pending.result.origin
             = StreamOrigin {hash32(service), *version, 0, OriginBasis::OnlyVersion};
     if (pending.result.origin || pending.isExhausted())
@@ -92,8 +96,7 @@
 {
     PendingLookup pending {std::move(lookup), m_context.now};
     const StreamKey stream = pending.lookup.stream;
-    const std::string &service = pending.lookup.service;
-    pending.check = beginCheck(service);
+    pending.check = beginCheck(pending.lookup);
     PeerTable::Receivers keepers;
     if (!pending.check)
         keepers = m_context.peers.versionHistoryKeepers(stream, m_context.now);
@@ -101,12 +104,12 @@
     std::erase_if(receivers, [&](const auto &receiver) {
         return std::find(keepers.begin(), keepers.end(), receiver) != keepers.end();
     });
+    StreamOriginQuery query {stream, pending.lookup.service, false, pending.lookup.route};
     for (const auto &[node, endpoint] : receivers)
-        m_context.emit(SendToNode {node, endpoint,
-                                   BalancerMessage(StreamOriginQuery {stream, service, false})});
+        m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
+    query.mayReadPlatform = true;
     for (const auto &[node, endpoint] : keepers)
-        m_context.emit(SendToNode {node, endpoint,
-                                   BalancerMessage(StreamOriginQuery {stream, service, true})});
+        m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
     pending.result.request = pending.lookup.request;
     pending.result.asked = receivers.size() + keepers.size();
     if (pending.isExhausted())
@@ -153,16 +156,14 @@
 void StreamOriginExchange::onQuery(const NodeId &from, const StreamOriginQuery &query)
 {
     const auto origin = find(query.stream);
-    const bool mayCheck = !origin && query.mayReadPlatform && m_pending.size() < maxLookups;
-    const auto check = mayCheck ? beginCheck(query.service) : std::nullopt;
-    if (!check) {
-        answer(from, query.stream, origin);
-        return;
-    }
-    PendingLookup pending {{0, query.stream, query.service}, m_context.now};
+    PendingLookup pending {{0, query.stream, query.route, query.service}, m_context.now};
     pending.asker = from;
-    pending.check = check;
-    m_pending.emplace(query.stream, std::move(pending));
+    if (!origin && query.mayReadPlatform && m_pending.size() < maxLookups)
+        pending.check = beginCheck(pending.lookup);
+    if (pending.check)
+        m_pending.emplace(query.stream, std::move(pending));
+    else
+        answer(from, query.stream, origin);
 }
 
 void StreamOriginExchange::onAnswer(const NodeId &from, const StreamOriginAnswer &answer)
--- a/lib/Balancer/StreamOriginExchange.h
+++ b/lib/Balancer/StreamOriginExchange.h
@@ -34,6 +34,7 @@
     {
         RequestHandle request = 0;
         StreamKey stream = 0;
+        RouteKey route = 0;
         std::string service; ///< Service to which the request goes if the stream isn't known.
     };
     /// The end of a lookup.
@@ -128,8 +129,8 @@
     };
     using Updates = std::map<Endpoint, Receiver>;
 
-    std::optional<VersionKey> onlyVersion(const std::string &service) const;
-    std::optional<HistoryCheck> beginCheck(const std::string &service);
+    std::optional<VersionKey> onlyVersion(const Lookup &lookup) const;
+    std::optional<HistoryCheck> beginCheck(const Lookup &lookup);
     void finishCheck(PendingLookup &pending);
     bool needsRecords(const std::string &service) const;
     /// Returns the time for which a stream may be taken up after it has begun.
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -98,7 +98,11 @@
                           route("/stream/", RequestKind::Stream, 2)};
         catalog.routes[2].isResumable = true;
         catalog.routes[2].timeoutMs = streamTimeoutMs;
-        catalog.services = {{"s", 100, 3000, coldRequestsPerSecond, isEngine, 128, 1000000}};
+        catalog.routes[2].services = {{streamService, 1}};
+        for (const char *service : {"s", "s2"}) {
+            catalog.services.push_back(
+                {service, 100, 3000, coldRequestsPerSecond, isEngine, 128, 1000000});
+        }
         catalog.workspaces = {{"potters", {"key"}}};
         handle(CatalogArrived {std::make_shared<const Catalog>(catalog)});
     }
@@ -136,7 +140,7 @@
             TargetRecord record;
             record.id = id;
             record.revision = revision;
-            record.service = "s";
+            record.service = id.starts_with("other") ? "s2" : "s";
             record.address = "10.1.0.1";
             record.port = 80;
             record.zone = "a";
@@ -229,6 +233,7 @@
     std::vector<std::string> listedTargets;
     std::uint64_t requestBodyHash = 0;
     std::uint32_t streamTimeoutMs = 4000;
+    std::string streamService = "s"; ///< Service of the route for streams.
     double coldRequestsPerSecond = 0;
     std::uint32_t coldRemainingMs = 0;
     std::int64_t startedAtMs = 1;
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -72,6 +72,12 @@
         return *begun;
     }
 
+    /// Returns a question of another node about a stream that nobody has recorded.
+    static StreamOriginQuery streamQuery()
+    {
+        return {7, "s", true, routeKeyOf(route("/stream/", RequestKind::Stream, 2))};
+    }
+
     void relayFirstEvent(const Dispatch &dispatch)
     {
         handle(AttemptHead {dispatch.handle, dispatch.attempt, 200, {}});
@@ -412,7 +418,7 @@
     advanceTime(longAgo);
     receiveDigest("n2", "a", 1, revision, true);
     platformRevision = revision + 1;
-    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s", true})});
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(streamQuery())});
     EXPECT_TRUE(sentMessages<StreamOriginAnswer>().empty());
     softwareVersions["t3"] = "v2";
     updateTargets({"t1", "t2", "t3"});
@@ -428,7 +434,7 @@
     installTargets({"t1", "t2"});
     advanceTime(longAgo);
     receiveDigest("n2", "a", 1, revision, true);
-    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(StreamOriginQuery {7, "s", true})});
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(streamQuery())});
     const auto answers = sentMessages<StreamOriginAnswer>();
     ASSERT_EQ(answers.size(), 1U);
     EXPECT_TRUE(answers[0].second.isKnown);
@@ -510,3 +516,19 @@
     advanceTime(25s);
     EXPECT_TRUE(send("/stream/again", StreamResumption {"unknown"}));
 }
+
+// Guards against a stream that goes on at another service, to which its route was moved since: the
+// only version of that service began none of the route's streams.
+TEST_F(StreamVersionTest, OnlyVersionOfAServiceThatTheRouteGotLatelyIsNoOrigin)
+{
+    installCatalog();
+    installTargets({"t1", "other1"});
+    advanceTime(longAgo);
+    streamService = "s2";
+    installCatalog(2);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
+    EXPECT_FALSE(findAction<Dispatch>());
+    advanceTime(longAgo);
+    EXPECT_TRUE(send("/stream/again", StreamResumption {"unknown"}));
+}
