Ignore records that are older than this node's listing

A listing at a revision says that what it lacks was gone by then. A record up to that revision of a target or zone that this node doesn't know is ignored; its version counts as former.

--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -76,6 +76,13 @@
 
 bool TargetDirectory::mergeTarget(const TargetRecord &record, TimePoint now)
 {
+    // A peer that lags, or is still loading, lists what was gone before this node's snapshot.
+    const bool isGone = !record.isRemoved && record.revision <= m_removalsKnownSince
+        && !m_entries.contains(record.id);
+    if (isGone) {
+        m_versions.onFormerTarget(record.service, versionKeyOf(record), now);
+        return false;
+    }
     const auto [found, isNew] = m_entries.try_emplace(record.id);
     Entry &entry = found->second;
     if (!isNew && record.revision <= entry.record.revision)
@@ -139,6 +146,10 @@
 
 bool TargetDirectory::mergeZone(const ZoneRecord &record)
 {
+    const bool isRestored = record.isEvacuated && record.revision <= m_removalsKnownSince
+        && !m_zones.contains(record.zone);
+    if (isRestored)
+        return false;
     const auto [found, isNew] = m_zones.try_emplace(record.zone, record);
     if (!isNew && record.revision <= found->second.revision)
         return false;
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -72,6 +72,30 @@
     EXPECT_EQ(directory.revision(), 9U);
 }
 
+// Guards against a target that a starting node takes from a peer that lags, although the node's own
+// listing no longer has it.
+TEST_F(TargetDirectoryTest, OlderRecordOfAnUnlistedTargetIsIgnored)
+{
+    apply(22, {makeRecord("u", 5)}, true);
+    apply(7, {makeRecord("t", 7)});
+    EXPECT_FALSE(isUsable("t"));
+    apply(7, {makeRecord("t", 7), makeRecord("u", 5)}, true);
+    EXPECT_FALSE(isUsable("t"));
+    EXPECT_TRUE(isUsable("u"));
+    apply(23, {makeRecord("t", 23)});
+    EXPECT_TRUE(isUsable("t"));
+}
+
+// Guards against the same for a zone whose evacuation has ended.
+TEST_F(TargetDirectoryTest, OlderEvacuationOfAnUnlistedZoneIsIgnored)
+{
+    apply(22, {makeRecord("t", 5)}, true);
+    apply(7, {}, false, {{"a", 7, true}});
+    EXPECT_TRUE(isUsable("t"));
+    apply(23, {}, false, {{"a", 23, true}});
+    EXPECT_FALSE(isUsable("t"));
+}
+
 TEST_F(TargetDirectoryTest, DrainingTargetIsNotUsable)
 {
     TargetRecord draining = makeRecord("t", 6);
