Count versions whose records a peer's newer record overtook

A node that was paused or refused by the platform could miss a version that came and left meanwhile: a peer's removal came first, and the node's own watch then brought the older listing, which was dropped before the history saw it, while the history counted as complete. A stream of that version could go on at another one.

An older record that is dropped counts its version as former, and so does a removal that names one.

--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -85,13 +85,21 @@
     }
     const auto [found, isNew] = m_entries.try_emplace(record.id);
     Entry &entry = found->second;
-    if (!isNew && record.revision <= entry.record.revision)
+    if (!isNew && record.revision <= entry.record.revision) {
+        // A newer record may have come first, by way of a peer, without this one's version.
+        if (!record.isRemoved && versionKeyOf(record) != entry.version)
+            m_versions.onFormerTarget(record.service, versionKeyOf(record), now);
         return false;
+    }
     if (record.isRemoved) {
-        if (isNew)
+        if (isNew) {
             addRemoved(entry, record, now);
-        else
-            markRemoved(entry, record.revision, now);
+            return true;
+        }
+        // This node may not know the version that the target had last.
+        if (!record.service.empty())
+            m_versions.onFormerTarget(record.service, versionKeyOf(record), now);
+        markRemoved(entry, record.revision, now);
         return true;
     }
     const bool isReportedChange = isNew || entry.record.isRemoved
