Let records go before the only version, and answers belong to a lookup

Callers could still get a joined stream: a version whose targets lapsed behind a network partition was forgotten after the time of a stream, while nodes there began streams at it; and the check of the only version ended a lookup before the nodes that hold records had answered.

- Lookups have numbers, and each node's answer counts once: late answers to an earlier lookup of the same stream ended the next one as finally unknown.
- Records of earlier releases are ignored, which were written with a head.
- A stream whose target was listed with another version while it ran is bound to no version, so that it isn't continued, as before the binding moved to the first event.
- A route without a timeout counts as 10 minutes.
- A listing at the revision that was read last keeps the history.

Tests: RecordGoesBeforeTheOnlyVersion, EachNodesAnswerIsAwaited, RecordOfAResponseHeadIsIgnored, StreamOfATargetThatChangedItsVersionIsNot- Continued, NodeThatDoesNotReadThePlatformAsksOneThatDoes and others; AnswerWithoutABasisIsIgnored checks the type of the refusal, as it passed without the check.

--- a/include/berylridge/Catalog/VersionHistory.h
+++ b/include/berylridge/Catalog/VersionHistory.h
@@ -43,15 +43,16 @@
     /// Returns the platform's revision up to which this node's own reads know all changes; 0 if
     /// they know none.
     std::uint64_t readRevision() const { return m_completeSince ? m_readRevision : 0; }
-    /// Returns the only version that targets of the service had in the time `window` up to now, as
-    /// far as this node knows; empty if there were several.
-    std::optional<VersionKey> onlyKnownVersion(std::string_view service, Duration window,
-                                               TimePoint now) const;
-    /// Returns the same up to readRevision(); empty also if the changes are not all known.
+    /// Returns the only version that targets of the service had for all that this node remembers;
+    /// empty if there were several. A version whose targets are gone is remembered for long: behind
+    /// a network partition, nodes go on using targets whose entries lapsed.
+    std::optional<VersionKey> onlyKnownVersion(std::string_view service, TimePoint now) const;
+    /// Returns the same up to readRevision(); empty also if not all changes in the time `window`
+    /// are known.
     std::optional<VersionKey> onlyVersion(std::string_view service, Duration window,
                                           TimePoint now) const
     {
-        return covers(window, now) ? onlyKnownVersion(service, window, now) : std::nullopt;
+        return covers(window, now) ? onlyKnownVersion(service, now) : std::nullopt;
     }
 
 private:
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -180,7 +180,10 @@
     std::uint64_t version = 0; ///< VersionKey.
     std::uint32_t attempt
         = 0; ///< Of two entries of a stream, the one with the higher number holds.
-    MSGPACK_DEFINE(stream, service, version, attempt)
+    /// Whether it was recorded with the stream's first event; earlier releases recorded the head of
+    /// a response.
+    bool isOfFirstEvent = false;
+    MSGPACK_DEFINE(stream, service, version, attempt, isOfFirstEvent)
 };
 
 /// Streams that began at the sender, for a node that keeps them in case the sender fails.
@@ -197,16 +200,18 @@
     std::string service;      ///< Service of the stream, as far as the sender can tell.
     /// Whether the receiver may read the platform to find out that only one version was listed.
     bool mayReadPlatform = false;
-    std::uint64_t route = 0; ///< RouteKey of the route that selected the service.
-    MSGPACK_DEFINE(stream, service, mayReadPlatform, route)
+    std::uint64_t route = 0;  ///< RouteKey of the route that selected the service.
+    std::uint64_t lookup = 0; ///< Number that the answer repeats.
+    MSGPACK_DEFINE(stream, service, mayReadPlatform, route, lookup)
 };
 
 struct StreamOriginAnswer
 {
     StreamOriginEntry origin;
-    bool isKnown = false;   ///< Whether the fields of `origin` other than `stream` are set.
-    std::uint8_t basis = 0; ///< OriginBasis.
-    MSGPACK_DEFINE(origin, isKnown, basis)
+    bool isKnown = false;     ///< Whether the fields of `origin` other than `stream` are set.
+    std::uint8_t basis = 0;   ///< OriginBasis.
+    std::uint64_t lookup = 0; ///< As in the query.
+    MSGPACK_DEFINE(origin, isKnown, basis, lookup)
 };
 
 /// Parts of prompts that targets were running when their connections broke. It is sent along with
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -470,11 +470,19 @@
     BalancedRequest *request = find(event.handle, event.attempt);
     if (!request)
         return;
-    if (!request->version)
-        request->version = m_targetSelector.versionOf(request->choice);
+    bindToVersion(*request);
     recordStreamOrigin(*request);
 }
 
+/// Binds the rest of a response whose events the caller has to the version of its target. If the
+/// target was listed with another one since it was selected, the events may be of either.
+void RequestProcessor::bindToVersion(BalancedRequest &request)
+{
+    const VersionKey version = m_targetSelector.versionOf(request.choice);
+    if (!request.version || version == unknownVersion)
+        request.version = version;
+}
+
 void RequestProcessor::onDone(const AttemptDone &event)
 {
     BalancedRequest *request = find(event.handle, event.attempt);
@@ -505,8 +513,8 @@
     if (event.sentAny && event.failure != AttemptFailure::OtherTarget)
         ++request->sentAttempts;
     request->isPartlyDelivered = request->isPartlyDelivered || event.answerBegun;
-    if (event.answerBegun && !request->version)
-        request->version = m_targetSelector.versionOf(request->choice);
+    if (event.answerBegun)
+        bindToVersion(*request);
     request->excludedTargets.push_back(request->choice.key);
     m_tally.attemptFailed(*request, failureName(event.failure));
     request->trace.add(m_context.now - request->arrivedAt,
@@ -544,9 +552,9 @@
 
 bool RequestProcessor::tryReplace(BalancedRequest &request, const AttemptSilent &event)
 {
-    TargetNeeds needs = request.targetNeeds();
-    if (event.answerBegun && !needs.version)
-        needs.version = m_targetSelector.versionOf(request.choice);
+    if (event.answerBegun)
+        bindToVersion(request);
+    const TargetNeeds needs = request.targetNeeds();
     std::vector<TargetKey> excludedTargets = request.excludedTargets;
     excludedTargets.insert(excludedTargets.end(), request.silentTargets.begin(),
                            request.silentTargets.end());
@@ -563,7 +571,6 @@
     endAttempt(request);
     ++request.sentAttempts;
     request.silentTargets.push_back(request.choice.key);
-    request.version = needs.version;
     request.isPartlyDelivered = request.isPartlyDelivered || event.answerBegun;
     m_tally.attemptFailed(request, "silent");
     step(request, RequestSignal::Retried);
@@ -707,8 +714,10 @@
     m_overloadLog.tick(m_requests.size());
     for (auto &[handle, request] : m_requests) {
         if (request.isRunning && request.originRecordedAt > TimePoint {}
-            && m_context.now - request.originRecordedAt > originRecordPeriod)
+            && m_context.now - request.originRecordedAt > originRecordPeriod) {
+            bindToVersion(request);
             recordStreamOrigin(request);
+        }
     }
     const double configuredTokensPerSecond
         = m_context.routeTable ? m_context.routeTable->catalog().tokensPerSecond : 0;
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -66,6 +66,7 @@
     void takeUpStream(BalancedRequest &request);
     void addOriginStep(BalancedRequest &request, const StreamOriginExchange::Result &result) const;
     void continueStream(BalancedRequest &request, const StreamOrigin &origin);
+    void bindToVersion(BalancedRequest &request);
     void recordStreamOrigin(BalancedRequest &request);
     std::optional<Refusal> placeRequest(BalancedRequest &request, bool isFirst);
     std::optional<Refusal> checkAdmission(BalancedRequest &request, const TargetChoice &choice,
--- a/lib/Balancer/StreamOriginExchange.cpp
+++ b/lib/Balancer/StreamOriginExchange.cpp
@@ -11,7 +11,8 @@
 {
     m_origins.record(stream, origin, streamLifetime(), m_context.now);
     std::deque<UnreportedStream> &unreported = m_unreported[service];
-    unreported.push_back({{stream, origin.service, origin.version, origin.attempt}, m_context.now});
+    unreported.push_back(
+        {{stream, origin.service, origin.version, origin.attempt, true}, m_context.now});
     if (unreported.size() > StreamOrigins::maxStreams)
         unreported.pop_front();
 }
@@ -49,19 +50,17 @@
     if (!isReady)
         return;
     pending.check.reset();
-    if (pending.hasEnded)
-        return;
-    const std::string &service = pending.lookup.service;
-    if (const auto version = onlyVersion(pending.lookup))
+    const auto version = onlyVersion(pending.lookup);
+    if (version && !pending.result.origin) {
         pending.result.origin
-            = StreamOrigin {hash32(service), *version, 0, OriginBasis::OnlyVersion};
-    if (pending.result.origin || pending.isExhausted())
-        end(pending);
+            = StreamOrigin {hash32(pending.lookup.service), *version, 0, OriginBasis::OnlyVersion};
+    }
+    endIfDecided(pending);
 }
 
 void StreamOriginExchange::onPlatformRevision(const PlatformRevisionRead &read)
 {
-    for (auto &[stream, pending] : m_pending) {
+    for (auto &[number, pending] : m_pending) {
         if (pending.check && !pending.check->revision && pending.check->ticket <= read.ticket)
             pending.check->revision = read.revision;
         finishCheck(pending);
@@ -70,14 +69,13 @@
 
 void StreamOriginExchange::onPlatformRead()
 {
-    for (auto &[stream, pending] : m_pending)
+    for (auto &[number, pending] : m_pending)
         finishCheck(pending);
 }
 
 bool StreamOriginExchange::needsRecords(const std::string &service) const
 {
-    const auto version
-        = m_context.directory.versions().onlyKnownVersion(service, streamLifetime(), m_context.now);
+    const auto version = m_context.directory.versions().onlyKnownVersion(service, m_context.now);
     return !m_isVersionHistoryKept || !version;
 }
 
@@ -94,28 +92,37 @@
 
 void StreamOriginExchange::ask(Lookup lookup)
 {
+    const std::uint64_t number = ++m_lastLookup;
     PendingLookup pending {std::move(lookup), m_context.now};
     const StreamKey stream = pending.lookup.stream;
+    pending.result.request = pending.lookup.request;
     pending.check = beginCheck(pending.lookup);
-    PeerTable::Receivers keepers;
-    if (!pending.check)
-        keepers = m_context.peers.versionHistoryKeepers(stream, m_context.now);
-    PeerTable::Receivers receivers = m_context.peers.recordHoldersToAsk(stream, m_context.now);
-    std::erase_if(receivers, [&](const auto &receiver) {
-        return std::find(keepers.begin(), keepers.end(), receiver) != keepers.end();
-    });
-    StreamOriginQuery query {stream, pending.lookup.service, false, pending.lookup.route};
-    for (const auto &[node, endpoint] : receivers)
-        m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
-    query.mayReadPlatform = true;
-    for (const auto &[node, endpoint] : keepers)
+    StreamOriginQuery query {stream, pending.lookup.service, true, pending.lookup.route, number};
+    if (!pending.check) {
+        for (const auto &[node, endpoint] :
+             m_context.peers.versionHistoryKeepers(stream, m_context.now)) {
+            m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
+            pending.keepers.push_back(node);
+        }
+    }
+    pending.awaited = pending.keepers;
+    query.mayReadPlatform = false;
+    for (const auto &[node, endpoint] : m_context.peers.recordHoldersToAsk(stream, m_context.now)) {
+        if (std::find(pending.keepers.begin(), pending.keepers.end(), node)
+            != pending.keepers.end())
+            continue;
         m_context.emit(SendToNode {node, endpoint, BalancerMessage(query)});
-    pending.result.request = pending.lookup.request;
-    pending.result.asked = receivers.size() + keepers.size();
-    if (pending.isExhausted())
+        pending.awaited.push_back(node);
+    }
+    pending.result.asked = pending.awaited.size();
+    endIfDecided(m_pending.emplace(number, std::move(pending)).first->second);
+}
+
+/// Ends the lookup if a record is known or nobody is left who might know one.
+void StreamOriginExchange::endIfDecided(PendingLookup &pending)
+{
+    if (!pending.hasEnded && (pending.hasRecord() || pending.isExhausted()))
         end(pending);
-    else
-        m_pending.emplace(stream, std::move(pending));
 }
 
 void StreamOriginExchange::end(PendingLookup &pending)
@@ -128,25 +135,41 @@
         m_results.push_back(pending.result);
 }
 
-void StreamOriginExchange::answer(const NodeId &asker, StreamKey stream,
+void StreamOriginExchange::endOverdueLookups()
+{
+    for (auto &[number, pending] : m_pending) {
+        const bool mayWait = !pending.result.origin && pending.awaitsPlatform();
+        const Duration limit = mayWait ? platformLookupTimeout : lookupTimeout;
+        if (!pending.hasEnded && m_context.now - pending.startedAt >= limit)
+            end(pending);
+    }
+    std::erase_if(m_pending, [&](const auto &entry) {
+        return m_context.now - entry.second.startedAt >= platformLookupTimeout;
+    });
+}
+
+void StreamOriginExchange::answer(const Asker &asker, StreamKey stream,
                                   const std::optional<StreamOrigin> &origin)
 {
-    const PeerTable::Peer *peer = m_context.peers.find(asker);
+    const PeerTable::Peer *peer = m_context.peers.find(asker.node);
     if (!peer)
         return;
     StreamOriginAnswer answer;
+    answer.lookup = asker.lookup;
     answer.origin.stream = stream;
     if (origin) {
         answer.isKnown = true;
         answer.basis = static_cast<std::uint8_t>(origin->basis);
-        answer.origin = {stream, origin->service, origin->version, origin->attempt};
+        answer.origin = {stream, origin->service, origin->version, origin->attempt, true};
     }
-    m_context.emit(SendToNode {asker, peer->endpoint, BalancerMessage(answer)});
+    m_context.emit(SendToNode {asker.node, peer->endpoint, BalancerMessage(answer)});
 }
 
 void StreamOriginExchange::onUpdate(const StreamOriginUpdate &update)
 {
     for (const StreamOriginEntry &entry : update.streams) {
+        if (!entry.isOfFirstEvent)
+            continue;
         m_origins.record(entry.stream,
                          {entry.service, entry.version, entry.attempt, OriginBasis::Record},
                          streamLifetime(), m_context.now);
@@ -155,49 +178,45 @@
 
 void StreamOriginExchange::onQuery(const NodeId &from, const StreamOriginQuery &query)
 {
+    const Asker asker {from, query.lookup};
     const auto origin = find(query.stream);
     PendingLookup pending {{0, query.stream, query.route, query.service}, m_context.now};
-    pending.asker = from;
+    pending.asker = asker;
     if (!origin && query.mayReadPlatform && m_pending.size() < maxLookups)
         pending.check = beginCheck(pending.lookup);
     if (pending.check)
-        m_pending.emplace(query.stream, std::move(pending));
+        m_pending.emplace(++m_lastLookup, std::move(pending));
     else
-        answer(from, query.stream, origin);
+        answer(asker, query.stream, origin);
 }
 
 void StreamOriginExchange::onAnswer(const NodeId &from, const StreamOriginAnswer &answer)
 {
+    const auto found = m_pending.find(answer.lookup);
+    if (found == m_pending.end() || std::erase(found->second.awaited, from) == 0)
+        return;
+    PendingLookup &pending = found->second;
+    std::erase(pending.keepers, from);
+    ++pending.result.answers;
     const StreamOriginEntry &entry = answer.origin;
     const auto basis = static_cast<OriginBasis>(answer.basis);
     // Without a basis, it may be a guess of an earlier release.
-    const bool isKnown = answer.isKnown && basis != OriginBasis::Unstated;
-    const auto [first, last] = m_pending.equal_range(entry.stream);
-    for (auto next = first; next != last; ++next) {
-        PendingLookup &pending = next->second;
-        if (pending.asker)
-            continue;
-        ++pending.result.answers;
-        std::erase(pending.keepers, from);
-        if (pending.hasEnded) {
-            logConflict(pending, from, answer);
-            continue;
-        }
-        if (isKnown) {
+    if (answer.isKnown && basis != OriginBasis::Unstated) {
+        logConflict(pending, from, answer);
+        if (!pending.hasRecord()) {
             pending.result.origin
                 = StreamOrigin {entry.service, entry.version, entry.attempt, basis};
             pending.result.answeredBy = from;
         }
-        if (isKnown || pending.isExhausted())
-            end(pending);
     }
+    endIfDecided(pending);
 }
 
 void StreamOriginExchange::logConflict(const PendingLookup &pending, const NodeId &from,
                                        const StreamOriginAnswer &answer)
 {
     const std::optional<StreamOrigin> &origin = pending.result.origin;
-    if (!origin || !answer.isKnown || origin->version == answer.origin.version)
+    if (!origin || origin->version == answer.origin.version)
         return;
     Json::Value fields;
     fields["stream"] = hexText(pending.lookup.stream);
@@ -217,15 +236,7 @@
         = m_keepsVersionHistory || !m_context.peers.versionHistoryKeepers(0, m_context.now).empty();
     m_origins.expire(m_context.now);
     reportStreams();
-    const auto isOver = [&](const PendingLookup &pending) {
-        const Duration limit = pending.awaitsPlatform() ? platformLookupTimeout : lookupTimeout;
-        return m_context.now - pending.startedAt >= limit;
-    };
-    for (auto &[stream, pending] : m_pending) {
-        if (!pending.hasEnded && isOver(pending))
-            end(pending);
-    }
-    std::erase_if(m_pending, [&](const auto &entry) { return isOver(entry.second); });
+    endOverdueLookups();
 }
 
 /// Reports the streams that began here to the nodes that keep them. Streams that need no records
--- a/lib/Balancer/StreamOriginExchange.h
+++ b/lib/Balancer/StreamOriginExchange.h
@@ -7,7 +7,8 @@
 //
 // Each answer is knowledge: a record, or the only version that was listed while the stream may have
 // begun. The latter takes a read of the platform that starts after the question came, as a node may
-// not have learned of a new version at which other nodes begin streams already.
+// not have learned of a new version at which other nodes begin streams already. A record goes
+// before it: nodes behind a network partition may use targets that are no longer listed.
 #pragma once
 
 #include "BalancerContext.h"
@@ -100,17 +101,28 @@
         /// Revision up to which all changes must be known; empty before that read.
         std::optional<std::uint64_t> revision {};
     };
+    /// Another node's question, for the answer.
+    struct Asker
+    {
+        NodeId node;
+        std::uint64_t lookup = 0; ///< The node's own number of its lookup.
+    };
     struct PendingLookup
     {
         Lookup lookup;
         TimePoint startedAt;
         Result result {};
-        std::optional<NodeId> asker {}; ///< Node that asked; empty if this node looks it up.
+        std::optional<Asker> asker {}; ///< Empty if this node looks it up for a request.
         std::optional<HistoryCheck> check {};
-        std::vector<NodeId> keepers {}; ///< Nodes whose reads of the platform are awaited.
+        std::vector<NodeId> awaited {}; ///< Nodes that have not answered yet.
+        std::vector<NodeId> keepers {}; ///< Those of them that may read the platform.
         bool hasEnded = false; ///< The result was reported; later answers are only compared.
 
-        bool isExhausted() const { return result.answers >= result.asked && !check; }
+        bool isExhausted() const { return awaited.empty() && !check; }
+        bool hasRecord() const
+        {
+            return result.origin && result.origin->basis == OriginBasis::Record;
+        }
         /// Returns whether a read of the platform, by this node or one that was asked, may still
         /// tell the origin.
         bool awaitsPlatform() const { return check || !keepers.empty(); }
@@ -135,8 +147,10 @@
     bool needsRecords(const std::string &service) const;
     /// Returns the time for which a stream may be taken up after it has begun.
     Duration streamLifetime() const;
+    void endIfDecided(PendingLookup &pending);
     void end(PendingLookup &pending);
-    void answer(const NodeId &asker, StreamKey stream, const std::optional<StreamOrigin> &origin);
+    void endOverdueLookups();
+    void answer(const Asker &asker, StreamKey stream, const std::optional<StreamOrigin> &origin);
     void logConflict(const PendingLookup &pending, const NodeId &from,
                      const StreamOriginAnswer &answer);
     void reportStreams();
@@ -146,7 +160,8 @@
     BalancerContext &m_context;
     StreamOrigins m_origins;
     std::map<std::string, std::deque<UnreportedStream>> m_unreported; ///< Keyed by service.
-    std::multimap<StreamKey, PendingLookup> m_pending;
+    std::map<std::uint64_t, PendingLookup> m_pending; ///< Keyed by this node's number.
+    std::uint64_t m_lastLookup = 0;
     std::vector<Result> m_results;
     std::uint64_t m_lastTicket = 0;
     bool m_readsPlatform = false;
--- a/lib/Catalog/RouteTable.cpp
+++ b/lib/Catalog/RouteTable.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Counts for a route without a timeout, whose callers set their own.
+constexpr Duration unlimitedTimeout = std::chrono::minutes(10);
+
 std::string lowerCase(std::string_view text)
 {
     std::string lower(text);
@@ -31,9 +34,11 @@
 {
     for (const RouteSpec &route : m_catalog->routes) {
         m_routes.emplace(lowerCase(route.host) + route.pathPrefix, &route);
-        if (route.requestKind() == RequestKind::Stream)
-            m_longestStreamTimeout
-                = std::max(m_longestStreamTimeout, fromMilliseconds(route.timeoutMs));
+        if (route.requestKind() == RequestKind::Stream) {
+            const Duration timeout
+                = route.timeoutMs > 0 ? fromMilliseconds(route.timeoutMs) : unlimitedTimeout;
+            m_longestStreamTimeout = std::max(m_longestStreamTimeout, timeout);
+        }
     }
     for (const ServiceSpec &service : m_catalog->services)
         m_services.emplace(service.name, &service);
--- a/lib/Catalog/VersionHistory.cpp
+++ b/lib/Catalog/VersionHistory.cpp
@@ -6,7 +6,9 @@
 
 void VersionHistory::onPlatformRead(std::uint64_t revision, bool isListing, TimePoint now)
 {
-    if (isListing) {
+    // Nothing was missed before a listing at the revision that was read last.
+    const bool isGap = !m_completeSince || revision != m_readRevision;
+    if (isListing && isGap) {
         m_completeSince = now;
         m_readRevision = revision;
     }
@@ -37,14 +39,14 @@
 }
 
 std::optional<VersionKey> VersionHistory::onlyKnownVersion(std::string_view service,
-                                                           Duration window, TimePoint now) const
+                                                           TimePoint now) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return std::nullopt;
     std::optional<VersionKey> only;
     for (const auto &[version, listed] : found->second) {
-        if (listed.targets == 0 && now - listed.lastListedAt > window)
+        if (listed.targets == 0 && now - listed.lastListedAt > maxWindow)
             continue;
         if (only)
             return std::nullopt;
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -177,7 +177,7 @@
 
     void receiveDigest(const std::string &node, const std::string &zone,
                        std::uint64_t catalogVersion, std::uint64_t directoryRevision,
-                       bool isReadingPlatform = false)
+                       bool isReadingPlatform = false, bool keepsVersionHistory = false)
     {
         LoadDigest digest;
         digest.zone = zone;
@@ -186,6 +186,7 @@
         digest.catalogVersion = catalogVersion;
         digest.directoryRevision = directoryRevision;
         digest.isReadingPlatform = isReadingPlatform;
+        digest.keepsVersionHistory = keepsVersionHistory;
         handle(NodeMessage {NodeId(node), 1, BalancerMessage(digest)});
     }
 
--- a/unittests/Balancer/StreamVersionTest.cpp
+++ b/unittests/Balancer/StreamVersionTest.cpp
@@ -1,6 +1,7 @@
 // Tests that streams go on only at the software version that began them.
 #include "BalancerFixture.h"
 
+#include "berylridge/Catalog/RouteHistory.h"
 #include "berylridge/Policy/StreamOrigins.h"
 #include "berylridge/Support/Hash.h"
 
@@ -78,6 +79,26 @@
         return {7, "s", true, routeKeyOf(route("/stream/", RequestKind::Stream, 2))};
     }
 
+    static VersionKey versionKey(const std::string &version)
+    {
+        TargetRecord record;
+        record.service = "s";
+        record.softwareVersion = version;
+        return versionKeyOf(record);
+    }
+
+    /// Delivers a node's answer; an empty version states that it knows none.
+    void receiveAnswer(const std::string &node, const StreamOriginQuery &query, OriginBasis basis,
+                       const std::string &version)
+    {
+        StreamOriginAnswer answer;
+        answer.lookup = query.lookup;
+        answer.isKnown = !version.empty();
+        answer.basis = static_cast<std::uint8_t>(basis);
+        answer.origin = {query.stream, hash32("s"), versionKey(version), 1, true};
+        handle(NodeMessage {NodeId(node), 1, BalancerMessage(answer)});
+    }
+
     void relayFirstEvent(const Dispatch &dispatch)
     {
         handle(AttemptHead {dispatch.handle, dispatch.attempt, 200, {}});
@@ -297,16 +318,7 @@
     EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
     const auto queries = sentMessages<StreamOriginQuery>();
     ASSERT_EQ(queries.size(), 1U);
-    StreamOriginAnswer answer;
-    answer.origin.stream = queries[0].second.stream;
-    answer.isKnown = true;
-    answer.basis = static_cast<std::uint8_t>(OriginBasis::Record);
-    TargetRecord first;
-    first.service = "s";
-    first.softwareVersion = "v1";
-    answer.origin.service = hash32(first.service);
-    answer.origin.version = versionKeyOf(first);
-    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(answer)});
+    receiveAnswer("n2", queries[0].second, OriginBasis::Record, "v1");
     const auto dispatch = dispatchOfLastEvent();
     ASSERT_TRUE(dispatch);
     EXPECT_EQ(versionOf(*dispatch), "v1");
@@ -447,12 +459,89 @@
     installTwoVersions();
     receiveDigest("n2", "a", 1, revision, true);
     EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
-    StreamOriginAnswer answer;
-    answer.origin = {hash64("r100"), hash32("s"), 1, 0};
-    answer.isKnown = true;
-    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(answer)});
+    const auto queries = sentMessages<StreamOriginQuery>();
+    ASSERT_EQ(queries.size(), 1U);
+    receiveAnswer("n2", queries[0].second, OriginBasis::Unstated, "v1");
     EXPECT_FALSE(findAction<Dispatch>());
-    EXPECT_TRUE(findAction<Refuse>());
+    ASSERT_TRUE(findAction<Refuse>());
+    EXPECT_EQ(findAction<Refuse>()->type, "stream-origin-unknown");
+}
+
+// Guards against a record of an earlier release, which may be of a response without an event.
+TEST_F(StreamVersionTest, RecordOfAResponseHeadIsIgnored)
+{
+    installTwoVersions();
+    StreamOriginUpdate update;
+    update.streams = {{hash64("r100"), hash32("s"), versionKey("v1"), 1, false}};
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(update)});
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
+}
+
+// Guards against a record that comes after the platform showed only one version: a node behind a
+// network partition began the stream at a target that is no longer listed.
+TEST_F(StreamVersionTest, RecordGoesBeforeTheOnlyVersion)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    receiveDigest("n2", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    const auto queries = sentMessages<StreamOriginQuery>();
+    ASSERT_EQ(queries.size(), 1U);
+    receiveAnswer("n2", queries[0].second, OriginBasis::Record, "v0");
+    EXPECT_FALSE(findAction<Dispatch>());
+    ASSERT_TRUE(findAction<Refuse>());
+    EXPECT_EQ(findAction<Refuse>()->type, "stream-version-gone");
+}
+
+// Guards against a refusal because a node answers twice and another one's record isn't awaited.
+TEST_F(StreamVersionTest, EachNodesAnswerIsAwaited)
+{
+    installTwoVersions();
+    receiveDigest("n2", "a", 1, revision, true);
+    receiveDigest("n3", "a", 1, revision, true);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"r100"}));
+    const auto queries = sentMessages<StreamOriginQuery>();
+    ASSERT_EQ(queries.size(), 2U);
+    for (int i = 0; i < 2; ++i)
+        receiveAnswer("n2", queries[0].second, OriginBasis::Record, "");
+    EXPECT_FALSE(findAction<Refuse>());
+    receiveAnswer("n3", queries[0].second, OriginBasis::Record, "v1");
+    EXPECT_TRUE(findAction<Dispatch>());
+}
+
+// Guards against a node that doesn't read the platform and refuses what readers could tell it.
+TEST_F(StreamVersionTest, NodeThatDoesNotReadThePlatformAsksOneThatDoes)
+{
+    installCatalog();
+    installTargets({"t1", "t2"});
+    for (Duration passed {0}; passed < longAgo; passed += 500ms) {
+        advanceTime(500ms);
+        receiveDigest("m1", "a", 1, revision, true, true);
+        receiveDigest("m2", "a", 1, revision, true);
+    }
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_FALSE(findAction<ReadPlatformRevision>());
+    const auto queries = sentMessages<StreamOriginQuery>();
+    ASSERT_EQ(queries.size(), 2U);
+    ASSERT_TRUE(queries[0].second.mayReadPlatform);
+    receiveAnswer("m1", queries[0].second, OriginBasis::OnlyVersion, "v1");
+    EXPECT_FALSE(findAction<Dispatch>());
+    receiveAnswer("m2", queries[1].second, OriginBasis::Record, "");
+    EXPECT_TRUE(findAction<Dispatch>());
+}
+
+// Guards against a stream that goes on, or is taken up, at the version that its target had before
+// it started again under its id: its events may be of either.
+TEST_F(StreamVersionTest, StreamOfATargetThatChangedItsVersionIsNotContinued)
+{
+    installTwoVersions();
+    const Dispatch first = beginStream("v1");
+    softwareVersions[first.target.str()] = "v2";
+    ++startedAtMs;
+    updateTargets({"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"});
+    EXPECT_FALSE(breakStream(first));
 }
 
 // Guards against a stream that is joined because peers report former targets of a version, which
@@ -484,37 +573,41 @@
 }
 
 // Guards against a stream that is joined because its caller sends its third or fourth request for
-// it, when the version that began it is forgotten.
+// it to a node that started after the version that began it had left.
 TEST_F(StreamVersionTest, VersionIsRememberedForAllRequestsOfACaller)
 {
-    installTwoVersions();
-    updateTargets({"t3", "t4"});
+    installCatalog();
+    installTargets({"t1", "t2"});
     advanceTime(15s);
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
     EXPECT_TRUE(refusalWithinLookupTime());
     EXPECT_FALSE(findAction<Dispatch>());
+    advanceTime(6s);
+    EXPECT_TRUE(send("/stream/again", StreamResumption {"unknown"}));
 }
 
 // Guards against the same for a stream that began under a catalog with longer timeouts.
 TEST_F(StreamVersionTest, VersionIsRememberedForStreamsOfAnEarlierCatalog)
 {
-    installTwoVersions();
+    installCatalog();
+    installTargets({"t1", "t2"});
     streamTimeoutMs = 1000;
     installCatalog(2);
-    updateTargets({"t3", "t4"});
     advanceTime(15s);
     EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
     EXPECT_TRUE(refusalWithinLookupTime());
     EXPECT_FALSE(findAction<Dispatch>());
 }
 
-// Guards against a version that is remembered for longer than callers can use it.
-TEST_F(StreamVersionTest, VersionIsForgottenOnceNoStreamOfItCanBeTakenUp)
+// Guards against a window that is too short where callers set their own limits.
+TEST_F(StreamVersionTest, StreamsOfARouteWithoutATimeoutMayLastForLong)
 {
-    installTwoVersions();
-    updateTargets({"t3", "t4"});
-    advanceTime(25s);
-    EXPECT_TRUE(send("/stream/again", StreamResumption {"unknown"}));
+    streamTimeoutMs = 0;
+    installCatalog();
+    installTargets({"t1", "t2"});
+    advanceTime(longAgo);
+    EXPECT_FALSE(send("/stream/again", StreamResumption {"unknown"}));
+    EXPECT_TRUE(refusalWithinLookupTime());
 }
 
 // Guards against a stream that goes on at another service, to which its route was moved since: the
--- a/unittests/Catalog/VersionHistoryTest.cpp
+++ b/unittests/Catalog/VersionHistoryTest.cpp
@@ -69,13 +69,15 @@
     EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v1")));
 }
 
-TEST_F(VersionHistoryTest, VersionCountsUntilTheWindowAfterItsLastTarget)
+// Guards against a version that is forgotten while nodes behind a network partition still use
+// targets of it whose entries have lapsed.
+TEST_F(VersionHistoryTest, VersionIsRememberedForLongAfterItsLastTarget)
 {
     list({target("t1", "v1"), target("t2", "v2")});
     clock.advance(2 * window);
     EXPECT_FALSE(onlyVersion());
     watch({removal("t1")});
-    clock.advance(window);
+    clock.advance(VersionHistory::maxWindow);
     EXPECT_FALSE(onlyVersion());
     clock.advance(1s);
     EXPECT_EQ(onlyVersion(), versionKeyOf(target("t2", "v2")));
@@ -88,10 +90,40 @@
     clock.advance(2 * window);
     watch({target("t1", "v2")});
     EXPECT_FALSE(onlyVersion());
-    clock.advance(window + 1s);
+    clock.advance(VersionHistory::maxWindow + 1s);
     EXPECT_EQ(onlyVersion(), versionKeyOf(target("t1", "v2")));
 }
 
+// Guards against a version that is missed because a peer's newer record of its target came before
+// the change at which this node would have learned of it.
+TEST_F(VersionHistoryTest, VersionIsKnownAlthoughARelayOvertookIt)
+{
+    list({target("t1", "v1"), target("t2", "v1")});
+    clock.advance(2 * window);
+    DirectoryUpdate relay;
+    relay.revision = 30;
+    relay.targets = {target("t1", "v2")};
+    relay.targets[0].revision = 30;
+    relay.targets[0].isRemoved = true;
+    directory.apply(relay, clock.now());
+    EXPECT_FALSE(onlyVersion());
+}
+
+// Guards against the same where the peer's record has no version.
+TEST_F(VersionHistoryTest, VersionIsKnownAlthoughItsRecordCameLate)
+{
+    list({target("t1", "v1"), target("t2", "v1")});
+    clock.advance(2 * window);
+    DirectoryUpdate relay;
+    relay.revision = 30;
+    relay.targets = {removal("t1")};
+    relay.targets[0].revision = 30;
+    directory.apply(relay, clock.now());
+    EXPECT_TRUE(onlyVersion());
+    watch({target("t1", "v2")});
+    EXPECT_FALSE(onlyVersion());
+}
+
 // Guards against a version that seems to be gone because a peer reports former targets of it.
 TEST_F(VersionHistoryTest, RemovedTargetsOfAPeerLeaveTheListedOnesCounted)
 {
@@ -122,6 +154,9 @@
     EXPECT_FALSE(onlyVersion());
     clock.advance(window);
     EXPECT_TRUE(onlyVersion());
+    --revision; // A listing at the revision that was read last.
+    list({target("t1", "v1")});
+    EXPECT_TRUE(onlyVersion());
 }
 
 // Guards against a node that doesn't read the platform and misses what peers don't tell.
--- a/unittests/Net/ResumeTest.cpp
+++ b/unittests/Net/ResumeTest.cpp
@@ -79,6 +79,9 @@
     }
     const bool hasFirst = core.receivedEvents<AttemptFailed>().at(0).answerBegun;
     EXPECT_EQ(lastId.empty(), !hasFirst);
+    const auto relayed = core.receivedEvents<FirstEventRelayed>();
+    ASSERT_EQ(relayed.size(), 1U);
+    EXPECT_EQ(relayed[0].attempt, hasFirst ? 1U : 2U);
     const std::string all = eventsOf(response);
     EXPECT_TRUE(all.ends_with("id: 3\ndata: token3\ndata: [DONE]\n")) << response;
     EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos)
@@ -90,6 +93,31 @@
         << response;
 }
 
+// Guards against a stream that counts as begun by an attempt of which the caller has no event.
+TEST(ResumeTest, headAndCommentOfAFailedAttemptBeginNoStream)
+{
+    FakeTarget first([](FakeTargetConnection &peer) {
+        peer.readRequest();
+        peer.send(streamHead);
+        peer.reset();
+    });
+    FakeTarget second([&](FakeTargetConnection &peer) {
+        peer.readRequest();
+        peer.send(streamHead + chunk(": comment\n\n") + chunk(event(1)) + chunk("data: [DONE]\n\n")
+                  + "0\r\n\r\n");
+    });
+    FakeCore core(resumeAt(first.endpoint(), second.endpoint()));
+    TestNode node(core);
+    FakeCaller caller = node.caller();
+    caller.send(
+        requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", "prompt"));
+    caller.readAll();
+    core.waitForEvents<AttemptDone>(1);
+    const auto relayed = core.receivedEvents<FirstEventRelayed>();
+    ASSERT_EQ(relayed.size(), 1U);
+    EXPECT_EQ(relayed[0].attempt, 2U);
+}
+
 TEST(ResumeTest, resumesAfterEventsSentWithPrematureEnd)
 {
     // Guards against a stream that ends without [DONE]: its events and a valid last chunk arrive
