Balancer: Refuse late requests of a planned stop also before a late timer

Callers could have a request taken more than 3 s after the order to stop and cut at its end. Only a timer began to refuse new requests; a request that was handled before it, on a control thread that was late, was still sent.

Now the time of the request itself decides.

--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -241,6 +241,7 @@
     if (!m_context.stateMachines.node.step(m_state, NodeSignal::LeaveOrdered))
         return;
     m_leaveStartedAt = m_context.now;
+    m_requests.rejectNewRequestsFrom(m_leaveStartedAt + m_context.options.rejectNewRequestsAfter);
     m_context.log(LogEventId::NodeLeaving, who);
     m_context.emit(Readiness {false});
 }
@@ -343,8 +344,6 @@
     if (m_state != NodeState::Leaving)
         return;
     const Duration since = m_context.now - m_leaveStartedAt;
-    if (since >= m_context.options.rejectNewRequestsAfter)
-        m_requests.rejectNewRequests();
     const bool isIdle
         = m_requests.size() == 0 && m_context.now - m_requests.lastArrival() > idleTimeBeforeStop;
     if (since >= m_context.options.minStopTime && isIdle) {
@@ -364,7 +363,7 @@
 {
     m_context.stateMachines.node.step(m_state, signal);
     // Requests may still be on their way from the traffic threads.
-    m_requests.rejectNewRequests();
+    m_requests.rejectNewRequestsFrom(m_context.now);
     m_context.log(LogEventId::NodeStopped, m_context.options.node.str());
     const TimePoint drainEnd = m_leaveStartedAt + m_context.options.stopLimit + finalDrainTime;
     m_context.emit(Stopped {std::max<Duration>(drainEnd - m_context.now, minDrainLimit)});
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -254,7 +254,7 @@
 std::optional<Refusal> RequestProcessor::resolveRequest(BalancedRequest &request,
                                                         const RequestArrived &event)
 {
-    if (m_isRejectingNewRequests)
+    if (m_context.now >= m_rejectNewRequestsFrom)
         return Refusal {503, "leaving", "the router stops", leavingRetryAfter};
     request.routeTable = m_context.routeTable;
     if (!request.routeTable)
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -48,9 +48,9 @@
 
     /// Does the periodic work: updates shares and logs, and removes expired entries.
     void tick();
-    /// Rejects all new requests from now on, because a planned stop could not wait for their
-    /// responses.
-    void rejectNewRequests() { m_isRejectingNewRequests = true; }
+    /// Rejects all requests that arrive at `time` or later, because a planned stop could not wait
+    /// for their responses.
+    void rejectNewRequestsFrom(TimePoint time) { m_rejectNewRequestsFrom = time; }
     /// Aborts all requests when a planned stop reaches its time limit.
     void abortAll();
 
@@ -100,7 +100,7 @@
     RandomEngine m_random;
     TimePoint m_lastArrival {};
     bool m_wasOverloaded = false;
-    bool m_isRejectingNewRequests = false;
+    TimePoint m_rejectNewRequestsFrom = TimePoint::max();
 };
 
 } // namespace berylridge
