Balancer: Count a planned stop from the signal, not from its late handling

After a control thread that was late, callers' requests were taken more than 3 s after the SIGTERM and the stop limit came after the process may be killed: the stop counted from the moment in which the signal was handled.

The signal carries no time. It is now taken to have arrived when the overdue timer was due; the event loop may run that timer first, so a timer that ran in the last 50 ms counts too. On a loop that is on time nothing changes by more than that. A signal that truly arrives right after a pause ends its stop earlier by the pause.

--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -25,6 +25,8 @@
 /// Time after the stop limit in which callers receive the last responses.
 constexpr Duration finalDrainTime = std::chrono::milliseconds(500);
 constexpr Duration minDrainLimit = std::chrono::milliseconds(100);
+/// Events that waited for the control thread together are handled within about this time.
+constexpr Duration backlogTime = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -41,6 +43,8 @@
         , m_state(m_context.stateMachines.node.initial())
         , m_lastEventAt(now)
         , m_nextDigest(now)
+        , m_timersDueAt(now)
+        , m_timersRanAt(now)
     {
     }
 
@@ -56,6 +60,7 @@
     void logDirectoryChanges(const std::string &source);
     void onPlatformReachability(bool isReachable);
     void onLeave(const std::string &who);
+    TimePoint earliestArrival() const;
     void runTimers();
     void checkReady();
     void onTrafficThreadReport(const TrafficThreadReport &report);
@@ -75,6 +80,8 @@
     NodeState m_state;
     TimePoint m_lastEventAt;
     TimePoint m_nextDigest;
+    TimePoint m_timersDueAt; ///< When the timers that ran last were due.
+    TimePoint m_timersRanAt;
     TimePoint m_leaveStartedAt {};
     bool m_isPlatformReachable = true;
     TimePoint m_platformSilentSince {};
@@ -240,12 +247,21 @@
 {
     if (!m_context.stateMachines.node.step(m_state, NodeSignal::LeaveOrdered))
         return;
-    m_leaveStartedAt = m_context.now;
+    m_leaveStartedAt = earliestArrival();
     m_requests.rejectNewRequestsFrom(m_leaveStartedAt + m_context.options.rejectNewRequestsAfter);
     m_context.log(LogEventId::NodeLeaving, who);
     m_context.emit(Readiness {false});
 }
 
+/// Returns since when the current event may have waited for the control thread. The timer that was
+/// due meanwhile may have been handled before it.
+TimePoint BalancerCore::Impl::earliestArrival() const
+{
+    if (m_context.now - m_timersRanAt <= backlogTime)
+        return m_timersDueAt;
+    return std::min(m_context.now, m_nextDigest);
+}
+
 void BalancerCore::Impl::checkReady()
 {
     if (!m_context.routeTable || m_context.directory.revision() == 0)
@@ -261,6 +277,8 @@
 {
     if (m_context.now < m_nextDigest)
         return;
+    m_timersDueAt = m_nextDigest;
+    m_timersRanAt = m_context.now;
     m_nextDigest = m_context.now + m_context.options.digestPeriod;
     m_context.peers.removeSilent(m_context.now);
     m_targetSelector.tick();
--- a/unittests/Balancer/PlannedStopTest.cpp
+++ b/unittests/Balancer/PlannedStopTest.cpp
@@ -174,6 +174,41 @@
     expectRefusedAsNotRun();
 }
 
+// Guards against a planned stop that counts from a late signal and outlasts the grace time.
+TEST_F(PlannedStopTest, StopCountsFromTheSignalThatWasHandledLate)
+{
+    installCatalog();
+    installTargets({"t1"});
+    advanceTime(1s);
+    orderedAt = clock.now();
+    clock.advance(700ms);
+    handle(LeaveOrdered {"SIGTERM"});
+    advanceTime(orderedAt + 2s - clock.now());
+    sendRequest("/read/1");
+    EXPECT_TRUE(findAction<Dispatch>());
+    advanceTime(orderedAt + lastCutRequest - clock.now());
+    sendRequest("/buy/1");
+    expectRefusedAsNotRun();
+    advanceTime(orderedAt + graceTime - clock.now());
+    EXPECT_TRUE(findAction<Stopped>());
+}
+
+// Guards against a late signal that is taken for an early one because a timer was handled first.
+TEST_F(PlannedStopTest, StopCountsFromALateSignalBehindALateTimer)
+{
+    installCatalog();
+    installTargets({"t1"});
+    advanceTime(1s);
+    orderedAt = clock.now();
+    clock.advance(700ms);
+    handle(TimerDue {});
+    clock.advance(1ms);
+    handle(LeaveOrdered {"SIGTERM"});
+    advanceTime(orderedAt + lastCutRequest - clock.now());
+    sendRequest("/buy/1");
+    expectRefusedAsNotRun();
+}
+
 // Guards against a request that was taken in time and is ended early because it was retried.
 TEST_F(PlannedStopTest, RetriedRequestMayRunUntilTheStopLimit)
 {
