Router: Take no request that a planned stop would cut

Requests that waited for a slot were still sent in the drain, and failed ones retried.

Requests are now taken in the first third of stopLimit whatever their limits, because the load balancer still sends some; later only if the wait and the attempt that they may take end before the stop. The others get 503 not run with Retry-After at once, keyed ones after their claim. At the end, waiting requests get the same, and nothing is sent any more.

PlannedStopTest: RequestThatMayOutlastTheStopIsRefusedAtOnce, RequestThatEnds- BeforeTheStopIsTaken, RequestAfterTheEndIsRefused, RequestThatWaitsAtTheEndIs- Refused and RequestThatFailsAfterTheEndIsNotRetried failed before, pass now. RequestBeforeALateTimerIsRefused was corrected afterwards and ran only on the new code. RequestAfterAReturnIsTaken passed before too.

--- a/lib/Router/CoreContext.h
+++ b/lib/Router/CoreContext.h
@@ -51,6 +51,9 @@
     TimePoint now;
     WallTime wall;
     Actions *actions = nullptr;
+    /// Time from which a planned stop takes only requests that end before `stopsAt`.
+    TimePoint takesLongRequestsUntil = TimePoint::max();
+    TimePoint stopsAt = TimePoint::max(); ///< Latest end of a planned stop.
     Membership membership;
     DocumentStore documents;
     std::deque<AnyMessage> selfMessages;
--- a/lib/Router/FleetSync.cpp
+++ b/lib/Router/FleetSync.cpp
@@ -20,6 +20,9 @@
 constexpr Duration balancerNoticeDelay = std::chrono::seconds(2);
 /// Time without a new request after which the load balancer is assumed to have stopped sending.
 constexpr Duration quietPeriod = std::chrono::seconds(1);
+/// Part of stopLimit in which requests are taken whatever their time limits, because the load
+/// balancer still sends some and nearly all end long before their limits.
+constexpr int longRequestsDivisor = 3;
 
 } // namespace
 
@@ -174,6 +177,9 @@
     m_context.audit(AuditKind::NodeState, who, m_context.options.node.str(),
                     m_context.stateMachines.node.name(m_state), "leaving");
     m_leavingSince = m_context.now;
+    const Duration stopLimit = m_context.options.stopLimit;
+    m_context.takesLongRequestsUntil = m_leavingSince + stopLimit / longRequestsDivisor;
+    m_context.stopsAt = m_leavingSince + stopLimit;
     step(NodeSignal::LeaveOrdered);
     m_context.log(LogEventId::NodeLeaving, "by " + who);
     m_context.emit(Readiness {false});
@@ -186,6 +192,7 @@
     if (m_state != NodeState::Leaving)
         return;
     m_context.audit(AuditKind::NodeState, who, m_context.options.node.str(), "leaving", "joining");
+    m_context.takesLongRequestsUntil = m_context.stopsAt = TimePoint::max();
     step(NodeSignal::ReturnOrdered);
     checkReady();
     announce();
@@ -222,16 +229,21 @@
     const bool isQuiet
         = now - quietSince >= quietPeriod && now - m_leavingSince >= balancerNoticeDelay;
     if (requests == 0 && isQuiet) {
-        step(NodeSignal::Emptied);
         m_context.log(LogEventId::NodeStopped, "");
-        m_context.emit(Stopped {});
+        stop(NodeSignal::Emptied);
         return;
     }
-    if (now - m_leavingSince < m_context.options.stopLimit)
+    if (now < m_context.stopsAt)
         return;
-    step(NodeSignal::LimitReached);
     m_context.log(LogEventId::StopLimitReached,
                   std::to_string(requests) + " requests were running");
+    stop(NodeSignal::LimitReached);
+}
+
+void FleetSync::stop(NodeSignal signal)
+{
+    step(signal);
+    m_context.takesLongRequestsUntil = m_context.stopsAt = m_context.now;
     m_context.emit(Stopped {});
 }
 
--- a/lib/Router/FleetSync.h
+++ b/lib/Router/FleetSync.h
@@ -56,6 +56,7 @@
 
 private:
     void step(NodeSignal signal);
+    void stop(NodeSignal signal);
     MemberState memberState() const;
     void checkReady();
 
--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -177,7 +177,7 @@
 
 bool RequestManager::mayRetry(const Request &request, const AttemptFailed &event)
 {
-    if (request.attempts >= maxAttempts)
+    if (request.attempts >= maxAttempts || m_context.now >= m_context.stopsAt)
         return false;
     // Once the target may have processed the request, only an idempotent one may be sent again:
     // running a purchase twice is worse than refusing it.
--- a/lib/Router/RequestManager.cpp
+++ b/lib/Router/RequestManager.cpp
@@ -136,6 +136,10 @@
 
 void RequestManager::admit(Request &request, Service &service)
 {
+    if (mayOutlastStop(request, service)) {
+        refuse(request, leavingRefusal());
+        return;
+    }
     if (m_crashes.remainingBlockTime(request.fingerprint, m_context.now)) {
         m_context.log(LogEventId::CrashingRequest, request.id);
         refuse(request, crashingRefusal(503, request.fingerprint));
@@ -166,6 +170,32 @@
     enqueue(request);
 }
 
+bool RequestManager::mayOutlastStop(const Request &request, const Service &service) const
+{
+    return m_context.now >= m_context.takesLongRequestsUntil
+        && request.queueDeadline + service.document->attemptTimeout > m_context.stopsAt;
+}
+
+RequestManager::Refusal RequestManager::leavingRefusal()
+{
+    return {503, "leaving", "the router stops", minRetryAfter};
+}
+
+void RequestManager::refuseWaiting()
+{
+    std::vector<RequestHandle> waiting;
+    for (const auto &[handle, request] : m_requests) {
+        if (request.state == RequestState::Queued || request.state == RequestState::Claiming)
+            waiting.push_back(handle);
+    }
+    for (const RequestHandle handle : waiting) {
+        // A released key may have ended another request that waited for it.
+        const auto found = m_requests.find(handle);
+        if (found != m_requests.end())
+            refuse(found->second, leavingRefusal());
+    }
+}
+
 void RequestManager::enqueue(Request &request)
 {
     Service &service = m_services.at(request.service);
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -46,6 +46,9 @@
     /// Returns whether a key that a caller generates now could be admitted.
     bool acceptsNewKeys() const { return m_keys.acceptsNewKeys(m_context.wall); }
 
+    /// Refuses requests that have not been sent to a target, at the end of a planned stop.
+    void refuseWaiting();
+
     /// Refuses requests whose queue timeout has passed and completes crash checks that are due.
     void tick();
     TimePoint nextTimer() const;
@@ -95,6 +98,7 @@
 
     Request *find(RequestHandle handle, AttemptNumber attempt);
     void admit(Request &request, Service &service);
+    bool mayOutlastStop(const Request &request, const Service &service) const;
     void enqueue(Request &request);
     void refuse(Request &request, Refusal refusal);
     void refuseEarly(const RequestArrived &event, Refusal refusal);
@@ -110,6 +114,7 @@
     void resolveCrashChecks(const TargetId &target, std::uint64_t poll, const std::string &bootId);
     void resendCrashReports();
     void refuseCrashingRequests(std::uint64_t fingerprint);
+    static Refusal leavingRefusal();
     Refusal crashingRefusal(unsigned status, std::uint64_t fingerprint) const;
     void recordCrash(const CrashCheck &check, const TargetId &target);
     void finishCrashCheck(const CrashCheck &check);
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -170,6 +170,8 @@
         m_nextHeartbeat = m_context.now + m_context.options.heartbeatPeriod;
         m_fleet.tick(m_requests.acceptsNewKeys());
         m_fleet.checkStop(m_requests.size(), m_requests.lastArrival());
+        if (m_fleet.state() == NodeState::Stopped)
+            m_requests.refuseWaiting();
     }
     if (m_context.now >= m_nextTick || m_context.now >= m_requests.nextTimer()) {
         m_nextTick = m_context.now + busyTickPeriod;
