Router: Answer requests that outlast the drain of a planned stop

Callers whose targets had not begun to answer when the drain ended got a closed connection. They now get 502 with the verdict may-have-run in the last 0.8 s of the drain; targets may answer until then. Answers that have begun go on until the drain ends.

--- a/lib/Router/RequestAttempts.cpp
+++ b/lib/Router/RequestAttempts.cpp
@@ -175,6 +175,24 @@
                                              : std::optional<Duration>(std::chrono::seconds(1))});
 }
 
+void RequestManager::abortUnanswered()
+{
+    std::vector<RequestHandle> unanswered;
+    for (const auto &[handle, request] : m_requests) {
+        if (request.state == RequestState::Sent && !request.isCallerGone)
+            unanswered.push_back(handle);
+    }
+    for (const RequestHandle handle : unanswered) {
+        Request &request = m_requests.at(handle);
+        m_context.emit(AbortAttempt {handle, request.attempts});
+        endAttempt(request, false);
+        if (!request.key.empty())
+            m_keys.failed(request.key);
+        refuse(request,
+               {502, "stopping", "the router stops and can't wait for the answer", std::nullopt});
+    }
+}
+
 bool RequestManager::mayRetry(const Request &request, const AttemptFailed &event)
 {
     if (request.attempts >= maxAttempts || m_context.now >= m_context.stopsAt)
--- a/lib/Router/RequestManager.h
+++ b/lib/Router/RequestManager.h
@@ -48,6 +48,9 @@
 
     /// Refuses requests that have not been sent to a target, at the end of a planned stop.
     void refuseWaiting();
+    /// Aborts and refuses requests whose targets have not begun to answer, because the process
+    /// ends.
+    void abortUnanswered();
 
     /// Refuses requests whose queue timeout has passed and completes crash checks that are due.
     void tick();
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -20,6 +20,9 @@
 /// Events arrive at least once per heartbeat period. A longer gap means that the process was paused
 /// and that its knowledge of other nodes is as old as the gap.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(1000);
+/// Time after the end of a planned stop in which targets may still answer. The rest of the drain is
+/// for the refusals of the others.
+constexpr Duration lastAnswersTime = Stopped {}.drainLimit - std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -53,6 +56,7 @@
     void applyFleetChanges();
     void handleSelfMessages();
     void runTimers();
+    void endStoppedRequests();
 
     CoreContext m_context;
     RequestManager m_requests;
@@ -171,7 +175,7 @@
         m_fleet.tick(m_requests.acceptsNewKeys());
         m_fleet.checkStop(m_requests.size(), m_requests.lastArrival());
         if (m_fleet.state() == NodeState::Stopped)
-            m_requests.refuseWaiting();
+            endStoppedRequests();
     }
     if (m_context.now >= m_nextTick || m_context.now >= m_requests.nextTimer()) {
         m_nextTick = m_context.now + busyTickPeriod;
@@ -180,6 +184,14 @@
     }
 }
 
+/// Refuses requests that would get no answer before the process ends.
+void RouterCore::Impl::endStoppedRequests()
+{
+    m_requests.refuseWaiting();
+    if (m_context.now >= m_context.stopsAt + lastAnswersTime)
+        m_requests.abortUnanswered();
+}
+
 /// Processes the event's consequences within this node until no change and no message to itself is
 /// pending.
 void RouterCore::Impl::processPendingWork()
--- a/unittests/Router/PlannedStopTest.cpp
+++ b/unittests/Router/PlannedStopTest.cpp
@@ -184,6 +184,18 @@
     EXPECT_EQ(m_refusals.at(running).verdict, Verdict::NotRun);
 }
 
+// Guards against a connection that closes at the end of the drain without an answer.
+TEST_F(PlannedStopTest, RequestThatOutlastsTheDrainIsAnswered)
+{
+    orderStop();
+    const RequestHandle request = sendRequest("POST");
+    ASSERT_TRUE(isDispatched(request));
+    advanceTime(stopLimit + Stopped {}.drainLimit);
+    ASSERT_TRUE(m_refusals.contains(request));
+    EXPECT_EQ(m_refusals.at(request).status, 502U);
+    EXPECT_EQ(m_refusals.at(request).verdict, Verdict::MayHaveRun);
+}
+
 // Guards against a node that still refuses requests after its planned stop was taken back.
 TEST_F(PlannedStopTest, RequestAfterAReturnIsTaken)
 {
