Bound what targets make a router hold for all requests together

What callers saw: a replica that sends events without end makes its router run out of memory; the requests of all other callers on it end (LOST).

Cause: an incomplete event may take 1 MiB, each stream has its own limit, and nothing limits their sum. Complete events that a caller doesn't read add to it, the buffer of a stream kept its capacity after a large event, and the event of a failed attempt stayed until the next one.

Change: the requests of a process share 24 MiB for incomplete events, held and stored bodies and events that the caller's connection hasn't accepted; 48 KiB for each request are not counted, so that streams of small events don't depend on others. An event that finds no room ends its attempt with InvalidResponse before its bytes are taken, so a resumed stream misses nothing. A held body without room is relayed at once, an error is reported without its body, a response is not stored for repeats; as with those above 64 KiB. Buffers above 32 KiB shrink after an event.

--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -1,5 +1,6 @@
 #include "EventStream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace berylridge {
@@ -83,6 +84,8 @@
         searchFrom = 0;
     }
     m_pending.erase(0, m_pending.size() - rest.size());
+    if (m_pending.capacity() > std::max(keptBytes, 2 * m_pending.size()))
+        m_pending.shrink_to_fit();
     return m_pending.size() <= maxEventBytes;
 }
 
--- a/lib/Net/EventStream.h
+++ b/lib/Net/EventStream.h
@@ -40,11 +40,21 @@
     /// previous attempt.
     void beginAttempt()
     {
-        m_pending.clear();
+        discardIncompleteEvent();
         m_blankBytes = 0;
         m_hasEvents = false;
     }
 
+    /// Frees the memory of the incomplete event.
+    void discardIncompleteEvent()
+    {
+        m_pending.clear();
+        m_pending.shrink_to_fit();
+    }
+
+    /// Returns the size of the incomplete event in bytes.
+    std::size_t incompleteBytes() const { return m_pending.size(); }
+
     /// Sets the id of the last event that the caller received on an earlier connection.
     void setLastId(std::string_view id);
 
@@ -58,6 +68,9 @@
     bool isDone() const { return m_endsWithDoneEvent ? m_isDone : m_pending.empty(); }
 
 private:
+    /// Capacity of the buffer that stays allocated between events.
+    static constexpr std::size_t keptBytes = 32 << 10;
+
     bool processEvent(std::string_view event, std::string &out);
 
     const bool m_endsWithDoneEvent;
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::string_view eventStreamType = "text/event-stream";
+/// Memory of a string that grows, per byte of its size.
+constexpr std::size_t growthFactor = 2;
 
 bool isEventStream(const ResponseHead &head, bool hasBody)
 {
@@ -81,6 +83,7 @@
     }
     if (m_stream)
         m_stream->beginAttempt();
+    updateHeldBytes();
     m_thread.metrics().streamsContinued += command.isResumed ? 1 : 0;
     if (!command.originBasis.empty())
         m_thread.metrics().countResumedStream(command.originBasis);
@@ -201,12 +204,40 @@
         m_head.set(http::field::transfer_encoding, "chunked");
 }
 
-void Exchange::bufferHeldBody(std::string_view bytes, bool isEnd)
+std::size_t Exchange::countHeldBytes() const
+{
+    std::size_t bytes = m_stream ? m_stream->incompleteBytes() : 0;
+    bytes += m_heldResponse ? m_heldResponse->body.size() : 0;
+    bytes += m_storedBody ? m_storedBody->size() : 0;
+    return growthFactor * bytes + m_unwrittenBytes;
+}
+
+/// Counts further bytes as held if the limit of the process allows them.
+bool Exchange::canHold(std::size_t bytes)
+{
+    return m_heldBytes.resize(countHeldBytes() + growthFactor * bytes);
+}
+
+/// Writes to the caller's connection. The body bytes in the piece count as held until it is
+/// written.
+void Exchange::writePiece(std::string out, std::size_t bodyBytes, std::function<void()> written)
+{
+    m_unwrittenBytes += bodyBytes;
+    updateHeldBytes();
+    m_session->write(std::move(out),
+                     [self = shared_from_this(), bodyBytes, written = std::move(written)] {
+                         self->m_unwrittenBytes -= bodyBytes;
+                         self->updateHeldBytes();
+                         written();
+                     });
+}
+
+void Exchange::bufferHeldBody(std::string_view bytes, bool isEnd, bool isHoldable)
 {
     const auto attempt = m_attempt;
     m_heldResponse->body.append(bytes);
     m_heldResponse->isComplete = isEnd;
-    if (m_heldResponse->body.size() > maxStoredResponseBytes && !m_heldResponse->failure) {
+    if (!isHoldable && !m_heldResponse->failure) {
         const std::string heldBody = std::move(m_heldResponse->body);
         m_heldResponse.reset();
         relayBody(heldBody, isEnd);
@@ -252,17 +283,20 @@
 std::optional<AttemptFailure> Exchange::onResponseBody(std::string_view bytes, bool isEnd)
 {
     if (m_heldResponse) {
+        const bool isHoldable = m_heldResponse->body.size() + bytes.size() <= maxStoredResponseBytes
+            && canHold(bytes.size());
         // An error above the limit can't be relayed, so the rest of its body is not read.
-        if (m_heldResponse->failure
-            && m_heldResponse->body.size() + bytes.size() > maxStoredResponseBytes)
+        if (m_heldResponse->failure && !isHoldable)
             return m_heldResponse->failure;
-        bufferHeldBody(bytes, isEnd);
+        bufferHeldBody(bytes, isEnd, isHoldable);
         return std::nullopt;
     }
     if (!m_stream) {
         relayBody(bytes, isEnd);
         return std::nullopt;
     }
+    if (!canHold(bytes.size()))
+        return AttemptFailure::InvalidResponse;
     std::string events;
     const bool isUsable = m_stream->feed(bytes, events);
     // Without a length, the end of a target before its first event looks like an empty stream.
@@ -274,7 +308,7 @@
     }
     // Relays the complete events before the fault, because a resumed stream starts after them.
     if (m_session && !events.empty())
-        m_session->write(encodeForCaller(events, false), [] {});
+        writePiece(encodeForCaller(events, false), events.size(), [] {});
     return isUsable ? AttemptFailure::TruncatedResponse : AttemptFailure::InvalidResponse;
 }
 
@@ -315,10 +349,10 @@
         return;
     }
     m_isAwaitingWrite = true;
-    m_session->write(std::move(out), [self = shared_from_this(), attempt] {
-        if (self->m_attempt != attempt)
+    writePiece(std::move(out), bytes.size(), [this, attempt] {
+        if (m_attempt != attempt)
             return;
-        self->m_isAwaitingWrite = false;
+        m_isAwaitingWrite = false;
         attempt->resume();
     });
 }
@@ -351,7 +385,7 @@
 {
     if (!m_storedBody)
         return;
-    if (m_storedBody->size() + bytes.size() > maxStoredResponseBytes)
+    if (m_storedBody->size() + bytes.size() > maxStoredResponseBytes || !canHold(bytes.size()))
         m_storedBody.reset();
     else
         m_storedBody->append(bytes);
@@ -381,6 +415,9 @@
 {
     m_attempt.reset();
     m_isAwaitingWrite = false;
+    if (m_stream)
+        m_stream->discardIncompleteEvent();
+    updateHeldBytes();
     if (m_heldResponse && m_heldResponse->failure) {
         reportHeldFailure(); // The head was sufficient, although the body never arrived.
         return;
@@ -412,6 +449,9 @@
         return;
     m_attempt->abort();
     m_attempt.reset();
+    if (m_stream)
+        m_stream->discardIncompleteEvent();
+    updateHeldBytes();
     if (!m_session)
         m_thread.removeExchange(m_handle);
 }
@@ -471,6 +511,8 @@
     if (!m_session)
         return;
     m_session.reset();
+    m_unwrittenBytes = 0;
+    updateHeldBytes();
     ++m_thread.metrics().callerDisconnects;
     m_thread.report(CallerGone {m_handle});
     if (!m_attempt) {
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "EventStream.h"
+#include "HeldBytes.h"
 #include "TargetAttempt.h"
 #include "berylridge/Net/Asio.h"
 
@@ -11,6 +12,7 @@
 
 #include <boost/beast/http/empty_body.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,7 +70,11 @@
     bool canContinueElsewhere() const { return !m_isResponseStarted || m_stream; }
     TargetRequest targetRequest(const Dispatch &command) const;
     std::string attemptId() const;
-    void bufferHeldBody(std::string_view bytes, bool isEnd);
+    std::size_t countHeldBytes() const;
+    bool canHold(std::size_t bytes);
+    void updateHeldBytes() { m_heldBytes.resize(countHeldBytes()); }
+    void writePiece(std::string out, std::size_t bodyBytes, std::function<void()> written);
+    void bufferHeldBody(std::string_view bytes, bool isEnd, bool isHoldable);
     void reportHeldFailure();
     void buildResponseHead(const ResponseHead &head, bool hasBody);
     void appendBody(std::string_view bytes, bool isEnd, std::string &out);
@@ -103,6 +109,8 @@
     std::optional<EventStream> m_stream;
     std::optional<std::string> m_storedBody;
     std::optional<HeldResponse> m_heldResponse;
+    HeldBytes m_heldBytes;
+    std::size_t m_unwrittenBytes = 0; ///< Body bytes that the caller's connection hasn't accepted.
     std::uint64_t m_bodyBytes = 0;
     bool m_endsWithConnection = false; ///< The response has neither a length nor chunks.
     bool m_isFirstEventReported = false;
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "berylridge/Net/Metrics.h"
 
+#include "HeldBytes.h"
+
 #include <boost/histogram.hpp>
 #include <ctime>
 #include <limits>
@@ -195,6 +197,12 @@
     counter("berylridge_responses_ended_with_connection_total",
             "complete responses of targets with neither a length nor chunks",
             responsesEndedWithConnection);
+    printMetric("berylridge_target_bytes_held",
+                "bytes of responses that count towards the limit of the process", "gauge",
+                HeldBytes::processBytes(), out);
+    counter("berylridge_target_bytes_not_held_total",
+            "pieces of responses that would have exceeded the limit of the process",
+            HeldBytes::refusals());
     firstByteLatency.print("berylridge_first_byte_seconds", "from request to first byte", out);
     requestLatency.print("berylridge_request_seconds", "from request to end of answer", out);
     firstByteAfterEstimate.print("berylridge_first_byte_after_estimate_seconds",
