--- a/lib/Net/HeldBytes.h
+++ b/lib/Net/HeldBytes.h
@@ -31,31 +31,31 @@
         if (counted > m_counted && !add(counted - m_counted))
             return false;
         if (counted < m_counted)
-            s_counted -= m_counted - counted;
+            totalCounted -= m_counted - counted;
         m_counted = counted;
         return true;
     }
 
     /// Returns the bytes that all requests of the process hold beyond their freeBytes.
-    static std::uint64_t processBytes() { return s_counted; }
+    static std::uint64_t processBytes() { return totalCounted; }
     /// Returns how often a request was refused further bytes.
-    static std::uint64_t refusals() { return s_refusals; }
+    static std::uint64_t refusals() { return totalRefusals; }
 
 private:
     static bool add(std::size_t growth)
     {
-        std::uint64_t counted = s_counted;
+        std::uint64_t counted = totalCounted;
         do {
             if (counted + growth > limitBytes) {
-                ++s_refusals;
+                ++totalRefusals;
                 return false;
             }
-        } while (!s_counted.compare_exchange_weak(counted, counted + growth));
+        } while (!totalCounted.compare_exchange_weak(counted, counted + growth));
         return true;
     }
 
-    static inline std::atomic<std::uint64_t> s_counted {0};
-    static inline std::atomic<std::uint64_t> s_refusals {0};
+    static inline std::atomic<std::uint64_t> totalCounted {0};
+    static inline std::atomic<std::uint64_t> totalRefusals {0};
     std::size_t m_counted = 0; ///< Bytes beyond freeBytes.
 };
 
