--- a/unittests/Balancer/PlannedStopTest.cpp
+++ b/unittests/Balancer/PlannedStopTest.cpp
@@ -257,6 +257,7 @@
     first.service = "s";
     first.softwareVersion = "v1";
     StreamOriginAnswer answer;
+    answer.lookup = queries[0].second.lookup;
     answer.origin.stream = queries[0].second.stream;
     answer.origin.service = hash32(first.service);
     answer.origin.version = versionKeyOf(first);
