Log the processor time of a busy node and the fleet's view of a share

NodeBusy (1011) gets trafficCpuMs and processCpuMs, a refusal's step gets fleetDemand and fleetAdmitted.

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -92,9 +92,11 @@
     /// A workspace's share and demand, to explain why it was rejected; in tokens per second.
     struct ShareStatus
     {
-        double demand = 0;  ///< Demand at this node.
-        double allowed = 0; ///< This node's part of the workspace's share.
-        double credit = 0;  ///< In tokens.
+        double demand = 0;        ///< Demand at this node.
+        double allowed = 0;       ///< This node's part of the workspace's share.
+        double credit = 0;        ///< In tokens.
+        double fleetDemand = 0;   ///< Over all nodes, as of the last update.
+        double fleetAdmitted = 0; ///< Over all nodes, as of the last update.
         bool isLimited = false;
     };
     ShareStatus shareStatus(WorkspaceKey workspace, TimePoint now) const;
@@ -150,6 +152,7 @@
         Rate admittedUnlimited; ///< Received during overload while it was not limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
         double credit = 0;      ///< Tokens that it may still receive; negative over its share.
+        Flow fleet;             ///< Over all nodes, as of the last update.
         TimePoint creditedAt {};
         bool isLimited = false;
     };
--- a/include/berylridge/Router/Events.h
+++ b/include/berylridge/Router/Events.h
@@ -247,6 +247,10 @@
     std::uint64_t connections = 0;  ///< Connections that were accepted.
     std::uint64_t leftUnread = 0;   ///< Requests whose caller disconnected before they were read.
     std::vector<ShedCount> shed {}; ///< Requests that the thread rejected itself.
+    // Processor time that was used in the last period of the thread's lag timer.
+    Duration threadProcessorTime {0}; ///< Of this thread.
+    /// Of the whole process; the first traffic thread reports it, and for the others it is 0.
+    Duration processProcessorTime {0};
 };
 
 /// Reports that the platform stopped responding or responds again.
--- a/lib/Balancer/OverloadLog.cpp
+++ b/lib/Balancer/OverloadLog.cpp
@@ -16,6 +16,8 @@
     m_accumulated.lag = std::max(m_accumulated.lag, event.lag);
     m_accumulated.connections += event.connections;
     m_accumulated.leftUnread += event.leftUnread;
+    m_accumulated.threadProcessorTime += event.threadProcessorTime;
+    m_accumulated.processProcessorTime += event.processProcessorTime;
     for (const ShedCount &each : event.shed)
         m_shedRequests += each.requests;
 }
@@ -33,6 +35,8 @@
     fields["connections"] = Json::UInt64(sum.connections);
     fields["leftUnread"] = Json::UInt64(sum.leftUnread);
     fields["running"] = Json::UInt64(running);
+    fields["trafficCpuMs"] = toMilliseconds(sum.threadProcessorTime);
+    fields["processCpuMs"] = toMilliseconds(sum.processProcessorTime);
     m_context.log(LogEventId::NodeBusy, "", std::move(fields));
 }
 
--- a/lib/Balancer/RequestTrace.cpp
+++ b/lib/Balancer/RequestTrace.cpp
@@ -58,6 +58,8 @@
     out["shareDemand"] = rounded(step.shareStatus.demand);
     out["shareAllowed"] = rounded(step.shareStatus.allowed);
     out["shareCredit"] = rounded(step.shareStatus.credit);
+    out["fleetDemand"] = rounded(step.shareStatus.fleetDemand);
+    out["fleetAdmitted"] = rounded(step.shareStatus.fleetAdmitted);
 }
 
 void describe(const NoTargetStep & /*step*/, Json::Value &out)
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -5,6 +5,7 @@
 #include "ControlLoop.h"
 #include "PeerTransport.h"
 #include "PlatformWatcher.h"
+#include "ProcessorTime.h"
 #include "TargetPoller.h"
 #include "ThreadName.h"
 #include "TrafficThread.h"
@@ -14,7 +15,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <cassert>
 #include <csignal>
-#include <ctime>
 #include <utility>
 
 namespace berylridge {
@@ -48,14 +48,6 @@
     return options;
 }
 
-/// Returns the processor time of the calling thread.
-double threadCpuSeconds()
-{
-    timespec used {};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
-    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
-}
-
 std::string formatAuditEntry(const AuditEntry &entry)
 {
     std::string text = auditKindName(entry.kind);
@@ -345,7 +337,8 @@
 std::string RouterNode::Impl::printMetrics()
 {
     m_metrics.logLinesDropped = m_log.dropped();
-    return m_metrics.print(threadCpuSeconds()); // Operators' calls run on the control thread.
+    // Operators' calls run on the control thread.
+    return m_metrics.print(toSeconds(threadProcessorTime()));
 }
 
 RouterNode::RouterNode(std::unique_ptr<Impl> impl)
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -2,6 +2,7 @@
 
 #include "CallerSession.h"
 #include "Exchange.h"
+#include "ProcessorTime.h"
 #include "ThreadName.h"
 #include "berylridge/Support/FatalSignal.h"
 #include "berylridge/Support/Hash.h"
@@ -204,13 +205,17 @@
         m_loadShedder.onLag(lag, m_options.now());
     m_metrics.trafficLagMicroseconds
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
+    const Duration threadTime = threadProcessorTime();
+    const Duration processTime = m_index == 0 ? processProcessorTime() : Duration(0);
+    const Duration threadTimeUsed = threadTime - std::exchange(m_threadTime, threadTime);
+    const Duration processTimeUsed = processTime - std::exchange(m_processTime, processTime);
     const bool isLate = lag > minReportedLag;
     // Reports once more after the last late iteration, so that the core learns that the lag has
     // ended.
     if (isLate || m_wasLate || isShedding()) {
-        report(TrafficThreadReport {lag, std::exchange(m_acceptedConnections, 0),
-                                    std::exchange(m_abandonedRequests, 0),
-                                    m_loadShedder.takeShedCounts()});
+        report(TrafficThreadReport {
+            lag, std::exchange(m_acceptedConnections, 0), std::exchange(m_abandonedRequests, 0),
+            m_loadShedder.takeShedCounts(), threadTimeUsed, processTimeUsed});
     }
     m_wasLate = isLate;
 }
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -180,6 +180,9 @@
     // Counted since the last report of lag.
     std::uint64_t m_acceptedConnections = 0;
     std::uint64_t m_abandonedRequests = 0;
+    // Processor time as of the last period of the lag timer.
+    Duration m_threadTime {0};
+    Duration m_processTime {0};
     Mailbox<TrafficCommand> m_commands;
     ConnectionPool m_pool;
     std::atomic<bool> m_isLeaving {false};
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -173,7 +173,7 @@
     m_fleet.fairRate = maxMinFairRate(std::move(demands), m_fleet.capacity);
     const double meanRatio = meanAdmittedRatio(fleet);
     for (auto &[workspace, own] : m_own) {
-        const Flow &flow = fleet.at(workspace);
+        const Flow &flow = own.fleet = fleet.at(workspace);
         const bool wasLimited = std::exchange(own.isLimited, flow.requested > m_fleet.fairRate);
         own.allowedRate = own.isLimited ? limitedRate(own, flow, meanRatio, now) : flow.requested;
         if (own.isLimited && !wasLimited)
@@ -257,7 +257,8 @@
     if (found == m_own.end())
         return {};
     const Own &own = found->second;
-    return {own.demand.at(now), own.allowedRate, own.credit, own.isLimited};
+    return {own.demand.at(now),  own.allowedRate,    own.credit,
+            own.fleet.requested, own.fleet.admitted, own.isLimited};
 }
 
 std::vector<WorkspaceShares::Flow> WorkspaceShares::ownFlows(TimePoint now) const
