Shares: Follow callers that move to another node

Cause: a node's part of a share is its own demand over the fleet's. The demand of the node that the callers had left faded over 1.5 s from 11 M, and the new node sheds most requests, so that its own stays small.

Evidence: CallersThatMoveToAnotherNodeKeepTheirShare failed before, with 0.35 M beside 1.72 M in the two seconds after the move.

Demand now falls within 0.2 s where many requests came, and rises as before. Few requests leave it unchanged, since a short rate of them is chance.

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -11,6 +11,7 @@
 // time and targets have room for those within their shares.
 #pragma once
 
+#include "berylridge/Policy/DemandRate.h"
 #include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Id.h"
 #include "berylridge/Support/Time.h"
@@ -147,7 +148,7 @@
 private:
     struct Own
     {
-        Rate demand;
+        DemandRate demand;
         Rate admitted;
         Rate admittedUnlimited; ///< Received during overload while it was not limited.
         double allowedRate = 0; ///< This node's part of the workspace's share.
--- a/unittests/Policy/WorkspaceSharesFleetTest.cpp
+++ b/unittests/Policy/WorkspaceSharesFleetTest.cpp
@@ -259,6 +259,29 @@
     window.expectFairShares(fleet);
 }
 
+// Guards against a share that stays with the node that a workspace's callers have left, while the
+// node that they have moved to rejects them as over their share.
+TEST(WorkspaceSharesFleet, CallersThatMoveToAnotherNodeKeepTheirShare)
+{
+    ModelFleet fleet;
+    constexpr int moveMs = 6000;
+    const auto play = [&](int fromMs, int toMs) {
+        for (int ms = fromMs; ms < toMs; ++ms) {
+            // The second node sheds most requests before it reads them.
+            if (ms < moveMs)
+                fleet.sendRequest(flood, 40, 40);
+            else if (ms % 8 == 0)
+                fleet.sendRequest(flood, 41, 41);
+            sendUsualRequests(fleet, ms);
+            fleet.advanceOneMs();
+        }
+    };
+    play(0, moveMs);
+    Window window(fleet);
+    play(moveMs, moveMs + 2000);
+    window.expectFairShares(fleet);
+}
+
 // Guards against a flood at all nodes being charged at a low fair rate for what it received at a
 // high one, and against one at few nodes not being charged for it.
 TEST(WorkspaceSharesFleet, SharesStayFairWhileTargetsFail)
