Readiness: Report an overloaded node not ready at once

Cause: the node waited until it had been overloaded for a second before it reported itself not ready, and the load balancer needs two negative checks a second apart after that.

A node whose turn it is now reports itself not ready after 0.2 s. A burst that ends before the second check costs nothing: the node is ready again by then. A node that waits for its turn stays ready, and it stays out for long only after a second of overload, as before. OverloadedNodeReportsNotReadyAtOnce, ANodeIsReadyAgainSoonAfterAShortBurst and ANodeThatWaitsForItsTurnIsReady describe this; the first can't be built on the code before.

--- a/include/berylridge/Policy/OverloadReadiness.h
+++ b/include/berylridge/Policy/OverloadReadiness.h
@@ -7,7 +7,9 @@
 //
 // A node announces that it is about to leave, and the nodes of the zone leave in turn, so that at
 // most a quarter of them is out of rotation. If an announcement is lost, more may be out for a
-// time.
+// time. The load balancer takes a node out after two negative readiness checks, a second apart. So
+// a node whose turn it is reports itself not ready as soon as it is overloaded, and is ready again
+// before the second check if the overload was short.
 #pragma once
 
 #include "berylridge/Policy/Rate.h"
@@ -21,7 +23,7 @@
 /// Whether the load balancer should send new connections to a node. Nodes report it as a number.
 enum class RotationState : std::uint8_t {
     In,
-    AboutToLeave, ///< In rotation; overloaded, and leaves it if few other nodes have done so.
+    AboutToLeave, ///< Overloaded, and leaves the rotation if few other nodes have done so.
     Out,
 };
 
@@ -29,11 +31,11 @@
 class OverloadReadiness
 {
 public:
-    /// Time for which a node must be overloaded before it leaves the rotation. The load balancer
-    /// takes another second or two to notice, and most bursts are shorter than that.
+    /// Time for which a node must be overloaded before it stays out of rotation for minTimeOut.
+    /// Most bursts are shorter than that.
     static constexpr Duration overloadTime = std::chrono::milliseconds(1000);
-    /// Least time between the announcement and leaving.
-    static constexpr Duration announcementTime = std::chrono::milliseconds(400);
+    /// Time for which a node must be overloaded before it announces that it is about to leave.
+    static constexpr Duration announcementDelay = std::chrono::milliseconds(200);
     /// Time out of rotation. It doubles each time the overload comes back with the connections.
     static constexpr Duration minTimeOut = std::chrono::seconds(4);
     static constexpr Duration maxTimeOut = std::chrono::seconds(16);
@@ -53,6 +55,12 @@
     /// Updates the state; called each period.
     RotationState update(const Zone &zone, TimePoint now);
     RotationState state() const { return m_state; }
+    /// Returns whether the node should report itself ready to the load balancer.
+    bool isReady() const
+    {
+        return m_state == RotationState::In
+            || (m_state == RotationState::AboutToLeave && !m_isItsTurn);
+    }
 
 private:
     /// Includes several reports of a thread, and ends well before overloadTime after a short burst.
@@ -68,6 +76,7 @@
     RotationState m_state = RotationState::In;
     TimePoint m_overloadedSince {}; ///< Valid while overloaded.
     bool m_wasOverloaded = false;
+    bool m_isItsTurn = false;   ///< Few enough other nodes are out or leave first.
     TimePoint m_announcedAt {}; ///< Valid in the state AboutToLeave.
     TimePoint m_leftAt {};
     TimePoint m_returnedAt {};
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -309,17 +309,18 @@
 {
     if (!m_context.options.leavesRotationOnOverload || m_state != NodeState::Ready)
         return;
-    const bool wasOut = m_overloadReadiness.state() == RotationState::Out;
+    const bool wasReady = m_overloadReadiness.isReady();
     const OverloadReadiness::Zone zone = zoneStatus();
-    const bool isOut = m_overloadReadiness.update(zone, m_context.now) == RotationState::Out;
-    if (isOut == wasOut)
+    m_overloadReadiness.update(zone, m_context.now);
+    const bool isReady = m_overloadReadiness.isReady();
+    if (isReady == wasReady)
         return;
     Json::Value fields;
     fields["zoneNodes"] = Json::UInt64(zone.nodes);
     fields["othersOut"] = Json::UInt64(zone.out);
-    m_context.log(isOut ? LogEventId::RotationLeft : LogEventId::RotationEntered, "",
+    m_context.log(isReady ? LogEventId::RotationEntered : LogEventId::RotationLeft, "",
                   std::move(fields));
-    m_context.emit(Readiness {!isOut, true});
+    m_context.emit(Readiness {isReady, true});
 }
 
 OverloadReadiness::Zone BalancerCore::Impl::zoneStatus() const
--- a/lib/Policy/OverloadReadiness.cpp
+++ b/lib/Policy/OverloadReadiness.cpp
@@ -40,13 +40,14 @@
         m_overloadedSince = now;
     m_wasOverloaded = true;
     const Duration overloadedFor = now - m_overloadedSince;
-    if (m_state == RotationState::In && overloadedFor >= overloadTime - announcementTime) {
+    if (m_state == RotationState::In && overloadedFor >= announcementDelay) {
         m_state = RotationState::AboutToLeave;
         m_announcedAt = now;
     }
-    const bool isAnnounced = m_state == RotationState::AboutToLeave
-        && now - m_announcedAt >= std::max(announcementTime, zone.digestTime);
-    if (isAnnounced && (zone.out + zone.ahead + 1) * nodesPerLeavingNode <= zone.nodes)
+    m_isItsTurn = (zone.out + zone.ahead + 1) * nodesPerLeavingNode <= zone.nodes;
+    const bool isAnnounced
+        = m_state == RotationState::AboutToLeave && now - m_announcedAt >= zone.digestTime;
+    if (isAnnounced && overloadedFor >= overloadTime && m_isItsTurn)
         leave(now);
     return m_state;
 }
--- a/unittests/Policy/OverloadReadinessTest.cpp
+++ b/unittests/Policy/OverloadReadinessTest.cpp
@@ -50,6 +50,37 @@
     EXPECT_GE(*returned, OverloadReadiness::minTimeOut - period);
 }
 
+// Guards against callers that keep coming to an overloaded node for seconds: the load balancer
+// needs two negative checks, a second apart.
+TEST_F(OverloadReadinessTest, OverloadedNodeReportsNotReadyAtOnce)
+{
+    ASSERT_TRUE(timeTo(RotationState::AboutToLeave, 20, 2000, 400ms));
+    EXPECT_FALSE(readiness.isReady());
+    ASSERT_TRUE(timeTo(RotationState::Out, 20, 2000, 5s));
+    EXPECT_FALSE(readiness.isReady());
+    ASSERT_TRUE(timeTo(RotationState::In, 20, 0, 30s));
+    EXPECT_TRUE(readiness.isReady());
+}
+
+// Guards against a node that is taken out of rotation for a burst that ends before the load
+// balancer's second check.
+TEST_F(OverloadReadinessTest, ANodeIsReadyAgainSoonAfterAShortBurst)
+{
+    ASSERT_TRUE(timeTo(RotationState::AboutToLeave, 20, 2000, 400ms));
+    const auto returned = timeTo(RotationState::In, 400, 0, 5s);
+    ASSERT_TRUE(returned);
+    EXPECT_LT(*returned, 1s);
+    EXPECT_TRUE(readiness.isReady());
+}
+
+// Guards against a zone whose nodes all report not ready while they wait for their turn to leave.
+TEST_F(OverloadReadinessTest, ANodeThatWaitsForItsTurnIsReady)
+{
+    zone = {.nodes = 16, .out = 2, .ahead = 2};
+    ASSERT_TRUE(timeTo(RotationState::AboutToLeave, 20, 2000, 400ms));
+    EXPECT_TRUE(readiness.isReady());
+}
+
 // Guards against nodes that leave for a short burst, or for a small excess that is better shed.
 TEST_F(OverloadReadinessTest, ShortOrSmallOverloadKeepsTheNodeInRotation)
 {
