Break off a success without a length that ends before its body

What callers saw (report of other operators): a target stopped near the end of its head and closed; callers got a 200 with an empty body, framed as whole.

Cause: where responses without a length are accepted, the end of the connection right after the head counts as the end of an empty body.

Evidence: SuccessThatEndsBeforeItsBodyIsBrokenOff failed before. A head that is cut off at any other byte, by a close or a reset, also behind an interim response, was no response before either: HeadThatIsCutOffAnywhereIsNoResponse passed on the code before.

An empty success without a length now counts as truncated, so that it is retried or gets 502. An error without a body is still relayed.

--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -280,8 +280,20 @@
     finish(encodeForCaller(body, true));
 }
 
+/// Returns whether the connection ended after the head of a success. Without a length, a target
+/// that ended there looks like an empty body.
+bool Exchange::isBodyMissing(std::string_view bytes, bool isEnd) const
+{
+    const bool isSuccess = http::to_status_class(m_head.result()) == http::status_class::successful;
+    const std::size_t received
+        = m_bodyBytes + bytes.size() + (m_heldResponse ? m_heldResponse->body.size() : 0);
+    return isEnd && m_endsWithConnection && isSuccess && received == 0;
+}
+
 std::optional<AttemptFailure> Exchange::onResponseBody(std::string_view bytes, bool isEnd)
 {
+    if (isBodyMissing(bytes, isEnd))
+        return AttemptFailure::TruncatedResponse;
     if (m_heldResponse) {
         const bool isHoldable = m_heldResponse->body.size() + bytes.size() <= maxStoredResponseBytes
             && canHold(bytes.size());
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -74,6 +74,7 @@
     bool canHold(std::size_t bytes);
     void updateHeldBytes() { m_heldBytes.resize(countHeldBytes()); }
     void writePiece(std::string out, std::size_t bodyBytes, std::function<void()> written);
+    bool isBodyMissing(std::string_view bytes, bool isEnd) const;
     void bufferHeldBody(std::string_view bytes, bool isEnd, bool isHoldable);
     void reportHeldFailure();
     void buildResponseHead(const ResponseHead &head, bool hasBody);
--- a/unittests/Net/UnframedResponseTest.cpp
+++ b/unittests/Net/UnframedResponseTest.cpp
@@ -94,6 +94,39 @@
     expectBrokenOff(AttemptFailure::TruncatedResponse);
 }
 
+// Guards against the response of a target that ended after its head being taken for an empty one.
+TEST_F(UnframedResponseTest, SuccessThatEndsBeforeItsBodyIsBrokenOff)
+{
+    serve(plainHead);
+    expectBrokenOff(AttemptFailure::TruncatedResponse);
+    EXPECT_EQ(response.find("200 OK"), std::string::npos) << response;
+}
+
+// An error needs no body to be understood.
+TEST_F(UnframedResponseTest, ErrorWithoutABodyIsRelayed)
+{
+    serve("HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n");
+    ASSERT_EQ(done.size(), 1U);
+    EXPECT_NE(response.find("404 Not Found"), std::string::npos) << response;
+}
+
+// Guards against a response whose head is cut off being relayed as a complete one without a length.
+TEST_F(UnframedResponseTest, HeadThatIsCutOffAnywhereIsNoResponse)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (const std::string &before : {std::string(), interim}) {
+        for (std::size_t size = 1; size < head.size(); ++size) {
+            for (const bool isReset : {false, true}) {
+                serve(before + head.substr(0, size), isReset);
+                EXPECT_TRUE(done.empty()) << size;
+                EXPECT_EQ(failed.size(), 1U) << size;
+                EXPECT_EQ(response.find("200 OK"), std::string::npos) << size << ' ' << response;
+            }
+        }
+    }
+}
+
 // Guards against a reset that looks like the end of the response.
 TEST_F(UnframedResponseTest, ResetStreamIsBrokenOff)
 {
