--- a/unittests/Platform/StoreReaderTest.cpp
+++ b/unittests/Platform/StoreReaderTest.cpp
@@ -82,6 +82,32 @@
     EXPECT_TRUE(runUntilReachability(true));
 }
 
+// Guards against a listing that never ends, because the key after which its next page starts breaks
+// the request: other writers choose their keys.
+TEST_F(StoreReaderTest, ListingContinuesAfterAnyKey)
+{
+    std::atomic<bool> isContinued = false;
+    FakeTarget store([&](FakeTargetConnection &peer) {
+        for (std::string head = peer.readRequest(); !head.empty(); head = peer.readRequest()) {
+            if (head.find("kv-watch") != std::string::npos)
+                return;
+            const bool isNextPage = head.find("&after=") != std::string::npos;
+            if (head.find("&after=servers/odd%20%26prefix%3D%25%2B%0D%0A%C3%A9 HTTP/1.1\r\n")
+                != std::string::npos)
+                isContinued = true;
+            peer.send(response(isNextPage
+                                   ? R"({"as_of":7,"entries":[]})"
+                                   : R"({"as_of":7,"truncated":true,"entries":[{"rev":3,)"
+                                     R"("key":"servers/odd &prefix=%+\r\né","value":""}]})"));
+        }
+    });
+    StoreReader reader(m_context, store.endpoint(), m_onEvent, [](const LogRecord &) {});
+    reader.setEnabled(true);
+    EXPECT_TRUE(runUntilEvent<DirectoryArrived>(
+        [](const DirectoryArrived &event) { return event.directoryUpdate.isFullSnapshot; }));
+    EXPECT_TRUE(isContinued);
+}
+
 // Guards against a node that learns up to a second late that the store is back, and takes the first
 // departure after its return for a lapse in the outage.
 TEST_F(StoreReaderTest, FirstWatchAfterAFailureIsAnsweredWithoutAChange)
