--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -82,6 +82,49 @@
     }
 }
 
+// Guards against a process that ends, or that stops following the store, because of one entry.
+TEST(StoreDecoder, OneInvalidEntryLeavesTheOthers)
+{
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string text = recordedTarget;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string &invalid :
+         {nested, "{\"a\":" + nested + "}", with("\"slots\":128", "\"slots\":" + nested),
+          with("\"slots\":128", "\"slots\":4294967296"), with("\"slots\":128", "\"slots\":-1"),
+          with("\"slots\":128", "\"slots\":1e400"), with("\"seq\":4", "\"seq\":1e30"),
+          with("\"seq\":4", "\"seq\":99999999999999999999999"),
+          with("\"cold_left_ms\":250", "\"cold_left_ms\":1e999"), with(":8080", ":65536"),
+          with(":8080", ":0"), with(":8080", ":-1"), with(":8080", ":99999999999999999999"),
+          with("10.128.0.9", "10.128.0.999"), with("huvo11a", std::string(500'000, 's')),
+          with("vn-north-a", std::string(500'000, 'z')), std::string("\xff\xfe\x00{", 4)}) {
+        const auto response = parseStoreResponse(
+            R"({"as_of":9,"events":[)" + storeItem("servers/i-1", recordedTarget, 7) + ","
+            + storeItem("servers/odd", invalid, 8) + ","
+            + storeItem("servers/i-2", recordedTarget, 9) + "]}");
+        ASSERT_TRUE(response) << response.failureReason();
+        ASSERT_EQ(response->items.size(), 3U);
+        EXPECT_FALSE(std::get<TargetRecord>(response->items[0]).isRemoved);
+        EXPECT_TRUE(std::get<TargetRecord>(response->items[1]).isRemoved) << invalid.substr(0, 200);
+        EXPECT_FALSE(std::get<TargetRecord>(response->items[2]).isRemoved);
+    }
+}
+
+// Guards against times that don't fit into their fields, whose conversion is undefined.
+TEST(StoreDecoder, TimesOutOfRangeAreIgnored)
+{
+    for (const std::string value : {"1e300", "-1", "5000000"}) {
+        std::string text = recordedCatalog;
+        text.replace(text.find("\"cold_s\":3.0"), 12, "\"cold_s\":" + value);
+        EXPECT_EQ(parseCatalog(text)->services[0].coldMs, 0U) << value;
+        text = recordedTarget;
+        text.replace(text.find(":250"), 4, ":" + value + "000");
+        const auto record = parseTargetRecord("i-1", 9, text);
+        EXPECT_TRUE(!record || record->coldRemainingMs == 0) << value;
+    }
+}
+
 TEST(StoreDecoder, ParsesRecordedCatalog)
 {
     const auto catalog = parseCatalog(recordedCatalog);
