Shares: Don't take chance for callers that have left

A part that varies makes a debt last longer.

The demand now falls only where less than half of many requests still come. ChanceDoesNotLowerTheRate failed before (1.990 M, 1.995 M wanted).

--- a/include/berylridge/Policy/DemandRate.h
+++ b/include/berylridge/Policy/DemandRate.h
@@ -8,8 +8,8 @@
 
 namespace berylridge {
 
-/// Tokens per second, smoothed over a longer time. Falls within a shorter one if there are many
-/// requests.
+/// Tokens per second, smoothed over a longer time. Falls within a shorter one if most of many
+/// requests no longer come.
 ///
 /// Guards against shares that stay with a node that its callers have left: the load balancer moves
 /// all connections of a large workspace at once.
@@ -20,6 +20,7 @@
     void add(double tokens, TimePoint now)
     {
         m_requests.add(1, now);
+        m_recentRequests.add(1, now);
         m_tokens.add(tokens, now);
         m_recentTokens.add(tokens, now);
     }
@@ -27,16 +28,26 @@
     double at(TimePoint now) const
     {
         const double tokens = m_tokens.at(now);
-        const bool hasManyRequests = m_requests.at(now) * recentSeconds >= minRecentRequests;
-        return hasManyRequests ? std::min(tokens, m_recentTokens.at(now)) : tokens;
+        return haveCallersLeft(now) ? std::min(tokens, m_recentTokens.at(now)) : tokens;
     }
 
 private:
     static constexpr double recentSeconds = 0.2;
-    /// Fewer requests in that time vary by chance by more than a quarter.
+    /// With fewer requests in that time, and with a smaller fall, the fall may be due to chance. A
+    /// node's part of a share must not vary by chance, since a smaller part makes the same debt
+    /// last longer.
     static constexpr double minRecentRequests = 20;
+    static constexpr double maxRemainingFraction = 0.5;
+
+    bool haveCallersLeft(TimePoint now) const
+    {
+        const double requests = m_requests.at(now);
+        return requests * recentSeconds >= minRecentRequests
+            && m_recentRequests.at(now) < maxRemainingFraction * requests;
+    }
 
     Rate m_requests;
+    Rate m_recentRequests {recentSeconds};
     Rate m_tokens;
     Rate m_recentTokens {recentSeconds};
 };
