Shed what the core would reject before what it would accept

Its node shed 129 to 481 of its requests a second.

Cause: a flood of another workspace at all nodes. The node reads as many requests of the flood as of the small workspace (88 and 86 a second at 12.4 s), and the core rejects four in five of the flood as over its share, at the cost of a full request. That makes a node with 0.09 of a core late, and its shedder shares what it still reads evenly between the two. Two limits stand one behind the other, and the first doesn't know the second.

An overloaded thread now predicts from the core's recent decisions what it would reject, by credential and directory of the path, and sheds that first.

--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -23,6 +23,9 @@
 /// another node, which probably has capacity.
 constexpr Duration overloadRetryAfter = std::chrono::milliseconds(30);
 constexpr const char *overloadProblemType = "busy";
+/// Time after an overload in which requests are still shed by prediction. Without them the thread
+/// is not late, and with all of them it would be again.
+constexpr Duration predictionTime = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds drainPeriod {10};
 /// A drain doesn't wait longer than this for callers that receive nothing meanwhile.
 constexpr std::chrono::seconds drainStallLimit {1};
@@ -201,8 +204,12 @@
 
 void TrafficThread::onLag(Duration lag)
 {
+    const TimePoint now = m_options.now();
     if (m_options.acceptedLag > Duration(0))
-        m_loadShedder.onLag(lag, m_options.now());
+        m_loadShedder.onLag(lag, now);
+    if (m_loadShedder.isLimited())
+        m_overloadedAt = now;
+    m_isPredicting = m_overloadedAt > TimePoint {} && now - m_overloadedAt <= predictionTime;
     m_metrics.trafficLagMicroseconds
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
     const Duration threadTime = threadProcessorTime();
@@ -213,18 +220,40 @@
     // Reports once more after the last late iteration, so that the core learns that the lag has
     // ended.
     if (isLate || m_wasLate || isShedding()) {
-        report(TrafficThreadReport {
-            lag, std::exchange(m_acceptedConnections, 0), std::exchange(m_abandonedRequests, 0),
-            m_loadShedder.takeShedCounts(), threadTimeUsed, processTimeUsed});
+        report(TrafficThreadReport {lag, std::exchange(m_acceptedConnections, 0),
+                                    std::exchange(m_abandonedRequests, 0), takeShedCounts(),
+                                    threadTimeUsed, processTimeUsed});
     }
     m_wasLate = isLate;
 }
 
-bool TrafficThread::sheds(std::string_view credential)
+bool TrafficThread::sheds(std::string_view credential, std::string_view path)
 {
     if (m_options.acceptedLag == Duration(0))
         return false;
-    return m_loadShedder.sheds(hash32(credential), m_options.now());
+    const TimePoint now = m_options.now();
+    const CredentialKey key = hash32(credential);
+    if (m_isPredicting && m_acceptance.predictsRejection(requestGroupOf(credential, path), now)) {
+        ++m_predictedRejections[key];
+        return true;
+    }
+    return m_loadShedder.sheds(key, now);
+}
+
+void TrafficThread::countDecision(RequestGroupKey group, bool isAccepted)
+{
+    if (isAccepted)
+        m_acceptance.onAccepted(group, m_options.now());
+    else
+        m_acceptance.onRejected(group, m_options.now());
+}
+
+std::vector<ShedCount> TrafficThread::takeShedCounts()
+{
+    std::vector<ShedCount> counts = m_loadShedder.takeShedCounts();
+    for (const auto &[credential, requests] : std::exchange(m_predictedRejections, {}))
+        counts.push_back({credential, requests});
+    return counts;
 }
 
 EarlyShedResult TrafficThread::tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed)
@@ -232,7 +261,10 @@
     const std::string placeholderRequestId = m_options.placeholderRequestId();
     EarlyShedResult shedResult = decideEarlyShed(
         bytes,
-        {m_options.protocol, [this](std::string_view key) { return sheds(key); },
+        {m_options.protocol,
+         [this](std::string_view credential, std::string_view path) {
+             return sheds(credential, path);
+         },
          [this] { return overloadProblem(); }, placeholderRequestId, isKeepAliveAllowed});
     if (shedResult.immediateResponse) {
         ++m_metrics.requestsByVerdict[static_cast<std::size_t>(Verdict::NotRun)];
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -9,6 +9,7 @@
 
 #include "berylridge/Net/Metrics.h"
 #include "berylridge/Net/WireProtocol.h"
+#include "berylridge/Policy/AcceptancePredictor.h"
 #include "berylridge/Policy/LoadShedder.h"
 #include "berylridge/Policy/TargetHolds.h"
 #include "berylridge/Router/Actions.h"
@@ -112,11 +113,14 @@
     }
     /// Records how late the thread's timer ran.
     void onLag(Duration lag);
-    /// Returns whether the thread is overloaded and sheds a request with this credential. Decided
-    /// here, because a request that is passed to the core and back costs several times as much.
-    bool sheds(std::string_view credential);
+    /// Returns whether the thread is overloaded and sheds a request with this credential and path.
+    /// Decided here, because a request that is passed to the core and back costs several times as
+    /// much.
+    bool sheds(std::string_view credential, std::string_view path);
     /// Returns whether any request may be shed now.
-    bool isShedding() const { return m_loadShedder.isLimited(); }
+    bool isShedding() const { return m_loadShedder.isLimited() || m_isPredicting; }
+    /// Records what the core decided on a new request of the group.
+    void countDecision(RequestGroupKey group, bool isAccepted);
     /// Decides on a request from its first bytes. If the request can be rejected immediately, the
     /// result contains the response, and the rejection is counted in the metrics.
     EarlyShedResult tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed);
@@ -152,6 +156,7 @@
     void startSession(FileDescriptor connection, tcp protocol);
     void executeCommands(std::vector<TrafficCommand> &commands);
     void flushReports();
+    std::vector<ShedCount> takeShedCounts();
     void closeIdleConnections();
     void measureLag();
     void continueDrain(const std::function<void(const DrainResult &)> &done);
@@ -175,6 +180,13 @@
     asio::steady_timer m_lagTimer;
     bool m_wasLate = false;
     LoadShedder m_loadShedder;
+    AcceptancePredictor m_acceptance;
+    /// The thread is or was overloaded lately, so that requests are shed if the core would probably
+    /// reject them.
+    bool m_isPredicting = false;
+    TimePoint m_overloadedAt {};
+    /// Requests shed by prediction since the last report, by credential.
+    std::unordered_map<CredentialKey, std::uint64_t> m_predictedRejections;
     RandomEngine m_random; ///< Randomizes the retry delay of rejected callers.
     std::array<char, scratchBytes> m_scratch {};
     // Counted since the last report of lag.
--- a/unittests/Net/EarlySheddingTest.cpp
+++ b/unittests/Net/EarlySheddingTest.cpp
@@ -18,8 +18,9 @@
     {
         return decideEarlyShed(bytes,
                                {nativeProtocol(),
-                                [this](std::string_view key) {
+                                [this](std::string_view key, std::string_view path) {
                                     EXPECT_EQ(key, "key");
+                                    EXPECT_FALSE(path.empty());
                                     ++countedRequests;
                                     return sheds;
                                 },
--- /dev/null
+++ b/unittests/Policy/AcceptancePredictorTest.cpp
@@ -0,0 +1,131 @@
+// Tests which requests an overloaded thread sheds because the core would reject them.
+#include "berylridge/Policy/AcceptancePredictor.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace berylridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr CredentialKey floodCredential = 1;
+constexpr CredentialKey otherCredential = 2;
+constexpr RequestGroupKey floodGroup = 10;
+
+/// Models a thread whose processor handles 80 requests per second. The core accepts ten requests
+/// of the flood per second and all others. A request that the core rejects costs as much as a
+/// served one, and one that the thread sheds a tenth of that.
+class ModelThread
+{
+public:
+    explicit ModelThread(double acceptedOfFlood)
+        : m_acceptedOfFlood(acceptedOfFlood)
+    {
+    }
+
+    void advanceOneMs()
+    {
+        m_queued = std::max(0.0, m_queued - 0.08);
+        m_credit = std::min(m_credit + m_acceptedOfFlood / 1000, 1.0);
+        m_clock.advance(1ms);
+        if (++m_ms % 50 == 0)
+            m_shedder.onLag(fromSeconds(m_queued / 80), m_clock.now());
+    }
+
+    void sendFlood()
+    {
+        const bool isShed = m_predictor.predictsRejection(floodGroup, m_clock.now())
+            || m_shedder.sheds(floodCredential, m_clock.now());
+        m_queued += isShed ? 0.1 : 1;
+        passedOfFlood += isShed ? 0 : 1;
+        if (isShed)
+            return;
+        if (m_credit >= 1) {
+            m_credit -= 1;
+            m_predictor.onAccepted(floodGroup, m_clock.now());
+        } else {
+            m_predictor.onRejected(floodGroup, m_clock.now());
+        }
+    }
+
+    void sendOther()
+    {
+        const bool isShed = m_shedder.sheds(otherCredential, m_clock.now());
+        m_queued += isShed ? 0.1 : 1;
+        ++others;
+        shedOthers += isShed ? 1 : 0;
+    }
+
+    int passedOfFlood = 0;
+    int others = 0;
+    int shedOthers = 0;
+
+private:
+    double m_acceptedOfFlood;
+    ManualClock m_clock;
+    LoadShedder m_shedder;
+    AcceptancePredictor m_predictor;
+    double m_queued = 0;
+    double m_credit = 0; ///< Requests of the flood that the core would accept now.
+    int m_ms = 0;
+};
+
+} // namespace
+
+// Guards against requests of a workspace within its share that are shed, while the thread reads
+// requests of a flood that the core rejects.
+TEST(AcceptancePredictor, RejectedFloodLeavesRoomForOthers)
+{
+    ModelThread thread(5);
+    for (int ms = 0; ms < 10000; ++ms) {
+        if (ms == 2000)
+            thread.others = thread.shedOthers = 0;
+        if (ms % 5 == 0)
+            thread.sendFlood();
+        if (ms % 25 == 3)
+            thread.sendOther();
+        thread.advanceOneMs();
+    }
+    EXPECT_LE(thread.shedOthers, thread.others / 20);
+}
+
+// Guards against a workspace whose requests stay shed after the core accepts them again.
+TEST(AcceptancePredictor, FollowsTheCoreWhenItAcceptsAgain)
+{
+    ManualClock clock;
+    AcceptancePredictor predictor;
+    int shed = 0;
+    for (int ms = 0; ms < 8000; ++ms, clock.advance(1ms)) {
+        if (ms % 10 != 0)
+            continue;
+        const bool isAccepted = ms >= 4000;
+        if (predictor.predictsRejection(floodGroup, clock.now()))
+            shed += ms >= 6000 ? 1 : 0;
+        else if (isAccepted)
+            predictor.onAccepted(floodGroup, clock.now());
+        else
+            predictor.onRejected(floodGroup, clock.now());
+    }
+    EXPECT_EQ(shed, 0);
+}
+
+// Guards against memory growing with each credential that a caller invents.
+TEST(AcceptancePredictor, ForgetsIdleGroups)
+{
+    ManualClock clock;
+    AcceptancePredictor predictor;
+    for (RequestGroupKey group = 0; group < 20000; ++group, clock.advance(1ms)) {
+        if (!predictor.predictsRejection(group, clock.now()))
+            predictor.onRejected(group, clock.now());
+    }
+    EXPECT_LT(predictor.groupCount(), 6000U);
+}
+
+// Guards against requests of another kind of the same workspace being taken for those of a flood.
+TEST(AcceptancePredictor, GroupsAreDirectoriesOfOneCredential)
+{
+    EXPECT_EQ(requestGroupOf("key", "/a/b/1"), requestGroupOf("key", "/a/b/2?x=/y"));
+    EXPECT_NE(requestGroupOf("key", "/a/b/1"), requestGroupOf("key", "/a/c/1"));
+    EXPECT_NE(requestGroupOf("key", "/a/b/1"), requestGroupOf("other", "/a/b/1"));
+}
