Predict rejections by credential alone

Requests of the flood's workspace that the core would accept are shed with the others, as by the shedder itself.

--- a/include/berylridge/Policy/AcceptancePredictor.h
+++ b/include/berylridge/Policy/AcceptancePredictor.h
@@ -1,4 +1,5 @@
-// Predicts which requests the core will reject, from its recent decisions on similar ones.
+// Predicts which requests the core will reject, from its recent decisions on the same
+// credential.
 //
 // Guards against a flood of one workspace at all nodes: the core rejects most of it as over its
 // share, but a small node uses up its processor by reading those requests, and sheds requests of
@@ -9,37 +10,35 @@
 #include "berylridge/Policy/Rate.h"
 #include "berylridge/Support/Time.h"
 
-#include <cstdint>
-#include <string_view>
+#include <cstddef>
 #include <unordered_map>
-#include <vector>
 
 namespace berylridge {
 
-/// Identifies the requests of one credential for the paths of one directory, such as those of a
-/// route.
-using RequestGroupKey = std::uint64_t;
-
-RequestGroupKey requestGroupOf(std::string_view credential, std::string_view path);
-
 /// This class is not thread-safe.
 class AcceptancePredictor
 {
 public:
-    void onAccepted(RequestGroupKey group, TimePoint now) { m_groups[group].accepted.add(1, now); }
-    /// Records that the core rejected a request of the group, which has not run.
-    void onRejected(RequestGroupKey group, TimePoint now) { m_groups[group].rejected.add(1, now); }
+    void onAccepted(CredentialKey credential, TimePoint now)
+    {
+        m_callers[credential].accepted.add(1, now);
+    }
+    /// Records that the core rejected a request, which has not run.
+    void onRejected(CredentialKey credential, TimePoint now)
+    {
+        m_callers[credential].rejected.add(1, now);
+    }
 
-    /// Returns whether the core would probably reject a further request of the group. Passes some
-    /// more than it accepts, so that a change of its decisions is noticed.
-    bool predictsRejection(RequestGroupKey group, TimePoint now);
+    /// Returns whether the core would probably reject a further request. Passes some more than it
+    /// accepts, so that a change of its decisions is noticed.
+    bool predictsRejection(CredentialKey credential, TimePoint now);
 
-    std::size_t groupCount() const { return m_groups.size(); }
+    std::size_t callerCount() const { return m_callers.size(); }
 
 private:
     static constexpr double smoothingSeconds = 0.5;
 
-    struct Group
+    struct Caller
     {
         Rate accepted {smoothingSeconds};
         Rate rejected {smoothingSeconds};
@@ -47,9 +46,9 @@
         TimePoint filledAt {};
     };
 
-    void removeIdleGroups(TimePoint now);
+    void removeIdleCallers(TimePoint now);
 
-    std::unordered_map<RequestGroupKey, Group> m_groups;
+    std::unordered_map<CredentialKey, Caller> m_callers;
     TimePoint m_cleanedAt {};
 };
 
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -223,8 +223,7 @@
     const CallerIdentity caller = m_thread.protocol().readCaller(request);
     const ShedDecision decision = std::exchange(m_shedDecision, ShedDecision::Undecided);
     if (decision == ShedDecision::Shed
-        || (decision == ShedDecision::Undecided
-            && m_thread.sheds(caller.credential, view(request.target())))) {
+        || (decision == ShedDecision::Undecided && m_thread.sheds(caller.credential))) {
         rejectOverloaded(caller.requestId);
         return;
     }
--- a/lib/Net/EarlyShedding.cpp
+++ b/lib/Net/EarlyShedding.cpp
@@ -17,7 +17,7 @@
         || request.count(http::field::transfer_encoding) > 0)
         return {};
     const CallerIdentity caller = options.protocol.readCaller(request);
-    if (!options.sheds(caller.credential, view(request.target())))
+    if (!options.sheds(caller.credential))
         return {ShedDecision::Admitted};
     EarlyShedResult shedResult {ShedDecision::Shed};
     const std::uint64_t bodySize = parser.content_length().value_or(0);
--- a/lib/Net/EarlyShedding.h
+++ b/lib/Net/EarlyShedding.h
@@ -34,8 +34,8 @@
 struct EarlyShedOptions
 {
     const WireProtocolHandle &protocol;
-    /// Counts a request with the credential and path and returns whether to shed it.
-    std::function<bool(std::string_view credential, std::string_view path)> sheds;
+    /// Counts a request with the credential and returns whether to shed it.
+    std::function<bool(std::string_view credential)> sheds;
     std::function<Problem()> problem;      ///< Creates the problem for a shed request.
     std::string_view placeholderRequestId; ///< Used if the caller sent no request id.
     bool isKeepAliveAllowed = false;       ///< Applies only if the caller requests keep-alive too.
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -4,6 +4,7 @@
 #include "CallerSession.h"
 #include "HttpSerialization.h"
 #include "TrafficThread.h"
+#include "berylridge/Support/Hash.h"
 
 #include <boost/beast/http/chunk_encode.hpp>
 #include <utility>
@@ -57,7 +58,7 @@
     , m_handle(arrived.handle)
     , m_requestId(arrived.requestId)
     , m_path(arrived.path)
-    , m_group(requestGroupOf(arrived.credential, view(request.target())))
+    , m_credential(hash32(arrived.credential))
     , m_callerLastEventId(std::string(view(request[beastView(fields::lastEventId)])))
     , m_request(std::move(request))
     , m_isKeepAliveAllowed(m_request.keep_alive() && thread.allowsKeepAlive())
@@ -72,7 +73,7 @@
     m_attempt.reset();
     m_heldResponse.reset();
     if (m_dispatch.attempt == 0)
-        m_thread.countDecision(m_group, true);
+        m_thread.countDecision(m_credential, true);
     m_dispatch = command;
     m_dispatchedAt = std::chrono::steady_clock::now();
     if (!m_session) {
@@ -475,7 +476,7 @@
 {
     m_thread.metrics().countRejectedRequest(command.type);
     if (m_dispatch.attempt == 0 && command.status == 503)
-        m_thread.countDecision(m_group, false);
+        m_thread.countDecision(m_credential, false);
     if (m_session && m_isResponseStarted) {
         const auto session = std::exchange(m_session, nullptr);
         end(command.verdict);
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -6,7 +6,7 @@
 #include "HeldBytes.h"
 #include "TargetAttempt.h"
 #include "berylridge/Net/Asio.h"
-#include "berylridge/Policy/AcceptancePredictor.h"
+#include "berylridge/Policy/LoadShedder.h"
 
 #include "berylridge/Router/Actions.h"
 #include "berylridge/Router/Events.h"
@@ -96,7 +96,7 @@
     const RequestHandle m_handle;
     const std::string m_requestId;
     const std::string m_path;
-    const RequestGroupKey m_group;
+    const CredentialKey m_credential;
     const std::string m_callerLastEventId; ///< Id of the last event that the caller had received
                                            ///< before this request.
     const StringRequest m_request;
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -227,25 +227,25 @@
     m_wasLate = isLate;
 }
 
-bool TrafficThread::sheds(std::string_view credential, std::string_view path)
+bool TrafficThread::sheds(std::string_view credential)
 {
     if (m_options.acceptedLag == Duration(0))
         return false;
     const TimePoint now = m_options.now();
     const CredentialKey key = hash32(credential);
-    if (m_isPredicting && m_acceptance.predictsRejection(requestGroupOf(credential, path), now)) {
+    if (m_isPredicting && m_acceptance.predictsRejection(key, now)) {
         ++m_predictedRejections[key];
         return true;
     }
     return m_loadShedder.sheds(key, now);
 }
 
-void TrafficThread::countDecision(RequestGroupKey group, bool isAccepted)
+void TrafficThread::countDecision(CredentialKey credential, bool isAccepted)
 {
     if (isAccepted)
-        m_acceptance.onAccepted(group, m_options.now());
+        m_acceptance.onAccepted(credential, m_options.now());
     else
-        m_acceptance.onRejected(group, m_options.now());
+        m_acceptance.onRejected(credential, m_options.now());
 }
 
 std::vector<ShedCount> TrafficThread::takeShedCounts()
@@ -261,10 +261,7 @@
     const std::string placeholderRequestId = m_options.placeholderRequestId();
     EarlyShedResult shedResult = decideEarlyShed(
         bytes,
-        {m_options.protocol,
-         [this](std::string_view credential, std::string_view path) {
-             return sheds(credential, path);
-         },
+        {m_options.protocol, [this](std::string_view key) { return sheds(key); },
          [this] { return overloadProblem(); }, placeholderRequestId, isKeepAliveAllowed});
     if (shedResult.immediateResponse) {
         ++m_metrics.requestsByVerdict[static_cast<std::size_t>(Verdict::NotRun)];
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -113,14 +113,13 @@
     }
     /// Records how late the thread's timer ran.
     void onLag(Duration lag);
-    /// Returns whether the thread is overloaded and sheds a request with this credential and path.
-    /// Decided here, because a request that is passed to the core and back costs several times as
-    /// much.
-    bool sheds(std::string_view credential, std::string_view path);
+    /// Returns whether the thread is overloaded and sheds a request with this credential. Decided
+    /// here, because a request that is passed to the core and back costs several times as much.
+    bool sheds(std::string_view credential);
     /// Returns whether any request may be shed now.
     bool isShedding() const { return m_loadShedder.isLimited() || m_isPredicting; }
-    /// Records what the core decided on a new request of the group.
-    void countDecision(RequestGroupKey group, bool isAccepted);
+    /// Records what the core decided on a new request with this credential.
+    void countDecision(CredentialKey credential, bool isAccepted);
     /// Decides on a request from its first bytes. If the request can be rejected immediately, the
     /// result contains the response, and the rejection is counted in the metrics.
     EarlyShedResult tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed);
--- a/lib/Policy/AcceptancePredictor.cpp
+++ b/lib/Policy/AcceptancePredictor.cpp
@@ -1,7 +1,5 @@
 #include "berylridge/Policy/AcceptancePredictor.h"
 
-#include "berylridge/Support/Hash.h"
-
 #include <algorithm>
 
 namespace berylridge {
@@ -22,41 +20,35 @@
 
 } // namespace
 
-RequestGroupKey requestGroupOf(std::string_view credential, std::string_view path)
-{
-    path = path.substr(0, path.find('?'));
-    return hash64(path.substr(0, path.rfind('/')), hash64(credential));
-}
-
-bool AcceptancePredictor::predictsRejection(RequestGroupKey key, TimePoint now)
+bool AcceptancePredictor::predictsRejection(CredentialKey credential, TimePoint now)
 {
-    removeIdleGroups(now);
-    const auto found = m_groups.find(key);
-    if (found == m_groups.end())
+    removeIdleCallers(now);
+    const auto found = m_callers.find(credential);
+    if (found == m_callers.end())
         return false;
-    Group &group = found->second;
-    const double accepted = group.accepted.at(now);
-    const double rejected = group.rejected.at(now);
+    Caller &caller = found->second;
+    const double accepted = caller.accepted.at(now);
+    const double rejected = caller.rejected.at(now);
     const double passedRate = std::max(minPassedPerSecond, passedPerAccepted * accepted);
-    const double earned = passedRate * toSeconds(now - group.filledAt);
-    group.tokens = std::min(group.tokens + earned, std::max(1.0, passedRate * burstSeconds));
-    group.filledAt = now;
+    const double earned = passedRate * toSeconds(now - caller.filledAt);
+    caller.tokens = std::min(caller.tokens + earned, std::max(1.0, passedRate * burstSeconds));
+    caller.filledAt = now;
     if (rejected < minRejectedPerSecond || rejected <= accepted)
         return false;
-    if (group.tokens < 1)
+    if (caller.tokens < 1)
         return true;
-    group.tokens -= 1;
+    caller.tokens -= 1;
     return false;
 }
 
-void AcceptancePredictor::removeIdleGroups(TimePoint now)
+void AcceptancePredictor::removeIdleCallers(TimePoint now)
 {
     if (now - m_cleanedAt < cleaningPeriod)
         return;
     m_cleanedAt = now;
-    std::erase_if(m_groups, [&](const auto &entry) {
-        const Group &group = entry.second;
-        return group.accepted.at(now) + group.rejected.at(now) < idleRequestsPerSecond;
+    std::erase_if(m_callers, [&](const auto &entry) {
+        const Caller &caller = entry.second;
+        return caller.accepted.at(now) + caller.rejected.at(now) < idleRequestsPerSecond;
     });
 }
 
