Forget credentials also while nothing is predicted

Entries are now removed when decisions are recorded. ForgetsIdleCredentials now asks for no prediction; on the code before nothing would remove its entries.

--- a/include/berylridge/Policy/AcceptancePredictor.h
+++ b/include/berylridge/Policy/AcceptancePredictor.h
@@ -19,15 +19,9 @@
 class AcceptancePredictor
 {
 public:
-    void onAccepted(CredentialKey credential, TimePoint now)
-    {
-        m_callers[credential].accepted.add(1, now);
-    }
-    /// Records that the core rejected a request, which has not run.
-    void onRejected(CredentialKey credential, TimePoint now)
-    {
-        m_callers[credential].rejected.add(1, now);
-    }
+    /// Record what the core decided on a new request.
+    void onAccepted(CredentialKey credential, TimePoint now);
+    void onRejected(CredentialKey credential, TimePoint now);
 
     /// Returns whether the core would probably reject a further request. Passes some more than it
     /// accepts, so that a change of its decisions is noticed.
--- a/lib/Policy/AcceptancePredictor.cpp
+++ b/lib/Policy/AcceptancePredictor.cpp
@@ -20,9 +20,20 @@
 
 } // namespace
 
-bool AcceptancePredictor::predictsRejection(CredentialKey credential, TimePoint now)
+void AcceptancePredictor::onAccepted(CredentialKey credential, TimePoint now)
+{
+    removeIdleCallers(now);
+    m_callers[credential].accepted.add(1, now);
+}
+
+void AcceptancePredictor::onRejected(CredentialKey credential, TimePoint now)
 {
     removeIdleCallers(now);
+    m_callers[credential].rejected.add(1, now);
+}
+
+bool AcceptancePredictor::predictsRejection(CredentialKey credential, TimePoint now)
+{
     const auto found = m_callers.find(credential);
     if (found == m_callers.end())
         return false;
--- a/unittests/Policy/AcceptancePredictorTest.cpp
+++ b/unittests/Policy/AcceptancePredictorTest.cpp
@@ -109,13 +109,16 @@
     EXPECT_EQ(shed, 0);
 }
 
-// Guards against memory growing with each credential that a caller invents.
+// Guards against memory growing with each credential that a caller invents, also while nothing is
+// predicted.
 TEST(AcceptancePredictor, ForgetsIdleCredentials)
 {
     ManualClock clock;
     AcceptancePredictor predictor;
     for (CredentialKey caller = 0; caller < 20000; ++caller, clock.advance(1ms)) {
-        if (!predictor.predictsRejection(caller, clock.now()))
+        if (caller % 2 == 0)
+            predictor.onAccepted(caller, clock.now());
+        else
             predictor.onRejected(caller, clock.now());
     }
     EXPECT_LT(predictor.callerCount(), 6000U);
