Shed a flood with the core's Retry-After

Found in the second review: callers that the core rejects with 60 ms and more were told 30 ms, the time for callers whose next connection may reach a node with capacity, when an overloaded thread rejected them in the core's place. So the flood came back sooner.

--- a/include/berylridge/Policy/AcceptancePredictor.h
+++ b/include/berylridge/Policy/AcceptancePredictor.h
@@ -11,6 +11,7 @@
 #include "berylridge/Support/Time.h"
 
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 
 namespace berylridge {
@@ -19,13 +20,15 @@
 class AcceptancePredictor
 {
 public:
-    /// Record what the core decided on a new request.
+    /// Record what the core decided on a new request, and when it wants a rejected caller back.
     void onAccepted(CredentialKey credential, TimePoint now);
-    void onRejected(CredentialKey credential, TimePoint now);
+    void onRejected(CredentialKey credential, std::optional<Duration> retryAfter, TimePoint now);
 
     /// Returns whether the core would probably reject a further request. Passes some more than it
     /// accepts, so that a change of its decisions is noticed.
     bool predictsRejection(CredentialKey credential, TimePoint now);
+    /// Returns when the core last wanted a rejected caller back, if it rejects most requests.
+    std::optional<Duration> retryAfter(CredentialKey credential, TimePoint now) const;
 
     std::size_t callerCount() const { return m_callers.size(); }
 
@@ -38,6 +41,9 @@
         Rate rejected {smoothingSeconds};
         double tokens = 1; ///< Token bucket: requests that may be passed at once.
         TimePoint filledAt {};
+        std::optional<Duration> retryAfter; ///< Of the last rejection.
+
+        bool isMostlyRejected(TimePoint now) const;
     };
 
     void removeIdleCallers(TimePoint now);
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -224,7 +224,7 @@
     const ShedDecision decision = std::exchange(m_shedDecision, ShedDecision::Undecided);
     if (decision == ShedDecision::Shed
         || (decision == ShedDecision::Undecided && m_thread.sheds(caller.credential))) {
-        rejectOverloaded(caller.requestId);
+        rejectOverloaded(caller);
         return;
     }
     if (m_parser->is_done()) {
@@ -236,7 +236,7 @@
     readRest();
 }
 
-void CallerSession::rejectOverloaded(std::string_view requestId)
+void CallerSession::rejectOverloaded(const CallerIdentity &caller)
 {
     const std::uint64_t remainingBytes
         = m_parser->is_done() ? 0 : m_parser->content_length_remaining().value_or(~0ULL);
@@ -246,7 +246,7 @@
         m_buffer.consume(remainingBytes);
     const bool keepAlive
         = m_isRequestComplete && m_parser->get().keep_alive() && m_thread.allowsKeepAlive();
-    sendProblem(m_thread.overloadProblem(), keepAlive, requestId);
+    sendProblem(m_thread.overloadProblem(caller.credential), keepAlive, caller.requestId);
 }
 
 void CallerSession::readRest()
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -73,7 +73,7 @@
     void checkForDisconnect();
     void readHead();
     void onHead(error_code error);
-    void rejectOverloaded(std::string_view requestId);
+    void rejectOverloaded(const CallerIdentity &caller);
     void readRest();
     void onRequest();
     /// Checks for readable data without consuming it. Returns success if bytes are pending,
--- a/lib/Net/EarlyShedding.cpp
+++ b/lib/Net/EarlyShedding.cpp
@@ -27,7 +27,7 @@
         return shedResult;
     shedResult.isKeepAlive = options.isKeepAliveAllowed && request.keep_alive();
     StringResponse response = options.protocol.buildProblemResponse(
-        options.problem(),
+        options.problem(caller.credential),
         caller.requestId.empty() ? options.placeholderRequestId
                                  : std::string_view(caller.requestId));
     response.keep_alive(shedResult.isKeepAlive);
--- a/lib/Net/EarlyShedding.h
+++ b/lib/Net/EarlyShedding.h
@@ -36,7 +36,8 @@
     const WireProtocolHandle &protocol;
     /// Counts a request with the credential and returns whether to shed it.
     std::function<bool(std::string_view credential)> sheds;
-    std::function<Problem()> problem;      ///< Creates the problem for a shed request.
+    /// Creates the problem for a shed request with the credential.
+    std::function<Problem(std::string_view credential)> problem;
     std::string_view placeholderRequestId; ///< Used if the caller sent no request id.
     bool isKeepAliveAllowed = false;       ///< Applies only if the caller requests keep-alive too.
 };
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -73,7 +73,7 @@
     m_attempt.reset();
     m_heldResponse.reset();
     if (m_dispatch.attempt == 0)
-        m_thread.countDecision(m_credential, true);
+        m_thread.onAccepted(m_credential);
     m_dispatch = command;
     m_dispatchedAt = std::chrono::steady_clock::now();
     if (!m_session) {
@@ -476,7 +476,7 @@
 {
     m_thread.metrics().countRejectedRequest(command.type);
     if (m_dispatch.attempt == 0 && command.status == 503)
-        m_thread.countDecision(m_credential, false);
+        m_thread.onRejected(m_credential, command.retryAfter);
     if (m_session && m_isResponseStarted) {
         const auto session = std::exchange(m_session, nullptr);
         end(command.verdict);
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -23,6 +23,8 @@
 /// another node, which probably has capacity.
 constexpr Duration overloadRetryAfter = std::chrono::milliseconds(30);
 constexpr const char *overloadProblemType = "busy";
+/// The same for callers whose requests the core mostly rejects.
+constexpr const char *predictedProblemType = "probably-rejected";
 /// Time after an overload in which requests are still shed by prediction. Without them the thread
 /// is not late, and with all of them it would be again.
 constexpr Duration predictionTime = std::chrono::seconds(1);
@@ -240,14 +242,6 @@
     return m_loadShedder.sheds(key, now);
 }
 
-void TrafficThread::countDecision(CredentialKey credential, bool isAccepted)
-{
-    if (isAccepted)
-        m_acceptance.onAccepted(credential, m_options.now());
-    else
-        m_acceptance.onRejected(credential, m_options.now());
-}
-
 std::vector<ShedCount> TrafficThread::takeShedCounts()
 {
     std::vector<ShedCount> counts = m_loadShedder.takeShedCounts();
@@ -259,21 +253,29 @@
 EarlyShedResult TrafficThread::tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed)
 {
     const std::string placeholderRequestId = m_options.placeholderRequestId();
-    EarlyShedResult shedResult = decideEarlyShed(
-        bytes,
-        {m_options.protocol, [this](std::string_view key) { return sheds(key); },
-         [this] { return overloadProblem(); }, placeholderRequestId, isKeepAliveAllowed});
+    EarlyShedResult shedResult
+        = decideEarlyShed(bytes,
+                          {m_options.protocol, [this](std::string_view key) { return sheds(key); },
+                           [&](std::string_view key) {
+                               Problem problem = overloadProblem(key);
+                               m_metrics.countRejectedRequest(problem.type);
+                               return problem;
+                           },
+                           placeholderRequestId, isKeepAliveAllowed});
     if (shedResult.immediateResponse) {
         ++m_metrics.requestsByVerdict[static_cast<std::size_t>(Verdict::NotRun)];
-        m_metrics.countRejectedRequest(overloadProblemType);
     }
     return shedResult;
 }
 
-Problem TrafficThread::overloadProblem()
+Problem TrafficThread::overloadProblem(std::string_view credential)
 {
-    return {503, overloadProblemType, "the router has more to do than it can", Verdict::NotRun,
-            addRetryJitter(overloadRetryAfter, m_random)};
+    // Callers whose requests the core rejects come back in vain before the time that it names.
+    const auto retryAfter = m_acceptance.retryAfter(hash32(credential), m_options.now());
+    return {503, retryAfter ? predictedProblemType : overloadProblemType,
+            "the router has more to do than it can", Verdict::NotRun,
+            addRetryJitter(std::max(retryAfter.value_or(overloadRetryAfter), overloadRetryAfter),
+                           m_random)};
 }
 
 void TrafficThread::drain(Duration limit, std::function<void(const DrainResult &)> done)
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -118,13 +118,20 @@
     bool sheds(std::string_view credential);
     /// Returns whether any request may be shed now.
     bool isShedding() const { return m_loadShedder.isLimited() || m_isPredicting; }
-    /// Records what the core decided on a new request with this credential.
-    void countDecision(CredentialKey credential, bool isAccepted);
+    // Record what the core decided on a new request with this credential.
+    void onAccepted(CredentialKey credential)
+    {
+        m_acceptance.onAccepted(credential, m_options.now());
+    }
+    void onRejected(CredentialKey credential, std::optional<Duration> retryAfter)
+    {
+        m_acceptance.onRejected(credential, retryAfter, m_options.now());
+    }
     /// Decides on a request from its first bytes. If the request can be rejected immediately, the
     /// result contains the response, and the rejection is counted in the metrics.
     EarlyShedResult tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed);
-    /// Returns the problem with which shed requests are rejected.
-    Problem overloadProblem();
+    /// Returns the problem with which shed requests with this credential are rejected.
+    Problem overloadProblem(std::string_view credential);
     /// Buffer for bytes that are discarded or copied immediately.
     asio::mutable_buffer scratch() { return asio::buffer(m_scratch); }
     /// Counts a request that was read after its caller had disconnected.
--- a/lib/Policy/AcceptancePredictor.cpp
+++ b/lib/Policy/AcceptancePredictor.cpp
@@ -26,10 +26,26 @@
     m_callers[credential].accepted.add(1, now);
 }
 
-void AcceptancePredictor::onRejected(CredentialKey credential, TimePoint now)
+void AcceptancePredictor::onRejected(CredentialKey credential, std::optional<Duration> retryAfter,
+                                     TimePoint now)
 {
     removeIdleCallers(now);
-    m_callers[credential].rejected.add(1, now);
+    Caller &caller = m_callers[credential];
+    caller.rejected.add(1, now);
+    caller.retryAfter = retryAfter;
+}
+
+bool AcceptancePredictor::Caller::isMostlyRejected(TimePoint now) const
+{
+    return rejected.at(now) >= std::max(minRejectedPerSecond, accepted.at(now));
+}
+
+std::optional<Duration> AcceptancePredictor::retryAfter(CredentialKey credential,
+                                                        TimePoint now) const
+{
+    const auto found = m_callers.find(credential);
+    const bool isRejected = found != m_callers.end() && found->second.isMostlyRejected(now);
+    return isRejected ? found->second.retryAfter : std::nullopt;
 }
 
 bool AcceptancePredictor::predictsRejection(CredentialKey credential, TimePoint now)
@@ -38,13 +54,12 @@
     if (found == m_callers.end())
         return false;
     Caller &caller = found->second;
-    const double accepted = caller.accepted.at(now);
-    const double rejected = caller.rejected.at(now);
-    const double passedRate = std::max(minPassedPerSecond, passedPerAccepted * accepted);
+    const double passedRate
+        = std::max(minPassedPerSecond, passedPerAccepted * caller.accepted.at(now));
     const double earned = passedRate * toSeconds(now - caller.filledAt);
     caller.tokens = std::min(caller.tokens + earned, std::max(1.0, passedRate * burstSeconds));
     caller.filledAt = now;
-    if (rejected < minRejectedPerSecond || rejected <= accepted)
+    if (!caller.isMostlyRejected(now))
         return false;
     if (caller.tokens < 1)
         return true;
--- a/unittests/Net/EarlySheddingTest.cpp
+++ b/unittests/Net/EarlySheddingTest.cpp
@@ -23,7 +23,7 @@
                                     ++countedRequests;
                                     return sheds;
                                 },
-                                [] {
+                                [](std::string_view) {
                                     return Problem {503, "busy", "busy", Verdict::NotRun, {}};
                                 },
                                 "unknown", true});
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -2,6 +2,7 @@
 #include "CallerListener.h"
 #include "NodeFixture.h"
 #include "TrafficThread.h"
+#include "berylridge/Support/Hash.h"
 
 #include <cerrno>
 #include <list>
@@ -122,6 +123,20 @@
         EXPECT_TRUE(std::holds_alternative<TrafficThreadReport>(event));
 }
 
+// Guards against a flood that comes back sooner because a busy thread rejects it in the core's
+// place.
+TEST_F(SteppedTrafficThreadTest, overloadedThreadRepeatsTheRetryAfterOfTheCore)
+{
+    const Problem before = thread().overloadProblem("key");
+    EXPECT_EQ(before.type, "busy");
+    for (int i = 0; i < 10; ++i)
+        thread().onRejected(hash32("key"), 500ms);
+    const Problem after = thread().overloadProblem("key");
+    EXPECT_EQ(after.type, "probably-rejected");
+    EXPECT_GE(after.retryAfter, std::optional<Duration>(500ms));
+    EXPECT_EQ(thread().overloadProblem("other").type, "busy");
+}
+
 // Guards against rejections that use almost all processor time of an overloaded thread: each may
 // take only one event loop iteration.
 TEST_F(SteppedTrafficThreadTest, overloadedThreadRejectsInOneIteration)
