Predict only rejections over the share, and only of prompts

It also shed requests without a prompt, such as purchases, which no share limits.

A refusal now says whether its workspace is over its share, and only these count. What is accepted of such a workspace doesn't shrink below its share. Callers' heads tell whether a request has a prompt; others aren't predicted.

onlyRejectionsOverTheShareArePredicted, OnlyRejectionsOverTheShareAreMarked and HeadTellsWhetherARequestHasAPrompt describe it; they can't be built on the code before.

--- a/include/berylridge/Net/WireProtocol.h
+++ b/include/berylridge/Net/WireProtocol.h
@@ -50,6 +50,7 @@
 {
     std::string requestId;  ///< Empty if the caller sent none.
     std::string credential; ///< The workspace's key; empty if there is none.
+    bool hasPrompt = false; ///< The request has a prompt, and counts towards a share.
 };
 
 /// Properties of a protocol that the shell itself depends on.
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -83,6 +83,7 @@
     std::string title; ///< Human-readable summary of the cause.
     std::string type;  ///< Last segment of the problem type URI, such as "queue-full".
     std::optional<Duration> retryAfter;
+    bool isOverShare = false; ///< Rejected because its workspace is over its share.
 };
 
 /// Answers the caller with the stored response of an earlier request with the same idempotency key.
--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -95,6 +95,7 @@
     const char *type;
     std::string title;
     std::optional<Duration> retryAfter;
+    bool isOverShare = false; ///< The workspace is over its share.
 };
 
 } // namespace berylridge
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -378,7 +378,8 @@
     const auto excess = fromSeconds((choice.waitMs - allowed) / 1000);
     return Refusal {503, step.isWithinShare ? "full" : "beyond-share",
                     "the targets have more to do than would be done in time",
-                    addRetryJitter(std::max(excess, fullRetryAfter), m_random)};
+                    addRetryJitter(std::max(excess, fullRetryAfter), m_random),
+                    !step.isWithinShare};
 }
 
 void RequestProcessor::start(BalancedRequest &request, const TargetChoice &choice)
@@ -773,7 +774,7 @@
     m_log.refused(request, refusal);
     m_tally.refused(request, refusal.type);
     m_context.emit(Refuse {request.handle, refusal.status, request.verdict, refusal.title,
-                           refusal.type, refusal.retryAfter});
+                           refusal.type, refusal.retryAfter, refusal.isOverShare});
     step(request, RequestSignal::GivenUp);
     finish(request.handle);
 }
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -223,7 +223,7 @@
     const CallerIdentity caller = m_thread.protocol().readCaller(request);
     const ShedDecision decision = std::exchange(m_shedDecision, ShedDecision::Undecided);
     if (decision == ShedDecision::Shed
-        || (decision == ShedDecision::Undecided && m_thread.sheds(caller.credential))) {
+        || (decision == ShedDecision::Undecided && m_thread.sheds(caller))) {
         rejectOverloaded(caller);
         return;
     }
@@ -246,7 +246,7 @@
         m_buffer.consume(remainingBytes);
     const bool keepAlive
         = m_isRequestComplete && m_parser->get().keep_alive() && m_thread.allowsKeepAlive();
-    sendProblem(m_thread.overloadProblem(caller.credential), keepAlive, caller.requestId);
+    sendProblem(m_thread.overloadProblem(caller), keepAlive, caller.requestId);
 }
 
 void CallerSession::readRest()
--- a/lib/Net/EarlyShedding.cpp
+++ b/lib/Net/EarlyShedding.cpp
@@ -17,7 +17,7 @@
         || request.count(http::field::transfer_encoding) > 0)
         return {};
     const CallerIdentity caller = options.protocol.readCaller(request);
-    if (!options.sheds(caller.credential))
+    if (!options.sheds(caller))
         return {ShedDecision::Admitted};
     EarlyShedResult shedResult {ShedDecision::Shed};
     const std::uint64_t bodySize = parser.content_length().value_or(0);
@@ -27,7 +27,7 @@
         return shedResult;
     shedResult.isKeepAlive = options.isKeepAliveAllowed && request.keep_alive();
     StringResponse response = options.protocol.buildProblemResponse(
-        options.problem(caller.credential),
+        options.problem(caller),
         caller.requestId.empty() ? options.placeholderRequestId
                                  : std::string_view(caller.requestId));
     response.keep_alive(shedResult.isKeepAlive);
--- a/lib/Net/EarlyShedding.h
+++ b/lib/Net/EarlyShedding.h
@@ -34,10 +34,10 @@
 struct EarlyShedOptions
 {
     const WireProtocolHandle &protocol;
-    /// Counts a request with the credential and returns whether to shed it.
-    std::function<bool(std::string_view credential)> sheds;
-    /// Creates the problem for a shed request with the credential.
-    std::function<Problem(std::string_view credential)> problem;
+    /// Counts a request of the caller and returns whether to shed it.
+    std::function<bool(const CallerIdentity &)> sheds;
+    /// Creates the problem for a shed request of the caller.
+    std::function<Problem(const CallerIdentity &)> problem;
     std::string_view placeholderRequestId; ///< Used if the caller sent no request id.
     bool isKeepAliveAllowed = false;       ///< Applies only if the caller requests keep-alive too.
 };
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -59,6 +59,7 @@
     , m_requestId(arrived.requestId)
     , m_path(arrived.path)
     , m_credential(hash32(arrived.credential))
+    , m_hasPrompt(arrived.prompt.has_value())
     , m_callerLastEventId(std::string(view(request[beastView(fields::lastEventId)])))
     , m_request(std::move(request))
     , m_isKeepAliveAllowed(m_request.keep_alive() && thread.allowsKeepAlive())
@@ -72,7 +73,7 @@
         m_attempt->abort();
     m_attempt.reset();
     m_heldResponse.reset();
-    if (m_dispatch.attempt == 0)
+    if (m_dispatch.attempt == 0 && m_hasPrompt)
         m_thread.onAccepted(m_credential);
     m_dispatch = command;
     m_dispatchedAt = std::chrono::steady_clock::now();
@@ -475,8 +476,8 @@
 void Exchange::refuse(const Refuse &command)
 {
     m_thread.metrics().countRejectedRequest(command.type);
-    if (m_dispatch.attempt == 0 && command.status == 503)
-        m_thread.onRejected(m_credential, command.retryAfter);
+    if (command.isOverShare)
+        m_thread.onOverShare(m_credential, command.retryAfter);
     if (m_session && m_isResponseStarted) {
         const auto session = std::exchange(m_session, nullptr);
         end(command.verdict);
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -97,6 +97,7 @@
     const std::string m_requestId;
     const std::string m_path;
     const CredentialKey m_credential;
+    const bool m_hasPrompt;
     const std::string m_callerLastEventId; ///< Id of the last event that the caller had received
                                            ///< before this request.
     const StringRequest m_request;
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -23,10 +23,10 @@
 /// another node, which probably has capacity.
 constexpr Duration overloadRetryAfter = std::chrono::milliseconds(30);
 constexpr const char *overloadProblemType = "busy";
-/// The same for callers whose requests the core mostly rejects.
+/// The same for workspaces that the core mostly rejects as over their share.
 constexpr const char *predictedProblemType = "probably-rejected";
-/// Time after an overload in which requests are still shed by prediction. Without them the thread
-/// is not late, and with all of them it would be again.
+/// Time after an overload in which requests are still shed by prediction. Without these requests
+/// the thread is not late, and with all of them it would be again.
 constexpr Duration predictionTime = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds drainPeriod {10};
 /// A drain doesn't wait longer than this for callers that receive nothing meanwhile.
@@ -229,13 +229,13 @@
     m_wasLate = isLate;
 }
 
-bool TrafficThread::sheds(std::string_view credential)
+bool TrafficThread::sheds(const CallerIdentity &caller)
 {
     if (m_options.acceptedLag == Duration(0))
         return false;
     const TimePoint now = m_options.now();
-    const CredentialKey key = hash32(credential);
-    if (m_isPredicting && m_acceptance.predictsRejection(key, now)) {
+    const CredentialKey key = hash32(caller.credential);
+    if (m_isPredicting && caller.hasPrompt && m_acceptance.predictsRejection(key, now)) {
         ++m_predictedRejections[key];
         return true;
     }
@@ -253,25 +253,27 @@
 EarlyShedResult TrafficThread::tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed)
 {
     const std::string placeholderRequestId = m_options.placeholderRequestId();
-    EarlyShedResult shedResult
-        = decideEarlyShed(bytes,
-                          {m_options.protocol, [this](std::string_view key) { return sheds(key); },
-                           [&](std::string_view key) {
-                               Problem problem = overloadProblem(key);
-                               m_metrics.countRejectedRequest(problem.type);
-                               return problem;
-                           },
-                           placeholderRequestId, isKeepAliveAllowed});
+    EarlyShedResult shedResult = decideEarlyShed(
+        bytes,
+        {m_options.protocol, [this](const CallerIdentity &caller) { return sheds(caller); },
+         [&](const CallerIdentity &caller) {
+             Problem problem = overloadProblem(caller);
+             m_metrics.countRejectedRequest(problem.type);
+             return problem;
+         },
+         placeholderRequestId, isKeepAliveAllowed});
     if (shedResult.immediateResponse) {
         ++m_metrics.requestsByVerdict[static_cast<std::size_t>(Verdict::NotRun)];
     }
     return shedResult;
 }
 
-Problem TrafficThread::overloadProblem(std::string_view credential)
+Problem TrafficThread::overloadProblem(const CallerIdentity &caller)
 {
     // Callers whose requests the core rejects come back in vain before the time that it names.
-    const auto retryAfter = m_acceptance.retryAfter(hash32(credential), m_options.now());
+    const auto retryAfter = caller.hasPrompt
+        ? m_acceptance.retryAfter(hash32(caller.credential), m_options.now())
+        : std::nullopt;
     return {503, retryAfter ? predictedProblemType : overloadProblemType,
             "the router has more to do than it can", Verdict::NotRun,
             addRetryJitter(std::max(retryAfter.value_or(overloadRetryAfter), overloadRetryAfter),
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -113,25 +113,26 @@
     }
     /// Records how late the thread's timer ran.
     void onLag(Duration lag);
-    /// Returns whether the thread is overloaded and sheds a request with this credential. Decided
-    /// here, because a request that is passed to the core and back costs several times as much.
-    bool sheds(std::string_view credential);
+    /// Returns whether the thread is overloaded and sheds a request of this caller. Decided here,
+    /// because a request that is passed to the core and back costs several times as much.
+    bool sheds(const CallerIdentity &caller);
     /// Returns whether any request may be shed now.
     bool isShedding() const { return m_loadShedder.isLimited() || m_isPredicting; }
-    // Record what the core decided on a new request with this credential.
+    // Record that the core accepted a new request with a prompt, or rejected it as over the share
+    // of the workspace with this credential.
     void onAccepted(CredentialKey credential)
     {
         m_acceptance.onAccepted(credential, m_options.now());
     }
-    void onRejected(CredentialKey credential, std::optional<Duration> retryAfter)
+    void onOverShare(CredentialKey credential, std::optional<Duration> retryAfter)
     {
-        m_acceptance.onRejected(credential, retryAfter, m_options.now());
+        m_acceptance.onOverShare(credential, retryAfter, m_options.now());
     }
     /// Decides on a request from its first bytes. If the request can be rejected immediately, the
     /// result contains the response, and the rejection is counted in the metrics.
     EarlyShedResult tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed);
-    /// Returns the problem with which shed requests with this credential are rejected.
-    Problem overloadProblem(std::string_view credential);
+    /// Returns the problem with which a shed request of this caller is rejected.
+    Problem overloadProblem(const CallerIdentity &caller);
     /// Buffer for bytes that are discarded or copied immediately.
     asio::mutable_buffer scratch() { return asio::buffer(m_scratch); }
     /// Counts a request that was read after its caller had disconnected.
--- a/lib/Policy/AcceptancePredictor.cpp
+++ b/lib/Policy/AcceptancePredictor.cpp
@@ -26,8 +26,8 @@
     m_callers[credential].accepted.add(1, now);
 }
 
-void AcceptancePredictor::onRejected(CredentialKey credential, std::optional<Duration> retryAfter,
-                                     TimePoint now)
+void AcceptancePredictor::onOverShare(CredentialKey credential, std::optional<Duration> retryAfter,
+                                      TimePoint now)
 {
     removeIdleCallers(now);
     Caller &caller = m_callers[credential];
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -3,6 +3,8 @@
 
 #include "berylridge/Policy/OverloadReadiness.h"
 
+#include <deque>
+#include <map>
 #include <set>
 
 using namespace berylridge;
@@ -386,6 +388,35 @@
     EXPECT_EQ(sentMessages<DirectoryRelay>().size(), 1U);
 }
 
+// Guards against requests that find the targets full being taken for those of a workspace over its
+// share: a busy node sheds these first.
+TEST_F(BalancerCoreTest, OnlyRejectionsOverTheShareAreMarked)
+{
+    isEngine = true;
+    installCatalog();
+    installTargets({"t1"});
+    std::map<std::string, std::size_t> rejections;
+    std::deque<Dispatch> running;
+    for (int i = 0; i < 600; ++i) {
+        if (i % 10 == 0 && !running.empty()) {
+            const Dispatch &first = running.front();
+            handle(AttemptHead {first.handle, first.attempt, 200, {}});
+            handle(AttemptDone {first.handle, first.attempt, 200, {}, 0, {}, {}});
+            running.pop_front();
+        }
+        sendRequest("/stream/" + std::to_string(i));
+        if (const auto *dispatch = findAction<Dispatch>())
+            running.push_back(*dispatch);
+        if (const auto *refuse = findAction<Refuse>()) {
+            ++rejections[refuse->type];
+            EXPECT_EQ(refuse->isOverShare, refuse->type == "beyond-share") << refuse->type;
+        }
+        advanceTime(10ms);
+    }
+    EXPECT_GT(rejections["full"], 0U);
+    EXPECT_GT(rejections["beyond-share"], 0U);
+}
+
 // Guards against a node that closes its callers' connections when it leaves the rotation for
 // overload, against one that leaves though others of its zone have left or go first, and against
 // one that enters it again during a planned stop.
--- a/unittests/Net/EarlySheddingTest.cpp
+++ b/unittests/Net/EarlySheddingTest.cpp
@@ -18,12 +18,12 @@
     {
         return decideEarlyShed(bytes,
                                {nativeProtocol(),
-                                [this](std::string_view key) {
-                                    EXPECT_EQ(key, "key");
+                                [this](const CallerIdentity &caller) {
+                                    EXPECT_EQ(caller.credential, "key");
                                     ++countedRequests;
                                     return sheds;
                                 },
-                                [](std::string_view) {
+                                [](const CallerIdentity &) {
                                     return Problem {503, "busy", "busy", Verdict::NotRun, {}};
                                 },
                                 "unknown", true});
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -124,17 +124,43 @@
 }
 
 // Guards against a flood that comes back sooner because a busy thread rejects it in the core's
-// place.
+// place, and against requests without a prompt, which no share limits, being taken for its part.
 TEST_F(SteppedTrafficThreadTest, overloadedThreadRepeatsTheRetryAfterOfTheCore)
 {
-    const Problem before = thread().overloadProblem("key");
-    EXPECT_EQ(before.type, "busy");
+    const CallerIdentity flood {"r1", "key", true};
+    EXPECT_EQ(thread().overloadProblem(flood).type, "busy");
     for (int i = 0; i < 10; ++i)
-        thread().onRejected(hash32("key"), 500ms);
-    const Problem after = thread().overloadProblem("key");
-    EXPECT_EQ(after.type, "probably-rejected");
-    EXPECT_GE(after.retryAfter, std::optional<Duration>(500ms));
-    EXPECT_EQ(thread().overloadProblem("other").type, "busy");
+        thread().onOverShare(hash32("key"), 500ms);
+    const Problem repeated = thread().overloadProblem(flood);
+    EXPECT_EQ(repeated.type, "probably-rejected");
+    EXPECT_GE(repeated.retryAfter, std::optional<Duration>(500ms));
+    EXPECT_EQ(thread().overloadProblem({"r2", "key", false}).type, "busy");
+    EXPECT_EQ(thread().overloadProblem({"r3", "other", true}).type, "busy");
+}
+
+// Guards against a workspace within its share that is passed ever fewer requests, because the core
+// rejects most of them for lack of room.
+TEST_F(SteppedTrafficThreadTest, onlyRejectionsOverTheShareArePredicted)
+{
+    const CallerIdentity caller {"r1", "key", true};
+    std::list<FakeCaller> callers;
+    const auto rejectRequests = [&](bool isOverShare) {
+        for (int i = 0; i < 10; ++i) {
+            callers.emplace_back(endpoint());
+            callers.back().send(requestText("POST", path, "Authorization: Bearer key\r\n", "clay"));
+            reported.clear();
+            while (reported.empty())
+                context().run_one();
+            const auto &arrived = std::get<RequestArrived>(reported.front());
+            thread().sendCommand(Refuse {arrived.handle, 503, Verdict::NotRun, "rejected",
+                                         "rejected", 500ms, isOverShare});
+            callers.back().shutdown();
+            context().poll();
+        }
+        return thread().overloadProblem(caller).type;
+    };
+    EXPECT_EQ(rejectRequests(false), "busy");
+    EXPECT_EQ(rejectRequests(true), "probably-rejected");
 }
 
 // Guards against rejections that use almost all processor time of an overloaded thread: each may
--- a/unittests/Platform/ProtocolTest.cpp
+++ b/unittests/Platform/ProtocolTest.cpp
@@ -74,6 +74,15 @@
     EXPECT_FALSE(resumptionOf(request));
 }
 
+// Guards against purchases that a busy node sheds with the prompts of the same workspace.
+TEST(PlatformProtocol, HeadTellsWhetherARequestHasAPrompt)
+{
+    StringRequest request = recordedStream();
+    EXPECT_TRUE(PlatformProtocol().readCaller(request).hasPrompt);
+    request.erase("Prefix-Hash");
+    EXPECT_FALSE(PlatformProtocol().readCaller(request).hasPrompt);
+}
+
 TEST(PlatformProtocol, RejectsRequestWithoutId)
 {
     StringRequest request = recordedStream();
--- a/unittests/Policy/AcceptancePredictorTest.cpp
+++ b/unittests/Policy/AcceptancePredictorTest.cpp
@@ -44,7 +44,7 @@
             m_credit -= 1;
             m_predictor.onAccepted(floodCredential, m_clock.now());
         } else {
-            m_predictor.onRejected(floodCredential, 200ms, m_clock.now());
+            m_predictor.onOverShare(floodCredential, 200ms, m_clock.now());
         }
     }
 
@@ -104,7 +104,7 @@
         else if (isAccepted)
             predictor.onAccepted(floodCredential, clock.now());
         else
-            predictor.onRejected(floodCredential, 200ms, clock.now());
+            predictor.onOverShare(floodCredential, 200ms, clock.now());
     }
     EXPECT_EQ(shed, 0);
 }
@@ -119,7 +119,7 @@
         if (caller % 2 == 0)
             predictor.onAccepted(caller, clock.now());
         else
-            predictor.onRejected(caller, 200ms, clock.now());
+            predictor.onOverShare(caller, 200ms, clock.now());
     }
     EXPECT_LT(predictor.callerCount(), 6000U);
 }
@@ -130,7 +130,7 @@
     ManualClock clock;
     AcceptancePredictor predictor;
     for (int i = 0; i < 10; ++i) {
-        predictor.onRejected(floodCredential, 200ms, clock.now());
+        predictor.onOverShare(floodCredential, 200ms, clock.now());
         predictor.onAccepted(otherCredential, clock.now());
     }
     EXPECT_EQ(predictor.retryAfter(floodCredential, clock.now()), Duration(200ms));
