Log the tokens that began, and those that ended without a response

Whether an admitted request ever began at a target showed only in its number, and the rule of fairness counts what begins.

No decision changes.

--- a/lib/Balancer/BalancedRequest.h
+++ b/lib/Balancer/BalancedRequest.h
@@ -47,6 +47,7 @@
     RequestState state = RequestState::Arrived;
     Verdict verdict = Verdict::NotRun;
 
+    bool isAdmitted = false;                ///< Counts as admitted in its workspace's share.
     AttemptNumber attempts = 0;             ///< Started attempts, whatever their outcome.
     std::uint32_t sentAttempts = 0;         ///< Attempts of which a byte may have reached a target.
     std::vector<TargetKey> excludedTargets; ///< Targets at which the request failed.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -330,6 +330,7 @@
         const double demand = demandOf(request);
         m_shares.onAdmitted(request.workspaceKey(), demand, m_context.now);
         m_tally.admitted(request, demand);
+        request.isAdmitted = true;
     }
     start(request, *choice);
     return std::nullopt;
@@ -458,7 +459,7 @@
     if (!request->firstResponseDelay) {
         request->firstResponseDelay = at;
         const bool isLate = request->isLate(m_context.now);
-        m_tally.begun(*request, isLate);
+        m_tally.begun(*request, demandOf(*request), isLate);
         if (isLate)
             m_shares.onLate(demandOf(*request), m_context.now);
     }
@@ -789,6 +790,8 @@
 void RequestProcessor::finish(RequestHandle handle)
 {
     const auto found = m_requests.find(handle);
+    if (found->second.isAdmitted && !found->second.firstResponseDelay)
+        m_tally.endedUnbegun(found->second, demandOf(found->second));
     if (found->second.isRerun && !found->second.hasCrashEvidence)
         m_crashDetector.endRerun(found->second);
     m_requests.erase(found);
--- a/lib/Balancer/WorkspaceTally.cpp
+++ b/lib/Balancer/WorkspaceTally.cpp
@@ -62,13 +62,20 @@
     }
 }
 
-void WorkspaceTally::begun(const BalancedRequest &request, bool isLate)
+void WorkspaceTally::begun(const BalancedRequest &request, double tokens, bool isLate)
 {
     Entry &entry = m_entries[request.workspace.str()];
     ++entry.begun;
+    entry.begunTokens += tokens;
     entry.late += isLate ? 1 : 0;
 }
 
+void WorkspaceTally::endedUnbegun(const BalancedRequest &request, double tokens)
+{
+    Entry &entry = m_entries[request.workspace.str()];
+    (request.verdict == Verdict::NotRun ? entry.notRunTokens : entry.unknownTokens) += tokens;
+}
+
 void WorkspaceTally::attemptFailed(const BalancedRequest &request, const char *failure)
 {
     ++m_entries[request.workspace.str()].failures[failure];
@@ -97,6 +104,9 @@
         out["requests"] = Json::UInt64(entry.requests);
         out["askedTokens"] = roundedTokens(entry.askedTokens);
         out["admittedTokens"] = roundedTokens(entry.admittedTokens);
+        out["notRunTokens"] = roundedTokens(entry.notRunTokens);
+        out["unknownTokens"] = roundedTokens(entry.unknownTokens);
+        out["begunTokens"] = roundedTokens(entry.begunTokens);
         out["begun"] = Json::UInt64(entry.begun);
         out["late"] = Json::UInt64(entry.late);
         out["turnedAway"] = Json::UInt64(entry.turnedAway);
--- a/lib/Balancer/WorkspaceTally.h
+++ b/lib/Balancer/WorkspaceTally.h
@@ -32,7 +32,9 @@
     /// Counts requests that the node's traffic threads rejected before they reached the core.
     void turnedAway(std::span<const ShedCount> counts);
     /// Counts a response that has started.
-    void begun(const BalancedRequest &request, bool isLate);
+    void begun(const BalancedRequest &request, double tokens, bool isLate);
+    /// Counts an admitted request that ended before a response started.
+    void endedUnbegun(const BalancedRequest &request, double tokens);
     void attemptFailed(const BalancedRequest &request, const char *failure);
 
     /// Logs and resets the totals, at most once per second.
@@ -44,6 +46,9 @@
         std::uint64_t requests = 0;
         double askedTokens = 0;
         double admittedTokens = 0;
+        double notRunTokens = 0;  ///< Of admitted requests that ended and have not run.
+        double unknownTokens = 0; ///< Of those that ended without a response and may have run.
+        double begunTokens = 0;
         std::uint64_t begun = 0;
         std::uint64_t late = 0;       ///< Part of `begun` that started late.
         std::uint64_t turnedAway = 0; ///< Requests rejected before they reached the core.
