Stay in the rotation for a flood that gets its share

Cause: OverloadReadiness compares what is shed with what is accepted, whether or not the shed requests would be served anywhere.

Requests of a workspace that is over its share and gets more than half of its part here no longer count as shed. A move costs callers two to three seconds; they gain by it only if they get less than that fraction of six seconds here.

NodeThatShedsOnlyOverTheShareStaysInTheRotation failed before (not ready after 2.3 s).

--- a/include/berylridge/Policy/WorkspaceShares.h
+++ b/include/berylridge/Policy/WorkspaceShares.h
@@ -90,6 +90,10 @@
     /// in seconds of its share. Returns 0 within the share, and where all demands fit.
     double secondsOverShare(WorkspaceKey workspace, TimePoint now);
 
+    /// Returns whether the workspace requests more than its share and gets most of this node's part
+    /// of it.
+    bool getsMostOfItsShare(WorkspaceKey workspace, TimePoint now) const;
+
     /// A workspace's share and demand, to explain why it was rejected; in tokens per second.
     struct ShareStatus
     {
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -298,8 +298,12 @@
 
 void BalancerCore::Impl::onTrafficThreadReport(const TrafficThreadReport &report)
 {
-    for (const ShedCount &each : report.shed)
-        m_overloadReadiness.onShed(static_cast<double>(each.requests), m_context.now);
+    for (const ShedCount &each : report.shed) {
+        // Moving to another node takes callers seconds, and that node has no more for them than
+        // their share.
+        if (!m_requests.getsMostOfItsShare(each.credential))
+            m_overloadReadiness.onShed(static_cast<double>(each.requests), m_context.now);
+    }
     m_requests.onLag(report);
 }
 
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -694,6 +694,14 @@
     m_tally.turnedAway(event.shed);
 }
 
+bool RequestProcessor::getsMostOfItsShare(CredentialKey credential) const
+{
+    const WorkspaceSpec *workspace = m_context.routeTable
+        ? m_context.routeTable->workspaceForCredentialHash(credential)
+        : nullptr;
+    return workspace && m_shares.getsMostOfItsShare(hash32(workspace->name), m_context.now);
+}
+
 void RequestProcessor::onCallerGone(const CallerGone &event)
 {
     const auto found = m_requests.find(event.handle);
--- a/lib/Balancer/RequestProcessor.h
+++ b/lib/Balancer/RequestProcessor.h
@@ -56,6 +56,8 @@
 
     WorkspaceShares &shares() { return m_shares; }
     const WorkspaceShares &shares() const { return m_shares; }
+    /// As WorkspaceShares::getsMostOfItsShare, of the credential's workspace.
+    bool getsMostOfItsShare(CredentialKey credential) const;
     std::size_t size() const { return m_requests.size(); }
     TimePoint lastArrival() const { return m_lastArrival; }
 
--- a/lib/Policy/WorkspaceShares.cpp
+++ b/lib/Policy/WorkspaceShares.cpp
@@ -13,6 +13,8 @@
 /// Maximum debt for what a workspace received over its share, in seconds of the share. A flood that
 /// used idle capacity must not be shut out for long once other workspaces send requests.
 constexpr double maxDebtSeconds = 3.0;
+/// A workspace that gets more than this fraction of its share gets most of it.
+constexpr double mostOfShareFraction = 0.5;
 /// A node's demands count this long after its last digest.
 constexpr Duration digestLifetime = std::chrono::milliseconds(1500);
 /// The shares add up to slightly more than what was served, so that they grow when the capacity of
@@ -219,6 +221,15 @@
     own.creditedAt = now;
 }
 
+bool WorkspaceShares::getsMostOfItsShare(WorkspaceKey workspace, TimePoint now) const
+{
+    const auto found = m_own.find(workspace);
+    if (found == m_own.end() || !found->second.isLimited)
+        return false;
+    const Own &own = found->second;
+    return own.admitted.at(now) > own.allowedRate * mostOfShareFraction;
+}
+
 double WorkspaceShares::secondsOverShare(WorkspaceKey workspace, TimePoint now)
 {
     const auto found = m_own.find(workspace);
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -2,6 +2,7 @@
 #include "BalancerFixture.h"
 
 #include "berylridge/Policy/OverloadReadiness.h"
+#include "berylridge/Support/Hash.h"
 
 #include <deque>
 #include <map>
@@ -14,6 +15,37 @@
 
 class BalancerCoreTest : public test::BalancerFixture
 {
+protected:
+    /// Sends one request to targets that complete one request in ten.
+    void sendToFullTargets(int number)
+    {
+        if (number % 10 == 0 && !m_running.empty()) {
+            const Dispatch &first = m_running.front();
+            handle(AttemptHead {first.handle, first.attempt, 200, {}});
+            handle(AttemptDone {first.handle, first.attempt, 200, {}, 0, {}, {}});
+            m_running.pop_front();
+        }
+        sendRequest("/stream/" + std::to_string(number));
+        if (const auto *dispatch = findAction<Dispatch>())
+            m_running.push_back(*dispatch);
+    }
+
+    /// Handles a digest of each of three other nodes of the zone; of "n0", in the given state.
+    template <typename Visit>
+    void handleZoneDigests(RotationState first, Visit visit)
+    {
+        for (const std::string peer : {"n0", "n2", "n3"}) {
+            LoadDigest digest;
+            digest.zone = "a";
+            const RotationState state = peer == "n0" ? first : RotationState::In;
+            digest.rotation = static_cast<std::uint8_t>(state);
+            handle(NodeMessage {NodeId(peer), 1, BalancerMessage(digest)});
+            visit();
+        }
+    }
+
+private:
+    std::deque<Dispatch> m_running;
 };
 
 } // namespace
@@ -396,17 +428,8 @@
     installCatalog();
     installTargets({"t1"});
     std::map<std::string, std::size_t> rejections;
-    std::deque<Dispatch> running;
     for (int i = 0; i < 600; ++i) {
-        if (i % 10 == 0 && !running.empty()) {
-            const Dispatch &first = running.front();
-            handle(AttemptHead {first.handle, first.attempt, 200, {}});
-            handle(AttemptDone {first.handle, first.attempt, 200, {}, 0, {}, {}});
-            running.pop_front();
-        }
-        sendRequest("/stream/" + std::to_string(i));
-        if (const auto *dispatch = findAction<Dispatch>())
-            running.push_back(*dispatch);
+        sendToFullTargets(i);
         if (const auto *refuse = findAction<Refuse>()) {
             ++rejections[refuse->type];
             EXPECT_EQ(refuse->isOverShare, refuse->type == "beyond-share") << refuse->type;
@@ -417,6 +440,37 @@
     EXPECT_GT(rejections["beyond-share"], 0U);
 }
 
+// Guards against a node that leaves the rotation since it sheds requests that every node would
+// reject as over the share: the workspace gets its share here, and the next node may be weaker.
+TEST_F(BalancerCoreTest, NodeThatShedsOnlyOverTheShareStaysInTheRotation)
+{
+    leavesRotationOnOverload = true;
+    createCore();
+    isEngine = true;
+    installCatalog();
+    installTargets({"t1"});
+    std::size_t rejections = 0;
+    bool isReady = true;
+    const auto checkReadiness = [&] {
+        if (const auto *change = findAction<Readiness>())
+            isReady = change->isReady;
+    };
+    for (int i = 0; i < 600; ++i) {
+        if (i % 10 == 0)
+            handleZoneDigests(RotationState::In, checkReadiness);
+        sendToFullTargets(i);
+        const auto *refuse = findAction<Refuse>();
+        rejections += refuse && refuse->isOverShare ? 1 : 0;
+        // Until then the workspace isn't known to be over its share.
+        if (i >= 200)
+            handle(TrafficThreadReport {100ms, 10, 0, {{hash32("key"), 5}}});
+        advanceTime(10ms);
+        checkReadiness();
+        ASSERT_TRUE(isReady) << "after " << 10 * i << " ms";
+    }
+    EXPECT_GT(rejections, 100U);
+}
+
 // Guards against a node that closes its callers' connections when it leaves the rotation for
 // overload, against one that leaves though others of its zone have left or go first, and against
 // one that enters it again during a planned stop.
@@ -433,14 +487,7 @@
                 changes.push_back(*change);
         };
         for (int i = 0; i < periods; ++i) {
-            for (const std::string peer : {"n0", "n2", "n3"}) {
-                LoadDigest digest;
-                digest.zone = "a";
-                const RotationState state = peer == "n0" ? firstPeer : RotationState::In;
-                digest.rotation = static_cast<std::uint8_t>(state);
-                handle(NodeMessage {NodeId(peer), 1, BalancerMessage(digest)});
-                collect();
-            }
+            handleZoneDigests(firstPeer, collect);
             handle(TrafficThreadReport {100ms, 10, 0, {{7, shed}}});
             collect();
             advanceTime(100ms);
