Shares: Follow callers of smaller workspaces that move, too

Cause: the demand of the node that the callers have left falls fast only from 100 requests a second on; a small node reads fewer. A second window, of half a second, covers 40 requests a second and more; the shorter window keeps its bound against chance.

RateOfFewerRequestsFallsWithinASecond failed before (578,000 of at most 317,000 tokens a second after 0.75 s); ChanceDoesNotLowerTheRateOfFewerRequests passes on both.

--- a/include/berylridge/Policy/DemandRate.h
+++ b/include/berylridge/Policy/DemandRate.h
@@ -5,11 +5,12 @@
 #include "berylridge/Support/Time.h"
 
 #include <algorithm>
+#include <array>
 
 namespace berylridge {
 
 /// Tokens per second, smoothed over a longer time. Falls within a shorter one if most of many
-/// requests no longer come.
+/// requests no longer come; the more requests came, the shorter.
 ///
 /// Guards against shares that stay with a node that its callers have left: the load balancer moves
 /// all connections of a large workspace at once.
@@ -20,36 +21,56 @@
     void add(double tokens, TimePoint now)
     {
         m_requests.add(1, now);
-        m_recentRequests.add(1, now);
         m_tokens.add(tokens, now);
-        m_recentTokens.add(tokens, now);
+        for (Recent &recent : m_recent) {
+            recent.requests.add(1, now);
+            recent.tokens.add(tokens, now);
+        }
     }
 
     double at(TimePoint now) const
     {
-        const double tokens = m_tokens.at(now);
-        return haveCallersLeft(now) ? std::min(tokens, m_recentTokens.at(now)) : tokens;
+        const double requests = m_requests.at(now);
+        double tokens = m_tokens.at(now);
+        for (const Recent &recent : m_recent) {
+            if (recent.haveCallersLeft(requests, now))
+                tokens = std::min(tokens, recent.tokens.at(now));
+        }
+        return tokens;
     }
 
 private:
-    static constexpr double recentSeconds = 0.2;
-    /// With fewer requests in that time, and with a smaller fall, the fall may be due to chance. A
+    /// With fewer requests in its time, and with a smaller fall, a fall may be due to chance. A
     /// node's part of a share must not vary by chance, since a smaller part makes the same debt
     /// last longer.
     static constexpr double minRecentRequests = 20;
     static constexpr double maxRemainingFraction = 0.5;
 
-    bool haveCallersLeft(TimePoint now) const
+    /// Rates over one of the shorter times.
+    struct Recent
     {
-        const double requests = m_requests.at(now);
-        return requests * recentSeconds >= minRecentRequests
-            && m_recentRequests.at(now) < maxRemainingFraction * requests;
-    }
+        explicit Recent(double smoothingSeconds)
+            : seconds(smoothingSeconds)
+            , requests(smoothingSeconds)
+            , tokens(smoothingSeconds)
+        {
+        }
+
+        /// Returns whether most of the callers that sent the given requests per second have left.
+        bool haveCallersLeft(double requestsBefore, TimePoint now) const
+        {
+            return requestsBefore * seconds >= minRecentRequests
+                && requests.at(now) < maxRemainingFraction * requestsBefore;
+        }
+
+        double seconds;
+        Rate requests;
+        Rate tokens;
+    };
 
     Rate m_requests;
-    Rate m_recentRequests {recentSeconds};
     Rate m_tokens;
-    Rate m_recentTokens {recentSeconds};
+    std::array<Recent, 2> m_recent {Recent(0.2), Recent(0.5)};
 };
 
 } // namespace berylridge
--- a/unittests/Policy/DemandRateTest.cpp
+++ b/unittests/Policy/DemandRateTest.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr double requestsPerSecond = 175;
 constexpr double meanTokens = 12000;
 
 class DemandRateTest : public testing::Test
@@ -37,6 +36,7 @@
 
     ManualClock clock;
     DemandRate demand;
+    double requestsPerSecond = 175;
     double lowest = requestsPerSecond * meanTokens;
 
 private:
@@ -60,3 +60,20 @@
     clock.advance(500ms);
     EXPECT_LE(demand.at(clock.now()), before / 4);
 }
+
+// Guards against the same where the workspace sends fewer requests, as one that a small node reads.
+TEST_F(DemandRateTest, RateOfFewerRequestsFallsWithinASecond)
+{
+    requestsPerSecond = 80;
+    const double before = playSeconds(10);
+    clock.advance(750ms);
+    EXPECT_LE(demand.at(clock.now()), before / 3);
+}
+
+TEST_F(DemandRateTest, ChanceDoesNotLowerTheRateOfFewerRequests)
+{
+    requestsPerSecond = 80;
+    lowest = requestsPerSecond * meanTokens;
+    EXPECT_GE(playSeconds(60), 0.95 * requestsPerSecond * meanTokens);
+    EXPECT_GE(lowest, 0.5 * requestsPerSecond * meanTokens);
+}
