Predict rejections from the first delay of a thread on

Cause: rejections were predicted only after the thread had to shed others, that is while it was late by more than 30 ms or within a second after it. They are now predicted from 15 ms on, the lag from which a thread reports itself late.

lateThreadShedsPredictedRejectionsBeforeAnyOther failed before.

--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -25,8 +25,8 @@
 constexpr const char *overloadProblemType = "busy";
 /// The same for workspaces that the core mostly rejects as over their share.
 constexpr const char *predictedProblemType = "probably-rejected";
-/// Time after an overload in which requests are still shed by prediction. Without these requests
-/// the thread is not late, and with all of them it would be again.
+/// Time after a delay in which requests are still shed by prediction. Without these requests the
+/// thread is not late, and with all of them it would be again.
 constexpr Duration predictionTime = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds drainPeriod {10};
 /// A drain doesn't wait longer than this for callers that receive nothing meanwhile.
@@ -209,16 +209,17 @@
     const TimePoint now = m_options.now();
     if (m_options.acceptedLag > Duration(0))
         m_loadShedder.onLag(lag, now);
-    if (m_loadShedder.isLimited())
-        m_overloadedAt = now;
-    m_isPredicting = m_overloadedAt > TimePoint {} && now - m_overloadedAt <= predictionTime;
+    const bool isLate = lag > minReportedLag;
+    // Requests that the core will reject are shed before the thread has to shed others.
+    if (isLate || m_loadShedder.isLimited())
+        m_lateAt = now;
+    m_isPredicting = m_lateAt > TimePoint {} && now - m_lateAt <= predictionTime;
     m_metrics.trafficLagMicroseconds
         = static_cast<std::uint64_t>(std::max(lag, Duration(0)).count());
     const Duration threadTime = threadProcessorTime();
     const Duration processTime = m_index == 0 ? processProcessorTime() : Duration(0);
     const Duration threadTimeUsed = threadTime - std::exchange(m_threadTime, threadTime);
     const Duration processTimeUsed = processTime - std::exchange(m_processTime, processTime);
-    const bool isLate = lag > minReportedLag;
     // Reports once more after the last late iteration, so that the core learns that the lag has
     // ended.
     if (isLate || m_wasLate || isShedding()) {
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -188,10 +188,10 @@
     bool m_wasLate = false;
     LoadShedder m_loadShedder;
     AcceptancePredictor m_acceptance;
-    /// The thread is or was overloaded lately, so that requests are shed if the core would probably
+    /// The thread is late or was lately, so that requests are shed if the core would probably
     /// reject them.
     bool m_isPredicting = false;
-    TimePoint m_overloadedAt {};
+    TimePoint m_lateAt {};
     /// Requests shed by prediction since the last report, by credential.
     std::unordered_map<CredentialKey, std::uint64_t> m_predictedRejections;
     RandomEngine m_random; ///< Randomizes the retry delay of rejected callers.
--- a/unittests/Net/OverloadTest.cpp
+++ b/unittests/Net/OverloadTest.cpp
@@ -163,6 +163,29 @@
     EXPECT_EQ(rejectRequests(true), "probably-rejected");
 }
 
+// Guards against a flood over its share that is read in full until it uses up the processor of a
+// node, which then sheds requests that the core would accept.
+TEST_F(SteppedTrafficThreadTest, lateThreadShedsPredictedRejectionsBeforeAnyOther)
+{
+    const CallerIdentity flood {"r1", "key", true};
+    const CallerIdentity other {"r2", "other", true};
+    for (int i = 0; i < 10; ++i)
+        thread().onOverShare(hash32("key"), 500ms);
+    const auto shedOf = [&](const CallerIdentity &caller) {
+        int shed = 0;
+        for (int i = 0; i < 10; ++i)
+            shed += thread().sheds(caller) ? 1 : 0;
+        return shed;
+    };
+    clock.advance(1s);
+    thread().onLag(0ms);
+    EXPECT_EQ(shedOf(flood), 0);
+    thread().onLag(20ms);
+    EXPECT_TRUE(thread().isShedding());
+    EXPECT_GE(shedOf(flood), 9);
+    EXPECT_EQ(shedOf(other), 0);
+}
+
 // Guards against rejections that use almost all processor time of an overloaded thread: each may
 // take only one event loop iteration.
 TEST_F(SteppedTrafficThreadTest, overloadedThreadRejectsInOneIteration)
