Admission: Leave room for workspaces that request less than their share

Cause: as long as it has credit, a workspace over its share may wait as long as one that requests less than its share. While capacity falls, floods have credit, and their many requests fill each place that becomes free; a workspace that sends 20 requests a second finds the queues at the limit.

A workspace that requests more than its share now fills the queues to 0.65 of the latency target, the others to 0.85 as before. What it is rejected for within its share counts as missed, as before, so that the capacity isn't overestimated.

--- a/include/berylridge/Policy/Admission.h
+++ b/include/berylridge/Policy/Admission.h
@@ -14,6 +14,7 @@
     double readMs = 0;          ///< Expected time to read the prompt.
     /// How far the workspace is over its share, in seconds of its share; 0 within the share.
     double secondsOverShare = 0;
+    bool isLimited = false; ///< The workspace requests more than its share.
 };
 
 /// Returned by maxQueueWaitMs() to reject every request; it is below any possible wait.
--- a/lib/Balancer/RequestProcessor.cpp
+++ b/lib/Balancer/RequestProcessor.cpp
@@ -365,11 +365,12 @@
     const double target = request.route->latencyTargetMs;
     if (target <= 0)
         return std::nullopt;
-    const double allowed = maxQueueWaitMs({target, choice.readMs, secondsOver});
+    const double allowed
+        = maxQueueWaitMs({target, choice.readMs, secondsOver, step.shareStatus.isLimited});
     step.allowedMs = allowed;
     if (choice.waitMs <= allowed)
         return std::nullopt;
-    if (choice.waitMs > maxQueueWaitMs({target, choice.readMs, 0})) {
+    if (step.isWithinShare || choice.waitMs > maxQueueWaitMs({target, choice.readMs, 0})) {
         m_shares.onRejected(demandOf(request), m_context.now);
     } else {
         m_shares.onHeldBack(demandOf(request), m_context.now);
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -10,6 +10,10 @@
 
 /// Fraction of the latency target that a request may wait in a target's queue.
 constexpr double maxWaitFraction = 0.85;
+/// The same for workspaces that request more than their share, while they get no more than it. They
+/// send requests often enough to fill each place that becomes free. The difference is left to
+/// workspaces that request less than their share.
+constexpr double maxWaitFractionLimited = 0.65;
 /// The same for workspaces over their share. The difference is capacity that remains for the other
 /// workspaces.
 constexpr double maxWaitFractionOverShare = 0.35;
@@ -31,9 +35,10 @@
            && "the excess of a workspace over its share must not be negative");
     if (input.secondsOverShare >= maxSecondsOverShare)
         return refusedWaitMs;
+    const double fractionWithinShare = input.isLimited ? maxWaitFractionLimited : maxWaitFraction;
     const double fraction = input.secondsOverShare > 0
         ? maxWaitFractionOverShare * std::exp2(-input.secondsOverShare / waitHalvingSeconds)
-        : maxWaitFraction;
+        : fractionWithinShare;
     const double maxWaitMs = fraction * input.latencyTargetMs;
     return std::max(maxWaitMs - input.readMs, minWaitFraction * maxWaitMs);
 }
--- a/unittests/Policy/WorkspaceSharesFleetTest.cpp
+++ b/unittests/Policy/WorkspaceSharesFleetTest.cpp
@@ -55,10 +55,12 @@
         for (std::size_t i = 1; i < m_running; ++i)
             target = node.knownTokens(i) < node.knownTokens(target) ? i : target;
         const double ahead = node.shares.secondsOverShare(workspace, m_clock.now());
-        const double allowed = maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, ahead});
+        const bool isLimited = node.shares.shareStatus(workspace, m_clock.now()).isLimited;
+        const double allowed
+            = maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, ahead, isLimited});
         const double waitMs = node.knownTokens(target) / tokensPerMs;
         if (waitMs > allowed) {
-            if (waitMs > maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, 0}))
+            if (ahead <= 0 || waitMs > maxQueueWaitMs({latencyTargetMs, tokens / tokensPerMs, 0}))
                 node.shares.onRejected(tokens, m_clock.now());
             else
                 node.shares.onHeldBack(tokens, m_clock.now());
@@ -259,6 +261,36 @@
     window.expectFairShares(fleet);
 }
 
+// Guards against workspaces that request less than their share and find the queues full of the
+// requests of floods, which take each place that becomes free because they send more requests.
+TEST(WorkspaceSharesFleet, FloodsLeaveRoomForSmallWorkspacesWhileTargetsFail)
+{
+    ModelFleet fleet;
+    const auto play = [&](int ms) {
+        for (int i = 0; i < ms; ++i) {
+            for (WorkspaceKey each = firstLarge; each < firstSmall; ++each) {
+                fleet.sendRequest(each, each, each);
+                fleet.sendRequest(each, each, each);
+            }
+            if (i % 40 == 0) {
+                for (WorkspaceKey each = 0; each < 3; ++each)
+                    fleet.sendRequest(firstSmall + each, 10 + 2 * each, 11 + 2 * each);
+            }
+            fleet.advanceOneMs();
+        }
+    };
+    play(6000);
+    fleet.setRunning(targetCount / 2);
+    const auto requestedBefore = fleet.requestedTokens;
+    const auto admittedBefore = fleet.admittedTokens;
+    play(6000);
+    for (WorkspaceKey each = firstSmall; each < firstSmall + 3; ++each) {
+        const double requested = fleet.requestedTokens[each] - requestedBefore.at(each);
+        const double admitted = fleet.admittedTokens[each] - admittedBefore.at(each);
+        EXPECT_GE(admitted, requested / 2) << "workspace " << each << " requested " << requested;
+    }
+}
+
 // Guards against a share that stays with the node that a workspace's callers have left, while the
 // node that they have moved to rejects them as over their share.
 TEST(WorkspaceSharesFleet, CallersThatMoveToAnotherNodeKeepTheirShare)
--- a/unittests/Policy/WorkspaceSharesTest.cpp
+++ b/unittests/Policy/WorkspaceSharesTest.cpp
@@ -51,7 +51,8 @@
         requestedTokens[workspace] += tokens;
         m_shares.onRequested(workspace, tokens, m_clock.now());
         const double ahead = m_shares.secondsOverShare(workspace, m_clock.now());
-        if (m_target.knownWaitMs() > maxQueueWaitMs({latencyTargetMs, readMs, ahead})) {
+        const bool isLimited = m_shares.shareStatus(workspace, m_clock.now()).isLimited;
+        if (m_target.knownWaitMs() > maxQueueWaitMs({latencyTargetMs, readMs, ahead, isLimited})) {
             m_shares.onRejected(tokens, m_clock.now());
             return;
         }
