--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -13,7 +13,7 @@
 /// The same for workspaces that request more than their share, while they get no more than it. They
 /// send requests often enough to fill each place that becomes free. The difference is left to
 /// workspaces that request less than their share.
-constexpr double maxWaitFractionLimited = 0.5;
+constexpr double maxWaitFractionLimited = 0.55;
 /// The same for workspaces over their share. The difference is capacity that remains for the other
 /// workspaces.
 constexpr double maxWaitFractionOverShare = 0.35;
