Limit the memory of all callers' bytes together

Callers saw the router go away: a crowd of clients whose bodies stopped short of their end ended the process, as it ran out of memory.

Cause: each body was limited (4 MiB), their sum was not, and neither were the buffers of 64 KiB beside them. 60 clients with unfinished chunked bodies took a router over 126 MB, 240 on their way to a gigabyte; a complete request kept its body, uncounted, while it waited for a target.

Change: each traffic thread counts heads, bodies that arrive, complete requests until their exchange ends, and bytes read ahead. The limit is a quarter of the VM's memory (memoryLimitMb, which the platform's template fills in), and at least two of the largest requests; settings that don't fit are reported. When it is reached, requests that have not arrived completely are dropped with their memory and refused with 503 memory-full and a Retry-After with jitter. Bodies are read into the thread's buffer, so that a connection needs none of its own.

--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -32,6 +32,7 @@
     std::uint32_t trafficThreads = 2;
     std::uint64_t headerLimit = 16 << 10; ///< Maximum size of a caller's request head in bytes.
     std::uint64_t bodyLimit = 4 << 20;    ///< Maximum size of a caller's request body in bytes.
+    std::uint64_t memoryLimitMb = 128;    ///< Memory of the VM in MiB. A quarter is for callers.
     std::uint32_t connectionLimit = 4096; ///< Maximum number of open connections of callers.
     std::uint32_t descriptorLimit = 0;    ///< Open files that the system allows; 0 if not known.
     /// A traffic thread with a longer lag than this rejects requests; 0 means never.
--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -58,6 +58,8 @@
     Counter trafficLagMicroseconds {0}; ///< The latest value from any traffic thread.
     Counter connectionsOpen {0};
     Counter connectionsRejected {0};
+    Counter callerBytesHeld {0};          ///< Memory for callers' bytes, of all traffic threads.
+    Counter requestsDroppedForMemory {0}; ///< Before they had arrived completely.
     Counter attemptsStarted {0};
     Counter attemptsFailed {0};
     Counter connectionsReused {0};
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -89,6 +89,7 @@
     fields.integer("trafficThreads", settings.trafficThreads, 1, 256);
     fields.integer("headerLimit", settings.headerLimit, 1024, 1 << 20);
     fields.integer("bodyLimit", settings.bodyLimit, 1, 1ULL << 30);
+    fields.integer("memoryLimitMb", settings.memoryLimitMb, 32, 1 << 20);
     fields.integer("connectionLimit", settings.connectionLimit, 1, 1'000'000);
     fields.integer("descriptorLimit", settings.descriptorLimit, 0, 100'000'000);
     fields.duration("acceptedLagMs", settings.acceptedLag, milliseconds(0), minutes(1));
@@ -101,6 +102,12 @@
     fields.number("retrySlack", settings.retrySlack, 0, 1e6);
     fields.duration("retryWindowMs", settings.retryWindow, milliseconds(100), hours(1));
     fields.duration("stopLimitMs", settings.stopLimit, milliseconds(0), hours(24));
+    // Each thread has memory for two of the largest requests.
+    const std::uint64_t requestLimit = settings.bodyLimit + settings.headerLimit;
+    if (4 * settings.trafficThreads * requestLimit > settings.memoryLimitMb << 20)
+        fields.report("bodyLimit",
+                      "with headerLimit must be at most a quarter of memoryLimitMb for each of "
+                      "trafficThreads");
     if (settings.suspectAfter < 2 * settings.heartbeatPeriod)
         fields.report("suspectAfterMs", "must be at least twice heartbeatPeriodMs");
 }
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -4,11 +4,11 @@
 #include "Exchange.h"
 #include "HttpSerialization.h"
 #include "TrafficThread.h"
+#include "berylridge/Support/Hash.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <utility>
 
 namespace berylridge {
@@ -24,7 +24,8 @@
 constexpr std::chrono::seconds lingerTimeout {2};
 constexpr std::size_t maxWriteBytes = 64 << 10; ///< Of one system call.
 constexpr std::size_t headReadBytes = 2 << 10;
-constexpr std::size_t bodyReadBytes = 64 << 10;
+/// Read at once after bytes of a body that can't be parsed yet.
+constexpr std::size_t keptReadBytes = 16 << 10;
 /// Space beyond the head limit, so that the parser can report which limit was exceeded.
 constexpr std::size_t bufferSlackBytes = 128 << 10;
 /// Retry-After of requests that arrive when the process ends; the caller's next connection reaches
@@ -39,6 +40,7 @@
     , m_socket(std::move(socket))
     , m_deadline(std::make_shared<Deadline>(thread.context()))
     , m_buffer(thread.options().headerLimit + bufferSlackBytes)
+    , m_memory(thread.callerMemory())
 {
     ++m_thread.metrics().connectionsOpen;
 }
@@ -74,6 +76,7 @@
         return;
     }
     m_buffer.shrink_to_fit(); // An idle connection holds no buffer.
+    m_memory.resize(0);
     waitIdle();
 }
 
@@ -104,7 +107,11 @@
         readAndTryEarlyShed();
     else if (m_state == State::Idle)
         readHead();
-    else if (m_state == State::Waiting)
+    else if (m_state == State::Reading && !m_parser->is_header_done())
+        receiveHead();
+    else if (m_state == State::Reading)
+        receiveBody();
+    else if (m_state == State::Waiting && m_exchange)
         checkForDisconnect();
 }
 
@@ -170,41 +177,64 @@
         return;
     const std::size_t room = std::min(limit - m_buffer.size(), headReadBytes);
     m_buffer.commit(m_socket.read_some(m_buffer.prepare(room), error));
+    m_memory.resize(m_buffer.capacity());
     waitReadable();
 }
 
 void CallerSession::readHead()
 {
     m_state = State::Reading;
-    m_isReadTimedOut = false;
     m_isRequestComplete = false;
+    m_headBytes = 0;
+    m_credential = 0;
+    m_requestStart = Deadline::Clock::now();
     const TrafficOptions &options = m_thread.options();
     m_parser = std::make_unique<RequestParser>();
     m_parser->header_limit(static_cast<std::uint32_t>(options.headerLimit));
     m_parser->body_limit(options.bodyLimit);
     // A single timeout covers head and body, so that a caller can't hold the connection for longer
     // by sending a byte now and then.
-    m_deadline->set(Deadline::Clock::now() + options.readTimeout, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->m_isReadTimedOut = true;
-            error_code ignored;
-            self->m_socket.cancel(ignored);
-        }
+    m_deadline->set(m_requestStart + options.readTimeout, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onReadTimeout();
     });
-    m_buffer.reserve(headReadBytes);
-    http::async_read_header(
-        m_socket, m_buffer, *m_parser,
-        [self = shared_from_this()](error_code error, std::size_t) { self->onHead(error); });
+    if (m_buffer.size() > 0)
+        parseHead();
+    else
+        receiveHead();
+}
+
+void CallerSession::receiveHead()
+{
+    error_code error;
+    m_buffer.commit(m_socket.read_some(m_buffer.prepare(headReadBytes), error));
+    if (error == asio::error::would_block)
+        waitReadable();
+    else if (error)
+        close();
+    else
+        parseHead();
 }
 
-void CallerSession::onHead(error_code error)
+void CallerSession::parseHead()
 {
+    error_code error;
+    const std::size_t size = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(size);
+    m_headBytes += size;
+    updateMemory();
     if (m_state != State::Reading)
         return;
-    if (error) {
-        onReadError(error);
-        return;
-    }
+    if (error == http::error::need_more)
+        waitReadable();
+    else if (error)
+        onParserError(error);
+    else
+        onHead();
+}
+
+void CallerSession::onHead()
+{
     const auto &request = m_parser->get();
     if (request.version() != 11) {
         // A caller of an older HTTP version doesn't support chunked coding and couldn't distinguish
@@ -221,6 +251,7 @@
         return;
     }
     const CallerIdentity caller = m_thread.protocol().readCaller(request);
+    m_credential = hash32(caller.credential);
     const ShedDecision decision = std::exchange(m_shedDecision, ShedDecision::Undecided);
     if (decision == ShedDecision::Shed
         || (decision == ShedDecision::Undecided && m_thread.sheds(caller))) {
@@ -233,7 +264,11 @@
     }
     if (beast::iequals(request[http::field::expect], "100-continue") && m_buffer.size() == 0)
         write(std::string(continueResponse), [] {});
-    readRest();
+    m_parser->eager(true);
+    if (m_buffer.size() > 0)
+        parseKeptBytes();
+    else
+        receiveBody();
 }
 
 void CallerSession::rejectOverloaded(const CallerIdentity &caller)
@@ -249,35 +284,114 @@
     sendProblem(m_thread.overloadProblem(caller), keepAlive, caller.requestId);
 }
 
-void CallerSession::readRest()
+void CallerSession::receiveBody()
 {
-    const std::uint64_t length = m_parser->content_length().value_or(bodyReadBytes);
-    m_buffer.reserve(
-        std::min<std::size_t>(std::max<std::size_t>(length, headReadBytes), bodyReadBytes));
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (self->m_state != State::Reading)
-                             return;
-                         if (error)
-                             self->onReadError(error);
-                         else
-                             self->onRequest();
-                     });
+    // Reads into the thread's buffer, so that a connection needs no memory beyond its body. Only
+    // the beginning of a chunk's head or of a trailer is kept, which are parsed as a whole.
+    const bool hasKeptBytes = m_buffer.size() > 0;
+    const std::size_t room = std::min(m_buffer.max_size() - m_buffer.size(), keptReadBytes);
+    if (hasKeptBytes && room == 0) {
+        onParserError(http::error::buffer_overflow);
+        return;
+    }
+    const asio::mutable_buffer target = hasKeptBytes ? m_buffer.prepare(room) : m_thread.scratch();
+    error_code error;
+    const std::size_t size = m_socket.read_some(target, error);
+    if (error == asio::error::would_block) {
+        waitReadable();
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (hasKeptBytes) {
+        m_buffer.commit(size);
+        parseKeptBytes();
+        return;
+    }
+    const std::string_view bytes(static_cast<const char *>(target.data()), size);
+    const std::size_t parsed = parseBody(bytes, error);
+    const asio::const_buffer rest = asio::buffer(bytes) + parsed;
+    if (rest.size() > 0)
+        m_buffer.commit(asio::buffer_copy(m_buffer.prepare(rest.size()), rest));
+    onBodyBytes(error);
 }
 
-void CallerSession::onReadError(error_code error)
+void CallerSession::parseKeptBytes()
 {
-    if (m_isReadTimedOut) {
-        sendProblem({408, "read-timeout", "the request did not arrive in time", Verdict::NotRun,
-                     std::nullopt},
-                    false);
-        return;
+    const asio::const_buffer kept = m_buffer.data();
+    error_code error;
+    m_buffer.consume(parseBody({static_cast<const char *>(kept.data()), kept.size()}, error));
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit();
+    onBodyBytes(error);
+}
+
+std::size_t CallerSession::parseBody(std::string_view bytes, error_code &error)
+{
+    std::size_t size = 0;
+    std::size_t parsed = 1;
+    while (size < bytes.size() && !m_parser->is_done() && !error && parsed > 0) {
+        parsed = m_parser->put(asio::buffer(bytes.substr(size)), error);
+        size += parsed;
     }
-    if (const auto problem = problemOfParserError(error)) {
-        sendProblem(*problem, false);
+    if (error == http::error::need_more)
+        error = {};
+    return size;
+}
+
+void CallerSession::onBodyBytes(const error_code &error)
+{
+    updateMemory();
+    if (m_state != State::Reading)
         return;
-    }
-    close();
+    if (error)
+        onParserError(error);
+    else if (m_parser->is_done())
+        onRequest();
+    else
+        waitReadable();
+}
+
+void CallerSession::updateMemory()
+{
+    const std::size_t bodyBytes = m_parser ? m_parser->get().body().size() : 0;
+    m_memory.resize(m_buffer.capacity() + m_headBytes + bodyBytes);
+    m_thread.reclaimMemory();
+}
+
+std::optional<PartialRequest> CallerSession::partialRequest() const
+{
+    if (m_state != State::Reading)
+        return std::nullopt;
+    const auto age = Deadline::Clock::now() - m_requestStart;
+    return PartialRequest {m_credential, m_memory.bytes(),
+                           std::chrono::duration_cast<Duration>(age)};
+}
+
+void CallerSession::rejectPartialRequest()
+{
+    const std::string requestId = m_parser->is_header_done()
+        ? m_thread.protocol().readCaller(m_parser->get()).requestId
+        : std::string();
+    m_isRequestComplete = m_parser->is_done();
+    sendProblem(m_thread.memoryProblem(), false, requestId);
+}
+
+void CallerSession::onParserError(const error_code &error)
+{
+    if (const auto problem = problemOfParserError(error))
+        sendProblem(*problem, false);
+    else
+        close();
+}
+
+void CallerSession::onReadTimeout()
+{
+    sendProblem(
+        {408, "read-timeout", "the request did not arrive in time", Verdict::NotRun, std::nullopt},
+        false);
 }
 
 void CallerSession::onRequest()
@@ -330,6 +444,8 @@
     const std::string generatedId = m_thread.options().idPrefix + std::to_string(handle);
     StringRequest request = m_parser->release();
     m_parser.reset();
+    const std::size_t requestBytes = m_headBytes + request.body().size();
+    m_memory.resize(m_buffer.capacity());
     if (m_thread.isDraining()) {
         refuseAsLeaving(m_thread.protocol().readCaller(request).requestId);
         return;
@@ -344,6 +460,7 @@
     m_thread.metrics().streamsTakenUp += arrived.resumption ? 1 : 0;
     m_exchange
         = std::make_shared<Exchange>(m_thread, shared_from_this(), arrived, std::move(request));
+    m_exchange->countRequestBytes(requestBytes);
     m_thread.addExchange(handle, m_exchange);
     if (arrived.service.isEmpty() && arrived.host.empty())
         m_thread.report(KeyIssueRequested {handle, arrived.requestId, arrived.credential});
@@ -362,6 +479,11 @@
 {
     m_state = State::Waiting;
     m_deadline->clear();
+    m_parser.reset();
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit();
+    m_headBytes = 0;
+    m_memory.resize(m_buffer.capacity());
     ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
     m_thread.metrics().countRejectedRequest(problem.type);
     const std::string placeholderRequestId = m_thread.options().placeholderRequestId();
@@ -450,6 +572,7 @@
     m_isLingering = true;
     m_buffer.clear();
     m_buffer.shrink_to_fit();
+    m_memory.resize(0);
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
     if (error) {
@@ -488,6 +611,10 @@
     m_isLingering = false;
     m_deadline->stop();
     m_writeQueue.clear();
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_memory.resize(0);
     error_code ignored;
     m_socket.close(ignored);
 }
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -1,6 +1,7 @@
 // Serves one connection of a caller: reads its requests one after another and writes the responses.
 #pragma once
 
+#include "CallerMemory.h"
 #include "Deadline.h"
 #include "EarlyShedding.h"
 #include "RequestParser.h"
@@ -11,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace berylridge {
@@ -45,6 +47,11 @@
 
     bool hasPendingWrite() const { return !m_writeQueue.empty(); }
 
+    /// Returns the request that is being received, if any.
+    std::optional<PartialRequest> partialRequest() const;
+    /// Rejects the request that is being received and frees its memory.
+    void rejectPartialRequest();
+
     /// Returns whether the session waits for the caller to close after the last response.
     bool isLingering() const { return m_isLingering; }
 
@@ -72,15 +79,23 @@
     void waitIdle();
     void checkForDisconnect();
     void readHead();
-    void onHead(error_code error);
+    void receiveHead();
+    void parseHead();
+    void onHead();
     void rejectOverloaded(const CallerIdentity &caller);
-    void readRest();
+    void receiveBody();
+    void parseKeptBytes();
+    /// Parses bytes of the body as far as possible. Returns how many were parsed.
+    std::size_t parseBody(std::string_view bytes, error_code &error);
+    void onBodyBytes(const error_code &error);
+    void updateMemory();
     void onRequest();
     /// Checks for readable data without consuming it. Returns success if bytes are pending,
     /// would_block if nothing is, else the error or the end of the stream.
     error_code peek();
     bool hasCallerDisconnected();
-    void onReadError(error_code error);
+    void onParserError(const error_code &error);
+    void onReadTimeout();
     void beginExchange();
     void refuseAsLeaving(std::string_view requestId);
     void sendProblem(const Problem &problem, bool keepAlive, std::string_view requestId = {});
@@ -94,14 +109,17 @@
     TrafficThread &m_thread;
     tcp::socket m_socket;
     std::shared_ptr<Deadline> m_deadline;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer; ///< Bytes that are not parsed yet.
     std::unique_ptr<RequestParser> m_parser;
+    CallerBytes m_memory;           ///< Of the buffer and of the request that is being received.
+    std::size_t m_headBytes = 0;    ///< Of the request that is being received.
+    CredentialKey m_credential = 0; ///< Of the same, once its head is complete.
+    Deadline::Clock::time_point m_requestStart; ///< Of the same.
     std::shared_ptr<Exchange> m_exchange;
     std::deque<PendingWrite> m_writeQueue;
     State m_state = State::Idle;
     ShedDecision m_shedDecision = ShedDecision::Undecided; ///< For the request that is being read.
     bool m_isWaitingReadable = false;
-    bool m_isReadTimedOut = false;
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
     bool m_isWriteActive = false;
     bool m_isLingering = false;
--- a/lib/Net/Exchange.cpp
+++ b/lib/Net/Exchange.cpp
@@ -62,6 +62,7 @@
     , m_hasPrompt(arrived.prompt.has_value())
     , m_callerLastEventId(std::string(view(request[beastView(fields::lastEventId)])))
     , m_request(std::move(request))
+    , m_requestBytes(thread.callerMemory())
     , m_isKeepAliveAllowed(m_request.keep_alive() && thread.allowsKeepAlive())
     , m_arrival(std::chrono::steady_clock::now())
 {
--- a/lib/Net/Exchange.h
+++ b/lib/Net/Exchange.h
@@ -2,6 +2,7 @@
 // targets.
 #pragma once
 
+#include "CallerMemory.h"
 #include "EventStream.h"
 #include "HeldBytes.h"
 #include "TargetAttempt.h"
@@ -47,6 +48,8 @@
     Exchange(TrafficThread &thread, std::shared_ptr<CallerSession> session,
              const RequestArrived &arrived, StringRequest request);
 
+    /// Counts the memory of the request, until the exchange ends.
+    void countRequestBytes(std::size_t bytes) { m_requestBytes.resize(bytes); }
     void dispatch(const Dispatch &command);
     void continueAttempt(const ContinueAttempt &command);
     void abort(AttemptNumber attempt);
@@ -101,6 +104,7 @@
     const std::string m_callerLastEventId; ///< Id of the last event that the caller had received
                                            ///< before this request.
     const StringRequest m_request;
+    CallerBytes m_requestBytes;
     /// Decided once per request: a response whose head announces keep-alive must not be followed by
     /// closing the connection, which could hit the caller's next request.
     const bool m_isKeepAliveAllowed;
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -180,6 +180,11 @@
                 connectionsOpen.load(), out);
     counter("berylridge_caller_connections_refused_total", "connections beyond the limit",
             connectionsRejected);
+    printMetric("berylridge_caller_bytes_held", "memory for bytes of callers", "gauge",
+                callerBytesHeld.load(), out);
+    counter("berylridge_requests_dropped_for_memory_total",
+            "requests that were dropped before they had arrived completely",
+            requestsDroppedForMemory);
     counter("berylridge_attempts_total", "attempts at targets", attemptsStarted);
     counter("berylridge_attempts_failed_total", "attempts that failed", attemptsFailed);
     counter("berylridge_target_connections_reused_total", "attempts on a kept connection",
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -24,17 +24,32 @@
 /// Fraction of the file descriptors for callers' connections; the rest is for targets and nodes.
 constexpr double callerDescriptorFraction = 0.6;
 
+/// Fraction of the VM's memory for callers' bytes. The rest is for targets' bytes, the core and
+/// what the system holds for connections.
+constexpr double callerMemoryFraction = 0.25;
+
 std::string requestIdPrefix(const Settings &settings, Incarnation incarnation)
 {
     return settings.node.str() + "-" + std::to_string(incarnation) + "-";
 }
 
+/// Returns the memory in bytes for callers' bytes on each traffic thread. A request of the largest
+/// allowed size never exceeds it alone.
+std::size_t callerMemoryLimit(const Settings &settings)
+{
+    const auto memory = static_cast<std::size_t>(
+        callerMemoryFraction * static_cast<double>(settings.memoryLimitMb << 20));
+    return std::max(memory / settings.trafficThreads,
+                    2 * (settings.bodyLimit + settings.headerLimit));
+}
+
 TrafficOptions trafficOptions(const Settings &settings, Incarnation incarnation)
 {
     TrafficOptions options;
     options.idPrefix = requestIdPrefix(settings, incarnation);
     options.headerLimit = settings.headerLimit;
     options.bodyLimit = settings.bodyLimit;
+    options.memoryLimit = callerMemoryLimit(settings);
     options.connectionLimit = settings.connectionLimit;
     if (settings.descriptorLimit > 0) {
         const auto callerDescriptors
@@ -164,6 +179,7 @@
     , m_platformReader([this](bool isOn) { m_platformWatcher.setEnabled(isOn); })
 {
     m_options.protocol = std::move(protocol);
+    m_options.log = [this](LogRecord record) { m_log.add(std::move(record)); };
     m_options.report = [this](std::vector<Event> &events) { m_loop.postAll(events); };
     for (unsigned i = 0; i < settings.trafficThreads; ++i)
         m_threads.push_back(
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -25,6 +25,9 @@
 constexpr const char *overloadProblemType = "busy";
 /// The same for workspaces that the core mostly rejects as over their share.
 constexpr const char *predictedProblemType = "probably-rejected";
+/// Time in which most requests are complete that hold the memory.
+constexpr Duration memoryRetryAfter = std::chrono::seconds(1);
+constexpr const char *memoryProblemType = "memory-full";
 /// Time after a delay in which requests are still shed by prediction. Without these requests the
 /// thread is not late, and with all of them it would be again.
 constexpr Duration predictionTime = std::chrono::seconds(1);
@@ -58,6 +61,7 @@
     , m_options(options)
     , m_metrics(metrics)
     , m_targetHolds(targetHolds)
+    , m_callerMemory(metrics)
     , m_workGuard(m_context.get_executor())
     , m_idleTimer(m_context)
     , m_drainTimer(m_context)
@@ -67,6 +71,7 @@
     , m_commands(m_context,
                  [this](std::vector<TrafficCommand> &commands) { executeCommands(commands); })
 {
+    m_callerMemory.setLimit(options.memoryLimit);
 }
 
 TrafficThread::~TrafficThread()
@@ -139,6 +144,32 @@
     session->start(bytes, shedResult.decision);
 }
 
+void TrafficThread::reclaimMemory()
+{
+    const MemoryUse memory = m_callerMemory.use();
+    if (!memory.isReclaimNeeded())
+        return;
+    std::vector<CallerSession *> sessions;
+    std::vector<PartialRequest> requests;
+    for (CallerSession *session : m_sessions) {
+        if (const auto request = session->partialRequest()) {
+            sessions.push_back(session);
+            requests.push_back(*request);
+        }
+    }
+    for (const std::size_t index : selectRequestsToDrop(requests, memory)) {
+        ++m_metrics.requestsDroppedForMemory;
+        ++m_droppedRequests;
+        sessions[index]->rejectPartialRequest();
+    }
+}
+
+Problem TrafficThread::memoryProblem()
+{
+    return {503, memoryProblemType, "the router's memory for requests is in use", Verdict::NotRun,
+            addRetryJitter(memoryRetryAfter, m_random)};
+}
+
 RequestHandle TrafficThread::nextHandle()
 {
     return ++m_lastHandleNumber * m_options.threads + m_index;
@@ -187,11 +218,25 @@
     m_pool.closeIdle(ConnectionPool::Clock::now());
     m_idleTimer.expires_after(idleSweepPeriod);
     m_idleTimer.async_wait([this](error_code error) {
-        if (!error)
-            closeIdleConnections();
+        if (error)
+            return;
+        logReclaimedMemory();
+        closeIdleConnections();
     });
 }
 
+void TrafficThread::logReclaimedMemory()
+{
+    if (m_droppedRequests == 0)
+        return;
+    LogRecord record {LogEventId::MemoryReclaimed, ""};
+    record.fields["thread"] = m_index;
+    record.fields["dropped"] = Json::UInt64(std::exchange(m_droppedRequests, 0));
+    record.fields["heldBytes"] = Json::UInt64(m_callerMemory.use().heldBytes);
+    record.fields["limitBytes"] = Json::UInt64(m_callerMemory.use().limitBytes);
+    m_options.log(std::move(record));
+}
+
 void TrafficThread::measureLag()
 {
     m_lagTimer.expires_after(LoadShedder::reportPeriod);
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -1,6 +1,7 @@
 // Runs one thread that owns callers' connections, their requests and the connections to targets.
 #pragma once
 
+#include "CallerMemory.h"
 #include "ConnectionPool.h"
 #include "EarlyShedding.h"
 #include "FileDescriptor.h"
@@ -51,6 +52,7 @@
     std::string idPrefix; ///< Prefix of request and attempt ids; unique in the fleet.
     std::uint64_t headerLimit = 16 << 10;
     std::uint64_t bodyLimit = 4 << 20;
+    std::size_t memoryLimit = 32 << 20; ///< For callers' bytes, in bytes of each thread.
     std::uint32_t connectionLimit = 4096;
     Duration readTimeout = std::chrono::seconds(10);
     Duration acceptedLag {0}; ///< With a longer lag the thread sheds requests; 0 means never.
@@ -58,6 +60,7 @@
     WireProtocolHandle protocol = nativeProtocol();
     std::function<void(std::vector<Event> &)>
         report; ///< Sends events to the control thread and moves them out of the vector.
+    std::function<void(LogRecord)> log; ///< May be called from any thread.
     std::function<TimePoint()> now = [] { return SystemClock().now(); };
 
     /// Request id of responses to requests without an id.
@@ -133,6 +136,12 @@
     EarlyShedResult tryEarlyShed(std::string_view bytes, bool isKeepAliveAllowed);
     /// Returns the problem with which a shed request of this caller is rejected.
     Problem overloadProblem(const CallerIdentity &caller);
+    CallerMemory &callerMemory() { return m_callerMemory; }
+    /// Drops requests that are being received if the callers' bytes exceed their limit. May drop
+    /// that of the session which calls it.
+    void reclaimMemory();
+    /// Returns the problem with which a request is rejected for which the memory doesn't suffice.
+    Problem memoryProblem();
     /// Buffer for bytes that are discarded or copied immediately.
     asio::mutable_buffer scratch() { return asio::buffer(m_scratch); }
     /// Counts a request that was read after its caller had disconnected.
@@ -166,6 +175,7 @@
     std::vector<ShedCount> takeShedCounts();
     void closeIdleConnections();
     void measureLag();
+    void logReclaimedMemory();
     void continueDrain(const std::function<void(const DrainResult &)> &done);
     bool isDrainOver();
     DrainResult drainResult() const;
@@ -177,6 +187,7 @@
     TargetHolds &m_targetHolds;
     // Declared before the context: destroying the context destroys sessions, which remove
     // themselves from these containers.
+    CallerMemory m_callerMemory;
     std::unordered_map<RequestHandle, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_set<CallerSession *> m_sessions;
     std::uint64_t m_progressCount = 0;
@@ -196,6 +207,7 @@
     std::unordered_map<CredentialKey, std::uint64_t> m_predictedRejections;
     RandomEngine m_random; ///< Randomizes the retry delay of rejected callers.
     std::array<char, scratchBytes> m_scratch {};
+    std::uint64_t m_droppedRequests = 0; ///< To reclaim memory, since the last log line.
     // Counted since the last report of lag.
     std::uint64_t m_acceptedConnections = 0;
     std::uint64_t m_abandonedRequests = 0;
--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -86,6 +86,7 @@
                                std::chrono::seconds(3)))
             << router.peakMemoryBytes();
         EXPECT_FALSE(router.status()) << m_fleet->logs();
+        RecordProperty("peakMemoryKiB", std::to_string(router.peakMemoryBytes() >> 10));
     }
 };
 
