Apply the operators' limits for callers

What callers could see: a request inside the limits that the operators publish (max_body_bytes and the others) was refused where these were wider than the router's own settings, and a connection was closed while it still might be used again.

Cause: nobody read the limits of the configuration; 4 MiB, 16 KiB, 10 s and 75 s were constants and settings.

Change: the store's decoder reads them into the catalog, which nodes relay to each other; the core emits SetCallerLimits when they change, and the shell applies them to the requests that begin from then on. A value of another type or out of range counts as not given. The time to receive applies to the head and again to the body, and is never shorter than the setting, as a busy node reads late.

--- a/include/berylridge/Catalog/Catalog.h
+++ b/include/berylridge/Catalog/Catalog.h
@@ -81,6 +81,18 @@
     MSGPACK_DEFINE(name, credentials)
 };
 
+/// Limits for what callers send and for their pauses. 0 means not given.
+struct CallerLimitsSpec
+{
+    std::uint64_t headerBytes = 0;
+    std::uint64_t bodyBytes = 0;
+    std::uint32_t headerTimeoutMs = 0; ///< For sending a request's head.
+    std::uint32_t idleTimeoutMs = 0;   ///< Between two requests on a connection.
+    MSGPACK_DEFINE(headerBytes, bodyBytes, headerTimeoutMs, idleTimeoutMs)
+
+    bool operator==(const CallerLimitsSpec &) const = default;
+};
+
 struct Catalog
 {
     std::uint64_t version = 0; ///< Increases with each change.
@@ -89,7 +101,8 @@
     std::vector<WorkspaceSpec> workspaces; ///< Empty if callers need no credential.
     /// Tokens that all engines together read and generate per second; 0 if unknown.
     double tokensPerSecond = 0;
-    MSGPACK_DEFINE(version, routes, services, workspaces, tokensPerSecond)
+    CallerLimitsSpec callerLimits;
+    MSGPACK_DEFINE(version, routes, services, workspaces, tokensPerSecond, callerLimits)
 };
 
 } // namespace berylridge
--- a/include/berylridge/Config/Settings.h
+++ b/include/berylridge/Config/Settings.h
@@ -37,7 +37,8 @@
     std::uint32_t descriptorLimit = 0;    ///< Open files that the system allows; 0 if not known.
     /// A traffic thread with a longer lag than this rejects requests; 0 means never.
     Duration acceptedLag {0};
-    Duration readTimeout = std::chrono::seconds(10); ///< For receiving a whole request.
+    Duration readTimeout = std::chrono::seconds(10); ///< For receiving a head, and again a body.
+    Duration idleTimeout = std::chrono::seconds(75); ///< Between two requests on a connection.
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspectAfter = std::chrono::milliseconds(1200);
     Duration leaseTerm = std::chrono::milliseconds(2000);
--- a/include/berylridge/Router/Actions.h
+++ b/include/berylridge/Router/Actions.h
@@ -2,6 +2,7 @@
 // results as events (Events.h).
 #pragma once
 
+#include "berylridge/Catalog/Catalog.h"
 #include "berylridge/Router/Events.h"
 #include "berylridge/Support/Audit.h"
 #include "berylridge/Support/Endpoint.h"
@@ -149,6 +150,12 @@
     bool keepsConnections = false;
 };
 
+/// Applies the operators' limits to the callers' next requests.
+struct SetCallerLimits
+{
+    CallerLimitsSpec limits;
+};
+
 /// Reports the end of a planned stop: the core holds no request. The process may exit as soon as
 /// callers' connections are closed.
 struct Stopped
@@ -169,7 +176,7 @@
 
 using Action = std::variant<Dispatch, ContinueAttempt, AbortAttempt, Refuse, SendStoredResponse,
                             RelayHeldResponse, SendToNode, ProbeNode, PollTarget, WatchPlatform,
-                            ReadPlatformRevision, Readiness, Stopped, Log, Audit>;
+                            ReadPlatformRevision, Readiness, SetCallerLimits, Stopped, Log, Audit>;
 
 /// Lists actions in the order in which the shell must execute them.
 using Actions = std::vector<Action>;
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -201,6 +201,9 @@
     m_context.log(LogEventId::DocumentAccepted,
                   "catalog version " + std::to_string(catalog->version) + " from " + source);
     m_context.routeHistory.onCatalog(*catalog, m_context.now);
+    if (!m_context.routeTable
+        || m_context.routeTable->catalog().callerLimits != catalog->callerLimits)
+        m_context.emit(SetCallerLimits {catalog->callerLimits});
     m_context.routeTable = std::make_shared<const RouteTable>(std::move(catalog));
     m_context.longestStreamTimeout
         = std::max(m_context.longestStreamTimeout, m_context.routeTable->longestStreamTimeout());
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -94,6 +94,7 @@
     fields.integer("descriptorLimit", settings.descriptorLimit, 0, 100'000'000);
     fields.duration("acceptedLagMs", settings.acceptedLag, milliseconds(0), minutes(1));
     fields.duration("readTimeoutMs", settings.readTimeout, milliseconds(10), hours(1));
+    fields.duration("idleTimeoutMs", settings.idleTimeout, milliseconds(10), hours(1));
     fields.duration("heartbeatPeriodMs", settings.heartbeatPeriod, milliseconds(10), minutes(1));
     fields.duration("suspectAfterMs", settings.suspectAfter, milliseconds(20), minutes(10));
     fields.duration("leaseTermMs", settings.leaseTerm, milliseconds(50), minutes(10));
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// Limit for the time between two requests on a connection.
-constexpr std::chrono::seconds keepAliveTimeout {75};
 /// Limit for a caller that reads nothing at all: its response occupies a slot of the target for as
 /// long as it streams.
 constexpr std::chrono::seconds writeStallTimeout {30};
@@ -39,7 +37,7 @@
     : m_thread(thread)
     , m_socket(std::move(socket))
     , m_deadline(std::make_shared<Deadline>(thread.context()))
-    , m_buffer(thread.options().headerLimit + bufferSlackBytes)
+    , m_buffer(thread.callerLimits().headerBytes + bufferSlackBytes)
     , m_memory(thread.callerMemory())
 {
     ++m_thread.metrics().connectionsOpen;
@@ -82,10 +80,11 @@
 
 void CallerSession::waitIdle()
 {
-    m_deadline->set(Deadline::Clock::now() + keepAliveTimeout, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->close();
-    });
+    m_deadline->set(Deadline::Clock::now() + m_thread.callerLimits().idleTimeout,
+                    [weak = weak_from_this()] {
+                        if (const auto self = weak.lock())
+                            self->close();
+                    });
     waitReadable();
 }
 
@@ -172,7 +171,7 @@
     }
     // Buffers a pipelined request up to the head limit; it is parsed after the current one. Beyond
     // that limit the router stops reading, so that a caller can't make its memory grow.
-    const std::size_t limit = m_thread.options().headerLimit;
+    const std::size_t limit = m_thread.callerLimits().headerBytes;
     if (m_buffer.size() >= limit)
         return;
     const std::size_t room = std::min(limit - m_buffer.size(), headReadBytes);
@@ -188,22 +187,29 @@
     m_headBytes = 0;
     m_credential = 0;
     m_requestStart = Deadline::Clock::now();
-    const TrafficOptions &options = m_thread.options();
+    const CallerLimits &limits = m_thread.callerLimits();
+    m_buffer.max_size(limits.headerBytes + bufferSlackBytes);
     m_parser = std::make_unique<RequestParser>();
-    m_parser->header_limit(static_cast<std::uint32_t>(options.headerLimit));
-    m_parser->body_limit(options.bodyLimit);
-    // A single timeout covers head and body, so that a caller can't hold the connection for longer
-    // by sending a byte now and then.
-    m_deadline->set(m_requestStart + options.readTimeout, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->onReadTimeout();
-    });
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    m_parser->body_limit(limits.bodyBytes);
+    startReadTimeout();
     if (m_buffer.size() > 0)
         parseHead();
     else
         receiveHead();
 }
 
+/// Limits the time for the whole head, or for the whole body, so that a caller can't hold the
+/// connection for longer by sending a byte now and then.
+void CallerSession::startReadTimeout()
+{
+    const auto due = Deadline::Clock::now() + m_thread.callerLimits().readTimeout;
+    m_deadline->set(due, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onReadTimeout();
+    });
+}
+
 void CallerSession::receiveHead()
 {
     error_code error;
@@ -265,6 +271,7 @@
     if (beast::iequals(request[http::field::expect], "100-continue") && m_buffer.size() == 0)
         write(std::string(continueResponse), [] {});
     m_parser->eager(true);
+    startReadTimeout();
     if (m_buffer.size() > 0)
         parseKeptBytes();
     else
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -79,6 +79,7 @@
     void waitIdle();
     void checkForDisconnect();
     void readHead();
+    void startReadTimeout();
     void receiveHead();
     void parseHead();
     void onHead();
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -28,28 +28,42 @@
 /// what the system holds for connections.
 constexpr double callerMemoryFraction = 0.25;
 
+/// Larger heads are rejected, whatever the operators' limit.
+constexpr std::uint64_t maxHeaderBytes = 1 << 20;
+
 std::string requestIdPrefix(const Settings &settings, Incarnation incarnation)
 {
     return settings.node.str() + "-" + std::to_string(incarnation) + "-";
 }
 
-/// Returns the memory in bytes for callers' bytes on each traffic thread. A request of the largest
-/// allowed size never exceeds it alone.
-std::size_t callerMemoryLimit(const Settings &settings)
-{
-    const auto memory = static_cast<std::size_t>(
-        callerMemoryFraction * static_cast<double>(settings.memoryLimitMb << 20));
-    return std::max(memory / settings.trafficThreads,
-                    2 * (settings.bodyLimit + settings.headerLimit));
+/// Returns the settings' limits, with those of the operators where they are given. A body that
+/// would take more than a quarter of the VM's memory is over the limit in any case.
+CallerLimits callerLimits(const Settings &settings, const CallerLimitsSpec &given)
+{
+    CallerLimits limits {settings.headerLimit, settings.bodyLimit, settings.readTimeout,
+                         settings.idleTimeout};
+    const std::uint64_t memory = (settings.memoryLimitMb << 20) / settings.trafficThreads;
+    if (given.headerBytes > 0)
+        limits.headerBytes = std::min({given.headerBytes, maxHeaderBytes, memory / 8});
+    if (given.bodyBytes > 0)
+        limits.bodyBytes = given.bodyBytes;
+    limits.bodyBytes = std::min(limits.bodyBytes, memory / 4 - limits.headerBytes);
+    // A busy node reads late what callers sent in time.
+    limits.readTimeout = std::max(limits.readTimeout, fromMilliseconds(given.headerTimeoutMs));
+    if (given.idleTimeoutMs > 0)
+        limits.idleTimeout = fromMilliseconds(given.idleTimeoutMs);
+    // A request of the largest allowed size never exceeds the memory alone.
+    limits.memoryBytes
+        = std::max(static_cast<std::size_t>(callerMemoryFraction * static_cast<double>(memory)),
+                   2 * (limits.bodyBytes + limits.headerBytes));
+    return limits;
 }
 
 TrafficOptions trafficOptions(const Settings &settings, Incarnation incarnation)
 {
     TrafficOptions options;
     options.idPrefix = requestIdPrefix(settings, incarnation);
-    options.headerLimit = settings.headerLimit;
-    options.bodyLimit = settings.bodyLimit;
-    options.memoryLimit = callerMemoryLimit(settings);
+    options.callerLimits = callerLimits(settings, {});
     options.connectionLimit = settings.connectionLimit;
     if (settings.descriptorLimit > 0) {
         const auto callerDescriptors
@@ -57,7 +71,6 @@
         options.connectionLimit
             = std::min(options.connectionLimit, std::max(callerDescriptors, 1U));
     }
-    options.readTimeout = settings.readTimeout;
     options.acceptedLag = settings.acceptedLag;
     options.threads = settings.trafficThreads;
     return options;
@@ -108,6 +121,7 @@
             m_revisionReader(action.ticket);
     }
     void operator()(const Readiness &action);
+    void operator()(const SetCallerLimits &action);
     void operator()(const Stopped &action);
     void operator()(const Log &action) { m_log.add(action.record); }
     void operator()(const Audit &action);
@@ -136,6 +150,7 @@
     // The order matters: members are destroyed in reverse order, and later ones use earlier ones
     // until then.
     asio::io_context m_context {1};
+    const Settings m_settings;
     LogSink &m_log;
     AuditHandler m_audit;
     ControlLoop m_loop;
@@ -163,7 +178,8 @@
 RouterNode::Impl::Impl(const Settings &settings, Incarnation incarnation, LogSink &log,
                        CoreHandle core, RpcHandler rpc, AuditHandler audit,
                        WireProtocolHandle protocol)
-    : m_log(log)
+    : m_settings(settings)
+    , m_log(log)
     , m_audit(std::move(audit))
     , m_loop(
           m_context, std::move(core), m_metrics,
@@ -312,6 +328,20 @@
         thread->setLeaving(!m_isReady && !action.keepsConnections);
 }
 
+void RouterNode::Impl::operator()(const SetCallerLimits &action)
+{
+    const CallerLimits limits = callerLimits(m_settings, action.limits);
+    for (const auto &thread : m_threads)
+        thread->setCallerLimits(limits);
+    LogRecord record {LogEventId::CallerLimitsSet, ""};
+    record.fields["headerBytes"] = Json::UInt64(limits.headerBytes);
+    record.fields["bodyBytes"] = Json::UInt64(limits.bodyBytes);
+    record.fields["readTimeoutMs"] = toMilliseconds(limits.readTimeout);
+    record.fields["idleTimeoutMs"] = toMilliseconds(limits.idleTimeout);
+    record.fields["memoryBytes"] = Json::UInt64(limits.memoryBytes);
+    m_log.add(std::move(record));
+}
+
 void RouterNode::Impl::operator()(const Stopped &action)
 {
     if (std::exchange(m_isStopping, true))
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -61,6 +61,7 @@
     , m_options(options)
     , m_metrics(metrics)
     , m_targetHolds(targetHolds)
+    , m_callerLimits(options.callerLimits)
     , m_callerMemory(metrics)
     , m_workGuard(m_context.get_executor())
     , m_idleTimer(m_context)
@@ -71,7 +72,7 @@
     , m_commands(m_context,
                  [this](std::vector<TrafficCommand> &commands) { executeCommands(commands); })
 {
-    m_callerMemory.setLimit(options.memoryLimit);
+    m_callerMemory.setLimit(m_callerLimits.memoryBytes);
 }
 
 TrafficThread::~TrafficThread()
@@ -326,6 +327,14 @@
                            m_random)};
 }
 
+void TrafficThread::setCallerLimits(const CallerLimits &limits)
+{
+    asio::post(m_context, [this, limits] {
+        m_callerLimits = limits;
+        m_callerMemory.setLimit(limits.memoryBytes);
+    });
+}
+
 void TrafficThread::drain(Duration limit, std::function<void(const DrainResult &)> done)
 {
     asio::post(m_context, [this, limit, done = std::move(done)] {
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -46,15 +46,22 @@
 using TrafficCommand = std::variant<Dispatch, ContinueAttempt, AbortAttempt, Refuse,
                                     SendStoredResponse, RelayHeldResponse>;
 
+/// Limits for what callers send and for their pauses.
+struct CallerLimits
+{
+    std::uint64_t headerBytes = 16 << 10;
+    std::uint64_t bodyBytes = 4 << 20;
+    Duration readTimeout = std::chrono::seconds(10); ///< For a head, and again for a body.
+    Duration idleTimeout = std::chrono::seconds(75);
+    std::size_t memoryBytes = 32 << 20; ///< For all callers' bytes on one thread.
+};
+
 /// Options shared by all traffic threads of a process. Must outlive them.
 struct TrafficOptions
 {
-    std::string idPrefix; ///< Prefix of request and attempt ids; unique in the fleet.
-    std::uint64_t headerLimit = 16 << 10;
-    std::uint64_t bodyLimit = 4 << 20;
-    std::size_t memoryLimit = 32 << 20; ///< For callers' bytes, in bytes of each thread.
+    std::string idPrefix;      ///< Prefix of request and attempt ids; unique in the fleet.
+    CallerLimits callerLimits; ///< At start.
     std::uint32_t connectionLimit = 4096;
-    Duration readTimeout = std::chrono::seconds(10);
     Duration acceptedLag {0}; ///< With a longer lag the thread sheds requests; 0 means never.
     unsigned threads = 1;
     WireProtocolHandle protocol = nativeProtocol();
@@ -85,6 +92,8 @@
     /// Makes subsequent responses ask callers to reconnect, which leads them to another node. May
     /// be called from any thread.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    /// Applies limits to requests that begin from now on. May be called from any thread.
+    void setCallerLimits(const CallerLimits &limits);
     /// Refuses requests that are read from now on, waits until each request that has arrived is
     /// answered, closes everything and calls `done`. Gives up at the limit, and earlier if only
     /// callers are left that neither read nor close. May be called from any thread.
@@ -95,6 +104,7 @@
     // The following functions are for sessions and requests, on this thread:
     asio::io_context &context() { return m_context; }
     const TrafficOptions &options() const { return m_options; }
+    const CallerLimits &callerLimits() const { return m_callerLimits; }
     const WireProtocolHandle &protocol() const { return m_options.protocol; }
     Metrics &metrics() { return m_metrics; }
     ConnectionPool &pool() { return m_pool; }
@@ -187,6 +197,7 @@
     TargetHolds &m_targetHolds;
     // Declared before the context: destroying the context destroys sessions, which remove
     // themselves from these containers.
+    CallerLimits m_callerLimits;
     CallerMemory m_callerMemory;
     std::unordered_map<RequestHandle, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_set<CallerSession *> m_sessions;
--- a/test/rig/FakeNode.cpp
+++ b/test/rig/FakeNode.cpp
@@ -259,6 +259,9 @@
                 assert(false && "only the balancer reads the platform's revision");
             },
             [this](const Readiness &readiness) { m_isReady = readiness.isReady; },
+            [](const SetCallerLimits &) {
+                assert(false && "only the balancer learns limits from a catalog");
+            },
             [this](const Stopped &) { onStopped(); },
             [](const Log &) {},
             [](const Audit &) {},
--- a/tools/berylreplay/Session.cpp
+++ b/tools/berylreplay/Session.cpp
@@ -94,6 +94,7 @@
     {
         beginLine() << (action.isReady ? "ready" : "not ready") << '\n';
     }
+    void write(const SetCallerLimits &) { beginLine() << "set caller limits\n"; }
     void write(const Stopped &) { beginLine() << "stopped\n"; }
     void write(const Log &action)
     {
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -95,6 +95,17 @@
     EXPECT_TRUE(findAction<Dispatch>());
 }
 
+// Guards against a node that learns its catalog from peers and keeps other limits than they have.
+TEST_F(BalancerCoreTest, CallerLimitsOfARelayedCatalogAreSet)
+{
+    Catalog catalog;
+    catalog.version = 7;
+    catalog.callerLimits.bodyBytes = 1000;
+    handle(NodeMessage {NodeId("n2"), 1, BalancerMessage(CatalogUpdate {catalog})});
+    ASSERT_TRUE(findAction<SetCallerLimits>());
+    EXPECT_EQ(findAction<SetCallerLimits>()->limits.bodyBytes, 1000U);
+}
+
 // A non-idempotent request was sent and its connection broke, so it may have run. It must not be
 // sent to a second target, and the response must not state that it has not run.
 TEST_F(BalancerCoreTest, NonIdempotentRequestThatMayHaveRunIsNotRetried)
--- a/unittests/Platform/StoreDecoderTest.cpp
+++ b/unittests/Platform/StoreDecoderTest.cpp
@@ -22,7 +22,8 @@
       R"("type":"non_idempotent","timeout_ms":1200,"slo_ms":150,"service":"s2","attempts":1}],)"
       R"("services":[{"name":"s1","max_conns":620,"cold_s":3.0,"cold_per_s":19.0,"engine":)"
       R"({"slots":128,"kv_cap_tokens":1026424}},{"name":"s2","max_conns":100}],)"
-      R"("limits":{"tokens_per_s":720000},"tenants":[{"name":"w","api_keys":["k1","k2"]}]})";
+      R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
+      R"("idle_timeout_ms":15000,"tokens_per_s":720000},"tenants":[{"name":"w","api_keys":["k1","k2"]}]})";
 
 std::string storeItem(const std::string &key, const std::string &value, int revision)
 {
@@ -47,6 +48,24 @@
     EXPECT_FALSE(record->isDraining);
 }
 
+TEST(StoreDecoder, ParsesCallerLimits)
+{
+    const CallerLimitsSpec expected {16384, 4194304, 3000, 15000};
+    EXPECT_EQ(parseCatalog(recordedCatalog)->callerLimits, expected);
+}
+
+// Guards against limits of another type or beyond its range, which end the process or reject all.
+TEST(StoreDecoder, IgnoresInvalidCallerLimits)
+{
+    for (const std::string value : {"-1", "1e300", "\"4096\"", "null", "[]"}) {
+        std::string text = recordedCatalog;
+        text.replace(text.find("4194304"), 7, value);
+        text.replace(text.find("15000"), 5, value);
+        const CallerLimitsSpec expected {16384, 0, 3000, 0};
+        EXPECT_EQ(parseCatalog(text)->callerLimits, expected) << value;
+    }
+}
+
 // Guards against records that grow with the text of a version, and against two long versions that
 // look the same.
 TEST(StoreDecoder, BoundsVersionsAndKeepsThemApart)
