Close idle and slow connections in favour of new ones

Callers got 503 too-many-connections for as long as other clients kept the allowed number of connections open, which costs these nothing: a connection that never sent a byte stayed for 75 s, one with half a head for 10 s, and at the limit the newest was refused.

Change: at the limit, a traffic thread closes some of its connections without a complete request: first those that were never used or whose request has taken more than a second (callers give up on a node that has not read them after that time), then idle ones, then others, each from the oldest on. Policy/Reclaim selects them. A request that has begun gets 503 with a Retry-After with jitter, as far as the system takes it at once; no connection lingers there, because the descriptor is what is missing. A connection counts as open until its socket is closed, not until the session is destroyed, so that a burst doesn't reclaim more than it needs.

Where all connections have complete requests, the newest is refused as before. CallerHttpTest.rejectsConnectionsAboveTheLimit had two idle connections and expected the third to be refused, which was the fault; it now has two that wait for responses, and closesTheOldestIdleConnectionAtTheLimit is beside it.

Event 1019 and a metric tell of it.

--- a/include/berylridge/Net/Metrics.h
+++ b/include/berylridge/Net/Metrics.h
@@ -58,6 +58,7 @@
     Counter trafficLagMicroseconds {0}; ///< The latest value from any traffic thread.
     Counter connectionsOpen {0};
     Counter connectionsRejected {0};
+    Counter connectionsReclaimed {0};     ///< Closed in favour of new ones.
     Counter callerBytesHeld {0};          ///< Memory for callers' bytes, of all traffic threads.
     Counter requestsDroppedForMemory {0}; ///< Before they had arrived completely.
     Counter attemptsStarted {0};
@@ -84,6 +85,8 @@
     Counter callBytesReceived {0};
 
     Counter datagramsRejected {0};
+    Counter controlConnectionsReclaimed {
+        0}; ///< Of operators and nodes, closed in favour of others.
     Counter platformCalls {0};
     Counter targetPolls {0};
     Counter logLinesDropped {0};
--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -45,22 +45,16 @@
 
 CallerSession::~CallerSession()
 {
-    --m_thread.metrics().connectionsOpen;
+    countClosed();
     m_thread.removeSession(this);
 }
 
 void CallerSession::start(std::string_view received, ShedDecision decision)
 {
+    m_hasStarted = true;
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
-    if (m_thread.metrics().connectionsOpen > m_thread.options().connectionLimit) {
-        ++m_thread.metrics().connectionsRejected;
-        sendProblem({503, "too-many-connections", "the router has too many connections open",
-                     Verdict::NotRun, std::chrono::seconds(1)},
-                    false);
-        return;
-    }
     m_shedDecision = decision;
     m_buffer.commit(asio::buffer_copy(m_buffer.prepare(received.size()), asio::buffer(received)));
     awaitRequest();
@@ -80,6 +74,7 @@
 
 void CallerSession::waitIdle()
 {
+    m_idleSince = Deadline::Clock::now();
     m_deadline->set(Deadline::Clock::now() + m_thread.callerLimits().idleTimeout,
                     [weak = weak_from_this()] {
                         if (const auto self = weak.lock())
@@ -183,6 +178,7 @@
 void CallerSession::readHead()
 {
     m_state = State::Reading;
+    m_hadRequest = true;
     m_isRequestComplete = false;
     m_headBytes = 0;
     m_credential = 0;
@@ -368,6 +364,29 @@
     m_thread.reclaimMemory();
 }
 
+std::optional<WaitingConnection> CallerSession::waitingConnection() const
+{
+    const auto now = Deadline::Clock::now();
+    const auto since = m_state == State::Reading ? m_requestStart : m_idleSince;
+    const Duration age = std::chrono::duration_cast<Duration>(now - since);
+    if (m_state == State::Reading)
+        return WaitingConnection {ConnectionUse::Receiving, age};
+    if (m_state != State::Idle)
+        return std::nullopt;
+    return WaitingConnection {m_hadRequest ? ConnectionUse::KeptAlive : ConnectionUse::Unused, age};
+}
+
+void CallerSession::closeForOthers()
+{
+    // The connection's descriptor is needed at once, so it doesn't linger.
+    if (m_state == State::Reading || !m_hasStarted) {
+        const std::string text = serializeProblem(m_thread.connectionProblem(), false, {});
+        error_code ignored;
+        m_socket.write_some(asio::buffer(text), ignored);
+    }
+    close();
+}
+
 std::optional<PartialRequest> CallerSession::partialRequest() const
 {
     if (m_state != State::Reading)
@@ -491,14 +510,20 @@
         m_buffer.shrink_to_fit();
     m_headBytes = 0;
     m_memory.resize(m_buffer.capacity());
+    write(serializeProblem(problem, keepAlive, requestId),
+          [self = shared_from_this(), keepAlive] { self->endExchange(keepAlive); });
+}
+
+std::string CallerSession::serializeProblem(const Problem &problem, bool keepAlive,
+                                            std::string_view requestId)
+{
     ++m_thread.metrics().requestsByVerdict[static_cast<std::size_t>(problem.verdict)];
     m_thread.metrics().countRejectedRequest(problem.type);
     const std::string placeholderRequestId = m_thread.options().placeholderRequestId();
     auto response = m_thread.protocol().buildProblemResponse(
         problem, requestId.empty() ? std::string_view(placeholderRequestId) : requestId);
     response.keep_alive(keepAlive);
-    write(serializeHttp(response),
-          [self = shared_from_this(), keepAlive] { self->endExchange(keepAlive); });
+    return serializeHttp(response);
 }
 
 void CallerSession::write(std::string bytes, std::function<void()> written)
@@ -612,6 +637,13 @@
     close();
 }
 
+/// A closed session is destroyed later, with its last handler.
+void CallerSession::countClosed()
+{
+    if (!std::exchange(m_isClosed, true))
+        --m_thread.metrics().connectionsOpen;
+}
+
 void CallerSession::close()
 {
     m_state = State::Closing;
@@ -624,6 +656,7 @@
     m_memory.resize(0);
     error_code ignored;
     m_socket.close(ignored);
+    countClosed();
 }
 
 } // namespace berylridge
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -47,6 +47,11 @@
 
     bool hasPendingWrite() const { return !m_writeQueue.empty(); }
 
+    /// Returns the state of the connection; nothing if it has a complete request.
+    std::optional<WaitingConnection> waitingConnection() const;
+    /// Closes a connection without a complete request immediately. A new connection, or a request
+    /// that has begun, is rejected, as far as the system takes the response at once.
+    void closeForOthers();
     /// Returns the request that is being received, if any.
     std::optional<PartialRequest> partialRequest() const;
     /// Rejects the request that is being received and frees its memory.
@@ -100,11 +105,15 @@
     void beginExchange();
     void refuseAsLeaving(std::string_view requestId);
     void sendProblem(const Problem &problem, bool keepAlive, std::string_view requestId = {});
+    /// Returns the response to a rejected request, which is counted in the metrics.
+    std::string serializeProblem(const Problem &problem, bool keepAlive,
+                                 std::string_view requestId);
     void writeFront();
     void onWritten(error_code error);
     void onCallerDisconnected();
     void linger();
     void discardInput();
+    void countClosed();
     void close();
 
     TrafficThread &m_thread;
@@ -116,14 +125,18 @@
     std::size_t m_headBytes = 0;    ///< Of the request that is being received.
     CredentialKey m_credential = 0; ///< Of the same, once its head is complete.
     Deadline::Clock::time_point m_requestStart; ///< Of the same.
+    Deadline::Clock::time_point m_idleSince;    ///< While idle.
     std::shared_ptr<Exchange> m_exchange;
     std::deque<PendingWrite> m_writeQueue;
     State m_state = State::Idle;
     ShedDecision m_shedDecision = ShedDecision::Undecided; ///< For the request that is being read.
     bool m_isWaitingReadable = false;
+    bool m_hasStarted = false;
+    bool m_hadRequest = false;        ///< A request has begun on this connection.
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
     bool m_isWriteActive = false;
     bool m_isLingering = false;
+    bool m_isClosed = false;
 };
 
 } // namespace berylridge
--- a/lib/Net/Metrics.cpp
+++ b/lib/Net/Metrics.cpp
@@ -180,6 +180,9 @@
                 connectionsOpen.load(), out);
     counter("berylridge_caller_connections_refused_total", "connections beyond the limit",
             connectionsRejected);
+    counter("berylridge_caller_connections_reclaimed_total",
+            "connections without a complete request that were closed for new ones",
+            connectionsReclaimed);
     printMetric("berylridge_caller_bytes_held", "memory for bytes of callers", "gauge",
                 callerBytesHeld.load(), out);
     counter("berylridge_requests_dropped_for_memory_total",
@@ -226,6 +229,9 @@
     counter("berylridge_call_bytes_received_total", "bytes of their bodies", callBytesReceived);
     counter("berylridge_datagrams_rejected_total", "unauthentic or unreadable datagrams",
             datagramsRejected);
+    counter("berylridge_control_connections_reclaimed_total",
+            "connections of operators and nodes that were closed for others",
+            controlConnectionsReclaimed);
     counter("berylridge_platform_calls_total", "calls to the platform", platformCalls);
     counter("berylridge_target_polls_total", "load polls of targets", targetPolls);
     counter("berylridge_log_lines_dropped_total", "log lines that found no room", logLinesDropped);
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -25,6 +25,10 @@
 constexpr const char *overloadProblemType = "busy";
 /// The same for workspaces that the core mostly rejects as over their share.
 constexpr const char *predictedProblemType = "probably-rejected";
+constexpr Duration connectionRetryAfter = std::chrono::seconds(1);
+/// Fraction of the connection limit that is reclaimed at once. The connections are examined only
+/// after as many new ones.
+constexpr std::uint64_t reclaimedConnectionsDivisor = 32;
 /// Time in which most requests are complete that hold the memory.
 constexpr Duration memoryRetryAfter = std::chrono::seconds(1);
 constexpr const char *memoryProblemType = "memory-full";
@@ -134,6 +138,7 @@
                MSG_NOSIGNAL);
         return;
     }
+    const bool hasRoom = reclaimConnections();
     tcp::socket socket(m_context);
     error_code error;
     socket.assign(protocol, connection.number(), error);
@@ -142,7 +147,35 @@
     connection.release();
     const auto session = std::make_shared<CallerSession>(*this, std::move(socket));
     m_sessions.insert(session.get());
-    session->start(bytes, shedResult.decision);
+    if (hasRoom) {
+        session->start(bytes, shedResult.decision);
+        return;
+    }
+    ++m_metrics.connectionsRejected;
+    session->closeForOthers();
+}
+
+bool TrafficThread::reclaimConnections()
+{
+    const std::uint64_t limit = m_options.connectionLimit;
+    if (m_metrics.connectionsOpen < limit)
+        return true;
+    std::vector<CallerSession *> sessions;
+    std::vector<WaitingConnection> connections;
+    for (CallerSession *session : m_sessions) {
+        if (const auto connection = session->waitingConnection()) {
+            sessions.push_back(session);
+            connections.push_back(*connection);
+        }
+    }
+    const std::size_t count = 1 + limit / reclaimedConnectionsDivisor;
+    const auto selected = selectConnectionsToClose(connections, count);
+    for (const std::size_t index : selected) {
+        ++m_metrics.connectionsReclaimed;
+        ++m_closedConnections;
+        sessions[index]->closeForOthers();
+    }
+    return !selected.empty();
 }
 
 void TrafficThread::reclaimMemory()
@@ -165,6 +198,12 @@
     }
 }
 
+Problem TrafficThread::connectionProblem()
+{
+    return {503, "too-many-connections", "the router has too many connections open",
+            Verdict::NotRun, addRetryJitter(connectionRetryAfter, m_random)};
+}
+
 Problem TrafficThread::memoryProblem()
 {
     return {503, memoryProblemType, "the router's memory for requests is in use", Verdict::NotRun,
@@ -222,10 +261,22 @@
         if (error)
             return;
         logReclaimedMemory();
+        logReclaimedConnections();
         closeIdleConnections();
     });
 }
 
+void TrafficThread::logReclaimedConnections()
+{
+    if (m_closedConnections == 0)
+        return;
+    LogRecord record {LogEventId::ConnectionsReclaimed, ""};
+    record.fields["thread"] = m_index;
+    record.fields["closed"] = Json::UInt64(std::exchange(m_closedConnections, 0));
+    record.fields["limit"] = m_options.connectionLimit;
+    m_options.log(std::move(record));
+}
+
 void TrafficThread::logReclaimedMemory()
 {
     if (m_droppedRequests == 0)
--- a/lib/Net/TrafficThread.h
+++ b/lib/Net/TrafficThread.h
@@ -150,6 +150,8 @@
     /// Drops requests that are being received if the callers' bytes exceed their limit. May drop
     /// that of the session which calls it.
     void reclaimMemory();
+    /// Returns the problem with which a connection over the limit is rejected.
+    Problem connectionProblem();
     /// Returns the problem with which a request is rejected for which the memory doesn't suffice.
     Problem memoryProblem();
     /// Buffer for bytes that are discarded or copied immediately.
@@ -185,7 +187,11 @@
     std::vector<ShedCount> takeShedCounts();
     void closeIdleConnections();
     void measureLag();
+    /// Closes connections without a complete request if a new one would exceed the limit. Returns
+    /// whether there is room for one.
+    bool reclaimConnections();
     void logReclaimedMemory();
+    void logReclaimedConnections();
     void continueDrain(const std::function<void(const DrainResult &)> &done);
     bool isDrainOver();
     DrainResult drainResult() const;
@@ -218,7 +224,8 @@
     std::unordered_map<CredentialKey, std::uint64_t> m_predictedRejections;
     RandomEngine m_random; ///< Randomizes the retry delay of rejected callers.
     std::array<char, scratchBytes> m_scratch {};
-    std::uint64_t m_droppedRequests = 0; ///< To reclaim memory, since the last log line.
+    std::uint64_t m_closedConnections = 0; ///< To reclaim descriptors, since the last log line.
+    std::uint64_t m_droppedRequests = 0;   ///< To reclaim memory, since the last log line.
     // Counted since the last report of lag.
     std::uint64_t m_acceptedConnections = 0;
     std::uint64_t m_abandonedRequests = 0;
--- a/unittests/Net/CallerHttpTest.cpp
+++ b/unittests/Net/CallerHttpTest.cpp
@@ -135,17 +135,39 @@
 
 TEST(CallerHttpTest, rejectsConnectionsAboveTheLimit)
 {
-    FakeCore core(rejectAll());
+    FakeCore core;
     TestNode node(core, [](Settings &settings) { settings.connectionLimit = 2; });
-    const FakeCaller first = node.caller();
-    const FakeCaller second = node.caller();
-    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 2; }));
+    FakeCaller first = node.caller();
+    FakeCaller second = node.caller();
+    first.send(requestText("GET", "/v1/services/shop/x"));
+    second.send(requestText("GET", "/v1/services/shop/x"));
+    core.waitForEvents<RequestArrived>(2);
     FakeCaller third = node.caller();
     const std::string response = third.readAll();
     EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
     EXPECT_NE(response.find("too-many-connections"), std::string::npos) << response;
 }
 
+// Guards against connections that send nothing and keep others out.
+TEST(CallerHttpTest, closesTheOldestIdleConnectionAtTheLimit)
+{
+    FakeCore core(rejectAll());
+    TestNode node(core, [](Settings &settings) {
+        settings.connectionLimit = 2;
+        settings.trafficThreads = 1;
+    });
+    FakeCaller first = node.caller();
+    FakeCaller second = node.caller();
+    EXPECT_TRUE(eventually([&] { return node.node().metrics().connectionsOpen == 2; }));
+    FakeCaller third = node.caller();
+    third.send(requestText("GET", "/v1/services/shop/x"));
+    EXPECT_TRUE(third.readUntil("queue-full").starts_with("HTTP/1.1 429 "));
+    EXPECT_EQ(first.readAll(), "");
+    EXPECT_EQ(node.node().metrics().connectionsReclaimed, 1U);
+    second.send(requestText("GET", "/v1/services/shop/x"));
+    EXPECT_TRUE(second.readUntil("queue-full").starts_with("HTTP/1.1 429 "));
+}
+
 TEST(CallerHttpTest, closesConnectionsNearTheConnectionLimit)
 {
     // Guards against a node that runs out of file descriptors for targets and other callers:
