Limit memory and connections at the listeners for operators and nodes

What was seen: 240 clients with unfinished bodies of 960 KiB at the operators' or the nodes' listener took the router over 126 MB; 300 connections that sent nothing kept health checks out, so that the load balancer would have taken the node out of the rotation.

Cause: as with callers, each connection was limited (1 MiB, for nodes 16 MiB) and their sum was not; at the limit of connections the newest was closed.

Change: HttpListener counts what its connections receive, and selects by Policy/Reclaim which of them to close, both at the limit of memory (8 MiB, and at least one of the largest requests) and at that of connections.

A metric counts the closed connections.

--- a/lib/Net/AdminHttpServer.h
+++ b/lib/Net/AdminHttpServer.h
@@ -27,6 +27,7 @@
 
     std::string listen(const Endpoint &endpoint) { return m_listener.listen(endpoint); }
     Endpoint endpoint() const { return m_listener.endpoint(); }
+    std::uint64_t reclaimedConnections() const { return m_listener.reclaimedConnections(); }
 
 private:
     StringResponse handleRequest(const StringRequest &request) const;
--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -1,12 +1,18 @@
 #include "HttpListener.h"
 
+#include "berylridge/Policy/Reclaim.h"
+
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <optional>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace berylridge {
 
@@ -17,6 +23,8 @@
 constexpr std::chrono::milliseconds acceptRetryDelay {100};
 /// Maximum size of a request's head, a chunk's head or a trailer. Beast throws at a larger field.
 constexpr std::size_t maxBufferBytes = 64 << 10;
+/// Fraction of the connection limit that is reclaimed at once.
+constexpr std::uint32_t reclaimedConnectionsDivisor = 32;
 
 } // namespace
 
@@ -24,20 +32,31 @@
 {
     ListenerLimits limits;
     Handler handler;
-    std::uint32_t connections = 0;
+    std::unordered_set<Session *> sessions; ///< Whose connections are open.
+    std::size_t heldBytes = 0;              ///< Of the requests that are being received.
+    std::uint64_t reclaimedConnections = 0;
     bool isOpen = true; ///< False after the listener is destroyed; sessions then end.
+
+    MemoryUse memory() const
+    {
+        return {heldBytes, std::max(limits.memoryLimit, limits.bodyLimit / 2 * 3)};
+    }
+    void reclaimConnections();
+    void reclaimMemory();
 };
 
 class HttpListener::Session : public std::enable_shared_from_this<Session>
 {
 public:
+    using Clock = std::chrono::steady_clock;
+
     Session(tcp::socket socket, std::shared_ptr<Shared> shared)
         : m_stream(std::move(socket))
         , m_shared(std::move(shared))
     {
-        ++m_shared->connections;
+        m_shared->sessions.insert(this);
     }
-    ~Session() { --m_shared->connections; }
+    ~Session() { leave(); }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
@@ -45,22 +64,84 @@
     {
         m_parser.emplace();
         m_parser->body_limit(m_shared->limits.bodyLimit);
+        m_parser->eager(true);
+        m_isResponding = false;
+        m_readSince = Clock::now();
         m_stream.expires_after(m_shared->limits.idleTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](error_code error, std::size_t) {
-                             if (!error && self->m_shared->isOpen)
-                                 self->respond();
-                         });
+        readSome();
+    }
+
+    /// Returns the request that is being received; nothing while a response is sent.
+    std::optional<PartialRequest> partialRequest() const
+    {
+        if (m_isResponding)
+            return std::nullopt;
+        return PartialRequest {0, m_heldBytes, age()};
+    }
+    /// Returns the state of the connection; nothing while a response is sent.
+    std::optional<WaitingConnection> waitingConnection() const
+    {
+        if (m_isResponding)
+            return std::nullopt;
+        const ConnectionUse idle = m_hadRequest ? ConnectionUse::KeptAlive : ConnectionUse::Unused;
+        return WaitingConnection {m_heldBytes > 0 ? ConnectionUse::Receiving : idle, age()};
+    }
+    void close()
+    {
+        ++m_shared->reclaimedConnections;
+        leave();
+        m_stream.close();
     }
 
 private:
+    Duration age() const
+    {
+        return std::chrono::duration_cast<Duration>(Clock::now() - m_readSince);
+    }
+
+    void leave()
+    {
+        hold(0);
+        m_shared->sessions.erase(this);
+    }
+
+    void hold(std::size_t bytes)
+    {
+        m_shared->heldBytes += bytes - m_heldBytes;
+        m_heldBytes = bytes;
+    }
+
+    void readSome()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser,
+                              [self = shared_from_this()](error_code error, std::size_t) {
+                                  if (!error && self->m_shared->isOpen)
+                                      self->onRead();
+                              });
+    }
+
+    void onRead()
+    {
+        hold(m_buffer.size() + m_parser->get().body().size());
+        m_shared->reclaimMemory();
+        if (!m_stream.socket().is_open())
+            return;
+        if (m_parser->is_done())
+            respond();
+        else
+            readSome();
+    }
+
     void respond()
     {
-        const StringRequest &request = m_parser->get();
-        m_response = m_shared->handler(request);
+        m_isResponding = true;
+        m_hadRequest = true;
+        m_response = m_shared->handler(m_parser->get());
         m_response.version(11);
-        m_response.keep_alive(request.keep_alive());
+        m_response.keep_alive(m_parser->get().keep_alive());
         m_response.prepare_payload();
+        m_parser.reset();
+        hold(0);
         http::async_write(m_stream, m_response,
                           [self = shared_from_this()](error_code error, std::size_t) {
                               if (!error && self->m_response.keep_alive() && self->m_shared->isOpen)
@@ -73,8 +154,47 @@
     beast::flat_buffer m_buffer {maxBufferBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     StringResponse m_response;
+    std::size_t m_heldBytes = 0;
+    Clock::time_point m_readSince; ///< Start of the idle time before a request.
+    bool m_isResponding = false;
+    bool m_hadRequest = false;
 };
 
+/// Closes connections without a complete request if a new one would exceed the limit.
+void HttpListener::Shared::reclaimConnections()
+{
+    if (sessions.size() < limits.connectionLimit)
+        return;
+    std::vector<Session *> candidates;
+    std::vector<WaitingConnection> connections;
+    for (Session *session : sessions) {
+        if (const auto connection = session->waitingConnection()) {
+            candidates.push_back(session);
+            connections.push_back(*connection);
+        }
+    }
+    const std::size_t count = 1 + limits.connectionLimit / reclaimedConnectionsDivisor;
+    for (const std::size_t index : selectConnectionsToClose(connections, count))
+        candidates[index]->close();
+}
+
+/// Closes connections whose requests exceed the memory together.
+void HttpListener::Shared::reclaimMemory()
+{
+    if (!memory().isReclaimNeeded())
+        return;
+    std::vector<Session *> candidates;
+    std::vector<PartialRequest> requests;
+    for (Session *session : sessions) {
+        if (const auto request = session->partialRequest()) {
+            candidates.push_back(session);
+            requests.push_back(*request);
+        }
+    }
+    for (const std::size_t index : selectRequestsToDrop(requests, memory()))
+        candidates[index]->close();
+}
+
 HttpListener::HttpListener(asio::io_context &context, ListenerLimits limits, Handler handler)
     : m_acceptor(context)
     , m_retryTimer(context)
@@ -98,6 +218,11 @@
     return reason;
 }
 
+std::uint64_t HttpListener::reclaimedConnections() const
+{
+    return m_shared->reclaimedConnections;
+}
+
 Endpoint HttpListener::endpoint() const
 {
     return boundEndpoint(m_acceptor);
@@ -116,7 +241,8 @@
             });
             return;
         }
-        if (m_shared->connections < m_shared->limits.connectionLimit)
+        m_shared->reclaimConnections();
+        if (m_shared->sessions.size() < m_shared->limits.connectionLimit)
             std::make_shared<Session>(std::move(socket), m_shared)->read();
         accept();
     });
--- a/lib/Net/HttpListener.h
+++ b/lib/Net/HttpListener.h
@@ -18,6 +18,8 @@
     std::uint64_t bodyLimit = 1 << 20;
     std::uint32_t connectionLimit = 256;
     Duration idleTimeout = std::chrono::seconds(60); ///< Also limits the time to receive a request.
+    /// For the requests that all connections receive, in bytes. At least one of the largest fits.
+    std::size_t memoryLimit = 8 << 20;
 };
 
 /// Calls a handler for each request and sends the response that it returns.
@@ -34,6 +36,9 @@
     /// Returns an empty string on success, else the reason for the failure.
     std::string listen(const Endpoint &endpoint);
 
+    /// Returns how many connections were closed in favour of others.
+    std::uint64_t reclaimedConnections() const;
+
     /// Returns the bound endpoint, with the port that the system chose if port 0 was requested.
     Endpoint endpoint() const;
 
--- a/lib/Net/PeerTransport.h
+++ b/lib/Net/PeerTransport.h
@@ -52,6 +52,7 @@
     /// success, otherwise the reason of the failure.
     std::string listen(const Endpoint &endpoint);
     Endpoint endpoint() const { return m_callListener.endpoint(); }
+    std::uint64_t reclaimedConnections() const { return m_callListener.reclaimedConnections(); }
 
     /// Queues a message until flush(), so that messages to the same node share datagrams.
     void send(const SendToNode &action);
--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -383,6 +383,8 @@
 std::string RouterNode::Impl::printMetrics()
 {
     m_metrics.logLinesDropped = m_log.dropped();
+    m_metrics.controlConnectionsReclaimed
+        = m_admin.reclaimedConnections() + m_peers.reclaimedConnections();
     // Operators' calls run on the control thread.
     return m_metrics.print(toSeconds(threadProcessorTime()));
 }
