Read no more than a body from a client after a rejection

Change: it reads at most as many bytes as the limit of a body, which is all that a caller inside the limits can still have under way, then it closes. The two seconds stay the other bound.

Measured: of 256 MiB that a client sends under a body limit of 64 KiB, the router took all; now the connection ends before (CallerHttpTest, failed before).

--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -611,6 +611,7 @@
         close();
         return;
     }
+    m_discardableBytes = m_thread.callerLimits().bodyBytes;
     m_deadline->set(Deadline::Clock::now() + lingerTimeout, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->close();
@@ -620,13 +621,15 @@
 
 void CallerSession::discardInput()
 {
-    m_socket.async_read_some(m_thread.scratch(),
-                             [self = shared_from_this()](error_code error, std::size_t) {
-                                 if (error)
-                                     self->close();
-                                 else
-                                     self->discardInput();
-                             });
+    m_socket.async_read_some(
+        m_thread.scratch(), [self = shared_from_this()](error_code error, std::size_t size) {
+            // A caller within the limits has no more to send than a body.
+            self->m_discardableBytes -= std::min(self->m_discardableBytes, size);
+            if (error || self->m_discardableBytes == 0)
+                self->close();
+            else
+                self->discardInput();
+        });
 }
 
 void CallerSession::abortConnection(const std::string &reason)
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -131,6 +131,7 @@
     State m_state = State::Idle;
     ShedDecision m_shedDecision = ShedDecision::Undecided; ///< For the request that is being read.
     bool m_isWaitingReadable = false;
+    std::size_t m_discardableBytes = 0; ///< Left to be read after the last response.
     bool m_hasStarted = false;
     bool m_hadRequest = false;        ///< A request has begun on this connection.
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
--- a/unittests/Net/CallerHttpTest.cpp
+++ b/unittests/Net/CallerHttpTest.cpp
@@ -1,5 +1,7 @@
 #include "NodeFixture.h"
 
+#include <boost/asio/write.hpp>
+
 namespace berylridge::test {
 namespace {
 
@@ -148,6 +150,23 @@
     EXPECT_NE(response.find("too-many-connections"), std::string::npos) << response;
 }
 
+// Guards against a rejected client that goes on sending and takes the processor for seconds.
+TEST(CallerHttpTest, readsNoMoreThanABodyAfterARejection)
+{
+    constexpr std::size_t sentBytes = 256 << 20;
+    FakeCore core(rejectAll());
+    TestNode node(core, [](Settings &settings) { settings.bodyLimit = 64 << 10; });
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*asioEndpoint<tcp>(node.node().callers()));
+    const std::string bytes
+        = "POST /v1/services/shop/x HTTP/1.1\r\nHost: router\r\nContent-Length: "
+        + std::to_string(sentBytes) + "\r\n\r\n" + std::string(sentBytes, 'x');
+    error_code error;
+    EXPECT_LT(asio::write(socket, asio::buffer(bytes), error), bytes.size());
+    EXPECT_TRUE(error);
+}
+
 // Guards against connections that send nothing and keep others out.
 TEST(CallerHttpTest, closesTheOldestIdleConnectionAtTheLimit)
 {
