Bound what the system buffers for connections that are not read

What was seen: of a client that sends on while its request waits, the system took more than 512 KiB (589 KB when the test stopped), beside the 16 KiB that the router reads ahead; bytes that were received and not read count towards the memory of the VM.

Change: the listeners fix the receive buffers at 64 KiB. A connection that is not read any more counts with that buffer towards the memory for callers' bytes, and is among those that are closed when that is full.

Measured: CallerHttpTest.systemBuffersLittleForAWaitingRequest failed before and passes now.

--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "CallerRequest.h"
 #include "Exchange.h"
+#include "HttpListener.h"
 #include "HttpSerialization.h"
 #include "TrafficThread.h"
 #include "berylridge/Support/Hash.h"
@@ -63,6 +64,7 @@
 void CallerSession::awaitRequest()
 {
     m_state = State::Idle;
+    m_isPaused = false;
     if (m_buffer.size() > 0) {
         readHead();
         return;
@@ -167,8 +169,12 @@
     // Buffers a pipelined request up to the head limit; it is parsed after the current one. Beyond
     // that limit the router stops reading, so that a caller can't make its memory grow.
     const std::size_t limit = m_thread.callerLimits().headerBytes;
-    if (m_buffer.size() >= limit)
+    if (m_buffer.size() >= limit) {
+        m_isPaused = true;
+        m_memory.resize(m_buffer.capacity() + receiveBufferBytes);
+        m_thread.reclaimMemory();
         return;
+    }
     const std::size_t room = std::min(limit - m_buffer.size(), headReadBytes);
     m_buffer.commit(m_socket.read_some(m_buffer.prepare(room), error));
     m_memory.resize(m_buffer.capacity());
@@ -389,7 +395,7 @@
 
 std::optional<PartialRequest> CallerSession::partialRequest() const
 {
-    if (m_state != State::Reading)
+    if (m_state != State::Reading && !m_isPaused)
         return std::nullopt;
     const auto age = Deadline::Clock::now() - m_requestStart;
     return PartialRequest {m_credential, m_memory.bytes(),
@@ -398,6 +404,10 @@
 
 void CallerSession::rejectPartialRequest()
 {
+    if (m_isPaused) {
+        abortConnection("pipelined-bytes");
+        return;
+    }
     const std::string requestId = m_parser->is_header_done()
         ? m_thread.protocol().readCaller(m_parser->get()).requestId
         : std::string();
@@ -650,6 +660,7 @@
 void CallerSession::close()
 {
     m_state = State::Closing;
+    m_isPaused = false;
     m_isLingering = false;
     m_deadline->stop();
     m_writeQueue.clear();
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -52,9 +52,11 @@
     /// Closes a connection without a complete request immediately. A new connection, or a request
     /// that has begun, is rejected, as far as the system takes the response at once.
     void closeForOthers();
-    /// Returns the request that is being received, if any.
+    /// Returns the request that is being received, or the bytes that follow a complete one and are
+    /// not read any more; nothing if there are none.
     std::optional<PartialRequest> partialRequest() const;
-    /// Rejects the request that is being received and frees its memory.
+    /// Rejects the request that is being received and frees its memory. With bytes that follow a
+    /// complete request, closes the connection.
     void rejectPartialRequest();
 
     /// Returns whether the session waits for the caller to close after the last response.
@@ -133,7 +135,8 @@
     bool m_isWaitingReadable = false;
     std::size_t m_discardableBytes = 0; ///< Left to be read after the last response.
     bool m_hasStarted = false;
-    bool m_hadRequest = false;        ///< A request has begun on this connection.
+    bool m_isPaused = false;   ///< Reads no more pipelined bytes until the response is complete.
+    bool m_hadRequest = false; ///< A request has begun on this connection.
     bool m_isRequestComplete = false; ///< The request was rejected after all its bytes had arrived.
     bool m_isWriteActive = false;
     bool m_isLingering = false;
--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -259,6 +259,8 @@
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor.bind(*tcpEndpoint, error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
         acceptor.listen(backlog, error);
     if (!error)
--- a/lib/Net/HttpListener.h
+++ b/lib/Net/HttpListener.h
@@ -53,6 +53,10 @@
     std::shared_ptr<Shared> m_shared;
 };
 
+/// Size of the receive buffers of accepted connections. Bytes that nobody reads count towards the
+/// memory of the VM, and the system would let the buffers grow to megabytes.
+inline constexpr int receiveBufferBytes = 64 << 10;
+
 /// Opens a listening socket on the endpoint; at most `backlog` connections wait to be accepted.
 /// Returns an empty string on success, else the reason for the failure.
 std::string openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint,
--- a/unittests/Net/CallerHttpTest.cpp
+++ b/unittests/Net/CallerHttpTest.cpp
@@ -150,6 +150,36 @@
     EXPECT_NE(response.find("too-many-connections"), std::string::npos) << response;
 }
 
+// Guards against bytes that the system buffers for connections from which nothing is read, which
+// count towards the memory of the VM.
+TEST(CallerHttpTest, systemBuffersLittleForAWaitingRequest)
+{
+    constexpr std::size_t bodyBytes = 4 << 20;
+    constexpr std::size_t bufferBound = 512 << 10;
+    FakeCore core;
+    TestNode node(core);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*asioEndpoint<tcp>(node.node().callers()));
+    socket.set_option(asio::socket_base::send_buffer_size(16 << 10));
+    asio::write(
+        socket,
+        asio::buffer(requestText("POST", "/v1/services/shop/x", {}, std::string(bodyBytes, 'x'))));
+    core.waitForEvents<RequestArrived>(1);
+    socket.non_blocking(true);
+    const std::string piece(64 << 10, 'x');
+    std::size_t sent = 0;
+    // The system takes no more once this many writes in a row have failed.
+    for (int failures = 0; failures < 100 && sent <= bufferBound; ++failures) {
+        error_code error;
+        const std::size_t size = socket.write_some(asio::buffer(piece), error);
+        sent += size;
+        failures = size > 0 ? 0 : failures;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_LE(sent, bufferBound);
+}
+
 // Guards against a rejected client that goes on sending and takes the processor for seconds.
 TEST(CallerHttpTest, readsNoMoreThanABodyAfterARejection)
 {
