Count the memory of a head's fields, not its bytes

What was seen: heads of 4,000 empty fields (16 KB) whose bodies didn't arrive took a router to 149 MB with 400 clients, over the bound of 126 MB, although the memory for callers' bytes has a limit.

Cause: the parser stores each field with its own allocation of about a hundred bytes, whatever its length; the count took the head's bytes.

Also, a connection whose request was shed counts as used.

--- a/lib/Net/CallerSession.cpp
+++ b/lib/Net/CallerSession.cpp
@@ -137,6 +137,7 @@
 
 void CallerSession::writeImmediateResponse(const EarlyShedResult &shedResult)
 {
+    m_hadRequest = true;
     error_code error;
     const std::size_t size
         = m_socket.write_some(asio::buffer(*shedResult.immediateResponse), error);
@@ -186,7 +187,6 @@
     m_state = State::Reading;
     m_hadRequest = true;
     m_isRequestComplete = false;
-    m_headBytes = 0;
     m_credential = 0;
     m_requestStart = Deadline::Clock::now();
     const CallerLimits &limits = m_thread.callerLimits();
@@ -229,7 +229,6 @@
     error_code error;
     const std::size_t size = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(size);
-    m_headBytes += size;
     updateMemory();
     if (m_state != State::Reading)
         return;
@@ -365,8 +364,7 @@
 
 void CallerSession::updateMemory()
 {
-    const std::size_t bodyBytes = m_parser ? m_parser->get().body().size() : 0;
-    m_memory.resize(m_buffer.capacity() + m_headBytes + bodyBytes);
+    m_memory.resize(m_buffer.capacity() + m_parser->memoryBytes());
     m_thread.reclaimMemory();
 }
 
@@ -478,9 +476,9 @@
 {
     const RequestHandle handle = m_thread.nextHandle();
     const std::string generatedId = m_thread.options().idPrefix + std::to_string(handle);
+    const std::size_t requestBytes = m_parser->memoryBytes();
     StringRequest request = m_parser->release();
     m_parser.reset();
-    const std::size_t requestBytes = m_headBytes + request.body().size();
     m_memory.resize(m_buffer.capacity());
     if (m_thread.isDraining()) {
         refuseAsLeaving(m_thread.protocol().readCaller(request).requestId);
@@ -518,7 +516,6 @@
     m_parser.reset();
     if (m_buffer.size() == 0)
         m_buffer.shrink_to_fit();
-    m_headBytes = 0;
     m_memory.resize(m_buffer.capacity());
     write(serializeProblem(problem, keepAlive, requestId),
           [self = shared_from_this(), keepAlive] { self->endExchange(keepAlive); });
--- a/lib/Net/CallerSession.h
+++ b/lib/Net/CallerSession.h
@@ -124,7 +124,6 @@
     beast::flat_buffer m_buffer; ///< Bytes that are not parsed yet.
     std::unique_ptr<RequestParser> m_parser;
     CallerBytes m_memory;           ///< Of the buffer and of the request that is being received.
-    std::size_t m_headBytes = 0;    ///< Of the request that is being received.
     CredentialKey m_credential = 0; ///< Of the same, once its head is complete.
     Deadline::Clock::time_point m_requestStart; ///< Of the same.
     Deadline::Clock::time_point m_idleSince;    ///< While idle.
--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -128,6 +128,18 @@
     expectServing();
 }
 
+// Guards against heads of many short fields, of which each takes more memory than it has bytes.
+TEST_F(HostileClients, UnfinishedRequestsWithManyFields)
+{
+    ASSERT_NO_FATAL_FAILURE(startRouter());
+    std::string fields = "Content-Length: 100\r\n";
+    for (int i = 0; i < 4000; ++i)
+        fields += "a:\r\n";
+    ClientCrowd crowd(m_fleet->router(0).callers, 400);
+    crowd.send(requestHead(purchasePath, fields));
+    expectServing();
+}
+
 // Guards against complete requests of the largest allowed size, which wait for targets together.
 TEST_F(HostileClients, LargestRequestsTogether)
 {
