--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -105,10 +105,12 @@
     fields.duration("stopLimitMs", settings.stopLimit, milliseconds(0), hours(24));
     // Each thread has memory for two of the largest requests.
     const std::uint64_t requestLimit = settings.bodyLimit + settings.headerLimit;
-    if (4 * settings.trafficThreads * requestLimit > settings.memoryLimitMb << 20)
+    const std::uint64_t requestsLimit = 2 * requestLimit * settings.trafficThreads;
+    if (requestsLimit > (settings.memoryLimitMb << 20) / 2) {
         fields.report("bodyLimit",
                       "with headerLimit must be at most a quarter of memoryLimitMb for each of "
                       "trafficThreads");
+    }
     if (settings.suspectAfter < 2 * settings.heartbeatPeriod)
         fields.report("suspectAfterMs", "must be at least twice heartbeatPeriodMs");
 }
--- a/lib/Policy/Reclaim.cpp
+++ b/lib/Policy/Reclaim.cpp
@@ -92,13 +92,15 @@
 {
     std::vector<std::size_t> dropped;
     std::size_t heldBytes = memory.heldBytes;
-    if (heldBytes > memory.largeRequestLimit())
-        Candidates(requests, [](const PartialRequest &request) {
-            return !isSmall(request);
-        }).dropUntil(reclaimedLevel(memory.largeRequestLimit()), heldBytes, dropped);
-    if (heldBytes > memory.limitBytes)
+    if (heldBytes > memory.largeRequestLimit()) {
+        const auto isLarge = [](const PartialRequest &request) { return !isSmall(request); };
+        Candidates(requests, isLarge)
+            .dropUntil(reclaimedLevel(memory.largeRequestLimit()), heldBytes, dropped);
+    }
+    if (heldBytes > memory.limitBytes) {
         Candidates(requests, isSmall)
             .dropUntil(reclaimedLevel(memory.limitBytes), heldBytes, dropped);
+    }
     return dropped;
 }
 
--- a/unittests/Config/SettingsTest.cpp
+++ b/unittests/Config/SettingsTest.cpp
@@ -64,6 +64,19 @@
     EXPECT_TRUE(lines[4].starts_with("r.json:11: stopLimit: unknown name")) << lines[4];
 }
 
+// Guards against limits under which a single request takes more than the memory of the VM.
+TEST(Settings, LargestRequestsMustFitIntoTheMemory)
+{
+    std::string text = valid;
+    text.replace(text.find("\"stopLimitMs\": 5000"), 19,
+                 "\"bodyLimit\": 16777216, \"memoryLimitMb\": 128, \"trafficThreads\": 2");
+    const auto read = readSettings("r.json", text);
+    ASSERT_EQ(read.diagnostics.size(), 1U);
+    EXPECT_NE(read.diagnostics[0].str().find("bodyLimit"), std::string::npos);
+    text.replace(text.find("16777216"), 8, "8388608");
+    EXPECT_TRUE(readSettings("r.json", text).diagnostics.empty());
+}
+
 // Guards against a router on the users' platform that ends with all its requests when its settings
 // are reloaded with an empty list: it reads the first endpoint.
 TEST(Settings, PlatformNeedsAnEndpoint)
--- a/unittests/Policy/ReclaimTest.cpp
+++ b/unittests/Policy/ReclaimTest.cpp
@@ -60,10 +60,11 @@
 // Guards against small requests that fill the memory together.
 TEST(SelectRequestsToDrop, dropsSmallRequestsAtTheLimit)
 {
-    const std::vector<PartialRequest> requests(2000, {1, 32 << 10, seconds(1)});
-    const std::size_t heldBytes = 2000 * (32 << 10);
+    constexpr std::size_t requestBytes = 32 << 10;
+    const std::vector<PartialRequest> requests(2000, {1, requestBytes, seconds(1)});
+    const std::size_t heldBytes = requests.size() * requestBytes;
     const Indexes dropped = selectRequestsToDrop(requests, {heldBytes, limitBytes});
-    EXPECT_LE(heldBytes - dropped.size() * (32 << 10), limitBytes);
+    EXPECT_LE(heldBytes - dropped.size() * requestBytes, limitBytes);
 }
 
 TEST(SelectConnectionsToClose, closesUnusedAndSlowOnesFirst)
