Count the memory of heads at the listeners for operators and nodes

What was seen: 900 connections to the nodes' listener, each with a head of 1,900 empty fields and no body, took the router over 126 MB.

Cause: as with callers, the count took the bytes that were read; the fields that the parser stores and the spare space of the buffers were left out.

Change: HttpListener uses the parser that counts its fields, and counts the buffers' whole size; an idle connection gives its buffer back.

--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "HttpListener.h"
 
+#include "RequestParser.h"
 #include "berylridge/Policy/Reclaim.h"
 
 #include <algorithm>
@@ -84,7 +85,7 @@
         if (m_isResponding)
             return std::nullopt;
         const ConnectionUse idle = m_hadRequest ? ConnectionUse::KeptAlive : ConnectionUse::Unused;
-        return WaitingConnection {m_heldBytes > 0 ? ConnectionUse::Receiving : idle, age()};
+        return WaitingConnection {m_parser->got_some() ? ConnectionUse::Receiving : idle, age()};
     }
     void close()
     {
@@ -122,7 +123,7 @@
 
     void onRead()
     {
-        hold(m_buffer.size() + m_parser->get().body().size());
+        hold(m_buffer.capacity() + m_parser->memoryBytes());
         m_shared->reclaimMemory();
         if (!m_stream.socket().is_open())
             return;
@@ -141,7 +142,9 @@
         m_response.keep_alive(m_parser->get().keep_alive());
         m_response.prepare_payload();
         m_parser.reset();
-        hold(0);
+        if (m_buffer.size() == 0)
+            m_buffer.shrink_to_fit();
+        hold(m_buffer.capacity());
         http::async_write(m_stream, m_response,
                           [self = shared_from_this()](error_code error, std::size_t) {
                               if (!error && self->m_response.keep_alive() && self->m_shared->isOpen)
@@ -152,7 +155,7 @@
     beast::tcp_stream m_stream;
     std::shared_ptr<Shared> m_shared;
     beast::flat_buffer m_buffer {maxBufferBytes};
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<RequestParser> m_parser;
     StringResponse m_response;
     std::size_t m_heldBytes = 0;
     Clock::time_point m_readSince; ///< Start of the idle time before a request.
--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -202,6 +202,18 @@
     expectServing();
 }
 
+// Guards against heads of many short fields at the listener for nodes, as for callers.
+TEST_F(HostileClients, UnfinishedRequestsWithManyFieldsAtThePeerListener)
+{
+    ASSERT_NO_FATAL_FAILURE(startRouter());
+    std::string fields = "Content-Length: 100\r\n";
+    for (int i = 0; i < 1900; ++i)
+        fields += "a:\r\n";
+    ClientCrowd crowd(m_fleet->router(0).peers, 900);
+    crowd.send(requestHead("/rpc", fields));
+    expectServing();
+}
+
 // Guards against idle connections to the operators' listener that keep health checks out.
 TEST_F(HostileClients, SilentConnectionsAtTheAdminListener)
 {
