Return the memory of large bodies to the system

What was seen: 24 waves of clients of all kinds, up to five of them open at a time, took a router over 126 MB (129 when the test stopped), although the callers' bytes never exceed 32 MiB together.

Cause: the library raises the size from which it maps an allocation separately to that of the largest one freed so far, up to 32 MB. From then on bodies come from the heaps of the threads, where those of other sizes leave gaps that nothing else fits into.

--- a/lib/Net/RouterNode.cpp
+++ b/lib/Net/RouterNode.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <cassert>
 #include <csignal>
+#include <malloc.h>
 #include <utility>
 
 namespace berylridge {
@@ -31,6 +32,11 @@
 /// Larger heads are rejected, whatever the operators' limit.
 constexpr std::uint64_t maxHeaderBytes = 1 << 20;
 
+/// Larger allocations are mapped separately, so that freeing them returns their memory to the
+/// system. By default the library raises this size to that of the largest one freed so far, and
+/// bodies of different sizes then leave gaps that nothing else fits into.
+constexpr int separateAllocationBytes = 64 << 10;
+
 std::string requestIdPrefix(const Settings &settings, Incarnation incarnation)
 {
     return settings.node.str() + "-" + std::to_string(incarnation) + "-";
@@ -501,6 +507,7 @@
 {
     assert(m_core.handle && m_core.nextTimer && "a node requires a decision core");
     assert(m_settings.trafficThreads > 0 && "a node requires at least one traffic thread");
+    ::mallopt(M_MMAP_THRESHOLD, separateAllocationBytes);
     auto impl = std::make_unique<RouterNode::Impl>(m_settings, m_incarnation, m_log, m_core, m_rpc,
                                                    m_audit, m_protocol);
     std::string reason = impl->openListeners(m_settings);
--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -3,8 +3,12 @@
 #include "ClientCrowd.h"
 #include "FleetFixture.h"
 
+#include "berylridge/Support/Random.h"
+
 #include <algorithm>
+#include <deque>
 #include <gtest/gtest.h>
+#include <memory>
 #include <sstream>
 
 using namespace berylridge;
@@ -222,3 +226,32 @@
     EXPECT_TRUE(m_fleet->isReady(0));
     expectServing();
 }
+
+// Guards against memory and descriptors that each wave of clients leaves behind. Waves of different
+// kinds overlap.
+TEST_F(HostileClients, WavesOfAllKinds)
+{
+    constexpr std::size_t waves = 24;
+    constexpr std::size_t openWaves = 4;
+    ASSERT_NO_FATAL_FAILURE(startRouterWithFewDescriptors());
+    RandomEngine random(71);
+    const auto below = [&random](std::size_t limit) { return random() % limit; };
+    std::deque<std::unique_ptr<ClientCrowd>> crowds;
+    for (std::size_t wave = 0; wave < waves; ++wave) {
+        const std::vector<std::string> kinds {
+            chunkedRequest(below(bodyLimit), 1 + below(64 << 10)),
+            chunkedRequest(bodyLimit + below(bodyLimit), 1 << 16),
+            requestWithLength(bodyLimit, below(bodyLimit)),
+            requestWithLength(below(bodyLimit), bodyLimit),
+            "POST / HTTP/1.1\r\n",
+            {},
+        };
+        crowds.push_back(std::make_unique<ClientCrowd>(m_fleet->router(0).callers, 10 + below(30)));
+        crowds.back()->send(kinds[below(kinds.size())]);
+        if (crowds.size() > openWaves)
+            crowds.pop_front();
+        EXPECT_TRUE(waitUntil([&] { return callOrdinary().status == 200; }));
+        EXPECT_LE(m_fleet->routerProcess(0).openDescriptors(), descriptorBound);
+    }
+    expectServing();
+}
