Collect the candidates for reclaiming in one place

Four copies of the same loop, in TrafficThread and HttpListener, become one template; the tests of heads with many fields share what they send. No change of behaviour: NetTests pass as before.

--- a/lib/Net/HttpListener.cpp
+++ b/lib/Net/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "HttpListener.h"
 
+#include "ReclaimCandidates.h"
 #include "RequestParser.h"
 #include "berylridge/Policy/Reclaim.h"
 
@@ -168,17 +169,10 @@
 {
     if (sessions.size() < limits.connectionLimit)
         return;
-    std::vector<Session *> candidates;
-    std::vector<WaitingConnection> connections;
-    for (Session *session : sessions) {
-        if (const auto connection = session->waitingConnection()) {
-            candidates.push_back(session);
-            connections.push_back(*connection);
-        }
-    }
+    const ReclaimCandidates candidates(sessions, &Session::waitingConnection);
     const std::size_t count = 1 + limits.connectionLimit / reclaimedConnectionsDivisor;
-    for (const std::size_t index : selectConnectionsToClose(connections, count))
-        candidates[index]->close();
+    for (const std::size_t index : selectConnectionsToClose(candidates.states, count))
+        candidates.sessions[index]->close();
 }
 
 /// Closes connections whose requests exceed the memory together.
@@ -186,16 +180,9 @@
 {
     if (!memory().isReclaimNeeded())
         return;
-    std::vector<Session *> candidates;
-    std::vector<PartialRequest> requests;
-    for (Session *session : sessions) {
-        if (const auto request = session->partialRequest()) {
-            candidates.push_back(session);
-            requests.push_back(*request);
-        }
-    }
-    for (const std::size_t index : selectRequestsToDrop(requests, memory()))
-        candidates[index]->close();
+    const ReclaimCandidates candidates(sessions, &Session::partialRequest);
+    for (const std::size_t index : selectRequestsToDrop(candidates.states, memory()))
+        candidates.sessions[index]->close();
 }
 
 HttpListener::HttpListener(asio::io_context &context, ListenerLimits limits, Handler handler)
--- a/lib/Net/TrafficThread.cpp
+++ b/lib/Net/TrafficThread.cpp
@@ -3,6 +3,7 @@
 #include "CallerSession.h"
 #include "Exchange.h"
 #include "ProcessorTime.h"
+#include "ReclaimCandidates.h"
 #include "ThreadName.h"
 #include "berylridge/Support/FatalSignal.h"
 #include "berylridge/Support/Hash.h"
@@ -160,20 +161,13 @@
     const std::uint64_t limit = m_options.connectionLimit;
     if (m_metrics.connectionsOpen < limit)
         return true;
-    std::vector<CallerSession *> sessions;
-    std::vector<WaitingConnection> connections;
-    for (CallerSession *session : m_sessions) {
-        if (const auto connection = session->waitingConnection()) {
-            sessions.push_back(session);
-            connections.push_back(*connection);
-        }
-    }
+    const ReclaimCandidates candidates(m_sessions, &CallerSession::waitingConnection);
     const std::size_t count = 1 + limit / reclaimedConnectionsDivisor;
-    const auto selected = selectConnectionsToClose(connections, count);
+    const auto selected = selectConnectionsToClose(candidates.states, count);
     for (const std::size_t index : selected) {
         ++m_metrics.connectionsReclaimed;
         ++m_closedConnections;
-        sessions[index]->closeForOthers();
+        candidates.sessions[index]->closeForOthers();
     }
     return !selected.empty();
 }
@@ -183,18 +177,11 @@
     const MemoryUse memory = m_callerMemory.use();
     if (!memory.isReclaimNeeded())
         return;
-    std::vector<CallerSession *> sessions;
-    std::vector<PartialRequest> requests;
-    for (CallerSession *session : m_sessions) {
-        if (const auto request = session->partialRequest()) {
-            sessions.push_back(session);
-            requests.push_back(*request);
-        }
-    }
-    for (const std::size_t index : selectRequestsToDrop(requests, memory)) {
+    const ReclaimCandidates candidates(m_sessions, &CallerSession::partialRequest);
+    for (const std::size_t index : selectRequestsToDrop(candidates.states, memory)) {
         ++m_metrics.requestsDroppedForMemory;
         ++m_droppedRequests;
-        sessions[index]->rejectPartialRequest();
+        candidates.sessions[index]->rejectPartialRequest();
     }
 }
 
--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -47,6 +47,15 @@
         + unfinishedChunks(bodyBytes, chunkBytes);
 }
 
+/// Returns a request without its body, whose head has this many fields without a value.
+std::string requestWithEmptyFields(const std::string &path, std::size_t count)
+{
+    std::string fields = "Content-Length: 100\r\n";
+    for (std::size_t i = 0; i < count; ++i)
+        fields += "a:\r\n";
+    return requestHead(path, fields);
+}
+
 std::string requestWithLength(std::size_t announcedBytes, std::size_t sentBytes)
 {
     return requestHead(purchasePath, "Content-Length: " + std::to_string(announcedBytes) + "\r\n")
@@ -136,11 +145,8 @@
 TEST_F(HostileClients, UnfinishedRequestsWithManyFields)
 {
     ASSERT_NO_FATAL_FAILURE(startRouter());
-    std::string fields = "Content-Length: 100\r\n";
-    for (int i = 0; i < 4000; ++i)
-        fields += "a:\r\n";
     ClientCrowd crowd(m_fleet->router(0).callers, 400);
-    crowd.send(requestHead(purchasePath, fields));
+    crowd.send(requestWithEmptyFields(purchasePath, 4000));
     expectServing();
 }
 
@@ -210,11 +216,8 @@
 TEST_F(HostileClients, UnfinishedRequestsWithManyFieldsAtThePeerListener)
 {
     ASSERT_NO_FATAL_FAILURE(startRouter());
-    std::string fields = "Content-Length: 100\r\n";
-    for (int i = 0; i < 1900; ++i)
-        fields += "a:\r\n";
     ClientCrowd crowd(m_fleet->router(0).peers, 900);
-    crowd.send(requestHead("/rpc", fields));
+    crowd.send(requestWithEmptyFields("/rpc", 1900));
     expectServing();
 }
 
