--- a/test/process/HostileClientsTest.cpp
+++ b/test/process/HostileClientsTest.cpp
@@ -6,6 +6,7 @@
 #include "berylridge/Support/Random.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <gtest/gtest.h>
 #include <memory>
@@ -231,13 +232,14 @@
 }
 
 // Guards against memory and descriptors that each wave of clients leaves behind. Waves of different
-// kinds overlap.
+// kinds overlap. BERYLRIDGE_WAVES_SEED selects other waves.
 TEST_F(HostileClients, WavesOfAllKinds)
 {
     constexpr std::size_t waves = 24;
     constexpr std::size_t openWaves = 4;
     ASSERT_NO_FATAL_FAILURE(startRouterWithFewDescriptors());
-    RandomEngine random(71);
+    const char *const seed = std::getenv("BERYLRIDGE_WAVES_SEED");
+    RandomEngine random(seed ? std::stoul(seed) : 71);
     const auto below = [&random](std::size_t limit) { return random() % limit; };
     std::deque<std::unique_ptr<ClientCrowd>> crowds;
     for (std::size_t wave = 0; wave < waves; ++wave) {
