Reject responses whose status code is out of range

Cause: Beast's parser takes any three digits for a status code, and nothing after it looked at the number. RFC 9110, section 15: a status code outside 100 to 599 is invalid. As the head counted, so did what it said: the advice in it was used, the answer was stored for repeats of its idempotency key, and on a reused connection it was skipped as one to an earlier request.

Change: ResponseParser fails at such a status line, so no reader sees a head. The attempt ends as an invalid response, after which the request may have run: the caller gets 502, or the request is retried where that is allowed. The client for peers, targets' reports and the platform uses the same parser.

Names of fields with blanks, control bytes or separators were rejected before; their tests stay.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,8 +1,9 @@
 #include "berylridge/Net/HttpClient.h"
 
+#include "berylridge/Net/ResponseParser.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
@@ -38,7 +39,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer {maxBufferBytes};
     std::shared_ptr<const StringRequest> request;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<ResponseParser<http::string_body>> parser;
 };
 
 HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint, std::uint64_t responseLimit)
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -6,12 +6,12 @@
 #include "berylridge/Net/Asio.h"
 
 #include "berylridge/Net/Metrics.h"
+#include "berylridge/Net/ResponseParser.h"
 #include "berylridge/Net/WireProtocol.h"
 #include "berylridge/Router/Actions.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -116,7 +116,7 @@
     Clock::time_point m_attemptDeadline;
     Clock::time_point m_lastByteAt; ///< When the target last sent something, or the start.
     beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::optional<ResponseParser<http::buffer_body>> m_parser;
     std::vector<char> m_bodyBuffer;
     int m_interimResponses = 0;   ///< Number of the interim responses so far.
     std::size_t m_strayBytes = 0; ///< Body bytes of the responses to earlier requests.
--- a/unittests/Net/NodeFixture.cpp
+++ b/unittests/Net/NodeFixture.cpp
@@ -265,6 +265,14 @@
     return m_lines;
 }
 
+WireProtocolHandle protocolWithUnframedResponses()
+{
+    WireProtocolHandle protocol = nativeProtocol();
+    protocol.traits.streamsEndWithDoneEvent = false;
+    protocol.traits.acceptsUnframedResponses = true;
+    return protocol;
+}
+
 std::string requestText(const std::string &method, const std::string &path,
                         const std::string &fields, const std::string &body)
 {
--- a/unittests/Net/NodeFixture.h
+++ b/unittests/Net/NodeFixture.h
@@ -187,6 +187,10 @@
     std::thread m_thread;
 };
 
+/// Returns the native protocol with responses that end with their connection, as other protocols
+/// accept them.
+WireProtocolHandle protocolWithUnframedResponses();
+
 /// Returns the text of a complete request.
 std::string requestText(const std::string &method, const std::string &path,
                         const std::string &fields = {}, const std::string &body = {});
--- a/unittests/Net/UnframedResponseTest.cpp
+++ b/unittests/Net/UnframedResponseTest.cpp
@@ -9,15 +9,6 @@
 constexpr const char *plainHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 constexpr const char *twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-/// The native protocol where such responses are accepted.
-WireProtocolHandle protocolWithUnframedResponses()
-{
-    WireProtocolHandle protocol = nativeProtocol();
-    protocol.traits.streamsEndWithDoneEvent = false;
-    protocol.traits.acceptsUnframedResponses = true;
-    return protocol;
-}
-
 /// Serves one request with a target that sends the text and then ends the connection.
 class UnframedResponseTest : public testing::Test
 {
