Reject responses with folded field lines

What callers saw: a target in trouble sent a head in which a line began with a blank or a tab, so that the name of a field held a blank.

Cause: Beast's parser unfolds obsolete line folding. What it takes for the rest of a value is a field for another reader, which may end the body elsewhere. RFC 9112, section 5.2, lets a gateway replace such a response by 502. There is no setting for it.

Change: ResponseParser fails if a value isn't on the line of its name. Beast passes views of the input, and a copy or a view of a later line where it has unfolded; no other value lies elsewhere than behind the colon and the blanks. So heads, interim responses and trailers are covered, for targets, peers and the platform.

--- a/include/berylridge/Net/ResponseParser.h
+++ b/include/berylridge/Net/ResponseParser.h
@@ -7,8 +7,8 @@
 
 namespace berylridge {
 
-/// Fails with the error bad_status at a status code that is out of range, which Beast's own parser
-/// accepts.
+/// Fails at a head that Beast's own parser accepts although it is no valid one: with bad_status if
+/// the status code is out of range, with bad_field at a folded field line.
 template <typename Body>
 class ResponseParser final : public http::response_parser<Body>
 {
@@ -29,6 +29,27 @@
         response.version(static_cast<unsigned>(version));
         response.reason(reason);
     }
+
+    void on_field_impl(http::field name, beast::string_view nameText, // NOLINT: the library's name
+                       beast::string_view value, error_code &error) override
+    {
+        // Another reader takes the continuation of a folded line for a field of its own, which may
+        // give the body another length. RFC 9112, section 5.2, lets a gateway reject the response.
+        if (isFolded(nameText, value))
+            error = http::error::bad_field;
+        else
+            this->get().insert(name, nameText, value);
+    }
+
+    /// Returns whether the value isn't on the line of its name. Beast passes views of the input,
+    /// and a copy of the value if it has joined several lines.
+    static bool isFolded(beast::string_view name, beast::string_view value)
+    {
+        const char *begin = name.data() + name.size() + 1; // Behind the colon.
+        while (*begin == ' ' || *begin == '\t')
+            ++begin;
+        return begin != value.data();
+    }
 };
 
 } // namespace berylridge
--- a/unittests/Net/BrokenResponseTest.cpp
+++ b/unittests/Net/BrokenResponseTest.cpp
@@ -38,6 +38,12 @@
     return lines;
 }
 
+/// Field lines with obsolete line folding (RFC 9112, section 5.2). A reader that takes the
+/// continuation for a field line finds a name that begins with a blank.
+constexpr auto foldedLines = std::to_array<const char *>(
+    {"X-A: 1\r\n 2", "X-A: 1\r\n\t2", "X-A: 1\r\n X-B: 2", "X-A:\r\n 2", "X-A:\r\n ", "X-A: 1\r\n ",
+     "X-A: 1\r\n \r\n 2", "X-A: 1\r\n Content-Length: 2", "X-A: 1\r\n Transfer-Encoding: chunked"});
+
 /// The native protocol with advice, late responses and responses without a length.
 WireProtocolHandle testProtocol()
 {
@@ -174,6 +180,8 @@
     const std::string fields = "Retry-After: 60\r\nX-Test-Leaving: 1\r\n";
     for (const std::string status : invalidStatuses)
         expectRejected(withStatus(status, fields));
+    expectRejected("HTTP/1.1 503 Service Unavailable\r\n" + fields
+                   + "X-A: 1\r\n Content-Length: 4\r\n\r\nclay");
 }
 
 // Guards against a broken response that is skipped as one to an earlier request: the next response
@@ -182,6 +190,9 @@
 {
     const std::string late = "X-Test-Late: 1\r\n";
     expectRejected(withStatus("000", late) + okResponse, true);
+    expectRejected("HTTP/1.1 200 OK\r\n" + late + "X-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n"
+                       + okResponse,
+                   true);
 }
 
 // Guards against field lines whose name no two readers agree on.
@@ -193,6 +204,17 @@
     }
 }
 
+// Guards against a line that one reader takes for a field and another for the rest of a value: its
+// body has another length for each of them.
+TEST_F(BrokenResponseTest, FoldedFieldLineIsNoResponse)
+{
+    for (const std::string line : foldedLines) {
+        expectRejected(withLine(line));
+        expectRejected("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n4\r\nclay\r\n0\r\n\r\n");
+        expectRejected("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + okResponse);
+    }
+}
+
 // Guards against a continuation that stands where no field precedes it.
 TEST_F(BrokenResponseTest, FirstLineThatBeginsWithABlankIsNoResponse)
 {
@@ -204,7 +226,9 @@
 {
     const std::string begin
         = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nclay\r\n0\r\n";
-    for (const std::string &line : invalidLines()) {
+    std::vector<std::string> lines(invalidLines().begin(), invalidLines().end());
+    lines.insert(lines.end(), foldedLines.begin(), foldedLines.end());
+    for (const std::string &line : lines) {
         serve(begin + line + "\r\n\r\n", nativeProtocol());
         EXPECT_TRUE(done.empty()) << line;
         EXPECT_EQ(failed.size(), 1U) << line;
@@ -235,6 +259,8 @@
         EXPECT_EQ(replyTo(withStatus(status)).failure, AttemptFailure::InvalidResponse) << status;
     for (const std::string &line : invalidLines())
         EXPECT_EQ(replyTo(withLine(line)).failure, AttemptFailure::InvalidResponse) << line;
+    for (const std::string line : foldedLines)
+        EXPECT_EQ(replyTo(withLine(line)).failure, AttemptFailure::InvalidResponse) << line;
     EXPECT_EQ(replyTo(okResponse).body, "whole");
 }
 
