Fail a response without a length after a reset during the request

What callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The same for a stream of whole events, for a 404, and for a target that closes its socket with the upload unread.

Cause: the operating system reports the error of a connection once, to the call that asks first. When the write was told of the reset, the read after it got the bytes in the buffer and then an end of file, which ends a response without a length. Of the write's error the attempt kept only that the request wasn't sent whole.

Evidence, before the change: UnframedResponseTest.ResetDuringTheRequestIsBrokenOff and CloseWithUnreadRequestIsBrokenOff failed, with a complete answer at the caller and AttemptDone at the core.

Change: the attempt keeps the write's result. At an end of file that would end a response it fails with that error, as with a reset that the read is told. Exceptions are broken_pipe, which the write gets if the target ended its side before the reset, so that the response is whole, and no error. If the write is still in progress, it is ended first: its result may be known and not yet delivered, and a target that answers early needn't read the rest.

A write that times out after the target's end of file, while the caller takes its answer slowly, can't be told from a broken connection and fails the response too.

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -148,15 +148,28 @@
     // A failed write doesn't end the attempt: the target may have responded before it closed the
     // connection, and readHead() reads that response. A target may also respond before it has read
     // a long body.
-    asio::async_write(m_socket, bytes, [self = shared_from_this()](error_code error, std::size_t) {
-        self->m_isRequestSent = !error;
-    });
+    asio::async_write(
+        m_socket, bytes,
+        [self = shared_from_this()](const error_code &error, std::size_t size) {
+            return self->m_isAwaitingWriteResult ? 0 : asio::transfer_all()(error, size);
+        },
+        [self = shared_from_this()](error_code error, std::size_t size) {
+            self->onRequestWritten(error, size);
+        });
     // A single limit covers the heads and bodies of all responses before the one to this request.
     const bool hasFirst = m_dispatch.firstByteTimeout > Duration(0);
     setReadTimeout(hasFirst ? m_dispatch.firstByteTimeout : m_dispatch.idleTimeout);
     readHead();
 }
 
+void TargetAttempt::onRequestWritten(error_code error, std::size_t size)
+{
+    const bool isWhole = size == m_request.head.size() + m_request.body.size();
+    m_writeResult = !error && !isWhole ? error_code(asio::error::operation_aborted) : error;
+    if (m_isAwaitingWriteResult)
+        onRead(asio::error::eof, 0);
+}
+
 void TargetAttempt::readHead()
 {
     m_parser.emplace();
@@ -301,9 +314,14 @@
     m_buffer.commit(size);
     m_lastByteAt = Clock::now();
     if (error == asio::error::eof) {
-        // Sets the error to what is missing. The end of a response without a length is no error.
-        error = {};
-        m_parser->put_eof(error);
+        if (m_parser->need_eof() && !m_writeResult) {
+            // Ends the write: the target may never read the rest of the request.
+            m_isAwaitingWriteResult = true;
+            error_code ignored;
+            m_socket.cancel(ignored);
+            return;
+        }
+        error = errorAtEndOfFile();
     }
     if (error) {
         fail(failureOf(error));
@@ -312,6 +330,23 @@
     readBody();
 }
 
+/// Returns what is wrong with a response that ends here.
+error_code TargetAttempt::errorAtEndOfFile()
+{
+    // The operating system reports the error of a connection once. If the write was told of a
+    // reset, reading meets an end of file that the target didn't send. After one that it did send,
+    // the write fails with broken_pipe.
+    const error_code writeError = m_writeResult.value_or(error_code());
+    const bool isBroken = writeError && writeError != asio::error::broken_pipe
+        && writeError != asio::error::operation_aborted;
+    if (m_parser->need_eof() && isBroken)
+        return writeError;
+    // Sets the error to what is missing. The end of a response without a length is no error.
+    error_code error;
+    m_parser->put_eof(error);
+    return error;
+}
+
 void TargetAttempt::onBodyBytes(std::size_t size)
 {
     if (m_isSkippingStrayResponse) {
@@ -358,7 +393,7 @@
     m_deadline->stop();
     // The connection is not reusable if bytes are left over, or if the target still has to read the
     // rest of the request: the next request would be out of step with its response.
-    if (m_parser->keep_alive() && m_isRequestSent && m_buffer.size() == 0) {
+    if (m_parser->keep_alive() && isRequestSent() && m_buffer.size() == 0) {
         m_pool.put(m_dispatch.endpoint, std::move(m_socket),
                    announcedIdleTimeout(m_parser->get().base()), m_dispatch.idleConnectionLimit,
                    Clock::now());
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -88,6 +88,8 @@
     bool failIfHeld();
     void connect();
     void sendRequest();
+    void onRequestWritten(error_code error, std::size_t size);
+    bool isRequestSent() const { return m_writeResult && !*m_writeResult; }
     void readHead();
     void onHead(error_code error);
     bool hasSupportedFraming(const ResponseHead &head) const;
@@ -95,6 +97,7 @@
     void skipStrayResponse();
     std::size_t parseBody(error_code &error);
     void onRead(error_code error, std::size_t size);
+    error_code errorAtEndOfFile();
     void onBodyBytes(std::size_t size);
     void finish();
     void fail(AttemptFailure failure);
@@ -123,8 +126,11 @@
     int m_strayResponses = 0;     ///< Number of the responses to earlier requests.
     bool m_isConnecting = false;
     bool m_sentAny = false;
-    bool m_isRequestSent = false; ///< The operating system has accepted the whole request.
-    bool m_isReused = false;      ///< The connection served an earlier request.
+    /// Why the request was not sent whole, or no error if the operating system has accepted all of
+    /// it. Empty while it is being written.
+    std::optional<error_code> m_writeResult;
+    bool m_isAwaitingWriteResult = false; ///< The connection has ended, and so will the write.
+    bool m_isReused = false;              ///< The connection served an earlier request.
     bool m_isSkippingStrayResponse
         = false; ///< The response being read belongs to an earlier request.
     bool m_isResponseEnd = false;
--- a/unittests/Net/NodeFixture.cpp
+++ b/unittests/Net/NodeFixture.cpp
@@ -87,20 +87,33 @@
     };
 }
 
-std::string FakeTargetConnection::readRequest()
+bool FakeTargetConnection::readSome()
 {
     std::array<char, 4096> bytes {};
-    std::size_t end = std::string::npos;
-    while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos
-           || m_buffer.size() < end + 4 + contentLength(m_buffer.substr(0, end))) {
-        error_code error;
-        const std::size_t size = m_socket.read_some(asio::buffer(bytes), error);
-        if (error)
+    error_code error;
+    const std::size_t size = m_socket.read_some(asio::buffer(bytes), error);
+    m_buffer.append(bytes.data(), size);
+    return !error;
+}
+
+bool FakeTargetConnection::readHead()
+{
+    while (m_buffer.find("\r\n\r\n") == std::string::npos)
+        if (!readSome())
+            return false;
+    return true;
+}
+
+std::string FakeTargetConnection::readRequest()
+{
+    if (!readHead())
+        return {};
+    const std::size_t end = m_buffer.find("\r\n\r\n");
+    const std::size_t length = contentLength(m_buffer.substr(0, end));
+    while (m_buffer.size() < end + 4 + length)
+        if (!readSome())
             return {};
-        m_buffer.append(bytes.data(), size);
-    }
     m_head = m_buffer.substr(0, end + 2);
-    const std::size_t length = contentLength(m_head);
     m_body = m_buffer.substr(end + 4, length);
     m_buffer.erase(0, end + 4 + length);
     return m_head;
@@ -130,6 +143,12 @@
     return error == asio::error::eof || error == asio::error::connection_reset;
 }
 
+void FakeTargetConnection::halfClose()
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void FakeTargetConnection::reset()
 {
     error_code ignored;
--- a/unittests/Net/NodeFixture.h
+++ b/unittests/Net/NodeFixture.h
@@ -89,6 +89,9 @@
     /// Reads the next request and returns its head; returns an empty string when the connection
     /// ends.
     std::string readRequest();
+    /// Reads until the next request's head has arrived, and leaves the rest of its body unread.
+    /// Returns false when the connection ends.
+    bool readHead();
     const std::string &body() const { return m_body; }
     /// Returns a field of the last request's head.
     std::string field(const std::string &name) const;
@@ -96,10 +99,14 @@
     bool send(std::string_view bytes);
     /// Waits until the router closes the connection. Returns whether it did.
     bool waitForClose();
+    /// Closes the sending direction only.
+    void halfClose();
     /// Closes the connection with a TCP reset.
     void reset();
 
 private:
+    bool readSome();
+
     tcp::socket m_socket;
     std::string m_buffer;
     std::string m_head;
--- a/unittests/Net/UnframedResponseTest.cpp
+++ b/unittests/Net/UnframedResponseTest.cpp
@@ -9,25 +9,49 @@
 constexpr const char *plainHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 constexpr const char *twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
+/// More than the sockets between the router and a target buffer.
+constexpr std::size_t uploadBytes = 3'900'000;
+
 /// Serves one request with a target that sends the text and then ends the connection.
 class UnframedResponseTest : public testing::Test
 {
 protected:
     void serve(const std::string &text, bool isReset = false)
     {
-        FakeTarget target([&](FakeTargetConnection &peer) {
-            peer.readRequest();
-            peer.send(text);
-            if (isReset)
-                peer.reset();
-        });
+        serveWith(
+            [&](FakeTargetConnection &peer) {
+                peer.readRequest();
+                peer.send(text);
+                if (isReset)
+                    peer.reset();
+            },
+            "prompt");
+    }
+
+    /// Serves a long request with a target that sends the text before it has read the body, and
+    /// then ends the connection.
+    void serveUpload(const std::string &text, const FakeTarget::Script &end)
+    {
+        serveWith(
+            [&](FakeTargetConnection &peer) {
+                peer.readHead();
+                peer.send(text);
+                end(peer);
+            },
+            std::string(uploadBytes, 'x'));
+    }
+
+    void serveWith(const FakeTarget::Script &script, const std::string &body)
+    {
+        FakeTarget target(script);
         FakeCore core(forwardTo(target.endpoint()));
         {
             TestNode node(core, {}, {}, protocolWithUnframedResponses());
             FakeCaller caller = node.caller();
-            caller.send(requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n",
-                                    "prompt"));
+            caller.send(
+                requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", body));
             response = caller.readAll();
+            isServed = true;
             // The caller may have read the last byte before the core learns of the attempt's end.
             EXPECT_TRUE(eventually([&] {
                 return !core.receivedEvents<AttemptDone>().empty()
@@ -46,6 +70,14 @@
         EXPECT_EQ(response.find("\r\n0\r\n\r\n"), std::string::npos) << response;
     }
 
+    void expectRelayed(std::string_view body)
+    {
+        EXPECT_TRUE(failed.empty());
+        EXPECT_EQ(done.size(), 1U);
+        EXPECT_NE(response.find(body), std::string::npos) << response;
+    }
+
+    std::atomic<bool> isServed {false}; ///< The caller's connection has ended.
     std::string response;
     std::vector<AttemptDone> done;
     std::vector<AttemptFailed> failed;
@@ -125,4 +157,55 @@
     expectBrokenOff(AttemptFailure::Reset);
 }
 
+// Guards against a reset that arrives while the request is being written and looks like the end of
+// the response: the system reports it to the write, and the read meets an end of file.
+TEST_F(UnframedResponseTest, ResetDuringTheRequestIsBrokenOff)
+{
+    const std::string error = "HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n";
+    for (const std::string &text : {plainHead + std::string("ten bytes!"),
+                                    std::string(streamHead) + twoEvents, error, error + "none"}) {
+        serveUpload(text, [](FakeTargetConnection &peer) { peer.reset(); });
+        expectBrokenOff(AttemptFailure::Reset);
+    }
+}
+
+// Guards against the same reset from a target that closes its socket with the request unread.
+TEST_F(UnframedResponseTest, CloseWithUnreadRequestIsBrokenOff)
+{
+    serveUpload(plainHead + std::string("ten bytes!"), [](FakeTargetConnection &) {});
+    expectBrokenOff(AttemptFailure::Reset);
+}
+
+// Guards against a complete response being lost to the reset that follows it.
+TEST_F(UnframedResponseTest, ResponseWithALengthBeforeTheResetIsRelayed)
+{
+    serveUpload("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nclay",
+                [](FakeTargetConnection &peer) { peer.reset(); });
+    expectRelayed("\r\n\r\nclay");
+}
+
+// Guards against an early response that waits for a request which its target doesn't read.
+TEST_F(UnframedResponseTest, EarlyResponseIsCompleteWhileTheRequestIsUnread)
+{
+    for (const std::string head : {plainHead, streamHead}) {
+        isServed = false;
+        serveUpload(head + twoEvents, [this](FakeTargetConnection &peer) {
+            peer.halfClose();
+            eventually([this] { return isServed.load(); });
+        });
+        expectRelayed("data: b\n\n");
+    }
+}
+
+// Guards against a complete response being lost to the reset of a target that ended its side
+// properly before.
+TEST_F(UnframedResponseTest, ResetAfterTheEndOfTheResponseIsIgnored)
+{
+    serveUpload(plainHead + std::string("clay"), [](FakeTargetConnection &peer) {
+        peer.halfClose();
+        peer.reset();
+    });
+    expectRelayed("clay");
+}
+
 } // namespace berylridge::test
