Skip interim responses to the calls of a node

What was seen: a call to a peer, a target's report or the platform whose server sends an interim response (100, 103) first ended with that one. If the final response arrived later, it was read as the reply to the next call on the connection.

Cause: as with an invalid status, nothing looked at the number of a status that was read. Only attempts at targets skipped interim responses.

Evidence, before the change: of HttpClientTest.interimResponseIsNoReply both replies were "100"; interimResponsesWithoutEndFailTheCall failed too.

Change: the client reads on after an interim response, within the time of the call and up to the number that attempts accept, which moves to ResponseParser with the check.

Measured: both tests pass.

--- a/include/berylridge/Net/ResponseParser.h
+++ b/include/berylridge/Net/ResponseParser.h
@@ -12,6 +12,17 @@
 template <typename Body>
 class ResponseParser final : public http::response_parser<Body>
 {
+public:
+    /// Maximum number of interim responses to a request.
+    static constexpr int maxInterimResponses = 32;
+
+    /// Returns whether the head is one of an interim response, which another response follows.
+    bool isInterim() const
+    {
+        const unsigned status = this->get().result_int();
+        return status < 200 && status != 101;
+    }
+
 private:
     /// RFC 9110, section 15: all valid status codes are within this range.
     static constexpr int minStatus = 100;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -40,6 +40,7 @@
     beast::flat_buffer buffer {maxBufferBytes};
     std::shared_ptr<const StringRequest> request;
     std::optional<ResponseParser<http::string_body>> parser;
+    int interimResponses = 0; ///< Number of the interim responses to the current call.
 };
 
 HttpClient::HttpClient(asio::io_context &context, Endpoint endpoint, std::uint64_t responseLimit)
@@ -112,6 +113,7 @@
 {
     m_connection->stream.expires_after(m_calls.front().timeout);
     m_connection->request = m_calls.front().request;
+    m_connection->interimResponses = 0;
     http::async_write(
         m_connection->stream, *m_connection->request,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
@@ -134,6 +136,14 @@
 
 void HttpClient::receiveBody()
 {
+    const auto &parser = *m_connection->parser;
+    if (parser.isInterim()) {
+        if (++m_connection->interimResponses > parser.maxInterimResponses)
+            onFailure(AttemptFailure::InvalidResponse);
+        else
+            receive();
+        return;
+    }
     http::async_read(
         m_connection->stream, m_connection->buffer, *m_connection->parser,
         [self = shared_from_this(), connection = m_connection](error_code error, std::size_t) {
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -24,8 +24,6 @@
 constexpr std::size_t maxChunkHeadBytes = 16 << 10;
 static_assert(maxChunkHeadBytes + readBufferBytes <= maxHeadBytes, "the buffer has no more room");
 
-/// Maximum number of interim responses to a request.
-constexpr int maxInterimResponses = 32;
 /// Limits for late responses to earlier requests on a connection: the size of their bodies, and the
 /// number of responses.
 constexpr std::size_t maxStrayBytes = 1 << 20;
@@ -39,11 +37,6 @@
     return Deadline::Clock::time_point(dispatch.notAfter.time_since_epoch());
 }
 
-bool isInterim(unsigned status)
-{
-    return status >= 100 && status < 200 && status != 101;
-}
-
 AttemptFailure failureOf(const error_code &error)
 {
     if (error == http::error::partial_message || error == asio::error::eof)
@@ -197,14 +190,14 @@
         return;
     }
     m_lastByteAt = Clock::now();
-    const ResponseHead &head = m_parser->get().base();
-    if (isInterim(head.result_int())) {
-        if (++m_interimResponses > maxInterimResponses)
+    if (m_parser->isInterim()) {
+        if (++m_interimResponses > m_parser->maxInterimResponses)
             fail(AttemptFailure::InvalidResponse);
         else
             readHead();
         return;
     }
+    const ResponseHead &head = m_parser->get().base();
     const ResponseInfo facts = m_owner->inspect(head);
     if (!facts.isForThisRequest && m_isReused) {
         skipStrayResponse();
--- a/unittests/Net/HttpClientTest.cpp
+++ b/unittests/Net/HttpClientTest.cpp
@@ -8,6 +8,12 @@
 namespace berylridge::test {
 namespace {
 
+/// Returns the path of a GET request.
+std::string pathOf(const std::string &head)
+{
+    return head.substr(4, head.find(" HTTP") - 4);
+}
+
 /// Runs `then` after the given number of iterations of the context's queue.
 void runAfterIterations(asio::io_context &context, int iterations,
                         const std::function<void()> &then)
@@ -32,7 +38,7 @@
                 const std::string head = peer.readRequest();
                 if (head.empty())
                     return;
-                const std::string path = head.substr(4, head.find(" HTTP") - 4);
+                const std::string path = pathOf(head);
                 peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size())
                           + "\r\n\r\n" + path);
             }
@@ -61,5 +67,50 @@
     }
 }
 
+// Guards against an interim response that is taken for the reply: the reply itself would then be
+// read as the one to the next call.
+TEST(HttpClientTest, interimResponseIsNoReply)
+{
+    FakeTarget server([](FakeTargetConnection &peer) {
+        for (std::string head = peer.readRequest(); !head.empty(); head = peer.readRequest()) {
+            peer.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n");
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(5)); // The client reads them alone.
+            const std::string path = pathOf(head);
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size())
+                      + "\r\n\r\n" + path);
+        }
+    });
+    asio::io_context context;
+    const auto client = std::make_shared<HttpClient>(context, server.endpoint());
+    std::vector<std::string> replies;
+    const auto onReply = [&](const HttpReply &reply) {
+        replies.push_back(std::to_string(reply.status) + ' ' + reply.body);
+    };
+    client->get("/first", testTimeout, onReply);
+    client->get("/second", testTimeout, onReply);
+    while (client->pending() > 0 && context.run_one_for(testTimeout) > 0)
+        continue;
+    client->close();
+    EXPECT_EQ(replies, (std::vector<std::string> {"200 /first", "200 /second"}));
+}
+
+// Guards against a server that sends nothing but interim responses and keeps a call waiting.
+TEST(HttpClientTest, interimResponsesWithoutEndFailTheCall)
+{
+    FakeTarget server([](FakeTargetConnection &peer) {
+        peer.readRequest();
+        while (peer.send("HTTP/1.1 102 Processing\r\n\r\n"))
+            continue;
+    });
+    asio::io_context context;
+    const auto client = std::make_shared<HttpClient>(context, server.endpoint());
+    std::optional<HttpReply> reply;
+    client->get("/", testTimeout, [&](HttpReply received) { reply = std::move(received); });
+    context.run();
+    client->close();
+    EXPECT_EQ(reply.value_or(HttpReply {}).failure, AttemptFailure::InvalidResponse);
+}
+
 } // namespace
 } // namespace berylridge::test
