Relay a repeated length of a response once

What callers saw: of a target that sends its length twice, or as "4, 4", the caller got it the same way. The body was right, but such a length is no valid one, and a strict reader rejects the answer.

Cause: Beast's parser checks that all lengths are equal, and the head is relayed as received. RFC 9110, section 8.6: a recipient that doesn't reject such a response replaces the field by a single value.

Evidence, before the change: BrokenResponseTest.RepeatedLengthIsRelayedOnce failed in its three forms.

Change: ResponseParser keeps one field with one value.

Measured: the test passes. Lengths that differ, a length beside chunks and two codings were rejected before; BrokenResponseTest.ContradictoryFramingIsNoResponse keeps that.

--- a/include/berylridge/Net/ResponseParser.h
+++ b/include/berylridge/Net/ResponseParser.h
@@ -46,8 +46,13 @@
     {
         // Another reader takes the continuation of a folded line for a field of its own, which may
         // give the body another length. RFC 9112, section 5.2, lets a gateway reject the response.
-        if (isFolded(nameText, value))
+        if (isFolded(nameText, value)) {
             error = http::error::bad_field;
+            return;
+        }
+        // Beast accepts a list of equal lengths. RFC 9110, section 8.6, replaces it by one.
+        if (name == http::field::content_length)
+            this->get().set(name, value.substr(0, value.find_first_of(", \t")));
         else
             this->get().insert(name, nameText, value);
     }
--- a/unittests/Net/BrokenResponseTest.cpp
+++ b/unittests/Net/BrokenResponseTest.cpp
@@ -236,6 +236,34 @@
     }
 }
 
+// Guards against a length that is relayed twice or as a list, which callers may reject or join.
+TEST_F(BrokenResponseTest, RepeatedLengthIsRelayedOnce)
+{
+    for (const std::string lengths :
+         {"Content-Length: 4\r\nContent-Length: 4", "Content-Length: 4, 4",
+          "Content-Length: 4 ,\t4\r\nX-A: 1\r\ncontent-length: 4"}) {
+        serve("HTTP/1.1 200 OK\r\n" + lengths + "\r\n\r\nclay", nativeProtocol());
+        EXPECT_EQ(done.size(), 1U) << lengths;
+        const std::size_t first = response.find("Content-Length: 4\r\n");
+        EXPECT_NE(first, std::string::npos) << response;
+        EXPECT_EQ(response.rfind("ontent-"), first + 1) << response;
+        EXPECT_TRUE(response.ends_with("\r\n\r\nclay")) << response;
+    }
+}
+
+// Guards against lengths and codings that give the body two ends.
+TEST_F(BrokenResponseTest, ContradictoryFramingIsNoResponse)
+{
+    for (const std::string fields :
+         {"Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5", "Content-Length: 4,",
+          "Content-Length: +4", "Content-Length: 4 4", "Content-Length: -1", "Content-Length:",
+          "Content-Length: 99999999999999999999", "Content-Length: 4\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip"})
+        expectRejected("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n4\r\nclay\r\n0\r\n\r\n");
+}
+
 // Guards against the rejection of responses that are unusual and valid.
 TEST_F(BrokenResponseTest, UnusualValidResponseIsRelayed)
 {
