Count broken responses as none in berylload

What was seen: berylload counted a response with status 042 and the expected body as served, 600 as an error of its target, and one with a folded field line as served. A report that counts them hides what callers got; only 000 was counted as no response.

Cause: the same as at the router: its parser takes any three digits and unfolds lines.

Evidence, before the change: HttpCallTest.BrokenResponseIsNoResponse failed with 042, 600, 999 and the folded line.

Change: its client uses ResponseParser.

Measured: the test passes.

--- a/tools/berylload/HttpCall.cpp
+++ b/tools/berylload/HttpCall.cpp
@@ -1,14 +1,11 @@
 #include "HttpCall.h"
 
+#include "berylridge/Net/ResponseParser.h"
+
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cctype>
 #include <limits>
@@ -16,11 +13,6 @@
 
 namespace berylridge {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-
 namespace {
 
 std::string lowerCase(std::string text)
@@ -194,7 +186,7 @@
     std::unique_ptr<beast::tcp_stream> m_stream;
     http::request<http::string_body> m_request;
     beast::flat_buffer m_buffer;
-    http::response_parser<http::string_body> m_parser;
+    ResponseParser<http::string_body> m_parser;
     CallResult m_result;
 };
 
