Tests: Errors that are reset, and writes that come to a halt

ErrorThatIsResetDuringTheRequestIsNotHeld: an error without a length that was reset during the request was held as complete, to be relayed.

A request of 3.9 MB fits into the buffers of the sockets, so that the write ended by itself in EarlyResponseIsCompleteWhileTheRequestIsUnread, also with the call taken out that ends it.

--- a/unittests/Net/UnframedResponseTest.cpp
+++ b/unittests/Net/UnframedResponseTest.cpp
@@ -10,7 +10,7 @@
 constexpr const char *twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 /// More than the sockets between the router and a target buffer.
-constexpr std::size_t uploadBytes = 3'900'000;
+constexpr std::size_t uploadBytes = 8 << 20;
 
 /// Serves one request with a target that sends the text and then ends the connection.
 class UnframedResponseTest : public testing::Test
@@ -46,7 +46,8 @@
         FakeTarget target(script);
         FakeCore core(forwardTo(target.endpoint()));
         {
-            TestNode node(core, {}, {}, protocolWithUnframedResponses());
+            TestNode node(
+                core, [](Settings &settings) { settings.bodyLimit = uploadBytes; }, {}, protocol);
             FakeCaller caller = node.caller();
             caller.send(
                 requestText("POST", "/v1/services/assistant/chat", "Connection: close\r\n", body));
@@ -77,6 +78,7 @@
         EXPECT_NE(response.find(body), std::string::npos) << response;
     }
 
+    WireProtocolHandle protocol = protocolWithUnframedResponses();
     std::atomic<bool> isServed {false}; ///< The caller's connection has ended.
     std::string response;
     std::vector<AttemptDone> done;
@@ -176,6 +178,24 @@
     expectBrokenOff(AttemptFailure::Reset);
 }
 
+// Guards against an error of which a part was received before the reset, and that is held and
+// relayed as complete.
+TEST_F(UnframedResponseTest, ErrorThatIsResetDuringTheRequestIsNotHeld)
+{
+    protocol.readResponseHead = [](const ResponseHead &, const AttemptIds &) {
+        ResponseInfo info;
+        info.failure = AttemptFailure::TargetError;
+        return info;
+    };
+    const std::string text = "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\npart";
+    serveUpload(text, [](FakeTargetConnection &peer) { peer.reset(); });
+    expectBrokenOff(AttemptFailure::TargetError);
+    EXPECT_FALSE(failed[0].hasHeldResponse);
+    serve(text);
+    expectBrokenOff(AttemptFailure::TargetError);
+    EXPECT_TRUE(failed[0].hasHeldResponse);
+}
+
 // Guards against a complete response being lost to the reset that follows it.
 TEST_F(UnframedResponseTest, ResponseWithALengthBeforeTheResetIsRelayed)
 {
@@ -189,7 +209,10 @@
 {
     for (const std::string head : {plainHead, streamHead}) {
         isServed = false;
-        serveUpload(head + twoEvents, [this](FakeTargetConnection &peer) {
+        serveUpload({}, [&](FakeTargetConnection &peer) {
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(50)); // The write comes to a halt.
+            peer.send(head + twoEvents);
             peer.halfClose();
             eventually([this] { return isServed.load(); });
         });
