--- a/include/berylridge/Net/ResponseParser.h
+++ b/include/berylridge/Net/ResponseParser.h
@@ -7,8 +7,8 @@
 
 namespace berylridge {
 
-/// Fails at a head that Beast's own parser accepts although it is no valid one: with bad_status if
-/// the status code is out of range, with bad_field at a folded field line.
+/// Rejects what Beast's own parser accepts: a status code that is out of range with the error
+/// bad_status, a folded field line with bad_field. Stores a list of equal lengths as one length.
 template <typename Body>
 class ResponseParser final : public http::response_parser<Body>
 {
@@ -24,7 +24,7 @@
     }
 
 private:
-    /// RFC 9110, section 15: all valid status codes are within this range.
+    /// Range of valid status codes (RFC 9110, section 15).
     static constexpr int minStatus = 100;
     static constexpr int maxStatus = 599;
 
@@ -50,7 +50,7 @@
             error = http::error::bad_field;
             return;
         }
-        // Beast accepts a list of equal lengths. RFC 9110, section 8.6, replaces it by one.
+        // A recipient rejects the list or replaces it (RFC 9110, section 8.6).
         if (name == http::field::content_length)
             this->get().set(name, value.substr(0, value.find_first_of(", \t")));
         else
--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -308,7 +308,7 @@
     m_lastByteAt = Clock::now();
     if (error == asio::error::eof) {
         if (m_parser->need_eof() && !m_writeResult) {
-            // Ends the write: the target may never read the rest of the request.
+            // The write may have failed already, or never end: the target needn't read the rest.
             m_isAwaitingWriteResult = true;
             error_code ignored;
             m_socket.cancel(ignored);
@@ -323,12 +323,12 @@
     readBody();
 }
 
-/// Returns what is wrong with a response that ends here.
+/// Returns why a response whose connection has ended is not complete; no error if it is.
 error_code TargetAttempt::errorAtEndOfFile()
 {
-    // The operating system reports the error of a connection once. If the write was told of a
-    // reset, reading meets an end of file that the target didn't send. After one that it did send,
-    // the write fails with broken_pipe.
+    // The operating system reports the error of a connection only once. If the write was told of a
+    // reset, reading meets an end of file that the target didn't send. If the target ended its side
+    // before the reset, the write fails with broken_pipe.
     const error_code writeError = m_writeResult.value_or(error_code());
     const bool isBroken = writeError && writeError != asio::error::broken_pipe
         && writeError != asio::error::operation_aborted;
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -129,8 +129,9 @@
     /// Why the request was not sent whole, or no error if the operating system has accepted all of
     /// it. Empty while it is being written.
     std::optional<error_code> m_writeResult;
-    bool m_isAwaitingWriteResult = false; ///< The connection has ended, and so will the write.
-    bool m_isReused = false;              ///< The connection served an earlier request.
+    bool m_isAwaitingWriteResult
+        = false; ///< The response has ended; the write, which is being ended, tells how.
+    bool m_isReused = false; ///< The connection served an earlier request.
     bool m_isSkippingStrayResponse
         = false; ///< The response being read belongs to an earlier request.
     bool m_isResponseEnd = false;
