--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -520,9 +520,12 @@
     record = Record(os.path.join(folder, 'record.txt'))
 
     async def limited():
+        case = asyncio.ensure_future(asyncio.wait_for(main(record), 105))
+        for number in (signal.SIGTERM, signal.SIGINT):      # Ends the processes that the case started.
+            asyncio.get_running_loop().add_signal_handler(number, case.cancel)
         try:
-            status = await asyncio.wait_for(main(record), 105)
-        except Exception as error:      # The case could not run.
+            status = await case
+        except (Exception, asyncio.CancelledError) as error:      # The case could not run.
             record.add('error', text=repr(error))
             print(repr(error))
             status = 2
