Replace the readers of a zone before the platform's answers are too old

Cause: two nodes of each zone read the platform's state, and the others learn it from these. When all readers lost power together, the others waited for `readerDigestTimeout`, 3 s, before they counted them as gone. The same followed from readers that were frozen, or that still sent digests and had lost their path to the platform (noticed after 2.6 s).

Evidence: the log of each surviving node says "begins to read the platform's state" 3.0 s after the kill, and the catalog is accepted right after it. The line now has the age of the platform's newest answer.

Change: a node counts the age of the newest answer of the platform to any node, which digests carry, and no longer the age of the readers' messages alone. Past the longest time of a watch and one rotation of digests (1.4 s in a zone of 3, 1.6 s in one of 42) one node of the zone reads; the next ones follow a rotation apart, and none where three nodes of the zone already call the platform, so that a platform that is down isn't called by all. Digests tell for how long their sender has waited for an answer. What the first read brings is announced to the zone at once, as the digests after it would take up to 0.3 s more.

Why it works: while any reader lives and is answered, no answer that a node knows of is older than 1.2 s (1.4 s in a zone of 42), in whichever way the others fail. After the bound one period passes until a node reads; 0.5 s (0.3 s) are left for the read and the relay.

--- a/include/berylridge/Catalog/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -27,7 +27,11 @@
     /// second.
     static constexpr Duration maxWatchTime = std::chrono::milliseconds(1300);
 
-    /// Records that the platform answered this node.
+    /// Records that this node begins to read the platform's state, or ceases to. A new object
+    /// counts as reading from its first answer on.
+    void onReadingStarted(TimePoint now);
+    void onReadingEnded();
+    /// Records that the platform answered this node, which then sends its next request if it reads.
     void onAnswered(TimePoint now);
     /// Records another node's report.
     void onReported(const Report &report, TimePoint now);
@@ -54,6 +58,9 @@
     /// if nodes exchanged each other's, the error of the time would grow with each message. Empty
     /// if the platform has not answered this node since its last outage.
     std::optional<Report> ownReport(TimePoint now) const;
+    /// Returns for how long this node has waited for an answer of the platform; empty if it doesn't
+    /// read the platform's state.
+    std::optional<Duration> ownWait(TimePoint now) const;
 
 private:
     struct Period
@@ -70,7 +77,9 @@
     std::optional<Period> m_up;   ///< The newest period without an outage.
     bool m_followsOutage = false; ///< Whether an outage preceded that period.
     std::optional<TimePoint> m_ownAnswerAt;
-    TimePoint m_backlogEnd {}; ///< Answers and reports before this time are ignored.
+    bool m_isReading = true;
+    std::optional<TimePoint> m_waitingSince; ///< When this node began to wait for an answer.
+    TimePoint m_backlogEnd {};               ///< Answers and reports before this time are ignored.
 };
 
 } // namespace berylridge
--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -58,8 +58,13 @@
     {
         m_versions.onPlatformRead(update.revision, update.isFullSnapshot, now);
     }
-    /// Records that this node no longer reads the platform itself.
-    void onPlatformReadingEnded() { m_versions.onReadingEnded(); }
+    /// Records that this node begins to read the platform itself, or ceases to.
+    void onPlatformReadingStarted(TimePoint now) { m_platformUptime.onReadingStarted(now); }
+    void onPlatformReadingEnded()
+    {
+        m_versions.onReadingEnded();
+        m_platformUptime.onReadingEnded();
+    }
     void onProcessResumed(TimePoint now) { m_platformUptime.onProcessResumed(now); }
     const PlatformUptime &platformUptime() const { return m_platformUptime; }
 
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -79,7 +79,10 @@
     std::uint32_t answeredMs = 0; ///< Milliseconds since the last answer.
     /// Milliseconds since the end of the last outage, at least 1; 0 if no answer is known.
     std::uint32_t upMs = 0;
-    MSGPACK_DEFINE(answeredMs, upMs)
+    /// Milliseconds for which the sender has waited for the platform's next answer, at least 1; 0
+    /// if it doesn't read the platform's state.
+    std::uint32_t waitingMs = 0;
+    MSGPACK_DEFINE(answeredMs, upMs, waitingMs)
 };
 
 /// Gossip message that a node sends to peers in each period. It serves as a heartbeat and carries
--- a/include/berylridge/Fleet/PeerTable.h
+++ b/include/berylridge/Fleet/PeerTable.h
@@ -58,6 +58,7 @@
         TimePoint lastListedAt {};              ///< When a peer list last contained it.
         bool isLeaving = false;
         bool isReadingPlatform = false;   ///< Whether it reads the platform's state successfully.
+        bool isCallingPlatform = false;   ///< Whether it sends requests to the platform.
         bool keepsVersionHistory = false; ///< See LoadDigest.
         std::uint8_t rotation = 0;        ///< Its RotationState; other values count as In.
     };
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -46,6 +46,7 @@
         , m_timersDueAt(now)
         , m_timersRanAt(now)
     {
+        m_context.directory.onPlatformReadingEnded();
     }
 
     void handle(const Event &event, TimePoint now, WallTime wall, Actions &actions);
@@ -56,6 +57,7 @@
     void dispatch(const Event &event);
     void onNodeMessage(const NodeMessage &message);
     void onCatalog(std::shared_ptr<const Catalog> catalog, const std::string &source);
+    void onPlatformDirectory(const DirectoryUpdate &directoryUpdate);
     void onDirectory(const DirectoryUpdate &directoryUpdate, const std::string &source);
     void logDirectoryChanges(const std::string &source);
     void onPlatformReachability(bool isReachable);
@@ -130,12 +132,7 @@
                    [&](const TargetAdviceArrived &e) { m_targetSelector.onAdvice(e); },
                    [&](const NodeMessage &e) { onNodeMessage(e); },
                    [&](const CatalogArrived &e) { onCatalog(e.catalog, "platform"); },
-                   [&](const DirectoryArrived &e) {
-                       m_context.directory.onPlatformAnswered(m_context.now);
-                       onDirectory(e.directoryUpdate, "platform");
-                       m_context.directory.onPlatformRead(e.directoryUpdate, m_context.now);
-                       m_streamOrigins.onPlatformRead();
-                   },
+                   [&](const DirectoryArrived &e) { onPlatformDirectory(e.directoryUpdate); },
                    [&](const PlatformRevisionRead &e) { m_streamOrigins.onPlatformRevision(e); },
                    [&](const PlatformReachability &e) { onPlatformReachability(e.isReachable); },
                    [&](const LeaveOrdered &e) { onLeave(e.who); },
@@ -210,6 +207,18 @@
     checkReady();
 }
 
+void BalancerCore::Impl::onPlatformDirectory(const DirectoryUpdate &directoryUpdate)
+{
+    const bool wasOverdue = m_reader.isAnswerOverdue();
+    m_context.directory.onPlatformAnswered(m_context.now);
+    onDirectory(directoryUpdate, "platform");
+    m_context.directory.onPlatformRead(directoryUpdate, m_context.now);
+    m_streamOrigins.onPlatformRead();
+    // No other node of the zone may have read lately, and each must soon act on what changed.
+    if (wasOverdue)
+        m_gossip.announceState();
+}
+
 void BalancerCore::Impl::onDirectory(const DirectoryUpdate &directoryUpdate,
                                      const std::string &source)
 {
@@ -356,12 +365,18 @@
     const bool wasReading = m_reader.isReadingPlatform();
     if (m_reader.update() == wasReading)
         return;
+    Json::Value fields;
+    if (const auto answeredAt = m_context.directory.platformUptime().answeredAt())
+        fields["platformAnsweredMs"] = toMilliseconds(m_context.now - *answeredAt);
     m_context.log(LogEventId::ReaderRole,
                   wasReading ? "ceases to read the platform's state"
-                             : "begins to read the platform's state");
+                             : "begins to read the platform's state",
+                  std::move(fields));
     m_context.emit(WatchPlatform {!wasReading});
     if (wasReading)
         m_context.directory.onPlatformReadingEnded();
+    else
+        m_context.directory.onPlatformReadingStarted(m_context.now);
     // A node that doesn't call the platform can't detect that it is unreachable.
     m_isPlatformReachable = true;
 }
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -73,6 +73,20 @@
     }
     if (!knowsState() && !m_reader.isStateKnownToPeers())
         requestInitialState(digest);
+    m_lastDigest = digest;
+}
+
+void GossipExchange::announceState()
+{
+    if (m_digestsSent == 0)
+        return;
+    const LoadDigest state = buildHeartbeat();
+    m_lastDigest.catalogVersion = state.catalogVersion;
+    m_lastDigest.directoryRevision = state.directoryRevision;
+    m_lastDigest.platform = state.platform;
+    m_lastDigest.peers.clear();
+    m_lastDigest.interruptedRequests.clear();
+    sendInOwnZone(m_lastDigest);
 }
 
 void GossipExchange::queueUpdates()
@@ -222,6 +236,8 @@
     digest.directoryRevision = m_context.directory.revision();
     digest.isSummarized = true;
     digest.platform = toStatus(m_context.directory.platformUptime().ownReport(m_context.now));
+    if (const auto wait = m_context.directory.platformUptime().ownWait(m_context.now))
+        digest.platform.waitingMs = std::max(1U, toMilliseconds(*wait));
     return digest;
 }
 
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -47,6 +47,9 @@
     };
     /// Sends this period's digests.
     void sendDigests(const OwnStatus &status);
+    /// Tells the nodes of this zone at once which state this node has, without waiting for the next
+    /// digests.
+    void announceState();
 
     void onDigest(const NodeId &from, Incarnation incarnation, const LoadDigest &digest);
     void onPlacements(const NodeId &from, Incarnation incarnation, const PlacementUpdate &update);
@@ -106,7 +109,8 @@
     TargetSelector &m_targetSelector;
     RequestProcessor &m_requests;
     ReaderRole &m_reader;
-    LoadDigest m_heartbeat;          ///< This period's digest without loads, flows and lists.
+    LoadDigest m_heartbeat; ///< This period's digest without loads, flows and lists.
+    LoadDigest m_lastDigest;
     std::uint64_t m_digestsSent = 0; ///< Number of digests built so far.
     TransmitLimitedQueue<PlacementEntry> m_placements;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWrites;
--- a/lib/Balancer/ReaderRole.cpp
+++ b/lib/Balancer/ReaderRole.cpp
@@ -69,8 +69,43 @@
     return std::max(catalogTime, directoryTime) >= maxTimeBehind + m_context.peers.rotationTime();
 }
 
+Duration ReaderRole::answerAge() const
+{
+    const auto answeredAt = m_context.directory.platformUptime().answeredAt();
+    return m_context.now - answeredAt.value_or(m_noAnswerSince);
+}
+
+/// Returns the time between the answers to one reader, and until its digest reaches this node.
+Duration ReaderRole::maxAnswerAge() const
+{
+    return PlatformUptime::maxWatchTime + m_context.peers.rotationTime();
+}
+
+/// All readers may end at the same moment, and only a read tells that from an outage of the
+/// platform. So that not all nodes call a platform that is down, the nodes of a zone begin one
+/// after the other, each after the digests of those before it have arrived.
+bool ReaderRole::shouldReplaceReaders() const
+{
+    const Duration overdue = answerAge() - maxAnswerAge();
+    const bool knowsRank = m_context.now - m_startedAt >= rankLearningTime || otherSeedCount() == 0;
+    if (m_isReading || overdue <= Duration(0) || !knowsRank)
+        return false;
+    const std::size_t callers
+        = countInZone(PeerTable::liveTimeout, [](const NodeId &, const PeerTable::Peer &peer) {
+              return peer.isCallingPlatform;
+          });
+    const std::size_t rank
+        = countInZone(PeerTable::liveTimeout, [&](const NodeId &node, const PeerTable::Peer &peer) {
+              return node < m_context.options.node && !peer.isCallingPlatform && !peer.isLeaving;
+          });
+    return callers <= readersPerZone
+        && overdue >= m_context.peers.rotationTime() * static_cast<int>(rank);
+}
+
 bool ReaderRole::update()
 {
+    if (m_context.directory.platformUptime().answeredAt())
+        m_noAnswerSince = m_context.now;
     m_isReading = shouldRead();
     return m_isReading;
 }
@@ -107,7 +142,7 @@
     const bool knowsState = m_context.routeTable && m_context.directory.revision() > 0;
     if (!knowsState)
         return shouldReadInitialState();
-    if (isPersistentlyBehind())
+    if (isPersistentlyBehind() || shouldReplaceReaders())
         m_mustReadUntil = now + minReadTime;
     if (now < m_mustReadUntil)
         return true;
@@ -128,18 +163,25 @@
 }
 
 template <typename Matches>
-std::size_t ReaderRole::countPreceding(Matches matches) const
+std::size_t ReaderRole::countInZone(Duration maxSilence, Matches matches) const
 {
     std::size_t count = 0;
     m_context.peers.forEach([&](const NodeId &node, const PeerTable::Peer &peer) {
-        const bool isAlive
-            = peer.lastMessageAt && m_context.now - *peer.lastMessageAt < readerDigestTimeout;
+        const bool isAlive = peer.lastMessageAt && m_context.now - *peer.lastMessageAt < maxSilence;
         const bool isSameZone = peer.zone == m_context.options.zone.str();
-        count += isAlive && isSameZone && node < m_context.options.node && matches(peer) ? 1 : 0;
+        count += isAlive && isSameZone && matches(node, peer) ? 1 : 0;
     });
     return count;
 }
 
+template <typename Matches>
+std::size_t ReaderRole::countPreceding(Matches matches) const
+{
+    return countInZone(readerDigestTimeout, [&](const NodeId &node, const PeerTable::Peer &peer) {
+        return node < m_context.options.node && matches(peer);
+    });
+}
+
 std::size_t ReaderRole::precedingReaders() const
 {
     return countPreceding(
--- a/lib/Balancer/ReaderRole.h
+++ b/lib/Balancer/ReaderRole.h
@@ -19,6 +19,7 @@
     explicit ReaderRole(BalancerContext &context)
         : m_context(context)
         , m_startedAt(context.now)
+        , m_noAnswerSince(context.now)
     {
     }
 
@@ -31,6 +32,9 @@
     /// Returns whether this node reads the platform's state from now on. Called once per period.
     bool update();
     bool isReadingPlatform() const { return m_isReading; }
+    /// Returns whether the platform's last answer to any node is older than readers leave it: they
+    /// may have ended or lost their path to the platform, or the platform is down.
+    bool isAnswerOverdue() const { return answerAge() > maxAnswerAge(); }
 
 private:
     /// A version of some state that a peer has and this node lacks.
@@ -47,8 +51,14 @@
     bool shouldRead();
     bool shouldReadInitialState() const;
     bool isPersistentlyBehind();
+    bool shouldReplaceReaders() const;
+    Duration answerAge() const;
+    Duration maxAnswerAge() const;
     bool isSeed() const;
     std::size_t otherSeedCount() const;
+    /// Counts the other nodes of this zone that match and sent a digest within the given time.
+    template <typename Matches>
+    std::size_t countInZone(Duration maxSilence, Matches matches) const;
     /// Counts the live nodes of this zone that precede this one in the order of node ids and match.
     template <typename Matches>
     std::size_t countPreceding(Matches matches) const;
@@ -65,6 +75,7 @@
     /// Time since which enough readers precede this node.
     std::optional<TimePoint> m_enoughReadersSince;
     TimePoint m_mustReadUntil {};
+    TimePoint m_noAnswerSince; ///< Time since which no answer of the platform is known.
     bool m_isReading = false;
 };
 
--- a/lib/Catalog/PlatformUptime.cpp
+++ b/lib/Catalog/PlatformUptime.cpp
@@ -4,11 +4,25 @@
 
 namespace berylridge {
 
+void PlatformUptime::onReadingStarted(TimePoint now)
+{
+    m_isReading = true;
+    m_waitingSince = now;
+}
+
+void PlatformUptime::onReadingEnded()
+{
+    m_isReading = false;
+    m_waitingSince.reset();
+}
+
 void PlatformUptime::onAnswered(TimePoint now)
 {
     if (now < m_backlogEnd)
         return;
     m_ownAnswerAt = now;
+    if (m_isReading)
+        m_waitingSince = now;
     merge({now, now});
 }
 
@@ -25,6 +39,8 @@
     m_up.reset();
     m_followsOutage = true;
     m_ownAnswerAt.reset();
+    if (m_waitingSince)
+        m_waitingSince = now;
     m_backlogEnd = now + backlogTime;
 }
 
@@ -68,4 +84,9 @@
     return Report {now - *m_ownAnswerAt, now - m_up->from};
 }
 
+std::optional<Duration> PlatformUptime::ownWait(TimePoint now) const
+{
+    return m_waitingSince ? std::optional(now - *m_waitingSince) : std::nullopt;
+}
+
 } // namespace berylridge
--- a/lib/Fleet/PeerTable.cpp
+++ b/lib/Fleet/PeerTable.cpp
@@ -48,6 +48,7 @@
     peer.lastMessageAt = now;
     peer.isLeaving = digest.isLeaving;
     peer.isReadingPlatform = digest.isReadingPlatform;
+    peer.isCallingPlatform = digest.platform.waitingMs > 0;
     peer.keepsVersionHistory = digest.keepsVersionHistory;
     peer.rotation = digest.rotation;
     for (const PeerEntry &entry : digest.peers) {
--- a/unittests/Balancer/BalancerFixture.h
+++ b/unittests/Balancer/BalancerFixture.h
@@ -186,6 +186,8 @@
         digest.catalogVersion = catalogVersion;
         digest.directoryRevision = directoryRevision;
         digest.isReadingPlatform = isReadingPlatform;
+        if (isReadingPlatform)
+            digest.platform = {0, 1000, 1}; // The platform has just answered it.
         digest.keepsVersionHistory = keepsVersionHistory;
         handle(NodeMessage {NodeId(node), 1, BalancerMessage(digest)});
     }
--- a/unittests/Balancer/SimulatedFleet.h
+++ b/unittests/Balancer/SimulatedFleet.h
@@ -88,6 +88,7 @@
     static void stopNode(Node &node)
     {
         node.core.reset();
+        node.isReadingPlatform = false;
         node.isPaused = false;
         node.heldEvents.clear();
     }
--- a/unittests/Balancer/SimulatedStore.h
+++ b/unittests/Balancer/SimulatedStore.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,7 +44,15 @@
         record.revision = ++m_revision;
     }
 
+    void publish(std::shared_ptr<const Catalog> catalog)
+    {
+        m_catalog = std::move(catalog);
+        m_catalogRevision = ++m_revision;
+    }
+
     void setDown(bool isDown) { m_isDown = isDown; }
+    /// Lets the node's requests go unanswered from now on, as behind a link that loses everything.
+    void setSilent(const Node &node) { m_silent.insert(&node); }
     void setRefused(const Node &node, bool isRefused)
     {
         if (isRefused)
@@ -74,6 +83,8 @@
             Duration next = watchInterval;
             if (!node.core || !node.isReadingPlatform)
                 m_watches.erase(&node);
+            else if (m_silent.contains(&node))
+                next = watchInterval;
             else if (isReachableFrom(node))
                 answer(node);
             else
@@ -90,6 +101,8 @@
             return;
         if (std::exchange(watch.failures, 0) >= failuresOfAnOutage)
             m_fleet.handle(node, PlatformReachability {true});
+        if (m_catalogRevision > watch.revision)
+            m_fleet.handle(node, CatalogArrived {m_catalog});
         DirectoryUpdate update;
         update.revision = m_revision;
         update.isFullSnapshot = watch.revision == 0;
@@ -116,6 +129,9 @@
     std::map<std::string, TargetRecord> m_entries;
     std::map<const Node *, Watch> m_watches;
     std::set<const Node *> m_refused;
+    std::set<const Node *> m_silent;
+    std::shared_ptr<const Catalog> m_catalog;
+    std::uint64_t m_catalogRevision = 0;
     std::uint64_t m_revision = 0;
     bool m_isDown = false;
 };
