Tell a time without readers from an outage of the platform

Cause: where more than 2 s lay between two known answers of the platform, `PlatformUptime` took the pause for an outage. A removal that is learned after an outage may be a lapse, so its target was used for 2 s more. But nobody had asked: all nodes that read the platform had lost power. The report of a node that ceased to read long ago did the same to a node that had just started.

Evidence: the surviving nodes log "lapsed by platform" with usableMs 2000 for the removed target, and the platform was never down.

Change: a pause is an outage only if a request of some node waited for longer than a watch takes, or if a node that waited so reports the outage. Digests and relays tell for how long their sender has waited, and whether an outage is known to have ended when the platform's uptime began. The platform counts as silent on the same condition. A process that was paused doesn't know whether others asked, and keeps its grace period until peers tell it more, as before.

Why it works: who reads waits for an answer all the time, so a real outage of more than 2 s leaves a request that waited, at every living reader or at the node that replaces them. A time without readers leaves none.

--- a/include/berylridge/Catalog/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -8,8 +8,9 @@
 
 namespace berylridge {
 
-/// Tells an outage of the platform from an outage of this node's path to it: the platform was up
-/// while it answered any node of the fleet. Not thread-safe.
+/// Tells an outage of the platform from an outage of this node's path to it, and from a time in
+/// which no node read: the platform was up while it answered any node of the fleet, and it was down
+/// if a node waited in vain for its answer while it answered none. Not thread-safe.
 class PlatformUptime
 {
 public:
@@ -17,14 +18,19 @@
     struct Report
     {
         Duration sinceAnswer {0}; ///< Time since the platform's last answer.
-        Duration upFor {0};       ///< Time since the end of the platform's last outage.
+        /// Time since the end of the platform's last outage, or since the first answer that is
+        /// known.
+        Duration upFor {0};
+        /// Time for which a request to the platform has waited for an answer; 0 if there is none.
+        Duration waitingFor = sinceAnswer;
+        bool followsOutage = false; ///< Whether an outage is known to have ended `upFor` ago.
     };
 
-    /// Longest pause between answers that is no outage. Entries lapse only after several seconds
-    /// without their targets' reports.
+    /// Longest pause between answers that is never an outage. Entries lapse only after several
+    /// seconds without their targets' reports.
     static constexpr Duration maxAnswerGap = std::chrono::seconds(2);
     /// Longest time between the answers to one node's watches: a watch without changes takes a
-    /// second.
+    /// second. A request that has waited for longer was not answered.
     static constexpr Duration maxWatchTime = std::chrono::milliseconds(1300);
 
     /// Records that this node begins to read the platform's state, or ceases to. A new object
@@ -35,6 +41,8 @@
     void onAnswered(TimePoint now);
     /// Records another node's report.
     void onReported(const Report &report, TimePoint now);
+    /// Records for how long another node has waited for an answer of the platform.
+    void onWaitReported(Duration wait, TimePoint now);
     /// Forgets everything after a pause of this process. What it receives next may have waited for
     /// it, and says nothing about the present.
     void onProcessResumed(TimePoint now);
@@ -50,8 +58,11 @@
     /// Returns the time of the newest answer to any node that this node knows of.
     std::optional<TimePoint> answeredAt() const;
     /// Returns whether the platform is probably down: no answer to any node is known for longer
-    /// than a watch takes.
-    bool isSilent(TimePoint now) const { return m_up && now - m_up->to > maxWatchTime; }
+    /// than a watch takes, and some node has waited for one in vain.
+    bool isSilent(TimePoint now) const
+    {
+        return m_up && now - m_up->to > maxWatchTime && isUnanswered(now);
+    }
     /// Returns all that this node knows; empty if no answer is known.
     std::optional<Report> report(TimePoint now) const;
     /// The same with the last answer to this node itself, for messages that are sent all the time:
@@ -72,10 +83,15 @@
     /// Time in which a resumed process handles what waited for it.
     static constexpr Duration backlogTime = std::chrono::milliseconds(200);
 
-    void merge(const Period &period);
+    void merge(const Period &period, bool followsOutage, TimePoint now);
+    /// Returns whether some node has waited in vain for an answer since the last one.
+    bool isUnanswered(TimePoint now) const;
 
     std::optional<Period> m_up;   ///< The newest period without an outage.
-    bool m_followsOutage = false; ///< Whether an outage preceded that period.
+    bool m_followsOutage = false; ///< Whether an outage preceded that period, or may have.
+    bool m_isOutageKnown = false; ///< Whether a node has seen that outage.
+    /// When a request to the platform was last known to be without an answer.
+    std::optional<TimePoint> m_unansweredAt;
     std::optional<TimePoint> m_ownAnswerAt;
     bool m_isReading = true;
     std::optional<TimePoint> m_waitingSince; ///< When this node began to wait for an answer.
--- a/include/berylridge/Catalog/TargetDirectory.h
+++ b/include/berylridge/Catalog/TargetDirectory.h
@@ -52,6 +52,11 @@
     /// Must be called before the update is applied that came with it.
     void onPlatformAnswered(TimePoint now);
     void onPlatformReported(const PlatformUptime::Report &report, TimePoint now);
+    /// Records for how long another node has waited for an answer of the platform.
+    void onPlatformWaitReported(Duration wait, TimePoint now)
+    {
+        m_platformUptime.onWaitReported(wait, now);
+    }
     /// Records that this node itself read the update from the platform. Must be called after the
     /// update was applied.
     void onPlatformRead(const DirectoryUpdate &update, TimePoint now)
--- a/include/berylridge/Fleet/BalancerMessages.h
+++ b/include/berylridge/Fleet/BalancerMessages.h
@@ -77,12 +77,14 @@
 struct PlatformStatus
 {
     std::uint32_t answeredMs = 0; ///< Milliseconds since the last answer.
-    /// Milliseconds since the end of the last outage, at least 1; 0 if no answer is known.
+    /// Milliseconds since the end of the last outage or the first known answer, at least 1; 0 if no
+    /// answer is known.
     std::uint32_t upMs = 0;
-    /// Milliseconds for which the sender has waited for the platform's next answer, at least 1; 0
-    /// if it doesn't read the platform's state.
+    /// Milliseconds for which a request of the sender has waited for an answer, in a relay a
+    /// request of any node; 0 if none does. A reader always waits, for at least 1 ms.
     std::uint32_t waitingMs = 0;
-    MSGPACK_DEFINE(answeredMs, upMs, waitingMs)
+    bool followsOutage = false; ///< Whether an outage is known to have ended `upMs` ago.
+    MSGPACK_DEFINE(answeredMs, upMs, waitingMs, followsOutage)
 };
 
 /// Gossip message that a node sends to peers in each period. It serves as a heartbeat and carries
--- a/lib/Balancer/GossipExchange.cpp
+++ b/lib/Balancer/GossipExchange.cpp
@@ -46,7 +46,8 @@
 {
     if (!report)
         return {};
-    return {toMilliseconds(report->sinceAnswer), std::max(1U, toMilliseconds(report->upFor))};
+    return {toMilliseconds(report->sinceAnswer), std::max(1U, toMilliseconds(report->upFor)),
+            toMilliseconds(report->waitingFor), report->followsOutage};
 }
 
 } // namespace
@@ -236,6 +237,7 @@
     digest.directoryRevision = m_context.directory.revision();
     digest.isSummarized = true;
     digest.platform = toStatus(m_context.directory.platformUptime().ownReport(m_context.now));
+    // A reader without an answer since the last outage has no report, but waits all the same.
     if (const auto wait = m_context.directory.platformUptime().ownWait(m_context.now))
         digest.platform.waitingMs = std::max(1U, toMilliseconds(*wait));
     return digest;
@@ -284,10 +286,15 @@
 
 void GossipExchange::onPlatformStatus(const PlatformStatus &status)
 {
-    if (status.upMs == 0)
+    const Duration wait = fromMilliseconds(status.waitingMs);
+    if (status.upMs == 0) {
+        m_context.directory.onPlatformWaitReported(wait, m_context.now);
         return;
-    m_context.directory.onPlatformReported(
-        {fromMilliseconds(status.answeredMs), fromMilliseconds(status.upMs)}, m_context.now);
+    }
+    m_context.directory.onPlatformReported({fromMilliseconds(status.answeredMs),
+                                            fromMilliseconds(status.upMs), wait,
+                                            status.followsOutage},
+                                           m_context.now);
 }
 
 void GossipExchange::mergeLoads(const NodeId &from, const LoadDigest &digest)
--- a/lib/Catalog/PlatformUptime.cpp
+++ b/lib/Catalog/PlatformUptime.cpp
@@ -20,44 +20,60 @@
 {
     if (now < m_backlogEnd)
         return;
+    onWaitReported(ownWait(now).value_or(Duration(0)), now);
     m_ownAnswerAt = now;
     if (m_isReading)
         m_waitingSince = now;
-    merge({now, now});
+    merge({now, now}, false, now);
 }
 
 void PlatformUptime::onReported(const Report &report, TimePoint now)
 {
     if (now < m_backlogEnd)
         return;
+    onWaitReported(report.waitingFor, now);
     const TimePoint to = now - report.sinceAnswer;
-    merge({std::min(now - report.upFor, to), to});
+    merge({std::min(now - report.upFor, to), to}, report.followsOutage, now);
+}
+
+void PlatformUptime::onWaitReported(Duration wait, TimePoint now)
+{
+    if (now >= m_backlogEnd && wait > maxWatchTime)
+        m_unansweredAt = now;
 }
 
 void PlatformUptime::onProcessResumed(TimePoint now)
 {
     m_up.reset();
     m_followsOutage = true;
+    m_isOutageKnown = false;
+    m_unansweredAt.reset();
     m_ownAnswerAt.reset();
     if (m_waitingSince)
         m_waitingSince = now;
     m_backlogEnd = now + backlogTime;
 }
 
-void PlatformUptime::merge(const Period &period)
+void PlatformUptime::merge(const Period &period, bool followsOutage, TimePoint now)
 {
-    if (!m_up) {
-        m_up = period;
+    const bool isNewer = m_up && period.from > m_up->to + maxAnswerGap;
+    const bool isOlder = m_up && m_up->from > period.to + maxAnswerGap;
+    if (isOlder)
         return;
-    }
-    const bool isOnePeriod
-        = period.from <= m_up->to + maxAnswerGap && m_up->from <= period.to + maxAnswerGap;
-    if (isOnePeriod) {
-        m_up = Period {std::min(m_up->from, period.from), std::max(m_up->to, period.to)};
-    } else if (period.to > m_up->to) {
+    // The pause between two periods was an outage only if a node asked in it.
+    const bool isAfterOutage = followsOutage || (isNewer && isUnanswered(now));
+    if (!m_up || (isNewer && isAfterOutage))
         m_up = period;
-        m_followsOutage = true;
-    }
+    else
+        m_up = Period {std::min(m_up->from, period.from), std::max(m_up->to, period.to)};
+    m_followsOutage = m_followsOutage || isAfterOutage;
+    m_isOutageKnown = m_isOutageKnown || isAfterOutage;
+}
+
+bool PlatformUptime::isUnanswered(TimePoint now) const
+{
+    const bool isReported = m_up && m_unansweredAt > m_up->to;
+    return isReported || ownWait(now).value_or(Duration(0)) > maxWatchTime;
 }
 
 std::optional<TimePoint> PlatformUptime::upSince() const
@@ -74,14 +90,17 @@
 {
     if (!m_up)
         return std::nullopt;
-    return Report {now - m_up->to, now - m_up->from};
+    const Duration sinceAnswer = now - m_up->to;
+    return Report {sinceAnswer, now - m_up->from, isSilent(now) ? sinceAnswer : Duration(0),
+                   m_isOutageKnown};
 }
 
 std::optional<PlatformUptime::Report> PlatformUptime::ownReport(TimePoint now) const
 {
     if (!m_ownAnswerAt || *m_ownAnswerAt < m_up->from)
         return std::nullopt;
-    return Report {now - *m_ownAnswerAt, now - m_up->from};
+    return Report {now - *m_ownAnswerAt, now - m_up->from, ownWait(now).value_or(Duration(0)),
+                   m_isOutageKnown};
 }
 
 std::optional<Duration> PlatformUptime::ownWait(TimePoint now) const
--- a/unittests/Balancer/ReaderLossTest.cpp
+++ b/unittests/Balancer/ReaderLossTest.cpp
@@ -77,21 +77,29 @@
                 m_store.setSilent(each);
         }
 
-        /// Takes the credential away that isUsed() sends, and lets a target leave.
-        void change()
+        /// Takes the credential away that isUsed() sends.
+        void revokeCredential() { m_store.publish(catalog("another key")); }
+
+        void removeTarget() { DepartureFleet::leave(m_targets[0]); }
+
+        std::size_t nodesThatUseRemovedTarget(const std::vector<Node *> &failed)
         {
-            m_store.publish(catalog("another key"));
-            DepartureFleet::leave(m_targets[0]);
+            return nodesThatUse(m_targets[0], failed);
         }
 
         /// Returns the nodes other than the given ones that still accept the credential.
         std::size_t nodesBehind(const std::vector<Node *> &failed)
+        {
+            return nodesThatUse(m_targets[1], failed);
+        }
+
+        std::size_t nodesThatUse(const Target &target, const std::vector<Node *> &failed)
         {
             std::size_t count = 0;
             for (Node &each : m_fleet.nodes()) {
                 const bool hasFailed
                     = std::find(failed.begin(), failed.end(), &each) != failed.end();
-                count += !hasFailed && isUsed(each, m_targets[1]) ? 1 : 0;
+                count += !hasFailed && isUsed(each, target) ? 1 : 0;
             }
             return count;
         }
@@ -117,7 +125,7 @@
             fleet.runFor(offset);
             const auto failed = fleet.readers();
             (fleet.*fail)(failed);
-            fleet.change();
+            fleet.revokeCredential();
             fleet.runFor(changeLimit);
             EXPECT_EQ(fleet.nodesBehind(failed), 0U) << toMilliseconds(offset) << " ms";
         }
@@ -133,13 +141,24 @@
     expectChangeInTime(&Fleet::kill);
 }
 
-// Guards against the same while all nodes that read the platform are frozen.
+// Guards against requests to a target that left while no node read the platform.
+TEST_P(ReaderLossTest, DepartureTakesEffectAfterAllReadersWereKilled)
+{
+    Fleet fleet(GetParam());
+    const auto failed = fleet.readers();
+    fleet.kill(failed);
+    fleet.removeTarget();
+    fleet.runFor(changeLimit);
+    EXPECT_EQ(fleet.nodesThatUseRemovedTarget(failed), 0U);
+}
+
+// Guards against nodes that accept a revoked credential while all readers are frozen.
 TEST_P(ReaderLossTest, ChangeTakesEffectWhileAllReadersAreFrozen)
 {
     expectChangeInTime(&Fleet::freeze);
 }
 
-// Guards against the same where the readers are stopped together as planned.
+// Guards against the same where all readers are stopped together as planned.
 TEST_P(ReaderLossTest, ChangeTakesEffectWhileAllReadersLeave)
 {
     expectChangeInTime(&Fleet::leave);
--- a/unittests/Balancer/TargetDepartureTest.cpp
+++ b/unittests/Balancer/TargetDepartureTest.cpp
@@ -36,6 +36,9 @@
     }
 };
 
+/// What fails besides the store and the nodes' paths to it.
+enum class ReaderLoss { None, All };
+
 /// Lets targets leave in the midst of random outages.
 class RandomDepartures : public test::DepartureFleet
 {
@@ -44,6 +47,7 @@
     {
         std::size_t checks = 0;
         std::size_t outages = 0;
+        std::size_t readerLosses = 0;
         std::size_t departures = 0;
         std::size_t lapses = 0;
         /// Requests of nodes in touch that reached a target later than departureLimit.
@@ -53,8 +57,10 @@
         std::size_t refusals = 0;
     };
 
-    explicit RandomDepartures(std::uint64_t seed)
+    explicit RandomDepartures(std::uint64_t seed, ReaderLoss readerLoss = ReaderLoss::None)
         : DepartureFleet(seed, seed % 3 == 0 ? largeZone : smallZone)
+        , m_readerLoss(readerLoss)
+        , m_lossRandom(seed)
         , m_disturbedUntil(m_fleet.nodes().size(), Duration(0))
     {
     }
@@ -62,6 +68,8 @@
     Result run()
     {
         scheduleOutage();
+        if (m_readerLoss == ReaderLoss::All)
+            scheduleReaderLoss();
         for (std::size_t i = 1; i < m_targets.size(); ++i)
             m_schedule.add(randomTime(1s, runTime), [this, i] { departUnlessDown(i); });
         for (Duration at = checkInterval; at < runTime; at += checkInterval)
@@ -74,6 +82,7 @@
     static constexpr Duration runTime = 40s;
     static constexpr Duration checkInterval = 50ms;
     static constexpr Duration entryLifetime = 3600ms;
+    static constexpr std::size_t readersPerZone = 2;
 
     void scheduleOutage()
     {
@@ -94,6 +103,40 @@
         });
     }
 
+    /// Kills or freezes the nodes that read the store, time and again; one or more of each zone
+    /// live on.
+    void scheduleReaderLoss()
+    {
+        const Duration delay = fromSeconds(1 + 5 * uniform(m_lossRandom));
+        m_schedule.add(delay, [this] {
+            ++m_result.readerLosses;
+            const bool isKill = uniform(m_lossRandom) < 0.5;
+            const Duration time = fromSeconds(0.5 + 4 * uniform(m_lossRandom));
+            std::map<std::string, std::size_t> lostInZone;
+            for (std::size_t i = 0; i < m_fleet.nodes().size(); ++i) {
+                if (node(i).isReadingPlatform && lostInZone[node(i).zone]++ < readersPerZone)
+                    loseNode(i, isKill, time);
+            }
+            m_schedule.add(time, [this] { scheduleReaderLoss(); });
+        });
+    }
+
+    void loseNode(std::size_t index, bool isKill, Duration time)
+    {
+        Node &lost = node(index);
+        m_disturbedUntil[index] = std::max(m_disturbedUntil[index], now() + time);
+        if (isKill)
+            test::SimulatedFleet::stopNode(lost);
+        else
+            test::SimulatedFleet::pauseNode(lost);
+        m_schedule.add(time, [this, &lost, isKill] {
+            if (isKill)
+                m_fleet.startNode(lost);
+            else
+                m_fleet.resumeNode(lost);
+        });
+    }
+
     void refuseNodes(Duration time)
     {
         const std::size_t first = randomIndex(m_fleet.nodes().size());
@@ -147,7 +190,7 @@
     void disturb(std::size_t index, Duration time)
     {
         m_store.setRefused(node(index), true);
-        m_disturbedUntil[index] = now() + time;
+        m_disturbedUntil[index] = std::max(m_disturbedUntil[index], now() + time);
         m_schedule.add(time, [this, index] { m_store.setRefused(node(index), false); });
     }
 
@@ -165,6 +208,8 @@
     void check()
     {
         for (std::size_t i = 0; i < m_fleet.nodes().size(); ++i) {
+            if (!node(i).core || node(i).isPaused)
+                continue;
             const bool isInTouch
                 = now() - std::max(m_disturbedUntil[i], m_storeDisturbedUntil) >= inTouchTime;
             const bool isUndisturbed = now() - m_disturbedUntil[i] >= inTouchTime;
@@ -189,6 +234,8 @@
         m_result.longest = std::max(m_result.longest, since);
     }
 
+    const ReaderLoss m_readerLoss;
+    RandomEngine m_lossRandom;
     std::vector<Duration> m_disturbedUntil; ///< By node.
     Duration m_storeDisturbedUntil {0};
     Result m_result;
@@ -203,10 +250,10 @@
 std::string describe(const RandomDepartures::Result &result)
 {
     std::ostringstream text;
-    text << "checks " << result.checks << ", outages " << result.outages << ", departures "
-         << result.departures << ", lapses " << result.lapses << ", late requests "
-         << result.lateRequests << " (longest " << toMilliseconds(result.longest)
-         << " ms), refusals " << result.refusals;
+    text << "checks " << result.checks << ", outages " << result.outages << ", reader losses "
+         << result.readerLosses << ", departures " << result.departures << ", lapses "
+         << result.lapses << ", late requests " << result.lateRequests << " (longest "
+         << toMilliseconds(result.longest) << " ms), refusals " << result.refusals;
     return text.str();
 }
 
@@ -290,3 +337,14 @@
         EXPECT_GT(result.departures, 0U) << "seed " << seed;
     }
 }
+
+// Guards against the same where all nodes that read the platform fail together, time and again.
+TEST(TargetDepartureFleetTest, NoRequestReachesATargetThatHasLeftWhileReadersFail)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        const RandomDepartures::Result result = RandomDepartures(seed, ReaderLoss::All).run();
+        EXPECT_EQ(result.lateRequests, 0U) << "seed " << seed << ": " << describe(result);
+        EXPECT_EQ(result.refusals, 0U) << "seed " << seed << ": " << describe(result);
+        EXPECT_GT(result.readerLosses, 0U) << "seed " << seed;
+    }
+}
--- a/unittests/Catalog/PlatformUptimeTest.cpp
+++ b/unittests/Catalog/PlatformUptimeTest.cpp
@@ -109,6 +109,61 @@
     EXPECT_EQ(upFor(first), 0s);
 }
 
+// Guards against a time without readers, who all failed together, that is taken for an outage: the
+// departures in it would be taken for lapses.
+TEST_F(PlatformUptimeTest, ATimeWithoutReadersIsNoOutage)
+{
+    listener.onReadingEnded();
+    readFor(5s, {&first, &second}, {&listener});
+    clock.advance(4s);
+    listener.onReadingStarted(clock.now());
+    clock.advance(10ms);
+    listener.onAnswered(clock.now());
+    EXPECT_FALSE(listener.outageEnd());
+    EXPECT_GT(upFor(listener), 9s);
+}
+
+// Guards against the same where a node that has ceased to read reports how old its last answer is.
+TEST_F(PlatformUptimeTest, AnOldAnswerOfAFormerReaderIsNoOutage)
+{
+    readFor(5s, {&first, &second}, {&second});
+    first.onReadingEnded();
+    readFor(6s, {&second});
+    listener.onReadingEnded();
+    report(first, {&listener});
+    listener.onReadingStarted(clock.now());
+    listener.onAnswered(clock.now());
+    EXPECT_FALSE(listener.outageEnd());
+}
+
+// Guards against the lapses of an outage that are taken for departures by a node that begins to
+// read in it, or that doesn't read.
+TEST_F(PlatformUptimeTest, ARequestThatWaitsInVainShowsAnOutage)
+{
+    listener.onReadingEnded();
+    readFor(5s, {&first}, {&listener});
+    second.onReadingEnded();
+    report(first, {&second});
+    clock.advance(1500ms);
+    report(first, {&second, &listener});
+    second.onReadingStarted(clock.now());
+    EXPECT_TRUE(listener.isSilent(clock.now()));
+    clock.advance(2s);
+    second.onAnswered(clock.now());
+    EXPECT_EQ(second.outageEnd(), clock.now());
+    report(second, {&listener});
+    EXPECT_EQ(listener.outageEnd(), clock.now());
+}
+
+// Guards against nodes that take the silence of readers for the silence of the platform.
+TEST_F(PlatformUptimeTest, ThePlatformIsNotSilentWhereNobodyAsks)
+{
+    listener.onReadingEnded();
+    readFor(5s, {&first}, {&listener});
+    clock.advance(4s);
+    EXPECT_FALSE(listener.isSilent(clock.now()));
+}
+
 // Guards against a process that takes an answer for a new one that waited while it was paused.
 TEST_F(PlatformUptimeTest, AResumedProcessWaitsForNewAnswers)
 {
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -266,6 +266,20 @@
     EXPECT_EQ(changes[0].description, "removed");
 }
 
+// Guards against requests to a target that left while no node read the platform.
+TEST_F(TargetDirectoryTest, RemovalLearnedAfterATimeWithoutReadersIsADeparture)
+{
+    TargetDirectory other;
+    other.onPlatformReadingEnded();
+    other.onPlatformReported({1s, 20s}, clock.now());
+    other.apply({5, true, true, {makeRecord("t", 5)}, {}}, clock.now());
+    clock.advance(4s);
+    other.onPlatformReadingStarted(clock.now());
+    other.onPlatformAnswered(clock.now());
+    other.apply({6, true, true, {}, {}}, clock.now());
+    EXPECT_FALSE(other.isUsable(*other.find("t"), clock.now()));
+}
+
 // Guards against a fleet that loses its targets because the platform is down again before it could
 // list them.
 TEST_F(TargetDirectoryTest, LapsedEntriesOutlastASecondOutage)
