Log the source and the age of the state that a node becomes ready with

Event 1002 now has the source of the last piece, the revision of the targets and the age of the platform's newest answer. Decisions are unchanged.

Measured: ReadinessTellsTheSourceOfTheState fails before.

--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -64,7 +64,8 @@
     void onLeave(const std::string &who);
     TimePoint earliestArrival() const;
     void runTimers();
-    void checkReady();
+    /// `source` is where the last piece of the state came from.
+    void checkReady(const std::string &source);
     void onTrafficThreadReport(const TrafficThreadReport &report);
     void updateRotation();
     OverloadReadiness::Zone zoneStatus() const;
@@ -204,7 +205,7 @@
     m_context.routeTable = std::make_shared<const RouteTable>(std::move(catalog));
     m_context.longestStreamTimeout
         = std::max(m_context.longestStreamTimeout, m_context.routeTable->longestStreamTimeout());
-    checkReady();
+    checkReady(source);
 }
 
 void BalancerCore::Impl::onPlatformDirectory(const DirectoryUpdate &directoryUpdate)
@@ -225,7 +226,7 @@
     if (m_context.directory.apply(directoryUpdate, m_context.now))
         m_targetSelector.onDirectory();
     logDirectoryChanges(source);
-    checkReady();
+    checkReady(source);
 }
 
 void BalancerCore::Impl::logDirectoryChanges(const std::string &source)
@@ -275,13 +276,18 @@
     return std::min(m_context.now, m_nextDigest);
 }
 
-void BalancerCore::Impl::checkReady()
+void BalancerCore::Impl::checkReady(const std::string &source)
 {
     if (!m_context.routeTable || m_context.directory.revision() == 0)
         return;
     if (!m_context.stateMachines.node.step(m_state, NodeSignal::DocumentsKnown))
         return;
-    m_context.log(LogEventId::NodeReady, m_context.options.node.str());
+    Json::Value fields;
+    fields["source"] = source;
+    fields["directory"] = Json::UInt64(m_context.directory.revision());
+    if (const auto answeredAt = m_context.directory.platformUptime().answeredAt())
+        fields["platformAnsweredMs"] = toMilliseconds(m_context.now - *answeredAt);
+    m_context.log(LogEventId::NodeReady, m_context.options.node.str(), std::move(fields));
     m_context.emit(Readiness {true});
     m_gossip.answerWaitingPeers();
 }
--- a/unittests/Balancer/BalancerCoreTest.cpp
+++ b/unittests/Balancer/BalancerCoreTest.cpp
@@ -69,6 +69,27 @@
     EXPECT_TRUE(findAction<Readiness>()->isReady);
 }
 
+// Guards against a log that doesn't tell from where a node that starts has its state, and how old
+// that is.
+TEST_F(BalancerCoreTest, ReadinessTellsTheSourceOfTheState)
+{
+    installCatalog();
+    DirectoryRelay relay;
+    relay.directoryUpdate = listingOf({"t1"});
+    relay.platform.answeredMs = 700;
+    relay.platform.upMs = 900;
+    handle(NodeMessage {NodeId("m1"), 1, BalancerMessage(relay)});
+    Json::Value fields;
+    for (const Action &action : actions) {
+        const auto *log = std::get_if<Log>(&action);
+        if (log && log->record.id == LogEventId::NodeReady)
+            fields = log->record.fields;
+    }
+    EXPECT_EQ(fields["source"].asString(), "m1");
+    EXPECT_EQ(fields["directory"].asUInt64(), revision);
+    EXPECT_EQ(fields["platformAnsweredMs"].asUInt(), 700U);
+}
+
 TEST_F(BalancerCoreTest, RoutesAndCredentialsAreChecked)
 {
     installCatalog();
