Ignore changes to a state that the node doesn't have

A node that restarts could take part of the targets for all of them, and serve with these until it listed the platform itself.

Cause: a peer answers a request for newer state with the changes since the requester's revision. If the peer is frozen meanwhile and the requester is killed, the answer reaches the restarted process at the same address. This one took the changes for the whole state, with their revision.

Change: an update tells since which revision its changes are, and a node whose state is older ignores it. It asks again at the next digest.

Measured: ChangesToAStateThatTheNodeLacksAreIgnored fails before.

--- a/include/berylridge/Catalog/TargetRecord.h
+++ b/include/berylridge/Catalog/TargetRecord.h
@@ -58,7 +58,9 @@
     bool isComplete = true;
     std::vector<TargetRecord> targets;
     std::vector<ZoneRecord> zones;
-    MSGPACK_DEFINE(revision, isFullSnapshot, isComplete, targets, zones)
+    /// Changes up to this revision are left out; 0 if none are.
+    std::uint64_t sinceRevision = 0;
+    MSGPACK_DEFINE(revision, isFullSnapshot, isComplete, targets, zones, sinceRevision)
 };
 
 } // namespace berylridge
--- a/lib/Catalog/TargetDirectory.cpp
+++ b/lib/Catalog/TargetDirectory.cpp
@@ -31,6 +31,9 @@
 
 bool TargetDirectory::apply(const DirectoryUpdate &update, TimePoint now)
 {
+    // An answer to this node's former process, which knew more.
+    if (update.sinceRevision > m_revision)
+        return false;
     bool isChanged = false;
     for (const TargetRecord &record : update.targets)
         isChanged |= mergeTarget(record, now);
@@ -234,6 +237,7 @@
     // A receiver whose revision precedes this node's first snapshot may hold targets whose removal
     // this node never received. Only a full snapshot removes them.
     update.isFullSnapshot = revision < m_removalsKnownSince && m_revision > 0;
+    update.sinceRevision = update.isFullSnapshot ? 0 : revision;
     for (const auto &[id, entry] : m_entries) {
         if (entry.record.revision <= revision && !update.isFullSnapshot)
             continue;
--- a/unittests/Catalog/TargetDirectoryTest.cpp
+++ b/unittests/Catalog/TargetDirectoryTest.cpp
@@ -96,6 +96,19 @@
     EXPECT_FALSE(isUsable("t"));
 }
 
+// Guards against a node that restarts while a peer is frozen, and takes the peer's late answer to
+// its former process for the whole state.
+TEST_F(TargetDirectoryTest, ChangesToAStateThatTheNodeLacksAreIgnored)
+{
+    apply(5, {makeRecord("t", 5)}, true);
+    apply(6, {makeRecord("u", 6)});
+    TargetDirectory restarted;
+    EXPECT_FALSE(restarted.apply(directory.updateSince(5, clock.now()), clock.now()));
+    EXPECT_EQ(restarted.revision(), 0U);
+    EXPECT_TRUE(restarted.apply(directory.updateSince(0, clock.now()), clock.now()));
+    EXPECT_EQ(restarted.entries().size(), 2U);
+}
+
 TEST_F(TargetDirectoryTest, DrainingTargetIsNotUsable)
 {
     TargetRecord draining = makeRecord("t", 6);
