Use nothing of a response with an unsupported coding

A target whose 503 had a transfer coding other than chunked, or that sent a 101, got no more requests for the time of its Retry-After, though its response was refused as invalid. A late one with two codings was skipped, and what followed it was relayed as the response to the request.

Cause: the coding was checked after the advice of the head was used, and after the response was taken for one to an earlier request.

Evidence: through berylridge-platform with real sockets, two requests that met a 503 with gzip and Retry-After: 5 at the two targets let the next six be refused with 503.

Change: an unsupported coding or status ends the attempt before anything of the head is used. Whether a response without a length is accepted is still checked after it.

--- a/lib/Net/TargetAttempt.cpp
+++ b/lib/Net/TargetAttempt.cpp
@@ -198,6 +198,11 @@
         return;
     }
     const ResponseHead &head = m_parser->get().base();
+    // Nothing that such a head says can be relied on.
+    if (!isSupported(head)) {
+        fail(AttemptFailure::InvalidResponse);
+        return;
+    }
     const ResponseInfo facts = m_owner->inspect(head);
     if (!facts.isForThisRequest && m_isReused) {
         skipStrayResponse();
@@ -205,7 +210,7 @@
     }
     if (facts.isForThisRequest && !facts.advice.isEmpty())
         m_owner->onTargetAdvice(head.result_int(), facts.advice);
-    if (!facts.isForThisRequest || !facts.isUsable || !hasSupportedFraming(head)) {
+    if (!facts.isForThisRequest || !facts.isUsable || !hasSupportedEnd()) {
         fail(AttemptFailure::InvalidResponse);
         return;
     }
@@ -228,15 +233,17 @@
         fail(*failure);
 }
 
-bool TargetAttempt::hasSupportedFraming(const ResponseHead &head) const
+bool TargetAttempt::isSupported(const ResponseHead &head)
 {
     // Any transfer coding other than chunked would remain in the body without a field that
     // announces it.
     const auto coding = head.find(http::field::transfer_encoding);
-    if (coding != head.end() && !beast::iequals(coding->value(), "chunked"))
-        return false;
-    if (head.result_int() == 101)
-        return false;
+    const bool hasOtherCoding = coding != head.end() && !beast::iequals(coding->value(), "chunked");
+    return !hasOtherCoding && head.result_int() != 101;
+}
+
+bool TargetAttempt::hasSupportedEnd() const
+{
     // Without a length, the end of the connection ends the response, and a truncated one could be
     // mistaken for a complete one, unless the protocol's targets reset a connection that breaks.
     return m_traits.acceptsUnframedResponses || !m_parser->need_eof() || m_parser->is_done();
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -92,7 +92,8 @@
     bool isRequestSent() const { return m_writeResult && !*m_writeResult; }
     void readHead();
     void onHead(error_code error);
-    bool hasSupportedFraming(const ResponseHead &head) const;
+    static bool isSupported(const ResponseHead &head);
+    bool hasSupportedEnd() const;
     void readBody();
     void skipStrayResponse();
     std::size_t parseBody(error_code &error);
--- a/unittests/Net/BrokenResponseTest.cpp
+++ b/unittests/Net/BrokenResponseTest.cpp
@@ -182,6 +182,11 @@
         expectRejected(withStatus(status, fields));
     expectRejected("HTTP/1.1 503 Service Unavailable\r\n" + fields
                    + "X-A: 1\r\n Content-Length: 4\r\n\r\nclay");
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+        expectRejected("HTTP/1.1 503 Service Unavailable\r\n" + fields
+                       + "Transfer-Encoding: " + coding + "\r\n\r\n4\r\nclay\r\n0\r\n\r\n");
+    }
+    expectRejected("HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: x\r\n\r\n");
 }
 
 // Guards against a broken response that is skipped as one to an earlier request: the next response
@@ -193,6 +198,9 @@
     expectRejected("HTTP/1.1 200 OK\r\n" + late + "X-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n"
                        + okResponse,
                    true);
+    expectRejected("HTTP/1.1 200 OK\r\n" + late
+                       + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + okResponse,
+                   true);
 }
 
 // Guards against field lines whose name no two readers agree on.
