--- a/include/berylridge/Catalog/PlatformUptime.h
+++ b/include/berylridge/Catalog/PlatformUptime.h
@@ -33,8 +33,8 @@
     /// second. A request that has waited for longer was not answered.
     static constexpr Duration maxWatchTime = std::chrono::milliseconds(1300);
 
-    /// Records that this node begins to read the platform's state, or ceases to. A new object
-    /// counts as reading from its first answer on.
+    /// Records that this node begins to read the platform's state, or ceases to. A new object is
+    /// taken for that of a node that reads from its first answer on.
     void onReadingStarted(TimePoint now);
     void onReadingEnded();
     /// Records that the platform answered this node, which then sends its next request if it reads.
@@ -84,7 +84,7 @@
     static constexpr Duration backlogTime = std::chrono::milliseconds(200);
 
     void merge(const Period &period, bool followsOutage, TimePoint now);
-    /// Returns whether some node has waited in vain for an answer since the last one.
+    /// Returns whether some node has waited for longer than a watch takes since the last answer.
     bool isUnanswered(TimePoint now) const;
 
     std::optional<Period> m_up;   ///< The newest period without an outage.
@@ -93,7 +93,7 @@
     /// When a request to the platform was last known to be without an answer.
     std::optional<TimePoint> m_unansweredAt;
     std::optional<TimePoint> m_ownAnswerAt;
-    bool m_isReading = true;
+    bool m_isReading = true; ///< Whether this node sends a request after each answer.
     std::optional<TimePoint> m_waitingSince; ///< When this node began to wait for an answer.
     TimePoint m_backlogEnd {};               ///< Answers and reports before this time are ignored.
 };
--- a/lib/Balancer/BalancerCore.cpp
+++ b/lib/Balancer/BalancerCore.cpp
@@ -46,7 +46,7 @@
         , m_timersDueAt(now)
         , m_timersRanAt(now)
     {
-        m_context.directory.onPlatformReadingEnded();
+        m_context.directory.onPlatformReadingEnded(); // Until m_reader decides otherwise.
     }
 
     void handle(const Event &event, TimePoint now, WallTime wall, Actions &actions);
--- a/lib/Balancer/GossipExchange.h
+++ b/lib/Balancer/GossipExchange.h
@@ -109,8 +109,8 @@
     TargetSelector &m_targetSelector;
     RequestProcessor &m_requests;
     ReaderRole &m_reader;
-    LoadDigest m_heartbeat; ///< This period's digest without loads, flows and lists.
-    LoadDigest m_lastDigest;
+    LoadDigest m_heartbeat;          ///< This period's digest without loads, flows and lists.
+    LoadDigest m_lastDigest;         ///< The digest that was sent last.
     std::uint64_t m_digestsSent = 0; ///< Number of digests built so far.
     TransmitLimitedQueue<PlacementEntry> m_placements;
     TransmitLimitedQueue<TargetCacheWriteEntry> m_cacheWrites;
--- a/lib/Net/TargetAttempt.h
+++ b/lib/Net/TargetAttempt.h
@@ -92,7 +92,9 @@
     bool isRequestSent() const { return m_writeResult && !*m_writeResult; }
     void readHead();
     void onHead(error_code error);
+    /// Returns whether the response's status and coding are among those that can be relayed.
     static bool isSupported(const ResponseHead &head);
+    /// Returns whether the end of the response can be told from a truncation.
     bool hasSupportedEnd() const;
     void readBody();
     void skipStrayResponse();
