--- a/unittests/Net/BrokenResponseTest.cpp
+++ b/unittests/Net/BrokenResponseTest.cpp
@@ -183,8 +183,9 @@
     expectRejected("HTTP/1.1 503 Service Unavailable\r\n" + fields
                    + "X-A: 1\r\n Content-Length: 4\r\n\r\nclay");
     for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
-        expectRejected("HTTP/1.1 503 Service Unavailable\r\n" + fields
-                       + "Transfer-Encoding: " + coding + "\r\n\r\n4\r\nclay\r\n0\r\n\r\n");
+        std::string text = "HTTP/1.1 503 Service Unavailable\r\n" + fields;
+        text += "Transfer-Encoding: " + coding + "\r\n\r\n4\r\nclay\r\n0\r\n\r\n";
+        expectRejected(text);
     }
     expectRejected("HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: x\r\n\r\n");
 }
