--- a/unittests/Balancer/DepartureFleet.h
+++ b/unittests/Balancer/DepartureFleet.h
@@ -57,7 +57,7 @@
         record.address = "10.1.0.1";
         record.port = 80;
         record.zone = "z0";
-        record.slots = 64; // More than there are nodes, which may all send a request at once.
+        record.slots = 256; // More than there are nodes, which may all send a request at once.
         record.startedAtMs = 1;
         record.softwareVersion = "v1";
         return record;
